Set down the design, the folders and the core types

The folders follow life spans; identifiers are NewType, states are Enum, log entries are frozen dataclasses that control and daemons share.

Ruled out before the first code: splitting a server's 3 slots between 8 proxies (not possible in whole numbers, and a quota only follows demand at each renewal). Each endpoint has one owner proxy instead, in its own data centre, so that slot limits and rank order are exact.

--- /dev/null
+++ b/waxwinglift/connection/__init__.py
@@ -0,0 +1,15 @@
+"""What lives for a caller's connection or a connection to an endpoint."""
+
+from waxwinglift.connection._types import ConnectionId
+from waxwinglift.connection._types import ConnectionState
+from waxwinglift.connection._types import HealthState
+from waxwinglift.connection._types import SessionId
+from waxwinglift.connection._types import TransactionStatus
+
+__all__ = [
+    "ConnectionId",
+    "ConnectionState",
+    "HealthState",
+    "SessionId",
+    "TransactionStatus",
+]
--- /dev/null
+++ b/waxwinglift/process/_types.py
@@ -0,0 +1,27 @@
+"""Identifiers that last as long as a process."""
+
+import dataclasses
+from typing import NewType
+
+DaemonId = NewType("DaemonId", str)
+DataCentre = NewType("DataCentre", str)
+Region = NewType("Region", str)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """IP number and TCP port of a listening socket."""
+
+    host: str
+    port: int
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Location:
+    """Data centre of a VM and the region that holds it."""
+
+    data_centre: DataCentre
+    region: Region
--- /dev/null
+++ b/waxwinglift/process/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC messages between processes; conversion from and to core types."""
--- /dev/null
+++ b/waxwinglift/request/_types.py
@@ -0,0 +1,61 @@
+"""Identifiers, verdicts and failures of one request."""
+
+import dataclasses
+import enum
+from typing import NewType
+
+RequestId = NewType("RequestId", int)
+
+
+class Access(enum.Enum):
+    """What a caller says that a request does."""
+
+    READ = "read"
+    WRITE = "write"
+    AUTO = "auto"
+
+
+class Verdict(enum.Enum):
+    """What is known about a request that failed."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class FailureCode(enum.Enum):
+    """SQLSTATE of each failure that the proxy itself reports."""
+
+    UNAVAILABLE = "57P03"
+    REJECTED = "53400"
+    SHUTTING_DOWN = "57P01"
+    OUTCOME_UNKNOWN = "08007"
+    ALREADY_RAN = "WX001"
+    FLOOR_LOST = "WX002"
+    BAD_PARAMETER = "22023"
+    UNKNOWN_POOL = "3D000"
+    BAD_MESSAGE = "08P01"
+    NOT_SUPPORTED = "0A000"
+    CANCELLED = "57014"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """Outcome of a request that has no complete answer.
+
+    Only failures with the verdict NOT_RUN may be retried.
+    """
+
+    verdict: Verdict
+    code: FailureCode
+    message: str
+
+
+def not_run(code, message):
+    """Return a failure of a request that did not run."""
+    return Failure(Verdict.NOT_RUN, code, message)
+
+
+def may_have_run(message):
+    """Return a failure of a request whose outcome is unknown."""
+    return Failure(Verdict.MAY_HAVE_RUN, FailureCode.OUTCOME_UNKNOWN, message)
--- /dev/null
+++ b/waxwinglift/version/_entries.py
@@ -0,0 +1,262 @@
+"""Entries of the control log.
+
+The same entries are stored on disk, sent to control followers and streamed to
+the daemons, which apply them with the same code.
+"""
+
+import dataclasses
+import enum
+
+from waxwinglift.process import Address
+from waxwinglift.process import DaemonId
+from waxwinglift.process import Location
+from waxwinglift.version._types import EditId
+from waxwinglift.version._types import EndpointId
+from waxwinglift.version._types import EndpointRole
+from waxwinglift.version._types import Epoch
+from waxwinglift.version._types import GroupName
+from waxwinglift.version._types import Lsn
+from waxwinglift.version._types import PoolName
+from waxwinglift.version._types import Rank
+from waxwinglift.version._types import TableVersion
+from waxwinglift.version._types import Term
+
+
+class EntryKind(enum.Enum):
+    """Discriminator of the stored form of an entry."""
+
+    NO_OPERATION = "no_operation"
+    POOL_EDITED = "pool_edited"
+    ENDPOINT_JOINED = "endpoint_joined"
+    ENDPOINT_LEAVING = "endpoint_leaving"
+    ENDPOINT_LOST = "endpoint_lost"
+    GROUP_FORMED = "group_formed"
+    TERM_RAISED = "term_raised"
+    PRIMARY_CHOSEN = "primary_chosen"
+    PRIMARY_ACTIVE = "primary_active"
+    DAEMON_JOINED = "daemon_joined"
+    DAEMON_DRAINING = "daemon_draining"
+    DAEMON_LEFT = "daemon_left"
+    OWNERS_ASSIGNED = "owners_assigned"
+    MEMBER_ADDED = "member_added"
+    MEMBER_PROMOTED = "member_promoted"
+    MEMBER_REMOVED = "member_removed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankRow:
+    """One row of a pool's table.
+
+    Parameters
+    ----------
+    rank : Rank
+        Name that callers state.
+    weight : int
+        Share of slots relative to other ranks when no rank is short.
+    floor_percent : int
+        Least share of slots while higher ranks flood, 0 to 100.
+    limit_count : int
+        Most slots of one endpoint at once; 0 for no limit.
+    queue_limit_count : int
+        Most requests waiting at one endpoint.
+    deadline_ms : int
+        Default time limit from arrival to the start of the statement.
+    """
+
+    rank: Rank
+    weight: int
+    floor_percent: int
+    limit_count: int
+    queue_limit_count: int
+    deadline_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolTable:
+    """Table of a pool: its group and its ranks, most urgent first."""
+
+    pool: PoolName
+    group: GroupName
+    rows: tuple[RankRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoOperation:
+    """First entry of a leader's term; commits the entries before it."""
+
+    kind: EntryKind = EntryKind.NO_OPERATION
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolEdited:
+    """Replaces a pool's table when the expected version matches.
+
+    ``table`` is None to delete the pool; ``expected_version`` 0 creates it.
+    """
+
+    edit_id: EditId
+    pool: PoolName
+    expected_version: TableVersion
+    table: PoolTable | None
+    kind: EntryKind = EntryKind.POOL_EDITED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointJoined:
+    """Registers or updates an endpoint that announced itself."""
+
+    endpoint: EndpointId
+    group: GroupName
+    address: Address
+    location: Location
+    role: EndpointRole
+    term: Term
+    slots_count: int
+    connection_limit_count: int
+    group_size_count: int
+    kind: EntryKind = EntryKind.ENDPOINT_JOINED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointLeaving:
+    """The endpoint announced that it is leaving: no new work."""
+
+    endpoint: EndpointId
+    kind: EntryKind = EntryKind.ENDPOINT_LEAVING
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointLost:
+    """The endpoint's announcements expired."""
+
+    endpoint: EndpointId
+    kind: EntryKind = EntryKind.ENDPOINT_LOST
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupFormed:
+    """First primary of a group, once all its servers have announced."""
+
+    group: GroupName
+    term: Term
+    primary: EndpointId
+    kind: EntryKind = EntryKind.GROUP_FORMED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermRaised:
+    """Starts a change of primary: the old primary must not be used."""
+
+    group: GroupName
+    term: Term
+    kind: EntryKind = EntryKind.TERM_RAISED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryChosen:
+    """Names the new primary; ``old_term_end_lsn`` ends the previous term."""
+
+    group: GroupName
+    term: Term
+    primary: EndpointId
+    old_term: Term
+    old_term_end_lsn: Lsn
+    kind: EntryKind = EntryKind.PRIMARY_CHOSEN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryActive:
+    """The new primary is promoted: writes resume."""
+
+    group: GroupName
+    term: Term
+    kind: EntryKind = EntryKind.PRIMARY_ACTIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonJoined:
+    """A proxy got its first lease."""
+
+    daemon: DaemonId
+    address: Address
+    location: Location
+    kind: EntryKind = EntryKind.DAEMON_JOINED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonDraining:
+    """A proxy is shutting down: it gets no endpoints."""
+
+    daemon: DaemonId
+    kind: EntryKind = EntryKind.DAEMON_DRAINING
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonLeft:
+    """A proxy's lease ran out or it stopped."""
+
+    daemon: DaemonId
+    kind: EntryKind = EntryKind.DAEMON_LEFT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerAssignment:
+    """Owner and standby owner of one endpoint; either may be None."""
+
+    endpoint: EndpointId
+    owner: DaemonId | None
+    standby: DaemonId | None
+    epoch: Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnersAssigned:
+    """Assigns endpoints to proxies."""
+
+    assignments: tuple[OwnerAssignment, ...]
+    kind: EntryKind = EntryKind.OWNERS_ASSIGNED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberAdded:
+    """A control daemon joins as a learner, without a vote."""
+
+    member: DaemonId
+    address: Address
+    kind: EntryKind = EntryKind.MEMBER_ADDED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberPromoted:
+    """A learner that has caught up becomes a voter."""
+
+    member: DaemonId
+    kind: EntryKind = EntryKind.MEMBER_PROMOTED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberRemoved:
+    """A control daemon leaves the log."""
+
+    member: DaemonId
+    kind: EntryKind = EntryKind.MEMBER_REMOVED
+
+
+Entry = (
+    NoOperation
+    | PoolEdited
+    | EndpointJoined
+    | EndpointLeaving
+    | EndpointLost
+    | GroupFormed
+    | TermRaised
+    | PrimaryChosen
+    | PrimaryActive
+    | DaemonJoined
+    | DaemonDraining
+    | DaemonLeft
+    | OwnersAssigned
+    | MemberAdded
+    | MemberPromoted
+    | MemberRemoved
+)
--- /dev/null
+++ b/waxwinglift_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring rig, load tool and fault tables."""
--- /dev/null
+++ b/waxwinglift_bench/process/__init__.py
@@ -0,0 +1,1 @@
+"""Rig, load tool and report commands."""
--- /dev/null
+++ b/waxwinglift_bench/request/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated requests and their statistics."""
--- /dev/null
+++ b/waxwinglift_bench/version/__init__.py
@@ -0,0 +1,1 @@
+"""Fault tables over terms and configuration versions."""
--- /dev/null
+++ b/waxwinglift_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in database server for tests and the demo."""
--- /dev/null
+++ b/waxwinglift_standin/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection at the stand-in server."""
--- /dev/null
+++ b/waxwinglift_standin/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for the server process: settings, services, command."""
--- /dev/null
+++ b/waxwinglift_standin/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one statement at the stand-in server."""
--- /dev/null
+++ b/waxwinglift_standin/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a term: log, replication and promotion."""
