Add leases, ownership, announcements and the failover planner

Control decides on leases, owners and changes of primary; the process wiring needs these decisions before the services are written. All of them take now_ms and return actions, so tests and fault tables drive them without sockets.

--- /dev/null
+++ b/waxwinglift/version/_announcements.py
@@ -0,0 +1,246 @@
+"""Soft state of the endpoints that announce themselves.
+
+An announcement becomes a log entry only when it changes what the log says;
+the changes of a flapping endpoint are spaced further and further apart.
+"""
+
+import collections
+import dataclasses
+import math
+
+import pydantic
+
+from waxwinglift.process import Address
+from waxwinglift.process import Location
+from waxwinglift.version._entries import EndpointJoined
+from waxwinglift.version._entries import EndpointLeaving
+from waxwinglift.version._entries import EndpointLost
+from waxwinglift.version._entries import GroupFormed
+from waxwinglift.version._types import EndpointId
+from waxwinglift.version._types import EndpointRole
+from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import GroupName
+from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import Term
+
+
+class AnnouncementSettings(pydantic.BaseModel):
+    """Times of the announcements.
+
+    Parameters
+    ----------
+    ttl_ms : int
+        Time without an announcement after which an endpoint is lost.
+    announce_interval_ms : int
+        Time between two announcements of an endpoint.
+    first_backoff_ms, max_backoff_ms : int
+        Time that an endpoint must be steady before it counts as joined
+        again; doubles with each change up to the maximum.
+    steady_ms : int
+        Time without a change after which the back-off starts anew.
+    retry_ms : int
+        Time after which an entry that was not committed is proposed again.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    ttl_ms: int = 1500
+    announce_interval_ms: int = 500
+    first_backoff_ms: int = 1000
+    max_backoff_ms: int = 60_000
+    steady_ms: int = 60_000
+    retry_ms: int = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What an endpoint says about itself every 500 ms."""
+
+    endpoint: EndpointId
+    group: GroupName
+    address: Address
+    location: Location
+    slots_count: int
+    connection_limit_count: int
+    group_size_count: int
+    term: Term
+    in_recovery: bool
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """Last announcement of an endpoint and its recent changes."""
+
+    last_ms: float
+    announcement: Announcement | None = None
+    changes_count: int = 0
+    changed_ms: float | None = None
+    repeats_count: int = 0
+    proposed: object = None
+    proposed_ms: float = 0.0
+
+
+class AnnouncementTable:
+    """Endpoints that have announced themselves to this control leader.
+
+    Parameters
+    ----------
+    settings : AnnouncementSettings
+        Times of the announcements.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self._records = {}
+        self._members = collections.defaultdict(set)
+        self._formed_ms = {}
+
+    def start_leadership(self, fleet, now_ms):
+        """Give each known endpoint a full time to live."""
+        self._records = {e: _Record(now_ms) for e in fleet.endpoints}
+        self._members.clear()
+        self._formed_ms = {}
+
+    def announce(self, announcement, fleet, now_ms):
+        """Record an announcement; return the entries to propose."""
+        name = announcement.endpoint
+        record = self._records.setdefault(name, _Record(now_ms))
+        record.last_ms = now_ms
+        record.announcement = announcement
+        self._members[announcement.group].add(name)
+        entry = _wanted_entry(announcement, fleet.endpoints.get(name))
+        entries = []
+        if entry is not None and self._may_propose(record, entry, now_ms):
+            entries.append(entry)
+        formed = self._find_formed(announcement, fleet, now_ms)
+        if formed is not None:
+            entries.append(formed)
+        return entries
+
+    def expired(self, fleet, now_ms):
+        """Return an EndpointLost for each endpoint gone silent."""
+        entries = []
+        for name, record in list(self._records.items()):
+            if now_ms - record.last_ms < self.settings.ttl_ms:
+                continue
+            endpoint = fleet.endpoints.get(name)
+            if endpoint is None:
+                del self._records[name]
+                continue
+            if endpoint.state is EndpointState.LOST:
+                continue
+            entry = EndpointLost(name)
+            if self._may_propose(record, entry, now_ms):
+                entries.append(entry)
+        return entries
+
+    def is_fresh(self, endpoint, now_ms):
+        """Return whether ``endpoint`` announced itself within its TTL."""
+        record = self._records.get(endpoint)
+        if record is None or record.announcement is None:
+            return False
+        return now_ms - record.last_ms < self.settings.ttl_ms
+
+    def _may_propose(self, record, entry, now_ms):
+        if record.proposed == entry:
+            # In the log, refused or dropped: repeated more and more rarely.
+            settings = self.settings
+            wait_ms = settings.retry_ms * 2**record.repeats_count
+            if now_ms - record.proposed_ms < wait_ms:
+                return False
+            if wait_ms < settings.max_backoff_ms:
+                record.repeats_count += 1
+        elif self._count_change(record, entry, now_ms):
+            record.repeats_count = 0
+        else:
+            return False
+        record.proposed = entry
+        record.proposed_ms = now_ms
+        return True
+
+    def _count_change(self, record, entry, now_ms):
+        """Count a change; return False while it must be held back."""
+        settings = self.settings
+        since_ms = (
+            None if record.changed_ms is None else now_ms - record.changed_ms
+        )
+        if since_ms is not None and since_ms >= settings.steady_ms:
+            record.changes_count = 0
+        # Bad news is never held back: each follows a join that was.
+        if isinstance(entry, EndpointJoined) and record.changes_count > 1:
+            backoff_ms = min(
+                settings.first_backoff_ms * 2 ** (record.changes_count - 2),
+                settings.max_backoff_ms,
+            )
+            if since_ms < backoff_ms:
+                return False
+        record.changes_count += 1
+        record.changed_ms = now_ms
+        return True
+
+    def _find_formed(self, announcement, fleet, now_ms):
+        group = fleet.groups.get(announcement.group)
+        if group is None or group.phase is not GroupPhase.FORMING:
+            self._formed_ms.pop(announcement.group, None)
+            return None
+        fresh = self._fresh_members(announcement.group, fleet, now_ms)
+        primaries = [a for a in fresh if not a.in_recovery]
+        if len(fresh) != group.size_count or len(primaries) != 1:
+            return None
+        proposed_ms = self._formed_ms.get(announcement.group, -math.inf)
+        if now_ms - proposed_ms < self.settings.retry_ms:
+            return None
+        self._formed_ms[announcement.group] = now_ms
+        primary = primaries[0]
+        return GroupFormed(primary.group, primary.term, primary.endpoint)
+
+    def _fresh_members(self, group, fleet, now_ms):
+        return [
+            self._records[name].announcement
+            for name in sorted(self._members[group])
+            if self.is_fresh(name, now_ms)
+            and name in fleet.endpoints
+            and fleet.endpoints[name].group == group
+            and fleet.endpoints[name].state is EndpointState.JOINED
+        ]
+
+
+def _wanted_entry(announcement, known):
+    """Return the entry that makes the log agree, None when it does."""
+    if announcement.is_leaving:
+        if known is None or known.state is not EndpointState.JOINED:
+            return None
+        return EndpointLeaving(announcement.endpoint)
+    entry = EndpointJoined(
+        endpoint=announcement.endpoint,
+        group=announcement.group,
+        address=announcement.address,
+        location=announcement.location,
+        role=_role(announcement),
+        term=announcement.term,
+        slots_count=announcement.slots_count,
+        connection_limit_count=announcement.connection_limit_count,
+        group_size_count=announcement.group_size_count,
+    )
+    return None if _agrees(entry, known) else entry
+
+
+def _role(announcement):
+    if announcement.in_recovery:
+        return EndpointRole.REPLICA
+    return EndpointRole.PRIMARY
+
+
+def _agrees(entry, known):
+    return (
+        known is not None
+        and known.state is EndpointState.JOINED
+        and known.group == entry.group
+        and known.address == entry.address
+        and known.location == entry.location
+        and known.role is entry.role
+        and known.term == entry.term
+        and known.slots_count == entry.slots_count
+        and known.connection_limit_count == entry.connection_limit_count
+    )
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -201,12 +201,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerAssignment:
-    """Owner and standby owner of one endpoint; either may be None."""
+    """Owner and standby owner of one endpoint; either may be None.
+
+    ``previous`` is a live former owner that may still hold connections to the
+    endpoint; it reports ``released`` while it is named here.  The standby
+    opens its connection only when ``previous`` is None.
+    """
 
     endpoint: EndpointId
     owner: DaemonId | None
     standby: DaemonId | None
     epoch: Epoch
+    previous: DaemonId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/waxwinglift/version/_failover.py
@@ -0,0 +1,233 @@
+"""Change of primary of the groups, as decisions of the control leader.
+
+The steps that other daemons rely on are entries of the control log; what the
+planner keeps besides is progress within one step, which a new leader rebuilds
+by repeating the step.
+"""
+
+import collections
+
+import pydantic
+
+from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version._failover_progress import Progress
+from waxwinglift.version._failover_steps import advance_group
+from waxwinglift.version._types import GroupPhase
+
+
+class FailoverSettings(pydantic.BaseModel):
+    """Times of a change of primary.
+
+    Parameters
+    ----------
+    report_ttl_ms : int
+        Age at which a health report no longer counts; four renewals.
+    retry_interval_ms : int
+        Time between a failed action and its repetition.
+    propose_retry_ms : int
+        Time after which an entry that was not committed is proposed again.
+    fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
+        Time limits of the actions.  They bound what a silent connection
+        costs, because the action is then repeated on a new one.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    report_ttl_ms: int = 1000
+    retry_interval_ms: int = 100
+    propose_retry_ms: int = 500
+    fence_limit_ms: int = 400
+    read_limit_ms: int = 250
+    promote_limit_ms: int = 1000
+    repoint_limit_ms: int = 400
+
+
+EVENT_HANDLERS = {}
+
+
+def on_planner_event(event_type):
+    """Register the handler of ``event_type``.
+
+    It takes ``(planner, fleet, event, now_ms)`` and returns the names of the
+    groups to advance, None for all.
+    """
+
+    def register(handler):
+        EVENT_HANDLERS[event_type] = handler
+        return handler
+
+    return register
+
+
+class FailoverPlanner:
+    """Decides the next actions of all changes of primary.
+
+    Parameters
+    ----------
+    settings : FailoverSettings
+        Times of a change of primary.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.reset()
+
+    def reset(self):
+        """Forget all progress; the fleet state says where groups stand."""
+        self.live_daemons = frozenset()
+        self.passed_index = None
+        self.observed_index = -1
+        self.reports = {}
+        self.progress = {}
+        self.repointed = {}
+
+    def step(self, fleet, event, now_ms):
+        """Return the actions that follow from ``event``.
+
+        Parameters
+        ----------
+        fleet : FleetState
+            Applied state of the control log; not changed.
+        event : object
+            One of the events of ``_failover_messages``.
+        now_ms : float
+            Monotonic time.
+
+        Returns
+        -------
+        list
+            Propose, FenceServer, ReadPosition, PromoteServer, RepointServer.
+        """
+        names = EVENT_HANDLERS[type(event)](self, fleet, event, now_ms)
+        if names is None:
+            names = sorted(fleet.groups)
+        members = _group_members(fleet, frozenset(names))
+        actions = []
+        for name in names:
+            group = fleet.groups[name]
+            actions.extend(
+                advance_group(self, fleet, group, members[name], now_ms)
+            )
+        return actions
+
+    def statuses(self):
+        """Return a text for each group that waits or is being changed."""
+        return {n: p.status for n, p in self.progress.items() if p.status}
+
+    def is_down(self, daemon, endpoint, term, now_ms):
+        """Return whether ``daemon`` recently reported the endpoint down."""
+        down, received_ms = self.reports.get(daemon, ({}, 0.0))
+        is_recent = now_ms - received_ms < self.settings.report_ttl_ms
+        return is_recent and down.get(endpoint, -1) >= term
+
+    def is_changing(self, fleet):
+        """Return whether a change of primary is in progress."""
+        phases = (GroupPhase.FENCING, GroupPhase.PROMOTING)
+        return any(group.phase in phases for group in fleet.groups.values())
+
+    def current_progress(self, group):
+        """Return the progress of the group's current term and phase."""
+        progress = self.progress.get(group.group)
+        if progress is None or progress.key != (group.term, group.phase):
+            progress = Progress((group.term, group.phase))
+            self.progress[group.group] = progress
+        return progress
+
+
+def _group_members(fleet, names):
+    """Return the endpoints of the groups ``names``, in order of their ids."""
+    members = collections.defaultdict(list)
+    if not names:
+        return members
+    for name in sorted(fleet.endpoints):
+        endpoint = fleet.endpoints[name]
+        if endpoint.group in names:
+            members[endpoint.group].append(endpoint)
+    return members
+
+
+@on_planner_event(messages.LeadershipStarted)
+def _on_leadership(planner, fleet, event, now_ms):
+    planner.reset()
+    return ()
+
+
+@on_planner_event(messages.LeasesObserved)
+def _on_leases(planner, fleet, event, now_ms):
+    planner.live_daemons = event.live_daemons
+    for daemon in [d for d in planner.reports if d not in event.live_daemons]:
+        del planner.reports[daemon]
+    planner.passed_index = event.passed_index
+    planner.observed_index = fleet.index
+    return None
+
+
+@on_planner_event(messages.HealthReported)
+def _on_health(planner, fleet, event, now_ms):
+    known, _ = planner.reports.get(event.daemon, ({}, 0.0))
+    down = {report.endpoint: report.term for report in event.down}
+    planner.reports[event.daemon] = (down, now_ms)
+    changed = [e for e in down if e not in known and e in fleet.endpoints]
+    return sorted({fleet.endpoints[e].group for e in changed})
+
+
+@on_planner_event(messages.ServerFenced)
+def _on_fenced(planner, fleet, event, now_ms):
+    progress = _find_progress(planner, fleet, event)
+    if progress is None:
+        return ()
+    progress.done(messages.FenceServer, event.endpoint)
+    progress.fenced.add(event.endpoint)
+    return (event.group,)
+
+
+@on_planner_event(messages.PositionRead)
+def _on_position(planner, fleet, event, now_ms):
+    progress = _find_progress(planner, fleet, event)
+    if progress is None:
+        return ()
+    if progress.done(messages.ReadPosition, event.endpoint):
+        progress.positions[event.endpoint] = (event.position, now_ms)
+    return (event.group,)
+
+
+@on_planner_event(messages.ServerPromoted)
+def _on_promoted(planner, fleet, event, now_ms):
+    progress = _find_progress(planner, fleet, event)
+    if progress is None:
+        return ()
+    progress.done(messages.PromoteServer, event.endpoint)
+    if event.endpoint == fleet.groups[event.group].primary:
+        progress.is_promoted = True
+    return (event.group,)
+
+
+@on_planner_event(messages.ServerRepointed)
+def _on_repointed(planner, fleet, event, now_ms):
+    planner.repointed[event.endpoint] = event.term
+    progress = _find_progress(planner, fleet, event)
+    if progress is not None:
+        progress.done(messages.RepointServer, event.endpoint)
+    return (event.group,) if event.group in fleet.groups else ()
+
+
+@on_planner_event(messages.ActionFailed)
+def _on_failed(planner, fleet, event, now_ms):
+    action = event.action
+    progress = _find_progress(planner, fleet, action)
+    if progress is None:
+        return ()
+    due_ms = now_ms + planner.settings.retry_interval_ms
+    progress.retry_at(type(action), action.endpoint, due_ms, event.message)
+    return (action.group,)
+
+
+def _find_progress(planner, fleet, event):
+    """Return the progress that ``event`` belongs to, None when it is late."""
+    group = fleet.groups.get(event.group)
+    progress = planner.progress.get(event.group)
+    if group is None or progress is None:
+        return None
+    if progress.key != (group.term, group.phase) or event.term != group.term:
+        return None
+    return progress
--- /dev/null
+++ b/waxwinglift/version/_failover_messages.py
@@ -0,0 +1,142 @@
+"""Events and actions of a change of primary."""
+
+import dataclasses
+
+from waxwinglift.process import Address
+from waxwinglift.process import DaemonId
+from waxwinglift.version._entries import Entry
+from waxwinglift.version._types import EndpointId
+from waxwinglift.version._types import GroupName
+from waxwinglift.version._types import LogIndex
+from waxwinglift.version._types import Position
+from waxwinglift.version._types import Term
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Propose:
+    """Append ``entry`` to the control log."""
+
+    entry: Entry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerAction:
+    """Work on one server, abandoned after ``time_limit_ms``.
+
+    Each is idempotent.  The executor must not start it after its time limit
+    or after it has stepped down, and reports the outcome with ``term``.
+    """
+
+    group: GroupName
+    term: Term
+    endpoint: EndpointId
+    address: Address
+    time_limit_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceServer(ServerAction):
+    """Clear the server's upstream and wait until its receiver stopped."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadPosition(ServerAction):
+    """Read the term and the last offset that the server has received."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromoteServer(ServerAction):
+    """Promote the server; wait until it is out of recovery."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepointServer(ServerAction):
+    """Let the server follow ``primary``."""
+
+    primary: EndpointId
+    primary_address: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadershipStarted:
+    """This daemon became the control leader: nothing is in progress yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeasesObserved:
+    """Leases at the time of the event; drives retries and waits.
+
+    ``passed_index`` is the lowest applied index among the live leases, None
+    when there are none.
+    """
+
+    live_daemons: frozenset[DaemonId]
+    passed_index: LogIndex | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DownEndpoint:
+    """An endpoint that a proxy finds down.
+
+    ``term`` is the group's term that the proxy had applied when it probed;
+    a report from before the last change of primary does not count.
+    """
+
+    endpoint: EndpointId
+    term: Term
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthReported:
+    """All endpoints that a proxy owns or stands by for and finds down.
+
+    Replaces the proxy's earlier report; an endpoint not listed is in use.
+    """
+
+    daemon: DaemonId
+    down: tuple[DownEndpoint, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerFenced:
+    """The server has confirmed that its receiver has stopped."""
+
+    group: GroupName
+    term: Term
+    endpoint: EndpointId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PositionRead:
+    """Answer to ReadPosition."""
+
+    group: GroupName
+    term: Term
+    endpoint: EndpointId
+    position: Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerPromoted:
+    """The server is out of recovery, on the new timeline."""
+
+    group: GroupName
+    term: Term
+    endpoint: EndpointId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRepointed:
+    """The server follows the new primary."""
+
+    group: GroupName
+    term: Term
+    endpoint: EndpointId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActionFailed:
+    """The action failed or ran into its time limit."""
+
+    action: ServerAction
+    message: str
--- /dev/null
+++ b/waxwinglift/version/_failover_progress.py
@@ -0,0 +1,115 @@
+"""Progress of one group within one step of a change of primary."""
+
+import dataclasses
+
+from waxwinglift.version._types import EndpointRole
+from waxwinglift.version._types import EndpointState
+
+
+def quorum_count(size_count):
+    """Return the number of servers that must hold a write."""
+    return size_count // 2 + 1
+
+
+def fenced_needed_count(size_count):
+    """Return how many servers besides the old primary must be fenced.
+
+    Each quorum that could have acknowledged a write then has a fenced server.
+    """
+    return size_count - quorum_count(size_count) + 1
+
+
+def find_fenceable(group, members):
+    """Return the servers that may count as fenced.
+
+    Former primaries do not: they were not following.  With replacements the
+    group knows more servers than its size; the lost ones then do not count,
+    because they could not have been part of a recent quorum.
+    """
+    others = [
+        endpoint
+        for endpoint in members
+        if endpoint.endpoint != group.primary
+        and endpoint.role is EndpointRole.REPLICA
+    ]
+    if len(members) <= group.size_count:
+        return others
+    return [e for e in others if e.state is not EndpointState.LOST]
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What this leader has done for one term and phase of a group.
+
+    ``key`` is that term and phase; progress of another one does not count.
+    """
+
+    key: tuple
+    fenced: set = dataclasses.field(default_factory=set)
+    positions: dict = dataclasses.field(default_factory=dict)
+    is_promoted: bool = False
+    status: str = ""
+    due_ms: dict = dataclasses.field(default_factory=dict)
+    under_way: set = dataclasses.field(default_factory=set)
+    failures: dict = dataclasses.field(default_factory=dict)
+    proposed: object = None
+    proposed_ms: float = 0.0
+
+    def may_start(self, action_type, endpoint, now_ms):
+        """Return whether the action is neither under way nor in back-off."""
+        due_ms = self.due_ms.get((action_type, endpoint))
+        return due_ms is None or now_ms >= due_ms
+
+    def start(self, action_type, endpoint, due_ms):
+        """Record an action; it is repeated at ``due_ms``."""
+        self.due_ms[action_type, endpoint] = due_ms
+        self.under_way.add((action_type, endpoint))
+
+    def done(self, action_type, endpoint):
+        """Record a success; return whether the action was under way."""
+        key = (action_type, endpoint)
+        self.due_ms.pop(key, None)
+        self.failures.pop(key, None)
+        was_under_way = key in self.under_way
+        self.under_way.discard(key)
+        return was_under_way
+
+    def retry_at(self, action_type, endpoint, due_ms, message):
+        """Record a failure and when to try again."""
+        key = (action_type, endpoint)
+        self.under_way.discard(key)
+        self.due_ms[key] = due_ms
+        self.failures[key] = message
+
+    def failure(self, action_type, endpoint):
+        """Return the last failure of the action as a suffix of a text."""
+        message = self.failures.get((action_type, endpoint))
+        return f" ({message})" if message else ""
+
+    def may_propose(self, entry, now_ms, retry_ms):
+        """Return whether to propose ``entry`` now, and record that."""
+        if self.proposed == entry and now_ms - self.proposed_ms < retry_ms:
+            return False
+        self.proposed = entry
+        self.proposed_ms = now_ms
+        return True
+
+    def recent_positions(self, since_ms):
+        """Return the servers whose position was read after ``since_ms``."""
+        return {n for n, (_, ms) in self.positions.items() if ms > since_ms}
+
+
+def waiting_text(servers, done, needed_count, what, progress):
+    """Return a status such as "waiting for 1 of 2 servers to be fenced"."""
+    missing = [s.endpoint for s in servers if s.endpoint not in done]
+    reasons = {
+        endpoint: message
+        for (_, endpoint), message in progress.failures.items()
+    }
+    names = [
+        f"{name} ({reasons[name]})" if name in reasons else name
+        for name in missing
+    ]
+    left_count = needed_count - len(done)
+    listing = ", ".join(names) or "none is known"
+    return f"waiting for {left_count} of {needed_count} {what}: {listing}"
--- /dev/null
+++ b/waxwinglift/version/_failover_steps.py
@@ -0,0 +1,247 @@
+"""Steps of a change of primary, one function for each phase of a group."""
+
+from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version._entries import PrimaryActive
+from waxwinglift.version._entries import PrimaryChosen
+from waxwinglift.version._entries import TermRaised
+from waxwinglift.version._failover_progress import fenced_needed_count
+from waxwinglift.version._failover_progress import find_fenceable
+from waxwinglift.version._failover_progress import waiting_text
+from waxwinglift.version._types import EndpointRole
+from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import Term
+
+PHASE_STEPS = {}
+
+
+def on_phase(phase):
+    """Register the step of a group that is in ``phase``.
+
+    It takes a Change, adds actions to it and returns a status or None.
+    """
+
+    def register(step):
+        PHASE_STEPS[phase] = step
+        return step
+
+    return register
+
+
+def advance_group(planner, fleet, group, members, now_ms):
+    """Return the next actions of ``group`` and update its status."""
+    change = Change(planner, fleet, group, members, now_ms)
+    status = PHASE_STEPS[group.phase](change)
+    change.progress.status = status or ""
+    return change.actions
+
+
+class Change:
+    """One group at one time: what to do next."""
+
+    def __init__(self, planner, fleet, group, members, now_ms):
+        self.planner = planner
+        self.settings = planner.settings
+        self.fleet = fleet
+        self.group = group
+        self.members = members
+        self.now_ms = now_ms
+        self.progress = planner.current_progress(group)
+        self.actions = []
+
+    def fenceable(self):
+        return find_fenceable(self.group, self.members)
+
+    def needed_count(self):
+        return fenced_needed_count(self.group.size_count)
+
+    def send(self, action_type, endpoint, limit_ms, **fields):
+        """Add an action unless it is under way or waits for its retry."""
+        if not self.progress.may_start(
+            action_type, endpoint.endpoint, self.now_ms
+        ):
+            return
+        due_ms = self.now_ms + limit_ms + self.settings.retry_interval_ms
+        self.progress.start(action_type, endpoint.endpoint, due_ms)
+        action = action_type(
+            self.group.group,
+            self.group.term,
+            endpoint.endpoint,
+            endpoint.address,
+            limit_ms,
+            **fields,
+        )
+        self.actions.append(action)
+
+    def propose(self, entry):
+        """Propose ``entry`` unless that was done a short time ago."""
+        if self.progress.may_propose(
+            entry, self.now_ms, self.settings.propose_retry_ms
+        ):
+            self.actions.append(messages.Propose(entry))
+
+    def read(self, endpoint):
+        self.send(messages.ReadPosition, endpoint, self.settings.read_limit_ms)
+
+    def repoint(self, endpoint, primary):
+        self.send(
+            messages.RepointServer,
+            endpoint,
+            self.settings.repoint_limit_ms,
+            primary=primary.endpoint,
+            primary_address=primary.address,
+        )
+
+    def why_failed(self):
+        """Return why the primary must be replaced, None when it is in use."""
+        primary = self.fleet.endpoints.get(self.group.primary)
+        if primary is None:
+            return None
+        if primary.state is EndpointState.LEAVING:
+            return "primary is leaving"
+        assignment = self.fleet.owners.get(self.group.primary)
+        if assignment is None:
+            return None
+        if self.is_down(assignment.owner):
+            return "owner reports the primary down"
+        is_owner_live = assignment.owner in self.planner.live_daemons
+        if not is_owner_live and self.is_down(assignment.standby):
+            return "owner lost and standby owner reports the primary down"
+        return None
+
+    def is_down(self, daemon):
+        return self.planner.is_down(
+            daemon, self.group.primary, self.group.term, self.now_ms
+        )
+
+    def has_passed(self):
+        """Return whether no lease holder can still use the old primary."""
+        if self.planner.observed_index < self.group.raised_index:
+            return False
+        passed = self.planner.passed_index
+        return passed is None or passed >= self.group.raised_index
+
+
+@on_phase(GroupPhase.FORMING)
+def _step_forming(change):
+    known_count = len(change.members)
+    needed = change.group.size_count
+    if known_count < needed:
+        return f"forming: {known_count} of {needed} servers have announced"
+    return "forming: waiting for exactly one server out of recovery"
+
+
+@on_phase(GroupPhase.ACTIVE)
+def _step_active(change):
+    _repoint_stragglers(change)
+    reason = change.why_failed()
+    if reason is None:
+        change.progress.positions.clear()
+        return None
+    # The term is raised only when enough servers answer now: a primary that
+    # comes back can go on, but not once its term is over.
+    reachable = change.progress.recent_positions(
+        change.now_ms - change.settings.report_ttl_ms
+    )
+    fenceable = change.fenceable()
+    for endpoint in fenceable:
+        if endpoint.endpoint not in reachable:
+            change.read(endpoint)
+    if len(reachable) < change.needed_count():
+        what = "servers to answer before the term is raised"
+        return f"{reason}; {_waiting(change, reachable, what)}"
+    term = Term(change.group.term + 1)
+    change.propose(TermRaised(change.group.group, term))
+    return f"{reason}; raising the term to {term}"
+
+
+def _waiting(change, done, what):
+    return waiting_text(
+        change.fenceable(), done, change.needed_count(), what, change.progress
+    )
+
+
+@on_phase(GroupPhase.FENCING)
+def _step_fencing(change):
+    progress = change.progress
+    fenceable = change.fenceable()
+    for endpoint in fenceable:
+        if endpoint.endpoint not in progress.fenced:
+            limit_ms = change.settings.fence_limit_ms
+            change.send(messages.FenceServer, endpoint, limit_ms)
+    names = {endpoint.endpoint for endpoint in fenceable}
+    fenced = progress.fenced & names
+    if len(fenced) < change.needed_count():
+        return _waiting(change, fenced, "servers to be fenced")
+    if not change.has_passed():
+        index = change.group.raised_index
+        return f"waiting for all leases to pass log index {index}"
+    for endpoint in fenceable:
+        name = endpoint.endpoint
+        if name in fenced and name not in progress.positions:
+            change.read(endpoint)
+    read = fenced & set(progress.positions)
+    if len(read) < change.needed_count():
+        return _waiting(change, read, "positions of fenced servers")
+    _choose(change, read)
+    return "choosing the new primary"
+
+
+def _choose(change, read):
+    """Propose the server with the highest position as primary.
+
+    Terms go before offsets: a longer log of an older term lacks writes of the
+    newer one.  Among equals a server that is not leaving is preferred.
+    """
+    positions = change.progress.positions
+    joined = {
+        e.endpoint for e in change.members if e.state is EndpointState.JOINED
+    }
+    best = max(
+        sorted(read), key=lambda name: (positions[name][0], name in joined)
+    )
+    position, _ = positions[best]
+    group = change.group
+    change.propose(
+        PrimaryChosen(
+            group.group, group.term, best, position.term, position.lsn
+        )
+    )
+
+
+@on_phase(GroupPhase.PROMOTING)
+def _step_promoting(change):
+    name = change.group.primary
+    primary = change.fleet.endpoints[name]
+    if not change.progress.is_promoted:
+        limit_ms = change.settings.promote_limit_ms
+        change.send(messages.PromoteServer, primary, limit_ms)
+        failure = change.progress.failure(messages.PromoteServer, name)
+        return f"waiting for {name} to be promoted{failure}"
+    _repoint_stragglers(change)
+    entry = PrimaryActive(change.group.group, change.group.term)
+    change.propose(entry)
+    return f"{name} is promoted; resuming writes"
+
+
+def _repoint_stragglers(change):
+    """Repoint the replicas of an older term, also those that come back.
+
+    A server that left recovery in an older term is a former primary: it may
+    hold writes that the group does not have, so its operator rebuilds it.
+    """
+    group = change.group
+    repointed = change.planner.repointed
+    primary = change.fleet.endpoints.get(group.primary)
+    for endpoint in change.members:
+        name = endpoint.endpoint
+        if endpoint.state is EndpointState.LOST:
+            repointed.pop(name, None)
+            continue
+        is_behind = (
+            name != group.primary
+            and endpoint.role is EndpointRole.REPLICA
+            and endpoint.term < group.term
+        )
+        if is_behind and repointed.get(name) != group.term:
+            change.repoint(endpoint, primary)
--- /dev/null
+++ b/waxwinglift/version/_leases.py
@@ -0,0 +1,166 @@
+"""Leases of the proxies: the leader's table and the daemon's own view.
+
+The daemon counts a lease from when it sent the renewal, the leader from when
+it received it plus a margin for clock drift, so the daemon stops first.
+"""
+
+import collections
+import dataclasses
+
+import pydantic
+
+from waxwinglift.version._types import LogIndex
+
+
+class LeaseSettings(pydantic.BaseModel):
+    """Lease times, the same for control and for the daemons.
+
+    Parameters
+    ----------
+    lease_ms : int
+        Length of a granted lease.
+    renew_interval_ms : int
+        Time between two renewals of a daemon.
+    drift_margin_percent : int
+        Part of ``lease_ms`` that the leader waits longer than the daemon.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    lease_ms: int = 1200
+    renew_interval_ms: int = 250
+    drift_margin_percent: int = 10
+
+    @property
+    def leader_wait_ms(self):
+        """Time after which the leader treats a lease as run out."""
+        return self.lease_ms * (100 + self.drift_margin_percent) / 100
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """Lease of one daemon as the leader sees it."""
+
+    expires_ms: float
+    applied_index: LogIndex
+
+
+class LeaseTable:
+    """Leases that the control leader may have outstanding.
+
+    Parameters
+    ----------
+    settings : LeaseSettings
+        Lease times.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.required_index = LogIndex(0)
+        self._leases = {}
+
+    def start_leadership(self, daemons, now_ms):
+        """Treat each of ``daemons`` as leased for a full lease and margin.
+
+        An earlier leader may have granted a lease just before this one was
+        elected.
+        """
+        self._leases = {}
+        for daemon in daemons:
+            self.assume(daemon, now_ms)
+
+    def assume(self, daemon, now_ms):
+        """Treat ``daemon`` as leased from now, with nothing applied."""
+        expires_ms = now_ms + self.settings.leader_wait_ms
+        self._leases[daemon] = Lease(expires_ms, LogIndex(0))
+
+    def require(self, index):
+        """Stop extending leases of daemons that have not applied ``index``."""
+        self.required_index = max(self.required_index, index)
+
+    def renew(self, daemon, applied_index, now_ms):
+        """Record a renewal; return whether the lease was extended."""
+        lease = self._leases.get(daemon)
+        if lease is not None:
+            lease.applied_index = applied_index
+        if applied_index < self.required_index:
+            return False
+        expires_ms = now_ms + self.settings.leader_wait_ms
+        self._leases[daemon] = Lease(expires_ms, applied_index)
+        return True
+
+    def drop(self, daemon):
+        """Forget a daemon that stopped or whose lease has run out."""
+        self._leases.pop(daemon, None)
+
+    def is_live(self, daemon, now_ms):
+        """Return whether ``daemon`` may still act on a lease."""
+        lease = self._leases.get(daemon)
+        return lease is not None and now_ms < lease.expires_ms
+
+    def live(self, now_ms):
+        """Return the daemons that may still act on a lease."""
+        return frozenset(d for d in self._leases if self.is_live(d, now_ms))
+
+    def expired(self, now_ms):
+        """Return the daemons in the table whose leases have run out."""
+        return [d for d in self._leases if not self.is_live(d, now_ms)]
+
+    def applied_index(self, daemon):
+        """Return the index that ``daemon`` last reported; 0 if unknown."""
+        lease = self._leases.get(daemon)
+        return LogIndex(0) if lease is None else lease.applied_index
+
+    def passed_index(self, now_ms):
+        """Return the lowest applied index of a live lease, None for none."""
+        return min(
+            (
+                lease.applied_index
+                for lease in self._leases.values()
+                if now_ms < lease.expires_ms
+            ),
+            default=None,
+        )
+
+    def all_passed(self, index, now_ms):
+        """Return whether no daemon can act on a state before ``index``."""
+        passed = self.passed_index(now_ms)
+        return passed is None or passed >= index
+
+
+# Unanswered renewals whose send time a daemon keeps: 16 s at the usual
+# interval, far longer than a lease.
+SENT_COUNT = 64
+
+
+class DaemonLease:
+    """A daemon's own lease, counted from when it sent the renewal."""
+
+    def __init__(self):
+        self._sent_ms = collections.OrderedDict()
+        self._expires_ms = None
+
+    def on_sent(self, sequence, now_ms):
+        """Record the send time of the renewal ``sequence``."""
+        self._sent_ms.setdefault(sequence, now_ms)
+        while len(self._sent_ms) > SENT_COUNT:
+            self._sent_ms.popitem(last=False)
+
+    def on_grant(self, sequence, lease_ms):
+        """Extend the lease to ``lease_ms`` after the renewal was sent."""
+        sent_ms = self._sent_ms.get(sequence)
+        if sent_ms is None:
+            return
+        expires_ms = sent_ms + lease_ms
+        if self._expires_ms is None or expires_ms > self._expires_ms:
+            self._expires_ms = expires_ms
+
+    def is_live(self, now_ms):
+        """Return whether the daemon may serve requests."""
+        return self._expires_ms is not None and now_ms < self._expires_ms
+
+    def left_ms(self, now_ms):
+        """Return the time until the lease runs out, 0 when it has."""
+        if self._expires_ms is None:
+            return 0.0
+        return max(0.0, self._expires_ms - now_ms)
--- /dev/null
+++ b/waxwinglift/version/_ownership.py
@@ -0,0 +1,220 @@
+"""Assignment of endpoints to owner proxies.
+
+Rendezvous hashing with bounded load: an endpoint takes the proxy of the
+highest score that still has room, so a proxy that joins or leaves moves
+little more than its own share.
+"""
+
+import collections
+import dataclasses
+import functools
+import math
+
+import xxhash
+
+from waxwinglift.version._entries import OwnerAssignment
+from waxwinglift.version._entries import OwnersAssigned
+from waxwinglift.version._types import DaemonState
+from waxwinglift.version._types import Epoch
+
+# Load above the mean that a proxy may take.  At 25% a full proxy passes few
+# endpoints on, and the mean distance from the first choice stays small.
+LOAD_FACTOR = 1.25
+
+
+@functools.lru_cache(maxsize=4096)
+def _seed(daemon):
+    return xxhash.xxh32_intdigest(daemon)
+
+
+def score(endpoint, daemon):
+    """Return the rendezvous score of ``daemon`` for ``endpoint``."""
+    return xxhash.xxh64_intdigest(endpoint, seed=_seed(daemon))
+
+
+def ranked(endpoint, daemons):
+    """Return ``daemons`` in order of preference for ``endpoint``."""
+    return sorted(daemons, key=lambda d: (-score(endpoint, d), d))
+
+
+@dataclasses.dataclass(slots=True)
+class _Candidates:
+    """Eligible proxies, by distance from a location."""
+
+    by_data_centre: dict
+    by_region: dict
+    everywhere: tuple
+
+    def nearest(self, location):
+        return (
+            self.by_data_centre.get(location.data_centre)
+            or self.by_region.get(location.region)
+            or self.everywhere
+        )
+
+
+def _find_candidates(fleet, live_daemons):
+    by_data_centre = collections.defaultdict(list)
+    by_region = collections.defaultdict(list)
+    everywhere = []
+    for name in sorted(fleet.daemons):
+        daemon = fleet.daemons[name]
+        if name not in live_daemons or daemon.state is DaemonState.DRAINING:
+            continue
+        by_data_centre[daemon.location.data_centre].append(name)
+        by_region[daemon.location.region].append(name)
+        everywhere.append(name)
+    return _Candidates(
+        {key: tuple(names) for key, names in by_data_centre.items()},
+        {key: tuple(names) for key, names in by_region.items()},
+        tuple(everywhere),
+    )
+
+
+def preferred_owners(fleet, live_daemons):
+    """Return the owner that each endpoint has after a full rebalance."""
+    candidates = _find_candidates(fleet, live_daemons)
+    buckets = collections.defaultdict(list)
+    for name in sorted(fleet.endpoints):
+        location = fleet.endpoints[name].location
+        buckets[candidates.nearest(location)].append(name)
+    owners = {}
+    for daemons, endpoints in buckets.items():
+        owners.update(_spread(endpoints, daemons))
+    return owners
+
+
+def _spread(endpoints, daemons):
+    if not daemons:
+        return {}
+    room_count = math.ceil(LOAD_FACTOR * len(endpoints) / len(daemons))
+    loads = dict.fromkeys(daemons, 0)
+    owners = {}
+    for endpoint in endpoints:
+        open_daemons = [d for d in daemons if loads[d] < room_count]
+        owner = max(open_daemons, key=lambda d: (score(endpoint, d), d))
+        owners[endpoint] = owner
+        loads[owner] += 1
+    return owners
+
+
+def _choose_standby(fleet, candidates, endpoint, owner):
+    """Return the second choice, in another data centre when there is one."""
+    if owner not in fleet.daemons:
+        return None
+    region = fleet.endpoints[endpoint].location.region
+    choices = (
+        _elsewhere(fleet, candidates.by_region.get(region, ()), owner)
+        or _elsewhere(fleet, candidates.everywhere, owner)
+        or [d for d in candidates.everywhere if d != owner]
+    )
+    return max(choices, key=lambda d: (score(endpoint, d), d), default=None)
+
+
+def _elsewhere(fleet, daemons, owner):
+    owner_site = fleet.daemons[owner].location.data_centre
+    return [
+        d
+        for d in daemons
+        if fleet.daemons[d].location.data_centre != owner_site
+    ]
+
+
+def plan_owners(fleet, live_daemons, released=frozenset(), may_rebalance=True):
+    """Return the assignments to change, or None.
+
+    Parameters
+    ----------
+    fleet : FleetState
+        Applied state of the control log.
+    live_daemons : collection of DaemonId
+        Daemons whose lease, margin included, has not run out.
+    released : collection of EndpointId
+        Endpoints whose ``previous`` owner has closed its connections.
+    may_rebalance : bool
+        Whether endpoints with a working owner may move to another one.  A
+        repair after a loss leaves them where they are.
+
+    Returns
+    -------
+    OwnersAssigned or None
+        None when nothing changes.
+
+    Notes
+    -----
+    An owner uses half of an endpoint's connections, so at most two daemons
+    may hold some: a change that would make a third waits until the first
+    has released them or its lease has run out.
+    """
+    candidates = _find_candidates(fleet, live_daemons)
+    preferred = (
+        preferred_owners(fleet, live_daemons) if may_rebalance else None
+    )
+    changes = []
+    for endpoint in sorted(fleet.endpoints):
+        current = fleet.owners.get(endpoint)
+        planned = _plan_endpoint(
+            fleet, candidates, preferred, live_daemons, released, endpoint
+        )
+        if planned.epoch != (current.epoch if current else 0):
+            changes.append(planned)
+    return OwnersAssigned(tuple(changes)) if changes else None
+
+
+def _plan_endpoint(
+    fleet, candidates, preferred, live_daemons, released, endpoint
+):
+    current = fleet.owners.get(endpoint) or OwnerAssignment(
+        endpoint, None, None, Epoch(0)
+    )
+    previous = current.previous
+    if previous not in live_daemons or endpoint in released:
+        previous = None
+    wanted = _choose_owner(fleet, candidates, preferred, live_daemons, current)
+    holders = {
+        daemon
+        for daemon in (current.owner, previous)
+        if daemon in live_daemons and daemon != wanted
+    }
+    owner = current.owner
+    if wanted != owner and len(holders) < 2:
+        owner = wanted
+        previous = next(iter(holders), None)
+    standby = current.standby
+    if not _is_good_standby(fleet, candidates, owner, standby):
+        standby = _choose_standby(fleet, candidates, endpoint, owner)
+    planned = OwnerAssignment(
+        endpoint, owner, standby, current.epoch, previous
+    )
+    if planned == current:
+        return current
+    # The log takes assignments with a higher epoch only.
+    return dataclasses.replace(planned, epoch=Epoch(current.epoch + 1))
+
+
+def _choose_owner(fleet, candidates, preferred, live_daemons, current):
+    """Return the owner that the endpoint ought to have."""
+    endpoint = current.endpoint
+    if current.owner in candidates.everywhere:
+        if preferred is None or current.previous is not None:
+            return current.owner
+        return preferred.get(endpoint, current.owner)
+    if current.standby in candidates.everywhere:
+        return current.standby
+    nearest = candidates.nearest(fleet.endpoints[endpoint].location)
+    if nearest:
+        return ranked(endpoint, nearest)[0]
+    # A draining owner still serves while nobody can take over.
+    return current.owner if current.owner in live_daemons else None
+
+
+def _is_good_standby(fleet, candidates, owner, standby):
+    if standby == owner or standby not in candidates.everywhere:
+        return False
+    if owner not in fleet.daemons:
+        return True
+    owner_site = fleet.daemons[owner].location.data_centre
+    if fleet.daemons[standby].location.data_centre != owner_site:
+        return True
+    # Same data centre: only good when no other has an eligible proxy.
+    return len(candidates.by_data_centre) <= 1
