Add the entry codec and apply entries to the fleet state

Control followers and daemons need the same bytes and the same outcome for every log entry, so both sides share one codec and one registry of apply functions. Sorting the dictionaries for stable bytes was ruled out: the order of the edit answers decides which one is dropped first, and insertion order is already the same on all replicas of one log. A group of fixed size refuses further servers, because the fence of a change of primary counts servers against that size.

--- /dev/null
+++ b/waxwinglift/version/_apply.py
@@ -0,0 +1,57 @@
+"""Application of committed log entries to the fleet state.
+
+Control and daemons run the same functions on the same entries in the same
+order.  An entry that contradicts the state is refused and changes nothing but
+the applied index, on every replica alike.
+"""
+
+from result import Ok
+from result import Result
+
+from waxwinglift.version import _apply_daemons
+from waxwinglift.version import _apply_groups
+from waxwinglift.version._apply_registry import Answer
+from waxwinglift.version._apply_registry import Applied
+from waxwinglift.version._apply_registry import applies
+from waxwinglift.version._apply_registry import APPLY_FUNCTIONS
+from waxwinglift.version._apply_registry import Refusal
+from waxwinglift.version._apply_registry import RefusalCode
+from waxwinglift.version._apply_registry import refuse
+from waxwinglift.version._entries import Entry
+from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._types import LogIndex
+
+# Modules whose import fills the registry.
+APPLY_MODULES = (_apply_daemons, _apply_groups)
+
+
+def apply_entry(
+    state: FleetState, index: LogIndex, entry: Entry
+) -> Result[Answer, Refusal]:
+    """Apply the entry at ``index`` to ``state`` in place.
+
+    Parameters
+    ----------
+    state : FleetState
+        Its index must be ``index - 1``; any other index is refused and
+        leaves the state unchanged, so it never goes back or skips an entry.
+    index : LogIndex
+    entry : Entry
+
+    Returns
+    -------
+    Result[Answer, Refusal]
+        The index counts as applied in either case, except for WRONG_INDEX.
+    """
+    if index != state.index + 1:
+        message = f"index {index} does not follow {state.index}"
+        return refuse(RefusalCode.WRONG_INDEX, message)
+    outcome = APPLY_FUNCTIONS[entry.kind](state, index, entry)
+    state.index = index
+    return outcome
+
+
+@applies(EntryKind.NO_OPERATION)
+def _apply_no_operation(state, index, entry):
+    return Ok(Applied(index))
--- /dev/null
+++ b/waxwinglift/version/_apply_groups.py
@@ -0,0 +1,225 @@
+"""Apply functions for pools, endpoints and changes of primary."""
+
+from result import Ok
+
+from waxwinglift.version._apply_registry import Applied
+from waxwinglift.version._apply_registry import applies
+from waxwinglift.version._apply_registry import RefusalCode
+from waxwinglift.version._apply_registry import refuse
+from waxwinglift.version._edits import apply_edit
+from waxwinglift.version._edits import find_table_fault
+from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._fleet import Endpoint
+from waxwinglift.version._fleet import Group
+from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import LogIndex
+from waxwinglift.version._types import Term
+
+
+@applies(EntryKind.POOL_EDITED)
+def _apply_pool_edited(state, index, entry):
+    if entry.edit_id not in state.edit_answers:
+        fault = find_table_fault(entry.pool, entry.table)
+        if fault:
+            return refuse(RefusalCode.INVALID_TABLE, fault)
+    return Ok(apply_edit(state, entry))
+
+
+@applies(EntryKind.ENDPOINT_JOINED)
+def _apply_endpoint_joined(state, index, entry):
+    refusal = _check_join(state, entry)
+    if refusal is not None:
+        return refusal
+    _update_group_size(state, entry)
+    state.endpoints[entry.endpoint] = Endpoint(
+        endpoint=entry.endpoint,
+        group=entry.group,
+        address=entry.address,
+        location=entry.location,
+        role=entry.role,
+        term=entry.term,
+        slots_count=entry.slots_count,
+        connection_limit_count=entry.connection_limit_count,
+        state=EndpointState.JOINED,
+    )
+    return Ok(Applied(index))
+
+
+def _check_join(state, entry):
+    known = state.endpoints.get(entry.endpoint)
+    if known is not None and known.group != entry.group:
+        message = f"{entry.endpoint} belongs to {known.group}"
+        return refuse(RefusalCode.GROUP_MISMATCH, message)
+    if entry.group_size_count < 1:
+        message = f"group size {entry.group_size_count} is below 1"
+        return refuse(RefusalCode.GROUP_SIZE_MISMATCH, message)
+    group = state.groups.get(entry.group)
+    if group is None:
+        return None
+    return _check_group_size(state, group, entry)
+
+
+def _check_group_size(state, group, entry):
+    """Keep the quorum of a formed group fixed.
+
+    Commits are acknowledged by a majority of ``size_count`` and a change of
+    primary fences the servers that complete it; with more servers than that
+    an acknowledged write could be on none of the fenced ones.
+    """
+    is_formed = group.phase is not GroupPhase.FORMING
+    if is_formed and entry.group_size_count != group.size_count:
+        message = f"{group.group} has size {group.size_count}"
+        return refuse(RefusalCode.GROUP_SIZE_MISMATCH, message)
+    others = _present_endpoints(state, group.group) - {entry.endpoint}
+    if len(others) >= entry.group_size_count:
+        message = f"{group.group} already has {len(others)} servers"
+        return refuse(RefusalCode.GROUP_FULL, message)
+    return None
+
+
+def _present_endpoints(state, group):
+    return {
+        endpoint.endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.group == group and endpoint.state is not EndpointState.LOST
+    }
+
+
+def _update_group_size(state, entry):
+    group = state.groups.get(entry.group)
+    if group is not None:
+        group.size_count = entry.group_size_count
+        return
+    state.groups[entry.group] = Group(
+        group=entry.group,
+        phase=GroupPhase.FORMING,
+        size_count=entry.group_size_count,
+        term=Term(0),
+        primary=None,
+        raised_index=LogIndex(0),
+        term_ends={},
+    )
+
+
+@applies(EntryKind.ENDPOINT_LEAVING)
+def _apply_endpoint_leaving(state, index, entry):
+    allowed = {EndpointState.JOINED}
+    return _move_endpoint(state, index, entry, allowed, EndpointState.LEAVING)
+
+
+@applies(EntryKind.ENDPOINT_LOST)
+def _apply_endpoint_lost(state, index, entry):
+    allowed = {EndpointState.JOINED, EndpointState.LEAVING}
+    return _move_endpoint(state, index, entry, allowed, EndpointState.LOST)
+
+
+def _move_endpoint(state, index, entry, allowed, target):
+    known = state.endpoints.get(entry.endpoint)
+    if known is None:
+        return refuse(RefusalCode.UNKNOWN_ENDPOINT, entry.endpoint)
+    if known.state not in allowed:
+        message = f"{entry.endpoint} is {known.state.value}"
+        return refuse(RefusalCode.WRONG_STATE, message)
+    known.state = target
+    return Ok(Applied(index))
+
+
+def _check_step(state, entry, phases, term_offset):
+    """Return a refusal unless the group is in one of ``phases``.
+
+    The entry's term must be the group's term plus ``term_offset``; None
+    stands for any positive term.
+    """
+    group = state.groups.get(entry.group)
+    if group is None:
+        return refuse(RefusalCode.UNKNOWN_GROUP, entry.group)
+    if group.phase not in phases:
+        message = f"{entry.group} is {group.phase.value}"
+        return refuse(RefusalCode.WRONG_PHASE, message)
+    if term_offset is None:
+        is_expected = entry.term > 0
+    else:
+        is_expected = entry.term == group.term + term_offset
+    if not is_expected:
+        message = f"{entry.group} is at term {group.term}, not {entry.term}"
+        return refuse(RefusalCode.WRONG_TERM, message)
+    return None
+
+
+def _check_primary(state, entry):
+    primary = state.endpoints.get(entry.primary)
+    if primary is None:
+        return refuse(RefusalCode.UNKNOWN_ENDPOINT, entry.primary)
+    if primary.group != entry.group:
+        message = f"{entry.primary} belongs to {primary.group}"
+        return refuse(RefusalCode.GROUP_MISMATCH, message)
+    return None
+
+
+@applies(EntryKind.GROUP_FORMED)
+def _apply_group_formed(state, index, entry):
+    refusal = _check_step(
+        state, entry, {GroupPhase.FORMING}, None
+    ) or _check_primary(state, entry)
+    if refusal is not None:
+        return refusal
+    group = state.groups[entry.group]
+    present_count = len(_present_endpoints(state, entry.group))
+    if present_count != group.size_count:
+        message = f"{present_count} of {group.size_count} servers known"
+        return refuse(RefusalCode.GROUP_SIZE_MISMATCH, message)
+    group.term = entry.term
+    group.primary = entry.primary
+    group.phase = GroupPhase.ACTIVE
+    return Ok(Applied(index))
+
+
+@applies(EntryKind.TERM_RAISED)
+def _apply_term_raised(state, index, entry):
+    phases = {GroupPhase.ACTIVE, GroupPhase.PROMOTING}
+    refusal = _check_step(state, entry, phases, 1)
+    if refusal is not None:
+        return refusal
+    group = state.groups[entry.group]
+    group.term = entry.term
+    group.phase = GroupPhase.FENCING
+    group.raised_index = index
+    return Ok(Applied(index))
+
+
+@applies(EntryKind.PRIMARY_CHOSEN)
+def _apply_primary_chosen(state, index, entry):
+    refusal = _check_step(
+        state, entry, {GroupPhase.FENCING}, 0
+    ) or _check_primary(state, entry)
+    if refusal is not None:
+        return refusal
+    if not 0 <= entry.old_term < entry.term or entry.old_term_end_lsn < 0:
+        message = f"old term {entry.old_term} does not precede {entry.term}"
+        return refuse(RefusalCode.WRONG_TERM, message)
+    group = state.groups[entry.group]
+    _record_term_end(group, entry)
+    group.primary = entry.primary
+    group.phase = GroupPhase.PROMOTING
+    return Ok(Applied(index))
+
+
+def _record_term_end(group, entry):
+    """Record the history of the chosen server.
+
+    Terms after ``old_term`` are not part of that history; without a recorded
+    end their floors count as lost.
+    """
+    for term in [t for t in group.term_ends if t > entry.old_term]:
+        del group.term_ends[term]
+    group.term_ends[entry.old_term] = entry.old_term_end_lsn
+
+
+@applies(EntryKind.PRIMARY_ACTIVE)
+def _apply_primary_active(state, index, entry):
+    refusal = _check_step(state, entry, {GroupPhase.PROMOTING}, 0)
+    if refusal is not None:
+        return refusal
+    state.groups[entry.group].phase = GroupPhase.ACTIVE
+    return Ok(Applied(index))
--- /dev/null
+++ b/waxwinglift/version/_apply_registry.py
@@ -0,0 +1,72 @@
+"""Registry of the functions that apply entries, and their outcomes."""
+
+import dataclasses
+import enum
+
+from result import Err
+
+from waxwinglift.version._fleet import EditAnswer
+from waxwinglift.version._types import LogIndex
+
+
+class RefusalCode(enum.Enum):
+    """Why an entry changed nothing."""
+
+    WRONG_INDEX = "wrong_index"
+    INVALID_TABLE = "invalid_table"
+    UNKNOWN_ENDPOINT = "unknown_endpoint"
+    UNKNOWN_GROUP = "unknown_group"
+    UNKNOWN_DAEMON = "unknown_daemon"
+    UNKNOWN_MEMBER = "unknown_member"
+    GROUP_MISMATCH = "group_mismatch"
+    GROUP_SIZE_MISMATCH = "group_size_mismatch"
+    GROUP_FULL = "group_full"
+    WRONG_STATE = "wrong_state"
+    WRONG_PHASE = "wrong_phase"
+    WRONG_TERM = "wrong_term"
+    STALE_EPOCH = "stale_epoch"
+    INVALID_ASSIGNMENT = "invalid_assignment"
+    KNOWN_MEMBER = "known_member"
+    LAST_VOTER = "last_voter"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Reason for which an entry was not applied."""
+
+    code: RefusalCode
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """Answer to an entry that carries no result of its own."""
+
+    index: LogIndex
+
+
+Answer = EditAnswer | Applied
+
+APPLY_FUNCTIONS = {}
+
+
+def applies(kind):
+    """Register the decorated function for entries of ``kind``.
+
+    The function takes ``(state, index, entry)`` and returns
+    ``Result[Answer, Refusal]``; it must leave ``state`` unchanged when it
+    refuses.
+    """
+
+    def register(function):
+        if kind in APPLY_FUNCTIONS:
+            raise ValueError(f"{kind} is registered twice")
+        APPLY_FUNCTIONS[kind] = function
+        return function
+
+    return register
+
+
+def refuse(code, message):
+    """Return the refusal as an ``Err``."""
+    return Err(Refusal(code, message))
--- /dev/null
+++ b/waxwinglift/version/_entry_codec.py
@@ -0,0 +1,82 @@
+"""JSON codec of log entries and of the fleet state.
+
+The same bytes go to disk, to control followers and to the daemons.  Field
+order is that of the dataclasses and dictionaries keep their insertion order,
+so replicas that applied the same log encode the same bytes.
+"""
+
+import typing
+
+import pydantic
+
+from waxwinglift.version._entries import Entry
+from waxwinglift.version._fleet import FleetState
+
+
+def _kind_of(value):
+    """Return the discriminator of an entry or of its JSON object."""
+    if isinstance(value, dict):
+        return value.get("kind")
+    return getattr(getattr(value, "kind", None), "value", None)
+
+
+def _kind_of_class(entry_class):
+    return entry_class.__dataclass_fields__["kind"].default
+
+
+ENTRY_CLASSES = {
+    _kind_of_class(entry_class): entry_class
+    for entry_class in typing.get_args(Entry)
+}
+
+_TAGGED_CLASSES = tuple(
+    typing.Annotated[entry_class, pydantic.Tag(kind.value)]
+    for kind, entry_class in ENTRY_CLASSES.items()
+)
+_ENTRY_ADAPTER = pydantic.TypeAdapter(
+    typing.Annotated[
+        typing.Union[_TAGGED_CLASSES], pydantic.Discriminator(_kind_of)
+    ]
+)
+_FLEET_ADAPTER = pydantic.TypeAdapter(FleetState)
+
+
+def encode_entry(entry):
+    """Return the stored form of ``entry``.
+
+    Parameters
+    ----------
+    entry : Entry
+
+    Returns
+    -------
+    bytes
+    """
+    return _ENTRY_ADAPTER.dump_json(entry)
+
+
+def decode_entry(payload):
+    """Return the entry of ``payload``.
+
+    Raises
+    ------
+    ValueError
+        The bytes are not an entry of a known kind.
+    """
+    return _ENTRY_ADAPTER.validate_json(payload)
+
+
+def encode_fleet(state):
+    """Return the snapshot form of ``state``."""
+    return _FLEET_ADAPTER.dump_json(state)
+
+
+def decode_fleet(payload):
+    """Return the fleet state of a snapshot.
+
+    Raises
+    ------
+    ValueError
+        The bytes are not a fleet state.
+    """
+    return _FLEET_ADAPTER.validate_json(payload)
