Add tests of leases, owners and announcements

The wiring relies on the end of a lease, on the number of connection holders and on a bounded number of log entries; the tables cover late and repeated grants, third owners and flapping endpoints. The first run found that xxhash takes bytes only; nothing else failed.

--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -121,20 +121,26 @@
     def expired(self, fleet, now_ms):
         """Return an EndpointLost for each endpoint gone silent."""
         entries = []
-        for name, record in list(self._records.items()):
-            if now_ms - record.last_ms < self.settings.ttl_ms:
-                continue
-            endpoint = fleet.endpoints.get(name)
-            if endpoint is None:
-                del self._records[name]
-                continue
-            if endpoint.state is EndpointState.LOST:
+        for name, endpoint in fleet.endpoints.items():
+            record = self._records.setdefault(name, _Record(now_ms))
+            is_silent = now_ms - record.last_ms >= self.settings.ttl_ms
+            if not is_silent or endpoint.state is EndpointState.LOST:
                 continue
             entry = EndpointLost(name)
             if self._may_propose(record, entry, now_ms):
                 entries.append(entry)
+        self._forget_unknown(fleet, now_ms)
         return entries
 
+    def _forget_unknown(self, fleet, now_ms):
+        """Drop silent endpoints that the log never accepted."""
+        if len(self._records) == len(fleet.endpoints):
+            return
+        for name, record in list(self._records.items()):
+            is_silent = now_ms - record.last_ms >= self.settings.ttl_ms
+            if is_silent and name not in fleet.endpoints:
+                del self._records[name]
+
     def is_fresh(self, endpoint, now_ms):
         """Return whether ``endpoint`` announced itself within its TTL."""
         record = self._records.get(endpoint)
--- /dev/null
+++ b/waxwinglift/version/_control_core_commits.py
@@ -0,0 +1,76 @@
+"""Committed entries and snapshots at the control core."""
+
+from result import Err
+
+from waxwinglift.version import _control_core_messages as messages
+from waxwinglift.version._apply import apply_entry
+from waxwinglift.version._apply import RefusalCode
+from waxwinglift.version._control_core_registry import COMMIT_FOLLOW_UPS
+from waxwinglift.version._control_core_registry import on_commit
+from waxwinglift.version._control_core_registry import on_event
+from waxwinglift.version._entries import EntryKind
+
+
+@on_event(messages.StateInstalled)
+def _on_state_installed(core, event, now_ms):
+    core.fleet = event.fleet
+    core.start_index = event.fleet.index
+    core.assigned_index.clear()
+    return []
+
+
+@on_event(messages.EntryCommitted)
+def _on_entry_committed(core, event, now_ms):
+    if event.index <= core.fleet.index:
+        return []
+    outcome = apply_entry(core.fleet, event.index, event.entry)
+    if isinstance(outcome, Err):
+        if outcome.err_value.code is RefusalCode.WRONG_INDEX:
+            raise ValueError(outcome.err_value.message)
+        return []
+    follow_up = COMMIT_FOLLOW_UPS.get(event.entry.kind)
+    if follow_up is not None:
+        follow_up(core, event, now_ms)
+    if not core.is_leader:
+        return []
+    core.commit_times.append((now_ms, event.index))
+    core.proposed_ms.pop(event.entry, None)
+    if not core.may_act():
+        return []
+    return core.observe_leases(now_ms) + core.plan_owners(now_ms)
+
+
+@on_commit(EntryKind.TERM_RAISED)
+def _after_term_raised(core, event, now_ms):
+    core.leases.require(event.index)
+
+
+@on_commit(EntryKind.ENDPOINT_JOINED, EntryKind.DAEMON_DRAINING)
+def _after_fleet_change(core, event, now_ms):
+    core.disturb_owners(now_ms)
+
+
+@on_commit(EntryKind.DAEMON_JOINED)
+def _after_daemon_joined(core, event, now_ms):
+    # An earlier leader may have granted a lease; and a proxy that dies before
+    # its first renewal has to leave the fleet like any other.
+    if core.is_leader and not core.leases.is_live(event.entry.daemon, now_ms):
+        core.leases.assume(event.entry.daemon, now_ms)
+    core.disturb_owners(now_ms)
+
+
+@on_commit(EntryKind.DAEMON_LEFT)
+def _after_daemon_left(core, event, now_ms):
+    core.leases.drop(event.entry.daemon)
+    core.leaving.discard(event.entry.daemon)
+    core.drained_ms.pop(event.entry.daemon, None)
+    core.disturb_owners(now_ms)
+
+
+@on_commit(EntryKind.OWNERS_ASSIGNED)
+def _after_owners_assigned(core, event, now_ms):
+    for assignment in event.entry.assignments:
+        core.assigned_index[assignment.endpoint] = event.index
+        core.released.discard(assignment.endpoint)
+    core.owners_proposed_ms = None
+    core.is_owner_repair_due = True
--- /dev/null
+++ b/waxwinglift/version/_control_core_renewals.py
@@ -0,0 +1,103 @@
+"""Renewals of the proxies at the control core."""
+
+from waxwinglift.version import _control_core_messages as messages
+from waxwinglift.version import _failover_messages as failover
+from waxwinglift.version._control_core_registry import on_event
+from waxwinglift.version._entries import DaemonDraining
+from waxwinglift.version._entries import DaemonJoined
+from waxwinglift.version._entries import DaemonLeft
+from waxwinglift.version._types import DaemonState
+
+
+@on_event(messages.RenewalReceived)
+def _on_renewal(core, event, now_ms):
+    core.note_quorum(event.has_quorum)
+    renewal = event.renewal
+    if not core.may_act():
+        return [_refuse(core, renewal, "no control quorum")]
+    known = core.fleet.daemons.get(renewal.daemon)
+    if renewal.is_stopped:
+        return _stop_daemon(core, renewal, known, now_ms)
+    if known is None or not _is_same(known, renewal):
+        return _join_daemon(core, renewal, now_ms)
+    if renewal.daemon in core.leaving:
+        return [_refuse(core, renewal, "lease has run out; leaving")]
+    actions = _follow_draining(core, renewal, known, now_ms)
+    applied_index = core.leases.applied_index(renewal.daemon)
+    actions.append(_renew(core, renewal, now_ms))
+    _note_released(core, renewal)
+    if core.planner.is_changing and renewal.applied_index > applied_index:
+        actions.extend(core.observe_leases(now_ms))
+    report = failover.HealthReported(renewal.daemon, renewal.down)
+    actions.extend(core.planner.step(core.fleet, report, now_ms))
+    return actions
+
+
+def _is_same(known, renewal):
+    return (known.address, known.location) == (
+        renewal.address,
+        renewal.location,
+    )
+
+
+def _refuse(core, renewal, reason):
+    return messages.RefuseLease(
+        renewal.daemon, renewal.sequence, reason, core.fleet.index
+    )
+
+
+def _stop_daemon(core, renewal, known, now_ms):
+    """A stopped proxy has closed its connections: no lease to wait for."""
+    core.leases.drop(renewal.daemon)
+    actions = [_refuse(core, renewal, "stopped")]
+    if known is not None:
+        core.leaving.add(renewal.daemon)
+        actions += core.propose_once(DaemonLeft(renewal.daemon), now_ms)
+    core.update_live(now_ms)
+    return actions + core.plan_owners(now_ms)
+
+
+def _join_daemon(core, renewal, now_ms):
+    entry = DaemonJoined(renewal.daemon, renewal.address, renewal.location)
+    actions = [_refuse(core, renewal, "joining the fleet")]
+    return actions + core.propose_once(entry, now_ms)
+
+
+def _follow_draining(core, renewal, known, now_ms):
+    if renewal.is_draining:
+        core.drained_ms[renewal.daemon] = now_ms
+        if known.state is DaemonState.ACTIVE:
+            return core.propose_once(DaemonDraining(renewal.daemon), now_ms)
+        return []
+    if known.state is not DaemonState.DRAINING:
+        return []
+    drained_ms = core.drained_ms.setdefault(renewal.daemon, now_ms)
+    if now_ms - drained_ms < core.settings.undrain_ms:
+        return []
+    entry = DaemonJoined(renewal.daemon, renewal.address, renewal.location)
+    return core.propose_once(entry, now_ms)
+
+
+def _renew(core, renewal, now_ms):
+    leases = core.leases
+    if not leases.renew(renewal.daemon, renewal.applied_index, now_ms):
+        reason = f"has not applied log index {leases.required_index}"
+        return _refuse(core, renewal, reason)
+    return messages.GrantLease(
+        renewal.daemon,
+        renewal.sequence,
+        core.settings.leases.lease_ms,
+        core.fleet.index,
+    )
+
+
+def _note_released(core, renewal):
+    """Record released endpoints; an old report does not count."""
+    for endpoint in renewal.released:
+        assignment = core.fleet.owners.get(endpoint)
+        assigned_index = core.assigned_index.get(endpoint, core.start_index)
+        if assignment is None or assignment.previous != renewal.daemon:
+            continue
+        if renewal.applied_index >= assigned_index:
+            core.released.add(endpoint)
+            core.is_owner_repair_due = True
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -77,6 +77,7 @@
         self.live_daemons = frozenset()
         self.passed_index = None
         self.observed_index = -1
+        self.is_changing = False
         self.reports = {}
         self.progress = {}
         self.repointed = {}
@@ -120,11 +121,6 @@
         is_recent = now_ms - received_ms < self.settings.report_ttl_ms
         return is_recent and down.get(endpoint, -1) >= term
 
-    def is_changing(self, fleet):
-        """Return whether a change of primary is in progress."""
-        phases = (GroupPhase.FENCING, GroupPhase.PROMOTING)
-        return any(group.phase in phases for group in fleet.groups.values())
-
     def current_progress(self, group):
         """Return the progress of the group's current term and phase."""
         progress = self.progress.get(group.group)
@@ -159,6 +155,9 @@
         del planner.reports[daemon]
     planner.passed_index = event.passed_index
     planner.observed_index = fleet.index
+    planner.is_changing = any(
+        group.phase is GroupPhase.FENCING for group in fleet.groups.values()
+    )
     return None
 
 
--- a/waxwinglift/version/_ownership.py
+++ b/waxwinglift/version/_ownership.py
@@ -24,12 +24,12 @@
 
 @functools.lru_cache(maxsize=4096)
 def _seed(daemon):
-    return xxhash.xxh32_intdigest(daemon)
+    return xxhash.xxh32_intdigest(daemon.encode())
 
 
 def score(endpoint, daemon):
     """Return the rendezvous score of ``daemon`` for ``endpoint``."""
-    return xxhash.xxh64_intdigest(endpoint, seed=_seed(daemon))
+    return xxhash.xxh64_intdigest(endpoint.encode(), seed=_seed(daemon))
 
 
 def ranked(endpoint, daemons):
--- /dev/null
+++ b/waxwinglift/version/tests/fleets.py
@@ -0,0 +1,60 @@
+"""Fleet states for the tests of this folder."""
+
+from waxwinglift.process import Address
+from waxwinglift.process import Location
+from waxwinglift.version import _entries as entries
+from waxwinglift.version._apply import apply_entry
+from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._types import EndpointRole
+
+REGIONS = {"a": "north", "b": "north", "c": "south", "d": "south"}
+
+
+def location(site):
+    """Return the location of the data centre ``site``."""
+    return Location(site, REGIONS[site])
+
+
+def endpoint_joined(name, site, role=EndpointRole.REPLICA, term=1, **fields):
+    """Return the entry of a server of the group named before the dash."""
+    return entries.EndpointJoined(
+        endpoint=name,
+        group=name.split("-")[0],
+        address=Address("127.0.0.1", 5432),
+        location=location(site),
+        role=role,
+        term=term,
+        slots_count=3,
+        connection_limit_count=25,
+        group_size_count=fields.get("size", 3),
+    )
+
+
+def daemon_joined(name):
+    """Return the entry of a proxy; its name starts with its site."""
+    address = Address("127.0.0.1", 6000)
+    return entries.DaemonJoined(name, address, location(name[0]))
+
+
+def group_entries(group="g", sites="abc"):
+    """Return the entries that form a group with its primary first."""
+    roles = [EndpointRole.PRIMARY] + [EndpointRole.REPLICA] * len(sites)
+    size = len(sites)
+    joined = [
+        endpoint_joined(f"{group}-{site}", site, role, size=size)
+        for site, role in zip(sites, roles, strict=False)
+    ]
+    return [*joined, entries.GroupFormed(group, 1, f"{group}-{sites[0]}")]
+
+
+def make_fleet(*logged):
+    """Return the state after the entries ``logged``."""
+    fleet = FleetState()
+    extend(fleet, *logged)
+    return fleet
+
+
+def extend(fleet, *logged):
+    """Apply entries that must be accepted."""
+    for entry in logged:
+        apply_entry(fleet, fleet.index + 1, entry).unwrap()
--- /dev/null
+++ b/waxwinglift/version/tests/test_announcements.py
@@ -0,0 +1,125 @@
+"""Guards what announcements write into the log, and how often."""
+
+import dataclasses
+
+import pytest
+
+from waxwinglift.version import _entries as entries
+from waxwinglift.version._announcements import Announcement
+from waxwinglift.version._announcements import AnnouncementSettings
+from waxwinglift.version._announcements import AnnouncementTable
+from waxwinglift.version._apply import apply_entry
+from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import GroupPhase
+from waxwinglift.version.tests.fleets import endpoint_joined
+
+
+def announce(name, site="a", in_recovery=True, **fields):
+    joined = endpoint_joined(name, site)
+    return Announcement(
+        joined.endpoint,
+        joined.group,
+        joined.address,
+        joined.location,
+        joined.slots_count,
+        joined.connection_limit_count,
+        joined.group_size_count,
+        fields.pop("term", 1),
+        in_recovery,
+        **fields,
+    )
+
+
+class Log:
+    """Applies proposed entries at once and counts them."""
+
+    def __init__(self):
+        self.fleet = FleetState()
+        self.table = AnnouncementTable(AnnouncementSettings())
+        self.entries = []
+
+    def announce(self, announcement, now_ms):
+        self._commit(self.table.announce(announcement, self.fleet, now_ms))
+
+    def expire(self, now_ms):
+        self._commit(self.table.expired(self.fleet, now_ms))
+
+    def _commit(self, proposed):
+        for entry in proposed:
+            self.entries.append(entry)
+            apply_entry(self.fleet, self.fleet.index + 1, entry)
+
+
+@pytest.mark.parametrize(
+    ("recovering", "phase"),
+    [
+        ([False, True, True], GroupPhase.ACTIVE),
+        ([True, True, True], GroupPhase.FORMING),
+        ([False, False, True], GroupPhase.FORMING),
+        ([False, True], GroupPhase.FORMING),
+    ],
+)
+def test_group_forms_with_all_servers_and_one_primary(recovering, phase):
+    # Forming with two servers out of recovery would pick one of two
+    # histories at random.
+    log = Log()
+    for round_ms in (0, 500):
+        for site, in_recovery in zip("abc", recovering, strict=False):
+            log.announce(announce(f"g-{site}", site, in_recovery), round_ms)
+    assert log.fleet.groups["g"].phase is phase
+
+
+def test_silent_and_leaving_endpoints_are_logged_once():
+    log = Log()
+    for name in ("g-a", "g-b"):
+        log.announce(announce(name, name[-1]), 0)
+    log.announce(announce("g-b", "b", is_leaving=True), 100)
+    for now_ms in range(0, 1400, 100):
+        log.expire(now_ms)
+    assert log.fleet.endpoints["g-a"].state is EndpointState.JOINED
+    for now_ms in range(1500, 4000, 100):
+        log.announce(announce("g-b", "b", is_leaving=True), now_ms)
+        log.expire(now_ms)
+    assert log.fleet.endpoints["g-a"].state is EndpointState.LOST
+    assert log.fleet.endpoints["g-b"].state is EndpointState.LEAVING
+    assert len(log.entries) == 4
+
+
+@pytest.mark.parametrize("kind", ["leaving", "term", "silent"])
+def test_flapping_endpoint_does_not_flood_the_log(kind):
+    # Every change of an endpoint is an entry that 450 daemons apply.
+    log = Log()
+    steady = announce("g-a")
+    changed = {
+        "leaving": dataclasses.replace(steady, is_leaving=True),
+        "term": dataclasses.replace(steady, term=2),
+        "silent": None,
+    }[kind]
+    for now_ms in range(0, 60_000, 2000):
+        log.announce(steady, now_ms)
+        if changed:
+            log.announce(changed, now_ms + 1000)
+        log.expire(now_ms + 1900)
+    assert 4 <= len(log.entries) <= 16
+
+
+def test_refused_entry_is_repeated_ever_more_rarely():
+    log = Log()
+    log.fleet.groups.clear()
+    wrong = dataclasses.replace(announce("g-a"), group_size_count=0)
+    for now_ms in range(0, 60_000, 500):
+        log.announce(wrong, now_ms)
+    assert log.fleet.endpoints == {}
+    assert 2 <= len(log.entries) <= 8
+
+
+def test_new_leader_gives_known_endpoints_their_full_time():
+    # Otherwise each election would log all endpoints as lost.
+    log = Log()
+    log.announce(announce("g-a"), 0)
+    log.table.start_leadership(log.fleet, 5000)
+    log.expire(6499)
+    assert log.fleet.endpoints["g-a"].state is EndpointState.JOINED
+    log.expire(6500)
+    assert isinstance(log.entries[-1], entries.EndpointLost)
--- /dev/null
+++ b/waxwinglift/version/tests/test_ownership.py
@@ -0,0 +1,117 @@
+"""Guards the choice of owners and the limit on connection holders."""
+
+import collections
+
+import pytest
+
+from waxwinglift.version import _entries as entries
+from waxwinglift.version._ownership import plan_owners
+from waxwinglift.version.tests.fleets import daemon_joined
+from waxwinglift.version.tests.fleets import endpoint_joined
+from waxwinglift.version.tests.fleets import extend
+from waxwinglift.version.tests.fleets import make_fleet
+
+
+def make_proxies(sites, count):
+    return [f"{site}{i}" for site in sites for i in range(count)]
+
+
+def settle(fleet, live, released=(), may_rebalance=True):
+    plan = plan_owners(fleet, frozenset(live), released, may_rebalance)
+    if plan is not None:
+        extend(fleet, plan)
+    return plan
+
+
+def fleet_of(proxies, endpoints):
+    joined = [endpoint_joined(name, name[-1], size=99) for name in endpoints]
+    return make_fleet(*map(daemon_joined, proxies), *joined)
+
+
+@pytest.mark.parametrize(
+    ("proxies", "site", "owner_sites", "standby_sites"),
+    [
+        (["a1", "b1", "c1"], "a", "a", "b"),
+        (["a1", "a2", "c1"], "a", "a", "c"),
+        (["b1", "c1", "d1"], "a", "b", "cd"),
+        (["c1", "d1"], "a", "cd", "cd"),
+        (["a1", "a2"], "a", "a", "a"),
+    ],
+)
+def test_owner_is_near_and_standby_in_another_site(
+    proxies, site, owner_sites, standby_sites
+):
+    # A standby in the owner's data centre is lost together with it.
+    fleet = fleet_of(proxies, [f"g-{site}"])
+    settle(fleet, proxies)
+    assigned = fleet.owners[f"g-{site}"]
+    assert assigned.owner[0] in owner_sites
+    assert assigned.standby[0] in standby_sites
+    assert assigned.standby != assigned.owner
+    assert settle(fleet, proxies) is None
+
+
+@pytest.mark.parametrize("count", [2, 3, 8])
+def test_load_is_bounded_and_a_change_moves_little(count):
+    # Plain rendezvous hashing leaves one of few proxies with a multiple of
+    # its share; a plain modulus moves nearly all endpoints.
+    endpoints = [f"g{i}-a" for i in range(200)]
+    proxies = make_proxies("a", count)
+    fleet = fleet_of(proxies, endpoints)
+    settle(fleet, proxies)
+    settle(fleet, proxies)
+    before = {e: a.owner for e, a in fleet.owners.items()}
+    loads = collections.Counter(before.values())
+    assert max(loads.values()) <= 200 / count * 1.25 + 1
+    extend(fleet, daemon_joined("a9"))
+    settle(fleet, [*proxies, "a9"])
+    moved = [e for e, a in fleet.owners.items() if a.owner != before[e]]
+    assert 0 < len(moved) <= 200 / (count + 1) * 1.5
+    assert all(fleet.owners[e].epoch > 1 for e in moved)
+
+
+def test_standby_takes_over_at_once_and_the_owner_moves_home_later():
+    # The standby has a warm connection and the health of the endpoint.
+    fleet = fleet_of(["a1", "a2", "b1"], ["g-a"])
+    settle(fleet, ["a1", "a2", "b1"])
+    first = fleet.owners["g-a"]
+    live = {"a1", "a2", "b1"} - {first.owner}
+    settle(fleet, live, may_rebalance=False)
+    second = fleet.owners["g-a"]
+    assert second.owner == first.standby
+    assert (second.epoch, second.previous) == (first.epoch + 1, None)
+    settle(fleet, live)
+    assert fleet.owners["g-a"].owner[0] == "a"
+    assert fleet.owners["g-a"].previous == first.standby
+
+
+@pytest.mark.parametrize(
+    ("live", "released", "owner"),
+    [
+        # Two holders already: a third would exceed the connection limit.
+        (("a1", "b1", "c1"), (), "b1"),
+        (("a1", "b1", "c1"), ("g-d",), "c1"),
+        (("b1", "c1"), (), "c1"),
+        (("a1", "c1"), (), "c1"),
+    ],
+)
+def test_third_owner_waits_for_release_or_lease(live, released, owner):
+    fleet = fleet_of(["a1", "b1", "c1"], ["g-d"])
+    assignment = entries.OwnerAssignment("g-d", "b1", "c1", 2, "a1")
+    extend(fleet, entries.OwnersAssigned((assignment,)))
+    extend(fleet, entries.DaemonDraining("b1"))
+    extend(fleet, entries.DaemonDraining("a1"))
+    settle(fleet, live, released)
+    assigned = fleet.owners["g-d"]
+    assert assigned.owner == owner
+    holders = {assigned.owner, assigned.previous} & set(live)
+    assert len(holders) <= 2
+
+
+def test_draining_owner_stays_while_it_is_alone():
+    fleet = fleet_of(["a1"], ["g-a"])
+    settle(fleet, ["a1"])
+    extend(fleet, entries.DaemonDraining("a1"))
+    assert settle(fleet, ["a1"]) is None
+    settle(fleet, [])
+    assert fleet.owners["g-a"].owner is None
