--- /dev/null
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -0,0 +1,297 @@
+"""Connections of an owner to one endpoint: which to use, open or close."""
+
+import collections
+import dataclasses
+from typing import Any
+
+from waxwinglift.connection._types import ConnectionId
+from waxwinglift.connection._types import ConnectionState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenConnection:
+    """Open a connection under this id."""
+
+    connection: ConnectionId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeConnection:
+    """Send a probe and report its answer."""
+
+    connection: ConnectionId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseConnection:
+    """Close the connection, whatever runs on it."""
+
+    connection: ConnectionId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UseConnection:
+    """Run the holder's transaction on the connection."""
+
+    connection: ConnectionId
+    holder: Any
+
+
+@dataclasses.dataclass(slots=True)
+class _Connection:
+    state: ConnectionState
+    since_ms: float
+    holder: Any = None
+    # A suspect is probed once it is idle; a busy one keeps its transaction.
+    is_suspect: bool = False
+
+
+class EndpointPool:
+    """Decides on the connections of one endpoint.
+
+    Every method that returns a list returns `OpenConnection`,
+    `ProbeConnection`, `CloseConnection` and `UseConnection` actions.  A
+    holder is any hashable value that names a transaction; it is unique among
+    the transactions that wait or run.
+
+    Parameters
+    ----------
+    settings : EndpointPoolSettings
+    connection_limit_count : int
+        Connections that the endpoint accepts from everyone.  The pool uses
+        at most ``(limit - 1) // 2``: the next owner may start with the other
+        half, and one stays free for control.
+    slots_count : int
+        Transactions that run at once.
+    """
+
+    def __init__(self, settings, connection_limit_count, slots_count):
+        self.settings = settings
+        self.limit_count = (connection_limit_count - 1) // 2
+        self.slots_count = slots_count
+        self._connections = {}
+        self._waiting = collections.OrderedDict()
+        self._is_enabled = False
+        self._next_id = 1
+        self._open_after_ms = float("-inf")
+        self._open_failure_count = 0
+
+    @property
+    def connection_count(self):
+        """Connections that are open, opening or not yet reported closed."""
+        return len(self._connections)
+
+    @property
+    def waiting_count(self):
+        """Holders without a connection."""
+        return len(self._waiting)
+
+    @property
+    def is_released(self):
+        """Whether a closed-down pool has no connection left."""
+        return not self._is_enabled and not self._connections
+
+    def state(self, connection):
+        """Return the state of a connection; CLOSED when it is unknown."""
+        record = self._connections.get(connection)
+        return record.state if record else ConnectionState.CLOSED
+
+    def enable(self, now_ms):
+        """Open connections ahead of demand: ownership and lease are live."""
+        self._is_enabled = True
+        return self._open_missing(now_ms)
+
+    def close_all(self, now_ms):
+        """Close everything: the lease or the ownership is lost.
+
+        Returns
+        -------
+        list of CloseConnection
+            Holders that wait or run must be failed by the caller.
+        """
+        self._is_enabled = False
+        self._waiting.clear()
+        actions = []
+        for connection in self._connections:
+            actions += self._close(connection, now_ms)
+        return actions
+
+    def acquire(self, holder, now_ms):
+        """Ask for a connection for a transaction.
+
+        The connection comes as `UseConnection`, now or from a later call.
+        """
+        self._waiting[holder] = now_ms
+        return self._serve(now_ms)
+
+    def cancel(self, holder):
+        """Forget a holder that still waits; True when it did."""
+        return self._waiting.pop(holder, None) is not None
+
+    def release(self, connection, now_ms):
+        """Take back a connection whose session is idle again.
+
+        Call it only after ReadyForQuery with status idle; after a timeout,
+        a cancel or an unfinished transaction call `discard`.
+        """
+        record = self._connections.get(connection)
+        if record is None or record.state is not ConnectionState.BUSY:
+            return []
+        record.holder = None
+        if record.is_suspect:
+            return self._probe(connection, now_ms) + self._serve(now_ms)
+        self._set_state(connection, ConnectionState.IDLE, now_ms)
+        return self._serve(now_ms)
+
+    def discard(self, connection, now_ms):
+        """Close a connection in an unknown state and replace it."""
+        if connection not in self._connections:
+            return []
+        return self._close(connection, now_ms) + self._serve(now_ms)
+
+    def suspect_siblings(self, connection, now_ms):
+        """Have all connections but this one probed before their next use."""
+        actions = []
+        for sibling, record in self._connections.items():
+            if sibling == connection:
+                continue
+            if record.state is ConnectionState.IDLE:
+                actions += self._probe(sibling, now_ms)
+            elif record.state is ConnectionState.BUSY:
+                record.is_suspect = True
+        return actions
+
+    def on_opened(self, connection, now_ms):
+        """Record that a connection became usable."""
+        if self.state(connection) is not ConnectionState.OPENING:
+            return []
+        self._open_failure_count = 0
+        self._open_after_ms = float("-inf")
+        self._set_state(connection, ConnectionState.IDLE, now_ms)
+        return self._serve(now_ms)
+
+    def on_open_failed(self, connection, now_ms):
+        """Record that a connection was refused or timed out."""
+        self._delay_opening(now_ms)
+        return self.on_closed(connection, now_ms)
+
+    def on_probe_answer(self, connection, now_ms):
+        """Record that a probed connection answered."""
+        if self.state(connection) is not ConnectionState.SUSPECT:
+            return []
+        self._connections[connection].is_suspect = False
+        self._set_state(connection, ConnectionState.IDLE, now_ms)
+        return self._serve(now_ms)
+
+    def on_closed(self, connection, now_ms):
+        """Record that a connection is closed, by either side."""
+        if self._connections.pop(connection, None) is None:
+            return []
+        return self._serve(now_ms)
+
+    def tick(self, now_ms):
+        """Probe idle connections, drop silent ones, open missing ones.
+
+        Call it at least every half probe timeout.
+        """
+        actions = []
+        for connection in list(self._connections):
+            actions += self._check(connection, now_ms)
+        return actions + self._serve(now_ms)
+
+    def _check(self, connection, now_ms):
+        record = self._connections[connection]
+        age_ms = now_ms - record.since_ms
+        if record.state is ConnectionState.IDLE:
+            if age_ms >= self.settings.idle_probe_ms:
+                return self._check_idle(connection, now_ms)
+        if record.state is ConnectionState.SUSPECT:
+            if age_ms >= self.settings.probe_timeout_ms:
+                return self._close(connection, now_ms)
+        if record.state is ConnectionState.OPENING:
+            if age_ms >= self.settings.open_timeout_ms:
+                self._delay_opening(now_ms)
+                return self._close(connection, now_ms)
+        return []
+
+    def _serve(self, now_ms):
+        actions = []
+        while self._waiting:
+            connection = self._idle_connection()
+            if connection is None:
+                break
+            holder, _ = self._waiting.popitem(last=False)
+            self._set_state(connection, ConnectionState.BUSY, now_ms)
+            self._connections[connection].holder = holder
+            actions.append(UseConnection(connection, holder))
+        return actions + self._open_missing(now_ms)
+
+    def _idle_connection(self):
+        idle = [
+            (record.since_ms, connection)
+            for connection, record in self._connections.items()
+            if record.state is ConnectionState.IDLE
+        ]
+        # The one used last is the least likely to have gone silent.
+        return max(idle)[1] if idle else None
+
+    def _open_missing(self, now_ms):
+        if not self._is_enabled or now_ms < self._open_after_ms:
+            return []
+        missing_count = min(
+            self._wanted_count() - self._usable_count(),
+            self.limit_count - len(self._connections),
+        )
+        return [self._open(now_ms) for _ in range(missing_count)]
+
+    def _check_idle(self, connection, now_ms):
+        # Replacements of suspects that turned out healthy are surplus.
+        if self._usable_count() > self._wanted_count():
+            return self._close(connection, now_ms)
+        return self._probe(connection, now_ms)
+
+    def _wanted_count(self):
+        busy_count = self._count(ConnectionState.BUSY)
+        needed_count = busy_count + len(self._waiting)
+        return max(self.slots_count + self.settings.spare_count, needed_count)
+
+    def _usable_count(self):
+        usable_count = len(self._connections)
+        usable_count -= self._count(ConnectionState.CLOSED)
+        if self._waiting:
+            # Probes of silent connections take long to fail; open others.
+            usable_count -= self._count(ConnectionState.SUSPECT)
+        return usable_count
+
+    def _count(self, state):
+        records = self._connections.values()
+        return sum(record.state is state for record in records)
+
+    def _open(self, now_ms):
+        connection = ConnectionId(self._next_id)
+        self._next_id += 1
+        record = _Connection(ConnectionState.OPENING, now_ms)
+        self._connections[connection] = record
+        return OpenConnection(connection)
+
+    def _probe(self, connection, now_ms):
+        self._set_state(connection, ConnectionState.SUSPECT, now_ms)
+        return [ProbeConnection(connection)]
+
+    def _close(self, connection, now_ms):
+        """Ask for closing; it counts until `on_closed` reports it."""
+        if self.state(connection) is ConnectionState.CLOSED:
+            return []
+        self._set_state(connection, ConnectionState.CLOSED, now_ms)
+        return [CloseConnection(connection)]
+
+    def _set_state(self, connection, state, now_ms):
+        record = self._connections[connection]
+        record.state = state
+        record.since_ms = now_ms
+
+    def _delay_opening(self, now_ms):
+        delay_ms = self.settings.open_backoff_ms * 2**self._open_failure_count
+        delay_ms = min(delay_ms, self.settings.open_backoff_limit_ms)
+        self._open_failure_count = min(self._open_failure_count + 1, 16)
+        self._open_after_ms = now_ms + delay_ms
--- /dev/null
+++ b/waxwinglift/connection/_silence.py
@@ -0,0 +1,157 @@
+"""Health of one endpoint, judged from probes and answers."""
+
+import dataclasses
+
+from waxwinglift.connection._types import ConnectionId
+from waxwinglift.connection._types import HealthState
+from waxwinglift.process._policy_settings import HealthSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendProbe:
+    """Send a probe on any idle connection."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TryNewConnection:
+    """Open one more connection and report how that ends.
+
+    An earlier attempt that is still pending is given up.
+    """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectSiblings:
+    """Probe all connections but this one before they are used again."""
+
+    connection: ConnectionId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthChanged:
+    """Report the new state to control and to routing."""
+
+    state: HealthState
+
+
+class HealthMonitor:
+    """Health of one endpoint at its owner or standby owner.
+
+    The endpoint is down only when existing and new connections are silent:
+    a single connection can go silent for good while the endpoint works.
+    Every method returns a list of actions: `SendProbe`,
+    `TryNewConnection`, `SuspectSiblings` and `HealthChanged`.
+
+    Parameters
+    ----------
+    settings : HealthSettings, optional
+    """
+
+    def __init__(self, settings=None):
+        self.settings = settings or HealthSettings()
+        self.state = HealthState.UNKNOWN
+        self._answer_ms = float("-inf")
+        self._probe_ms = None
+        self._attempt_ms = None
+        self._first_attempt_ms = None
+        self._silent_since_ms = None
+        self._refusal_count = 0
+
+    def tick(self, now_ms):
+        """Send the probes that are due and judge the silence.
+
+        Call it at least every half probe interval.
+        """
+        actions = self._judge(now_ms)
+        interval_ms = self.settings.probe_interval_ms
+        if now_ms - self._answer_ms < interval_ms:
+            return actions
+        if self._probe_ms is None or now_ms - self._probe_ms >= interval_ms:
+            self._probe_ms = now_ms
+            if self._silent_since_ms is None:
+                self._silent_since_ms = now_ms
+            actions.append(SendProbe())
+        return actions + self._try_new(now_ms)
+
+    def on_answer(self, now_ms):
+        """Record bytes from the endpoint on an existing connection."""
+        return self._on_life(now_ms)
+
+    def on_opened(self, now_ms):
+        """Record that a new connection became usable."""
+        return self._on_life(now_ms)
+
+    def on_refused(self, now_ms):
+        """Record that the endpoint refused a connection."""
+        self._attempt_ms = None
+        self._refusal_count += 1
+        if self._refusal_count < self.settings.refusal_limit_count:
+            return self._start_attempt(now_ms)
+        return self._change(HealthState.DOWN)
+
+    def on_silent(self, connection, now_ms):
+        """Record that a request on ``connection`` got no answer in time."""
+        actions = [SuspectSiblings(connection)]
+        if self._silent_since_ms is None:
+            self._silent_since_ms = now_ms
+        return actions + self._try_new(now_ms, at_once=True)
+
+    def on_attempt_failed(self, now_ms):
+        """Record a new connection that timed out instead of opening."""
+        self._attempt_ms = None
+        return self._judge(now_ms)
+
+    def _on_life(self, now_ms):
+        self._answer_ms = max(self._answer_ms, now_ms)
+        self._probe_ms = None
+        self._attempt_ms = None
+        self._first_attempt_ms = None
+        self._silent_since_ms = None
+        self._refusal_count = 0
+        return self._change(HealthState.UP)
+
+    def _try_new(self, now_ms, at_once=False):
+        """Start an attempt once the silence has lasted one interval."""
+        interval_ms = self.settings.probe_interval_ms
+        if self._silent_ms(now_ms) < interval_ms and not at_once:
+            return []
+        if self._pending_ms(now_ms) < 2 * interval_ms:
+            return []
+        actions = self._start_attempt(now_ms)
+        if self.state is HealthState.UP:
+            actions += self._change(HealthState.SUSPECT)
+        return actions
+
+    def _start_attempt(self, now_ms):
+        self._attempt_ms = now_ms
+        if self._first_attempt_ms is None:
+            self._first_attempt_ms = now_ms
+        return [TryNewConnection()]
+
+    def _judge(self, now_ms):
+        if self._silent_ms(now_ms) < self.settings.down_after_ms:
+            return []
+        # After a pause of this process the first tick must not judge before
+        # a new connection had a chance.
+        if self._first_attempt_ms is None:
+            return []
+        chance_ms = now_ms - self._first_attempt_ms
+        if chance_ms < 2 * self.settings.probe_interval_ms:
+            return []
+        return self._change(HealthState.DOWN)
+
+    def _pending_ms(self, now_ms):
+        if self._attempt_ms is None:
+            return float("inf")
+        return now_ms - self._attempt_ms
+
+    def _silent_ms(self, now_ms):
+        if self._silent_since_ms is None:
+            return 0.0
+        return now_ms - self._silent_since_ms
+
+    def _change(self, state):
+        if state is self.state:
+            return []
+        self.state = state
+        return [HealthChanged(state)]
--- /dev/null
+++ b/waxwinglift/process/_policy_settings.py
@@ -0,0 +1,144 @@
+"""Settings of the request and connection policies, parts of ProxySettings.
+
+All fields have defaults; docs/performance.md gives the measurement behind
+each of them.
+"""
+
+import pydantic
+
+
+class PolicySettings(pydantic.BaseModel):
+    """Base of the policy settings: immutable, unknown names refused."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+
+
+class AdmissionSettings(PolicySettings):
+    """Settings of the queue in front of one endpoint.
+
+    Parameters
+    ----------
+    initial_service_ms : float
+        Service time assumed until the first statements have finished.
+    service_weight : float
+        Weight of a new sample in the moving average of service times.
+    floor_window_ms : float
+        Service that a rank below its floor may catch up with, in
+        milliseconds of the endpoint's whole capacity.
+    """
+
+    initial_service_ms: float = pydantic.Field(4.0, gt=0)
+    service_weight: float = pydantic.Field(0.05, gt=0, le=1)
+    floor_window_ms: float = pydantic.Field(200.0, gt=0)
+
+
+class RoutingSettings(PolicySettings):
+    """Settings of the choice of endpoint.
+
+    Parameters
+    ----------
+    policy : str
+        Name in the registry of routing policies.
+    replica_wait_ms : float
+        Longest expected wait for a replica to reach a floor.
+    distance_ms : tuple of float
+        Round trip within the data centre, the region, and beyond; used
+        until latencies have been measured.
+    latency_weight : float
+        Weight of a new sample in the moving averages.
+    stale_after_ms : float
+        Half-life of the influence of a measured latency.
+    backoff_ms, backoff_limit_ms : float
+        Time that a failing endpoint is avoided: first value, doubled with
+        each failure in a row up to the limit.
+    return_ms : float
+        Time over which the share of a returning endpoint rises to normal.
+    """
+
+    policy: str = "two_choices"
+    replica_wait_ms: float = pydantic.Field(100.0, ge=0)
+    distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
+    latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
+    stale_after_ms: float = pydantic.Field(500.0, gt=0)
+    backoff_ms: float = pydantic.Field(200.0, gt=0)
+    backoff_limit_ms: float = pydantic.Field(5000.0, gt=0)
+    return_ms: float = pydantic.Field(2000.0, gt=0)
+
+
+class RetrySettings(PolicySettings):
+    """Settings of retries.
+
+    Parameters
+    ----------
+    budget_ratio : float
+        Retries allowed per request of a pool.
+    budget_burst_count : float
+        Most retries saved up while none were needed.
+    attempt_limit_count : int
+        Most attempts of one request, the first included.
+    backoff_ms : float
+        Mean delay before the second attempt; doubled for each later one.
+    """
+
+    budget_ratio: float = pydantic.Field(0.1, ge=0, le=1)
+    budget_burst_count: float = pydantic.Field(20.0, ge=1)
+    attempt_limit_count: int = pydantic.Field(4, ge=1)
+    backoff_ms: float = pydantic.Field(5.0, ge=0)
+
+
+class CommitWaitSettings(PolicySettings):
+    """Settings of the wait for a quorum.
+
+    Parameters
+    ----------
+    timeout_ms : float
+        Longest time that an answer is held.
+    busy_poll_ms, idle_poll_ms : float
+        Interval of the position poll while answers are held, and otherwise.
+    """
+
+    timeout_ms: float = pydantic.Field(3000.0, gt=0)
+    busy_poll_ms: float = pydantic.Field(5.0, gt=0)
+    idle_poll_ms: float = pydantic.Field(200.0, gt=0)
+
+
+class EndpointPoolSettings(PolicySettings):
+    """Settings of the connections to one endpoint.
+
+    Parameters
+    ----------
+    spare_count : int
+        Connections kept open beyond the endpoint's slots.
+    open_timeout_ms, probe_timeout_ms : float
+        Longest time for opening a connection and for answering a probe.
+    idle_probe_ms : float
+        Idle connections are probed after this time without an answer.
+    open_backoff_ms, open_backoff_limit_ms : float
+        Delay before the next opening after a failed one: first value,
+        doubled with each failure in a row up to the limit.
+    """
+
+    spare_count: int = pydantic.Field(2, ge=0)
+    open_timeout_ms: float = pydantic.Field(600.0, gt=0)
+    probe_timeout_ms: float = pydantic.Field(300.0, gt=0)
+    idle_probe_ms: float = pydantic.Field(1000.0, gt=0)
+    open_backoff_ms: float = pydantic.Field(20.0, gt=0)
+    open_backoff_limit_ms: float = pydantic.Field(500.0, gt=0)
+
+
+class HealthSettings(PolicySettings):
+    """Settings of the health monitor of one endpoint.
+
+    Parameters
+    ----------
+    probe_interval_ms : float
+        A probe is sent after this time without an answer.
+    down_after_ms : float
+        Silence on existing and new connections that marks it down.
+    refusal_limit_count : int
+        Refused connections in a row that mark it down.
+    """
+
+    probe_interval_ms: float = pydantic.Field(150.0, gt=0)
+    down_after_ms: float = pydantic.Field(600.0, gt=0)
+    refusal_limit_count: int = pydantic.Field(2, ge=1)
--- /dev/null
+++ b/waxwinglift/request/_admission.py
@@ -0,0 +1,293 @@
+"""Queue in front of one endpoint: order, limits and early refusal."""
+
+import heapq
+
+from waxwinglift.process._policy_settings import AdmissionSettings
+from waxwinglift.request._admission_types import Refuse
+from waxwinglift.request._admission_types import Start
+from waxwinglift.request._admission_types import Ticket
+from waxwinglift.request._rank_queue import RankQueue
+from waxwinglift.request._types import FailureCode
+from waxwinglift.request._types import not_run
+
+__all__ = ["AdmissionQueue", "Refuse", "Start", "Ticket"]
+
+
+class AdmissionQueue:
+    """Queue of the one owner of an endpoint.
+
+    Every method that returns a list returns `Start` and `Refuse` actions.
+    A started ticket holds its slot until `finish` is called with it, whether
+    it succeeded or not; a ticket of a transaction block is finished when the
+    block ends.
+
+    Parameters
+    ----------
+    slots_count : int
+        Statements that the endpoint runs at once.
+    settings : AdmissionSettings, optional
+    """
+
+    def __init__(self, slots_count, settings=None):
+        self.slots_count = slots_count
+        self.settings = settings or AdmissionSettings()
+        self._ranks = {}
+        self._running = {}
+        self._expiries = []
+        self._service_ms = self.settings.initial_service_ms
+        self._virtual_ms = 0.0
+        self._accrued_ms = None
+
+    @property
+    def running_count(self):
+        """Slots in use."""
+        return len(self._running)
+
+    @property
+    def waiting_count(self):
+        """Tickets without a slot."""
+        return sum(len(rank) for rank in self._ranks.values())
+
+    def set_table(self, pool_table):
+        """Add or replace the table of one pool of the endpoint's group.
+
+        Waiting tickets stay in their rank.  A rank that the new table lacks
+        takes no new tickets; those that wait in it are still served.
+        """
+        ranks = {}
+        for index, row in enumerate(pool_table.rows):
+            key = (pool_table.pool, row.rank)
+            ranks[key] = self._ranks.get(key) or RankQueue(row, index)
+            ranks[key].row = row
+            ranks[key].urgency_index = index
+            ranks[key].is_retired = False
+        self._retire_ranks(pool_table.pool, ranks)
+        self._ranks.update(ranks)
+        self._share_floors()
+
+    def remove_table(self, pool):
+        """Refuse new tickets of a deleted pool."""
+        self._retire_ranks(pool, {})
+        self._share_floors()
+
+    def offer(self, ticket, now_ms):
+        """Start, queue or refuse a new ticket.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now_ms : float
+
+        Returns
+        -------
+        list of Start or Refuse
+            Empty when the ticket waits.
+        """
+        self._accrue(now_ms)
+        rank = self._ranks.get((ticket.pool, ticket.rank))
+        if rank is None or rank.is_retired:
+            return [_refuse(ticket, FailureCode.BAD_PARAMETER, "unknown rank")]
+        if ticket.deadline_ms <= now_ms:
+            return [_refuse(ticket, FailureCode.REJECTED, "deadline passed")]
+        if self._must_wait(rank):
+            refusals = self._check_wait(ticket, rank, now_ms)
+            if refusals:
+                return refusals
+        if not len(rank):
+            rank.virtual_ms = max(rank.virtual_ms, self._virtual_ms)
+        rank.push(ticket)
+        expiry = (ticket.deadline_ms, ticket.request, ticket)
+        heapq.heappush(self._expiries, expiry)
+        return self._start_next()
+
+    def finish(self, ticket, now_ms, service_ms):
+        """Free the slot of a started ticket and start the next one.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now_ms : float
+        service_ms : float
+            Time that the ticket held its slot.
+
+        Returns
+        -------
+        list of Start or Refuse
+        """
+        estimate_ms = self._running.pop(ticket.request, None)
+        if estimate_ms is None:
+            return []
+        self._accrue(now_ms)
+        rank = self._ranks[(ticket.pool, ticket.rank)]
+        rank.running_count -= 1
+        rank.charge(service_ms - estimate_ms, self._credit_cap_ms(rank))
+        error_ms = service_ms - self._service_ms
+        self._service_ms += self.settings.service_weight * error_ms
+        return self._start_next()
+
+    def cancel(self, ticket):
+        """Remove a waiting ticket without an answer.
+
+        A running ticket is not affected: its slot is free only once the
+        endpoint has stopped working on it, which `finish` reports.
+
+        Returns
+        -------
+        list of Start or Refuse
+            Always empty; removing a waiting ticket frees no slot.
+        """
+        rank = self._ranks.get((ticket.pool, ticket.rank))
+        if rank is not None:
+            rank.remove(ticket)
+        return []
+
+    def expire(self, now_ms):
+        """Refuse the waiting tickets whose deadline has passed.
+
+        Returns
+        -------
+        list of Refuse
+        """
+        actions = []
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, _, ticket = heapq.heappop(self._expiries)
+            rank = self._ranks.get((ticket.pool, ticket.rank))
+            if rank is not None and rank.remove(ticket):
+                refusal = _refuse(
+                    ticket, FailureCode.REJECTED, "deadline passed in queue"
+                )
+                actions.append(refusal)
+        return actions
+
+    def next_expiry_ms(self):
+        """Return the earliest deadline of a ticket, or None.
+
+        The ticket may have started already; `expire` then returns nothing.
+        """
+        return self._expiries[0][0] if self._expiries else None
+
+    def refuse_all(self, failure):
+        """Refuse all waiting tickets, when ownership or the lease is lost.
+
+        Parameters
+        ----------
+        failure : Failure
+            Must have the verdict NOT_RUN.
+
+        Returns
+        -------
+        list of Refuse
+        """
+        actions = []
+        for rank in self._ranks.values():
+            for ticket in rank.tickets():
+                rank.remove(ticket)
+                actions.append(Refuse(ticket, failure))
+        self._expiries = []
+        return actions
+
+    def expected_wait_ms(self, ticket):
+        """Return the expected time until a new ticket would start."""
+        rank = self._ranks[(ticket.pool, ticket.rank)]
+        if not self._must_wait(rank):
+            return 0.0
+        ahead_count = rank.ahead_count(ticket.caller) + 1
+        for other in self._ranks.values():
+            if other is not rank:
+                ahead_count += _served_before_count(other, rank, ahead_count)
+        slots_count = self._usable_slots_count(rank)
+        return ahead_count * self._service_ms / slots_count
+
+    def _must_wait(self, rank):
+        if len(self._running) >= self.slots_count:
+            return True
+        return len(rank) > 0 or rank.is_at_limit
+
+    def _check_wait(self, ticket, rank, now_ms):
+        if len(rank) >= rank.row.queue_limit_count:
+            return [_refuse(ticket, FailureCode.REJECTED, "queue is full")]
+        wait_ms = self.expected_wait_ms(ticket)
+        if now_ms + wait_ms > ticket.deadline_ms:
+            message = f"expected wait of {wait_ms:.0f} ms exceeds the deadline"
+            return [_refuse(ticket, FailureCode.REJECTED, message)]
+        return []
+
+    def _usable_slots_count(self, rank):
+        limit_count = rank.row.limit_count or self.slots_count
+        return min(limit_count, self.slots_count)
+
+    def _start_next(self):
+        actions = []
+        while len(self._running) < self.slots_count:
+            rank = self._choose_rank()
+            if rank is None:
+                break
+            actions.append(self._start(rank))
+        return actions
+
+    def _start(self, rank):
+        ticket = rank.pop()
+        rank.running_count += 1
+        self._virtual_ms = max(self._virtual_ms, rank.virtual_ms)
+        self._running[ticket.request] = self._service_ms
+        rank.charge(self._service_ms, self._credit_cap_ms(rank))
+        return Start(ticket)
+
+    def _choose_rank(self):
+        ready = [
+            rank
+            for rank in self._ranks.values()
+            if len(rank) and not rank.is_at_limit
+        ]
+        if not ready:
+            return None
+        short = [r for r in ready if r.credit_ms >= self._service_ms]
+        if short:
+            return max(short, key=lambda rank: rank.credit_ms)
+        urgent = [rank for rank in ready if rank.is_most_urgent]
+        return min(urgent or ready, key=lambda rank: rank.virtual_ms)
+
+    def _accrue(self, now_ms):
+        last_ms = now_ms if self._accrued_ms is None else self._accrued_ms
+        self._accrued_ms = max(now_ms, last_ms)
+        capacity_ms = (self._accrued_ms - last_ms) * self.slots_count
+        for rank in self._ranks.values():
+            # Only waiting earns credit: an idle rank that saved it up would
+            # delay the urgent rank when it comes back.
+            if len(rank):
+                earned_ms = rank.credit_ms + rank.floor_share * capacity_ms
+                rank.credit_ms = min(earned_ms, self._credit_cap_ms(rank))
+
+    def _credit_cap_ms(self, rank):
+        window_ms = self.settings.floor_window_ms * self.slots_count
+        return max(2 * self._service_ms, window_ms * rank.floor_share)
+
+    def _share_floors(self):
+        """Set the floor shares; several pools may ask for more than 100%."""
+        ranks = self._ranks.values()
+        total = sum(rank.row.floor_percent for rank in ranks)
+        for rank in ranks:
+            rank.floor_share = rank.row.floor_percent / max(100, total)
+
+    def _retire_ranks(self, pool, ranks):
+        for key, rank in list(self._ranks.items()):
+            if key[0] != pool or key in ranks:
+                continue
+            if len(rank) or rank.running_count:
+                rank.is_retired = True
+            else:
+                del self._ranks[key]
+
+
+def _served_before_count(other, rank, ahead_count):
+    """Return how many waiting tickets of another rank are served first."""
+    if other.is_most_urgent and not rank.is_most_urgent:
+        return len(other)
+    if rank.is_most_urgent and not other.is_most_urgent:
+        return 0
+    ratio = other.row.weight / max(1, rank.row.weight)
+    return min(len(other), round(ahead_count * ratio))
+
+
+def _refuse(ticket, code, message):
+    return Refuse(ticket, not_run(code, message))
--- /dev/null
+++ b/waxwinglift/request/_group_view.py
@@ -0,0 +1,114 @@
+"""What routing needs to know of a group, taken from the fleet's state."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from waxwinglift.process import DaemonId
+from waxwinglift.version import EndpointId
+from waxwinglift.version import EndpointRole
+from waxwinglift.version import EndpointState
+from waxwinglift.version import Epoch
+from waxwinglift.version import GroupName
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import Lsn
+from waxwinglift.version import Term
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointView:
+    """One endpoint that may get work, and its owner.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+    role : EndpointRole
+        PRIMARY only for the group's current primary.
+    distance : int
+        0 within the same data centre, 1 within the region, 2 beyond.
+    slots_count : int
+    owner : DaemonId or None
+    epoch : Epoch
+    """
+
+    endpoint: EndpointId
+    role: EndpointRole
+    distance: int
+    slots_count: int
+    owner: DaemonId | None
+    epoch: Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupView:
+    """Endpoints of one group that may get work.
+
+    ``primary`` is None unless the group takes writes.
+    """
+
+    group: GroupName
+    phase: GroupPhase
+    term: Term
+    primary: EndpointView | None
+    replicas: tuple[EndpointView, ...]
+    term_ends: Mapping[Term, Lsn]
+
+
+def view_group(fleet, group, location):
+    """Return the view of ``group`` from a proxy at ``location``.
+
+    Parameters
+    ----------
+    fleet : FleetState
+    group : GroupName
+    location : Location
+
+    Returns
+    -------
+    GroupView or None
+        None for an unknown group.
+    """
+    state = fleet.groups.get(group)
+    if state is None:
+        return None
+    views = [
+        _view_endpoint(fleet, state, endpoint, location)
+        for endpoint in fleet.endpoints.values()
+        if endpoint.group == group and _is_usable(endpoint, state)
+    ]
+    primaries = [v for v in views if v.role is EndpointRole.PRIMARY]
+    is_active = state.phase is GroupPhase.ACTIVE
+    return GroupView(
+        group=group,
+        phase=state.phase,
+        term=state.term,
+        primary=primaries[0] if primaries and is_active else None,
+        replicas=tuple(v for v in views if v.role is EndpointRole.REPLICA),
+        term_ends=dict(state.term_ends),
+    )
+
+
+def _view_endpoint(fleet, group, endpoint, location):
+    assignment = fleet.owners.get(endpoint.endpoint)
+    is_primary = endpoint.endpoint == group.primary
+    return EndpointView(
+        endpoint=endpoint.endpoint,
+        role=EndpointRole.PRIMARY if is_primary else EndpointRole.REPLICA,
+        distance=_distance(endpoint.location, location),
+        slots_count=endpoint.slots_count,
+        owner=assignment.owner if assignment else None,
+        epoch=assignment.epoch if assignment else Epoch(0),
+    )
+
+
+def _is_usable(endpoint, group):
+    if endpoint.state is not EndpointState.JOINED:
+        return False
+    # A replaced primary may hold writes that were discarded.
+    is_replaced = endpoint.endpoint != group.primary
+    return not (endpoint.role is EndpointRole.PRIMARY and is_replaced)
+
+
+def _distance(first, second):
+    if first.region != second.region:
+        return 2
+    return int(first.data_centre != second.data_centre)
--- /dev/null
+++ b/waxwinglift/request/_knowledge.py
@@ -0,0 +1,214 @@
+"""What answers and refusals taught an entry proxy about a group."""
+
+import bisect
+import dataclasses
+
+from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+from waxwinglift.version import ZERO_POSITION
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    position: Position = ZERO_POSITION
+    lag_ms: float | None = None
+    service_ms: float | None = None
+    queue_wait_ms: float = 0.0
+    observed_ms: float = float("-inf")
+    failure_count: int = 0
+    avoided_until_ms: float = float("-inf")
+    in_flight_count: int = 0
+
+
+class LogTimeline:
+    """When the group's log reached which offset, from observed answers."""
+
+    # 200 samples of 5 ms cover one second, well past the 200 ms that
+    # replicas are behind.
+    SAMPLE_LIMIT_COUNT = 200
+    SAMPLE_INTERVAL_MS = 5.0
+
+    def __init__(self):
+        self.term = Term(0)
+        self._lsns = []
+        self._times_ms = []
+
+    def record(self, position, now_ms):
+        """Add an observed position; ignores all but the highest."""
+        if position.term > self.term:
+            self.term = position.term
+            self._lsns, self._times_ms = [], []
+        if position.term < self.term:
+            return
+        if self._lsns and position.lsn <= self._lsns[-1]:
+            return
+        if self._is_too_dense(now_ms):
+            self._lsns[-1] = position.lsn
+            self._times_ms[-1] = now_ms
+            return
+        self._lsns.append(position.lsn)
+        self._times_ms.append(now_ms)
+        del self._lsns[: -self.SAMPLE_LIMIT_COUNT]
+        del self._times_ms[: -self.SAMPLE_LIMIT_COUNT]
+
+    def reached_ms(self, position):
+        """Return when the log reached ``position``, or None when unknown."""
+        if position.term < self.term and self._times_ms:
+            return self._times_ms[0]
+        if position.term > self.term or not self._lsns:
+            return None
+        index = bisect.bisect_left(self._lsns, position.lsn)
+        if index == len(self._lsns):
+            return None
+        if index == 0:
+            return self._times_ms[0]
+        return self._interpolate(index, position.lsn)
+
+    def _is_too_dense(self, now_ms):
+        if len(self._times_ms) < 2:
+            return False
+        return now_ms - self._times_ms[-2] < self.SAMPLE_INTERVAL_MS
+
+    def _interpolate(self, index, lsn):
+        low_lsn, high_lsn = self._lsns[index - 1 : index + 1]
+        low_ms, high_ms = self._times_ms[index - 1 : index + 1]
+        part = (lsn - low_lsn) / (high_lsn - low_lsn)
+        return low_ms + part * (high_ms - low_ms)
+
+
+class EndpointKnowledge:
+    """Knowledge of one entry proxy about the endpoints of one group.
+
+    Parameters
+    ----------
+    settings : RoutingSettings, optional
+    """
+
+    def __init__(self, settings=None):
+        self.settings = settings or RoutingSettings()
+        self._records = {}
+        self._timeline = LogTimeline()
+
+    def observe_start(self, endpoint, now_ms):
+        """Record that a request was sent to ``endpoint``."""
+        self._record(endpoint).in_flight_count += 1
+
+    def observe_answer(
+        self, endpoint, position, latency_ms, queue_wait_ms, now_ms
+    ):
+        """Record a complete answer.
+
+        Parameters
+        ----------
+        endpoint : EndpointId
+        position : Position or None
+            Position of the endpoint after the request.
+        latency_ms : float
+            Time from sending to the answer, without any wait for a floor
+            or for a quorum.
+        queue_wait_ms : float
+            Part of it that the request waited for a slot.
+        now_ms : float
+        """
+        record = self._record(endpoint)
+        self._end_flight(record)
+        service_ms = max(0.0, latency_ms - queue_wait_ms)
+        record.service_ms = self._average(record.service_ms, service_ms)
+        record.queue_wait_ms = self._average(
+            record.queue_wait_ms, queue_wait_ms
+        )
+        record.observed_ms = now_ms
+        record.failure_count = 0
+        self._observe_position(record, position, now_ms)
+
+    def observe_refusal(self, endpoint, failure, now_ms, position=None):
+        """Record a failed request.
+
+        Parameters
+        ----------
+        endpoint : EndpointId
+        failure : Failure or None
+            None when the endpoint was merely behind the floor; it is not
+            avoided then.
+        now_ms : float
+        position : Position, optional
+            Position that the refusal carried.
+        """
+        record = self._record(endpoint)
+        self._end_flight(record)
+        self._observe_position(record, position, now_ms)
+        if failure is None:
+            return
+        record.failure_count += 1
+        delay_ms = self.settings.backoff_ms * 2 ** (record.failure_count - 1)
+        delay_ms = min(delay_ms, self.settings.backoff_limit_ms)
+        record.avoided_until_ms = now_ms + delay_ms
+
+    def position(self, endpoint):
+        """Return the last known position of ``endpoint``."""
+        return self._record(endpoint).position
+
+    def lag_ms(self, endpoint):
+        """Return how far ``endpoint`` is expected to be behind."""
+        return self._record(endpoint).lag_ms or 0.0
+
+    def catch_up_ms(self, endpoint, floor, now_ms):
+        """Return the expected time until ``endpoint`` reaches ``floor``.
+
+        The endpoint reaches the floor one lag after the primary did; a
+        floor that no answer has shown yet counts as written just now.
+        """
+        record = self._record(endpoint)
+        if floor is None or record.position >= floor:
+            return 0.0
+        reached_ms = self._timeline.reached_ms(floor)
+        if reached_ms is None:
+            reached_ms = now_ms
+        return max(0.0, reached_ms + self.lag_ms(endpoint) - now_ms)
+
+    def load_ms(self, view, now_ms):
+        """Return the expected latency of a new request.
+
+        The influence of old measurements fades, so that a slow endpoint is
+        tried again with single requests.
+        """
+        record = self._record(view.endpoint)
+        base_ms = self.settings.distance_ms[view.distance]
+        if record.service_ms is None:
+            return base_ms
+        age_ms = now_ms - record.observed_ms
+        fade = 0.5 ** (age_ms / self.settings.stale_after_ms)
+        service_ms = base_ms + (record.service_ms - base_ms) * fade
+        queued_ms = record.in_flight_count * service_ms / view.slots_count
+        return service_ms + record.queue_wait_ms * fade + queued_ms
+
+    def return_share(self, endpoint, now_ms):
+        """Return the share of normal traffic that ``endpoint`` may get.
+
+        0 while it is avoided, then rising to 1, so that the requests of all
+        proxies do not return at once.
+        """
+        until_ms = self._record(endpoint).avoided_until_ms
+        if now_ms < until_ms:
+            return 0.0
+        return min(1.0, 0.05 + (now_ms - until_ms) / self.settings.return_ms)
+
+    def _record(self, endpoint):
+        return self._records.setdefault(endpoint, _Record())
+
+    def _end_flight(self, record):
+        record.in_flight_count = max(0, record.in_flight_count - 1)
+
+    def _average(self, old_ms, new_ms):
+        if old_ms is None:
+            return new_ms
+        return old_ms + self.settings.latency_weight * (new_ms - old_ms)
+
+    def _observe_position(self, record, position, now_ms):
+        if position is None or position < record.position:
+            return
+        record.position = position
+        self._timeline.record(position, now_ms)
+        reached_ms = self._timeline.reached_ms(position)
+        record.lag_ms = self._average(record.lag_ms, now_ms - reached_ms)
--- /dev/null
+++ b/waxwinglift/request/_rank_queue.py
@@ -0,0 +1,103 @@
+"""Waiting tickets and accounts of one rank of one pool."""
+
+import collections
+
+
+class RankQueue:
+    """Tickets of one rank, round robin over callers.
+
+    Parameters
+    ----------
+    row : RankRow
+        Row of the pool's table.
+    urgency_index : int
+        Place of the rank in its table, 0 for the most urgent.
+
+    Attributes
+    ----------
+    floor_share : float
+        Share of the endpoint's capacity that the rank keeps, 0 to 1.
+    credit_ms : float
+        Slot time earned at the floor share and not yet used.
+    virtual_ms : float
+        Slot time used, divided by the weight.
+    running_count : int
+    is_retired : bool
+        Whether the rank has left its table and only serves what it holds.
+    """
+
+    def __init__(self, row, urgency_index):
+        self.row = row
+        self.urgency_index = urgency_index
+        self.floor_share = 0.0
+        self.credit_ms = 0.0
+        self.virtual_ms = 0.0
+        self.running_count = 0
+        self.is_retired = False
+        self._by_caller = collections.OrderedDict()
+        self._waiting_count = 0
+
+    def __len__(self):
+        return self._waiting_count
+
+    @property
+    def is_most_urgent(self):
+        """Whether this is the first rank of its pool's table."""
+        return self.urgency_index == 0
+
+    @property
+    def is_at_limit(self):
+        """Whether the rank uses as many slots as its limit allows."""
+        limit_count = self.row.limit_count
+        return 0 < limit_count <= self.running_count
+
+    def push(self, ticket):
+        """Append a ticket to its caller's line."""
+        line = self._by_caller.setdefault(ticket.caller, {})
+        line[ticket.request] = ticket
+        self._waiting_count += 1
+
+    def pop(self):
+        """Take the first ticket of the next caller in turn."""
+        caller, line = next(iter(self._by_caller.items()))
+        request = next(iter(line))
+        ticket = line.pop(request)
+        self._waiting_count -= 1
+        if line:
+            self._by_caller.move_to_end(caller)
+        else:
+            del self._by_caller[caller]
+        return ticket
+
+    def remove(self, ticket):
+        """Remove a waiting ticket; False when it is not waiting."""
+        line = self._by_caller.get(ticket.caller, {})
+        if ticket.request not in line:
+            return False
+        del line[ticket.request]
+        self._waiting_count -= 1
+        if not line:
+            del self._by_caller[ticket.caller]
+        return True
+
+    def ahead_count(self, caller):
+        """Return how many tickets of this rank a new one would wait for."""
+        turn_count = len(self._by_caller.get(caller, {})) + 1
+        lines = self._by_caller.items()
+        return sum(
+            min(len(line), turn_count - (name == caller))
+            for name, line in lines
+        )
+
+    def tickets(self):
+        """Return all waiting tickets, in no particular order."""
+        return [
+            ticket
+            for line in self._by_caller.values()
+            for ticket in line.values()
+        ]
+
+    def charge(self, used_ms, credit_cap_ms):
+        """Account for slot time; a negative amount corrects an estimate."""
+        self.virtual_ms += used_ms / max(1, self.row.weight)
+        self.credit_ms = max(self.credit_ms - used_ms, -credit_cap_ms)
--- /dev/null
+++ b/waxwinglift/request/_retry.py
@@ -0,0 +1,120 @@
+"""Decisions on retries: only what did not run, within a budget."""
+
+import enum
+
+from waxwinglift.request._types import FailureCode
+from waxwinglift.request._types import Verdict
+
+# Other codes describe the request itself and fail again on any endpoint.
+RETRIED_CODES = frozenset(
+    {
+        FailureCode.UNAVAILABLE,
+        FailureCode.REJECTED,
+        FailureCode.SHUTTING_DOWN,
+        FailureCode.OUTCOME_UNKNOWN,
+    }
+)
+
+
+class RetryDecision(enum.Enum):
+    """What to do with a failed request.
+
+    LOOK_UP asks the primary for the idempotency key first.
+    """
+
+    RETRY = "retry"
+    LOOK_UP = "look_up"
+    GIVE_UP = "give_up"
+
+
+class RetryBudget:
+    """Retries allowed to one pool as a share of its requests.
+
+    Parameters
+    ----------
+    settings : RetrySettings
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self._token_count = settings.budget_burst_count
+
+    def record_request(self):
+        """Add the share that a first attempt earns."""
+        earned_count = self._token_count + self.settings.budget_ratio
+        self._token_count = min(earned_count, self.settings.budget_burst_count)
+
+    def try_spend(self):
+        """Take one retry from the budget; False when it is used up."""
+        if self._token_count < 1:
+            return False
+        self._token_count -= 1
+        return True
+
+
+def decide_retry(
+    failure,
+    attempt_count,
+    bytes_sent,
+    idempotent,
+    budget,
+    now_ms,
+    deadline_ms,
+):
+    """Decide whether a failed request may be sent again.
+
+    Parameters
+    ----------
+    failure : Failure
+    attempt_count : int
+        Attempts made so far, at least 1.
+    bytes_sent : bool
+        Whether any byte of the request has left this process.
+    idempotent : bool
+        Whether the transaction carries an idempotency key.
+    budget : RetryBudget
+        Charged only when the decision is RETRY.
+    now_ms, deadline_ms : float
+        Deadline on the same clock.
+
+    Returns
+    -------
+    RetryDecision
+    """
+    if now_ms >= deadline_ms:
+        return RetryDecision.GIVE_UP
+    if attempt_count >= budget.settings.attempt_limit_count:
+        return RetryDecision.GIVE_UP
+    if failure.code not in RETRIED_CODES:
+        return RetryDecision.GIVE_UP
+    if _is_known_not_run(failure, bytes_sent):
+        return _spend(budget)
+    if failure.verdict is Verdict.MAY_HAVE_RUN and idempotent:
+        return RetryDecision.LOOK_UP
+    return RetryDecision.GIVE_UP
+
+
+def retry_delay_ms(attempt_count, settings, rng):
+    """Return the delay before the next attempt, with jitter.
+
+    Parameters
+    ----------
+    attempt_count : int
+        Attempts made so far, at least 1.
+    settings : RetrySettings
+    rng : random.Random
+    """
+    mean_ms = settings.backoff_ms * 2 ** (attempt_count - 1)
+    return mean_ms * rng.uniform(0.5, 1.5)
+
+
+def _is_known_not_run(failure, bytes_sent):
+    if failure.verdict is Verdict.NOT_RUN:
+        return True
+    return failure.verdict is Verdict.MAY_HAVE_RUN and not bytes_sent
+
+
+def _spend(budget):
+    if budget.try_spend():
+        return RetryDecision.RETRY
+    return RetryDecision.GIVE_UP
--- /dev/null
+++ b/waxwinglift/request/_routing.py
@@ -0,0 +1,224 @@
+"""Choice of the endpoint that serves a request."""
+
+import dataclasses
+
+from result import Err
+from result import Ok
+
+from waxwinglift.process import DaemonId
+from waxwinglift.request._floors import is_floor_lost
+from waxwinglift.request._group_view import EndpointView
+from waxwinglift.request._group_view import GroupView
+from waxwinglift.request._group_view import view_group
+from waxwinglift.request._knowledge import EndpointKnowledge
+from waxwinglift.request._types import Access
+from waxwinglift.request._types import FailureCode
+from waxwinglift.request._types import not_run
+from waxwinglift.version import EndpointId
+from waxwinglift.version import EndpointRole
+from waxwinglift.version import Epoch
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+__all__ = [
+    "EndpointKnowledge",
+    "EndpointView",
+    "GroupView",
+    "Route",
+    "RouteRequest",
+    "choose_route",
+    "routing_policy",
+    "view_group",
+]
+
+ROUTING_POLICIES = {}
+
+
+def routing_policy(name):
+    """Register a function that picks one of several replicas.
+
+    It is called as ``policy(candidates, rng)`` with at least one
+    `Candidate` and returns one of them.
+    """
+
+    def register(function):
+        ROUTING_POLICIES[name] = function
+        return function
+
+    return register
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What routing needs to know of a request.
+
+    Parameters
+    ----------
+    access : Access
+        AUTO counts as a write: classify before routing.
+    floor : Position or None
+    max_age_ms : float or None
+        Stated age of the data; a replica within it needs no floor.
+    deadline_ms : float
+        On the same clock as ``now_ms``.
+    excluded : frozenset of EndpointId
+        Endpoints that refused this request before.
+    """
+
+    access: Access
+    floor: Position | None
+    max_age_ms: float | None
+    deadline_ms: float
+    excluded: frozenset[EndpointId] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Endpoint to use and what its owner must check.
+
+    ``catch_up_ms`` is the expected wait for the floor at the endpoint.
+    """
+
+    endpoint: EndpointId
+    role: EndpointRole
+    owner: DaemonId
+    epoch: Epoch
+    term: Term
+    catch_up_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that could serve the read.
+
+    ``share`` is below 1 while the endpoint returns after failures.
+    """
+
+    view: EndpointView
+    catch_up_ms: float
+    load_ms: float
+    share: float
+
+    @property
+    def cost_ms(self):
+        """Expected latency, the wait for the floor included."""
+        return self.catch_up_ms + self.load_ms
+
+
+def choose_route(request, group_view, knowledge, settings, now_ms, rng):
+    """Choose the endpoint for a request.
+
+    Parameters
+    ----------
+    request : RouteRequest
+    group_view : GroupView
+    knowledge : EndpointKnowledge
+        Knowledge about the same group.
+    settings : RoutingSettings
+    now_ms : float
+    rng : random.Random
+
+    Returns
+    -------
+    Result[Route, Failure]
+        The failure has the verdict NOT_RUN.
+    """
+    if _is_lost(request.floor, group_view):
+        message = "the session's floor was discarded by a change of primary"
+        return Err(not_run(FailureCode.FLOOR_LOST, message))
+    if request.access is not Access.READ:
+        return _route_to_primary(request, group_view)
+    candidates = _candidates(request, group_view, knowledge, now_ms)
+    prompt = _within_wait(request, candidates, settings, now_ms)
+    usable = _admitted(prompt, rng)
+    if usable:
+        policy = ROUTING_POLICIES[settings.policy]
+        return Ok(_route(policy(usable, rng), group_view))
+    to_primary = _route_to_primary(request, group_view)
+    if to_primary.is_err() and candidates:
+        fallback = min(candidates, key=lambda c: (-c.share, c.cost_ms))
+        return Ok(_route(fallback, group_view))
+    return to_primary
+
+
+@routing_policy("random")
+def pick_random(candidates, rng):
+    """Pick any replica."""
+    return rng.choice(candidates)
+
+
+@routing_policy("least_cost")
+def pick_least_cost(candidates, rng):
+    """Pick the replica with the least expected latency."""
+    return min(candidates, key=lambda candidate: candidate.cost_ms)
+
+
+@routing_policy("two_choices")
+def pick_two_choices(candidates, rng):
+    """Pick the better of two random replicas.
+
+    Taking the best of all would send the requests of all proxies to the
+    same replica until its answers show the load.
+    """
+    pair = rng.sample(candidates, min(2, len(candidates)))
+    return min(pair, key=lambda candidate: candidate.cost_ms)
+
+
+def _is_lost(floor, group_view):
+    if floor is None:
+        return False
+    return is_floor_lost(floor, group_view.term, group_view.term_ends)
+
+
+def _candidates(request, group_view, knowledge, now_ms):
+    return [
+        Candidate(
+            view,
+            _catch_up_ms(request, view, knowledge, now_ms),
+            knowledge.load_ms(view, now_ms),
+            knowledge.return_share(view.endpoint, now_ms),
+        )
+        for view in group_view.replicas
+        if view.owner is not None and view.endpoint not in request.excluded
+    ]
+
+
+def _catch_up_ms(request, view, knowledge, now_ms):
+    if request.max_age_ms is not None:
+        if knowledge.lag_ms(view.endpoint) <= request.max_age_ms:
+            return 0.0
+    return knowledge.catch_up_ms(view.endpoint, request.floor, now_ms)
+
+
+def _within_wait(request, candidates, settings, now_ms):
+    # Half of the time left stays for the queue and the statement.
+    left_ms = (request.deadline_ms - now_ms) / 2
+    limit_ms = min(settings.replica_wait_ms, left_ms)
+    return [c for c in candidates if c.catch_up_ms <= limit_ms]
+
+
+def _admitted(candidates, rng):
+    return [c for c in candidates if rng.random() < c.share]
+
+
+def _route_to_primary(request, group_view):
+    view = group_view.primary
+    if view is None:
+        message = f"group {group_view.group} has no active primary"
+        return Err(not_run(FailureCode.UNAVAILABLE, message))
+    if view.owner is None or view.endpoint in request.excluded:
+        message = f"the primary of group {group_view.group} cannot be used"
+        return Err(not_run(FailureCode.UNAVAILABLE, message))
+    return Ok(_route(Candidate(view, 0.0, 0.0, 1.0), group_view))
+
+
+def _route(candidate, group_view):
+    view = candidate.view
+    return Route(
+        endpoint=view.endpoint,
+        role=view.role,
+        owner=view.owner,
+        epoch=view.epoch,
+        term=group_view.term,
+        catch_up_ms=candidate.catch_up_ms,
+    )
--- /dev/null
+++ b/waxwinglift/request/tests/test_admission.py
@@ -0,0 +1,241 @@
+"""Guards order, limits and refusals of the queue of one endpoint."""
+
+import collections
+
+import pytest
+
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.request import Verdict
+from waxwinglift.request._admission import AdmissionQueue
+from waxwinglift.request._admission import Refuse
+from waxwinglift.request._admission import Start
+from waxwinglift.request._admission import Ticket
+from waxwinglift.version import PoolTable
+from waxwinglift.version import RankRow
+
+# rank, weight, floor percent, limit, queue limit, deadline
+ROWS = (
+    ("urgent", 10, 0, 0, 1000, 1000),
+    ("middle", 3, 20, 0, 1000, 1000),
+    ("low", 1, 10, 2, 1000, 1000),
+)
+SERVICE_MS = 4.0
+
+
+def make_queue(slots_count=1, rows=ROWS, pools=("main",)):
+    queue = AdmissionQueue(slots_count)
+    for pool in pools:
+        table = tuple(RankRow(*row) for row in rows)
+        queue.set_table(PoolTable(pool, "g", table))
+    return queue
+
+
+class Driver:
+    """Offers tickets and finishes the oldest started one."""
+
+    def __init__(self, queue):
+        self.queue = queue
+        self.now_ms = 0.0
+        self.running = collections.deque()
+        self.started = []
+        self.refused = []
+        self.count = 0
+
+    def take(self, actions):
+        for action in actions:
+            if isinstance(action, Start):
+                self.started.append(action.ticket)
+                self.running.append(action.ticket)
+            else:
+                self.refused.append(action)
+
+    def offer(self, rank, caller="c", pool="main", deadline_ms=1000.0):
+        self.count += 1
+        limit_ms = self.now_ms + deadline_ms
+        ticket = Ticket(self.count, pool, rank, caller, self.now_ms, limit_ms)
+        self.take(self.queue.offer(ticket, self.now_ms))
+        return ticket
+
+    def finish(self, service_ms=SERVICE_MS):
+        self.now_ms += service_ms / self.queue.slots_count
+        ticket = self.running.popleft()
+        self.take(self.queue.finish(ticket, self.now_ms, service_ms))
+
+    def shares(self, ranks, rounds, depth=20):
+        """Keep `depth` of each rank waiting; return shares of starts."""
+        for _ in range(depth):
+            for rank in ranks:
+                self.offer(rank, deadline_ms=1e9)
+        counts = collections.Counter()
+        for _ in range(rounds):
+            seen = len(self.started)
+            self.finish()
+            for ticket in self.started[seen:]:
+                counts[ticket.rank] += 1
+                self.offer(ticket.rank, deadline_ms=1e9)
+        return {rank: counts[rank] / rounds for rank in ranks}
+
+
+@pytest.mark.parametrize(
+    ("offers", "order"),
+    [
+        # A queue in order of arrival delays urgent work behind a flood.
+        ([("low", "a")] * 3 + [("urgent", "b")], "low urgent low low"),
+        ([("middle", "a"), ("low", "a"), ("urgent", "a")], None),
+    ],
+)
+def test_urgent_starts_before_waiting_lower_ranks(offers, order):
+    driver = Driver(make_queue())
+    for rank, caller in offers:
+        driver.offer(rank, caller)
+    while driver.running:
+        driver.finish()
+    expected = order or "middle urgent low"
+    assert " ".join(t.rank for t in driver.started) == expected
+
+
+@pytest.mark.parametrize(
+    ("ranks", "rank", "least", "most"),
+    [
+        # A flood of a higher rank starves the lower ones without floors.
+        (("urgent", "middle", "low"), "middle", 0.19, 0.25),
+        (("urgent", "middle", "low"), "low", 0.09, 0.15),
+        (("urgent", "low"), "low", 0.09, 0.15),
+        # Without urgent work the weights decide.
+        (("middle", "low"), "low", 0.20, 0.30),
+        (("low",), "low", 1.0, 1.0),
+    ],
+)
+@pytest.mark.parametrize("slots_count", [1, 2, 3])
+def test_shares_in_a_flood(ranks, rank, least, most, slots_count):
+    rows = tuple((*row[:3], 0, *row[4:]) for row in ROWS)
+    driver = Driver(make_queue(slots_count, rows))
+    assert least <= driver.shares(ranks, 3000)[rank] <= most
+
+
+def test_floor_survives_an_idle_period_of_heavy_use():
+    # Debt from a quiet period must not starve a rank in the next flood.
+    driver = Driver(make_queue())
+    driver.shares(("low",), 2000, depth=60)
+    started = len(driver.started)
+    for _ in range(300):
+        driver.offer("urgent", deadline_ms=1e9)
+    for _ in range(300):
+        driver.finish()
+    later = driver.started[started:]
+    assert sum(t.rank == "low" for t in later) >= 0.07 * len(later)
+
+
+def test_callers_of_a_rank_take_turns():
+    # One caller with a long queue must not delay the others of its rank.
+    driver = Driver(make_queue())
+    for _ in range(10):
+        driver.offer("middle", "greedy")
+    driver.offer("middle", "modest")
+    for _ in range(3):
+        driver.finish()
+    assert "modest" in [t.caller for t in driver.started[:4]]
+
+
+def test_limit_keeps_a_slot_for_urgent_work():
+    # Low work in every slot makes an urgent request wait for one to end.
+    driver = Driver(make_queue(slots_count=3))
+    for _ in range(5):
+        driver.offer("low")
+    assert len(driver.started) == 2
+    driver.offer("urgent")
+    assert driver.started[-1].rank == "urgent"
+
+
+@pytest.mark.parametrize(
+    ("waiting", "rank", "deadline_ms", "code"),
+    [
+        # Work that cannot start in time must be refused while the caller
+        # can still use the time.
+        (10, "middle", 20.0, FailureCode.REJECTED),
+        (10, "middle", 100.0, None),
+        (10, "urgent", 20.0, None),
+        (0, "middle", 0.0, FailureCode.REJECTED),
+        (1000, "middle", 1e9, FailureCode.REJECTED),
+        (0, "other", 20.0, FailureCode.BAD_PARAMETER),
+    ],
+)
+def test_early_refusal(waiting, rank, deadline_ms, code):
+    driver = Driver(make_queue())
+    for _ in range(waiting + 1 if waiting else 0):
+        driver.offer("middle", deadline_ms=1e9)
+    ticket = driver.offer(rank, deadline_ms=deadline_ms)
+    failures = [r.failure for r in driver.refused if r.ticket is ticket]
+    assert [f.code for f in failures] == ([code] if code else [])
+    assert all(f.verdict is Verdict.NOT_RUN for f in failures)
+
+
+def test_expired_and_cancelled_tickets_never_start():
+    # A ticket refused as not run must not run later.
+    driver = Driver(make_queue())
+    driver.offer("middle")
+    late = driver.offer("middle", deadline_ms=50.0)
+    gone = driver.offer("middle")
+    driver.queue.cancel(gone)
+    assert driver.queue.next_expiry_ms() == 50.0
+    refused = driver.queue.expire(50.0)
+    assert [r.ticket for r in refused] == [late]
+    driver.finish()
+    assert driver.started[1:] == []
+    assert driver.queue.waiting_count == driver.queue.running_count == 0
+
+
+def test_finish_frees_a_slot_once():
+    # A second report of the same end would start too much work.
+    driver = Driver(make_queue())
+    first = driver.offer("middle")
+    for _ in range(3):
+        driver.offer("middle")
+    driver.finish()
+    assert driver.queue.finish(first, 9.0, 4.0) == []
+    assert driver.queue.running_count == 1
+
+
+def test_refuse_all_empties_the_queue():
+    # Without a lease nothing that waits may start.
+    driver = Driver(make_queue())
+    for _ in range(4):
+        driver.offer("low")
+    failure = not_run(FailureCode.UNAVAILABLE, "lease lost")
+    actions = driver.queue.refuse_all(failure)
+    assert actions == [Refuse(a.ticket, failure) for a in actions]
+    assert len(actions) == 3
+    driver.finish()
+    assert len(driver.started) == 1
+
+
+@pytest.mark.parametrize("pools", [("main", "other"), ("a", "b", "c")])
+def test_pools_of_a_group_share_by_weight(pools):
+    # Floors above 100% in sum must not lock out the urgent ranks.
+    rows = tuple((*row[:2], 40, *row[3:]) for row in ROWS)
+    driver = Driver(make_queue(1, rows, pools))
+    for _ in range(100):
+        for pool in pools:
+            for row in rows:
+                driver.offer(row[0], pool=pool, deadline_ms=1e9)
+    for _ in range(120):
+        driver.finish()
+    counts = collections.Counter(t.pool for t in driver.started)
+    assert max(counts.values()) - min(counts.values()) <= 6
+
+
+def test_edited_table_keeps_waiting_tickets():
+    # An edit must not lose requests, and a removed rank takes no new ones.
+    driver = Driver(make_queue())
+    for _ in range(3):
+        driver.offer("low")
+    table = PoolTable("main", "g", (RankRow(*ROWS[0]),))
+    driver.queue.set_table(table)
+    driver.offer("low")
+    assert [r.failure.code for r in driver.refused] == [
+        FailureCode.BAD_PARAMETER
+    ]
+    while driver.running:
+        driver.finish()
+    assert len(driver.started) == 3
