--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -161,6 +161,15 @@
                 record.is_suspect = True
         return actions
 
+    def open_one(self, now_ms):
+        """Open one connection in spite of a delay after failures.
+
+        The health monitor asks for it; nothing happens at the limit.
+        """
+        if not self._is_enabled or len(self._connections) >= self.limit_count:
+            return []
+        return [self._open(now_ms)]
+
     def on_opened(self, connection, now_ms):
         """Record that a connection became usable."""
         if self.state(connection) is not ConnectionState.OPENING:
--- /dev/null
+++ b/waxwinglift/connection/tests/test_endpoint_pool.py
@@ -0,0 +1,153 @@
+"""Guards exclusive use, the connection limit and early opening."""
+
+import random
+
+import pytest
+
+from waxwinglift.connection import ConnectionState
+from waxwinglift.connection._endpoint_pool import CloseConnection
+from waxwinglift.connection._endpoint_pool import EndpointPool
+from waxwinglift.connection._endpoint_pool import OpenConnection
+from waxwinglift.connection._endpoint_pool import ProbeConnection
+from waxwinglift.connection._endpoint_pool import UseConnection
+from waxwinglift.process._policy_settings import EndpointPoolSettings
+
+SETTINGS = EndpointPoolSettings()
+
+
+def warm_pool(limit_count=25, slots_count=3):
+    pool = EndpointPool(SETTINGS, limit_count, slots_count)
+    for action in pool.enable(0.0):
+        pool.on_opened(action.connection, 0.0)
+    return pool
+
+
+def of(kind, actions):
+    return [a.connection for a in actions if isinstance(a, kind)]
+
+
+@pytest.mark.parametrize(
+    ("limit_count", "slots_count", "expected"),
+    [(25, 3, 5), (30, 2, 4), (5, 3, 2), (2, 3, 0), (25, 40, 12)],
+)
+def test_connections_are_opened_ahead_within_half_the_limit(
+    limit_count, slots_count, expected
+):
+    # The other half belongs to the next owner during a handover.
+    pool = EndpointPool(SETTINGS, limit_count, slots_count)
+    assert len(of(OpenConnection, pool.enable(0.0))) == expected
+
+
+def test_connection_belongs_to_one_transaction():
+    pool = warm_pool(5, 3)
+    used = [pool.acquire(holder, 1.0) for holder in "abc"]
+    assert [len(of(UseConnection, u)) for u in used] == [1, 1, 0]
+    actions = pool.release(used[0][0].connection, 2.0)
+    assert actions == [UseConnection(used[0][0].connection, "c")]
+    assert pool.release(99, 3.0) == []
+
+
+def test_discarded_connection_is_closed_and_replaced():
+    # A late answer on a reused connection would reach the wrong caller.
+    pool = warm_pool()
+    connection = of(UseConnection, pool.acquire("a", 1.0))[0]
+    actions = pool.discard(connection, 2.0)
+    assert of(CloseConnection, actions) == [connection]
+    assert len(of(OpenConnection, actions)) == 1
+    assert pool.state(connection) is ConnectionState.CLOSED
+    assert pool.on_probe_answer(connection, 3.0) == []
+
+
+def test_suspects_are_probed_before_use():
+    pool = warm_pool()
+    busy = [of(UseConnection, pool.acquire(h, 1.0))[0] for h in "ab"]
+    actions = pool.suspect_siblings(busy[0], 2.0)
+    probed = of(ProbeConnection, actions)
+    assert len(probed) == 3
+    # All idle ones are suspects: the next holder gets a new connection.
+    actions = pool.acquire("c", 3.0)
+    opened = of(OpenConnection, actions)
+    assert opened and not of(UseConnection, actions)
+    # A busy sibling is probed once its transaction has ended.
+    assert busy[1] in of(ProbeConnection, pool.release(busy[1], 4.0))
+    assert of(UseConnection, pool.on_opened(opened[0], 15.0)) == opened[:1]
+    closed = of(CloseConnection, pool.tick(400.0))
+    assert set(closed) == {*probed, busy[1]}
+
+
+def test_close_all_on_lost_lease_and_release_report():
+    # A third owner starts only when the first has closed its connections.
+    pool = warm_pool()
+    pool.acquire("a", 1.0)
+    closed = of(CloseConnection, pool.close_all(2.0))
+    assert len(closed) == 5
+    assert not pool.is_released
+    for connection in closed:
+        assert pool.on_closed(connection, 3.0) == []
+    assert pool.is_released
+    assert pool.acquire("b", 4.0) == pool.tick(5.0) == []
+
+
+def test_failed_openings_back_off():
+    # Immediate new attempts would flood an endpoint that refuses.
+    pool = EndpointPool(SETTINGS, 25, 3)
+    pending = of(OpenConnection, pool.enable(0.0))
+    attempts = len(pending)
+    now_ms = 0.0
+    while now_ms < 5000.0:
+        actions = [a for c in pending for a in pool.on_open_failed(c, now_ms)]
+        now_ms += 10.0
+        pending = of(OpenConnection, actions + pool.tick(now_ms))
+        attempts += len(pending)
+    assert attempts < 100
+
+
+def test_idle_connections_are_probed_and_silent_ones_replaced():
+    pool = warm_pool()
+    probed = of(ProbeConnection, pool.tick(1000.0))
+    assert len(probed) == 5
+    for connection in probed[:4]:
+        pool.on_probe_answer(connection, 1001.0)
+    actions = pool.tick(1300.0)
+    assert of(CloseConnection, actions) == probed[4:]
+    assert len(of(OpenConnection, actions)) == 1
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_random_events_keep_the_limit_and_exclusive_use(seed):
+    rng = random.Random(seed)
+    pool = EndpointPool(SETTINGS, 11, 3)
+    holders = {}
+    live = set()
+    actions = pool.enable(0.0)
+    for step in range(3000):
+        now_ms = step * 5.0
+        for action in actions:
+            if isinstance(action, OpenConnection):
+                live.add(action.connection)
+            elif isinstance(action, UseConnection):
+                assert action.connection not in holders
+                holders[action.connection] = action.holder
+        assert len(live) <= 5
+        connection = rng.choice(sorted(live) or [0])
+        event = rng.randrange(8)
+        actions = pool.tick(now_ms)
+        if event == 0:
+            actions += pool.acquire(step, now_ms)
+        elif event == 1 and holders:
+            connection = rng.choice(sorted(holders))
+            del holders[connection]
+            actions += pool.release(connection, now_ms)
+        elif event == 2 and holders:
+            connection = rng.choice(sorted(holders))
+            del holders[connection]
+            actions += pool.discard(connection, now_ms)
+        elif event == 3 and connection not in holders:
+            live.discard(connection)
+            actions += pool.on_closed(connection, now_ms)
+        elif event == 4:
+            actions += pool.suspect_siblings(connection, now_ms)
+        elif event == 5:
+            actions += pool.on_probe_answer(connection, now_ms)
+        else:
+            actions += pool.on_opened(connection, now_ms)
--- /dev/null
+++ b/waxwinglift/connection/tests/test_silence.py
@@ -0,0 +1,106 @@
+"""Guards against late and false reports that an endpoint is down."""
+
+import pytest
+
+from waxwinglift.connection import HealthState
+from waxwinglift.connection._silence import HealthChanged
+from waxwinglift.connection._silence import HealthMonitor
+from waxwinglift.connection._silence import SendProbe
+from waxwinglift.connection._silence import SuspectSiblings
+from waxwinglift.connection._silence import TryNewConnection
+
+
+def run(monitor, until_ms, on_action=None, from_ms=0.0, step_ms=50.0):
+    """Tick every step; return (time, action) pairs."""
+    log = []
+    now_ms = from_ms
+    while now_ms <= until_ms:
+        for action in monitor.tick(now_ms):
+            log.append((now_ms, action))
+            if on_action:
+                on_action(action, now_ms)
+        now_ms += step_ms
+    return log
+
+
+def live_monitor():
+    monitor = HealthMonitor()
+    assert monitor.on_opened(0.0) == [HealthChanged(HealthState.UP)]
+    return monitor
+
+
+def test_idle_endpoint_is_probed_and_stays_up():
+    monitor = live_monitor()
+
+    def answer(action, now_ms):
+        assert isinstance(action, SendProbe)
+        monitor.on_answer(now_ms)
+
+    log = run(monitor, 3000.0, answer)
+    assert monitor.state is HealthState.UP
+    assert 15 <= len(log) <= 21
+
+
+def test_silent_endpoint_is_down_in_time():
+    # Each further delay lengthens the failover gap.
+    monitor = live_monitor()
+    log = run(monitor, 1000.0)
+    down = [t for t, a in log if a == HealthChanged(HealthState.DOWN)]
+    assert len(down) == 1
+    assert 600.0 <= down[0] <= 800.0
+    assert TryNewConnection() in [a for _, a in log]
+
+
+def test_one_silent_connection_does_not_condemn_the_endpoint():
+    monitor = live_monitor()
+    actions = monitor.on_silent(3, 100.0)
+    assert actions[:2] == [SuspectSiblings(3), TryNewConnection()]
+
+    def answer(action, now_ms):
+        if isinstance(action, TryNewConnection):
+            monitor.on_opened(now_ms)
+
+    # Old connections stay silent for good, new ones work.
+    monitor.on_opened(110.0)
+    log = run(monitor, 5000.0, answer, 150.0)
+    assert HealthChanged(HealthState.DOWN) not in [a for _, a in log]
+
+
+@pytest.mark.parametrize(
+    ("events", "state"),
+    [
+        (["refused"], HealthState.UP),
+        (["refused", "refused"], HealthState.DOWN),
+        (["refused", "opened", "refused"], HealthState.UP),
+        (["refused", "refused", "opened"], HealthState.UP),
+    ],
+)
+def test_refusals_in_a_row(events, state):
+    monitor = live_monitor()
+    for event in events:
+        if event == "refused":
+            monitor.on_refused(10.0)
+        else:
+            monitor.on_opened(10.0)
+    assert monitor.state is state
+
+
+def test_pause_of_the_process_is_not_silence():
+    # After a pause every timer is late; no answer could have been read.
+    monitor = live_monitor()
+    run(monitor, 300.0)
+    monitor = live_monitor()
+    monitor.tick(200.0)
+    actions = monitor.tick(5000.0)
+    assert HealthChanged(HealthState.DOWN) not in actions
+    monitor.on_answer(5001.0)
+    assert monitor.state is HealthState.UP
+
+
+def test_down_endpoint_is_tried_again():
+    monitor = live_monitor()
+    run(monitor, 1000.0)
+    log = run(monitor, 3000.0, from_ms=1050.0)
+    tries = [t for t, a in log if a == TryNewConnection()]
+    assert len(tries) >= 4
+    assert monitor.on_opened(3000.0) == [HealthChanged(HealthState.UP)]
--- /dev/null
+++ b/waxwinglift/request/tests/test_routing.py
@@ -0,0 +1,183 @@
+"""Guards the choice of endpoint."""
+
+import collections
+import dataclasses
+import random
+
+import pytest
+
+from waxwinglift.process import Address
+from waxwinglift.process import Location
+from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift.request import Access
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.request import Verdict
+from waxwinglift.request._routing import choose_route
+from waxwinglift.request._routing import EndpointKnowledge
+from waxwinglift.request._routing import RouteRequest
+from waxwinglift.request._routing import view_group
+from waxwinglift.version import EndpointRole
+from waxwinglift.version import EndpointState
+from waxwinglift.version import FleetState
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import OwnerAssignment
+from waxwinglift.version import Position
+from waxwinglift.version._fleet import Endpoint
+from waxwinglift.version._fleet import Group
+
+SETTINGS = RoutingSettings()
+HERE = Location("d1", "r1")
+READ = RouteRequest(Access.READ, None, None, 10000.0)
+
+
+def make_fleet(phase=GroupPhase.ACTIVE, primary="a", term=1, ends=None):
+    fleet = FleetState()
+    for name, data_centre in (("a", "d1"), ("b", "d1"), ("c", "d2")):
+        role = EndpointRole.PRIMARY if name == "a" else EndpointRole.REPLICA
+        fleet.endpoints[name] = Endpoint(
+            name,
+            "g",
+            Address("127.0.0.1", 1),
+            Location(data_centre, "r1"),
+            role,
+            term,
+            3,
+            25,
+            EndpointState.JOINED,
+        )
+        fleet.owners[name] = OwnerAssignment(name, f"p{name}", None, 4)
+    fleet.groups["g"] = Group("g", phase, 3, term, primary, 0, ends or {})
+    return fleet
+
+
+def make_knowledge():
+    """Knowledge that b is 10 ms behind and c 150 ms, log at 1 byte/ms."""
+    knowledge = EndpointKnowledge(SETTINGS)
+    for now_ms in range(0, 1001, 10):
+        for name, lag_ms in (("a", 0), ("b", 10), ("c", 150)):
+            position = Position(1, max(0, now_ms - lag_ms))
+            knowledge.observe_answer(name, position, 5.0, 0.0, now_ms)
+    return knowledge
+
+
+def route(request, fleet=None, knowledge=None, now_ms=1000.0, rng=None):
+    view = view_group(fleet or make_fleet(), "g", HERE)
+    return choose_route(
+        request,
+        view,
+        knowledge or make_knowledge(),
+        SETTINGS,
+        now_ms,
+        rng or random.Random(1),
+    )
+
+
+def choices(request, count=400, **arguments):
+    rng = random.Random(1)
+    routes = [route(request, rng=rng, **arguments) for _ in range(count)]
+    return collections.Counter(r.unwrap().endpoint for r in routes)
+
+
+@pytest.mark.parametrize(
+    ("access", "floor", "max_age_ms", "excluded", "allowed"),
+    [
+        (Access.WRITE, None, None, (), "a"),
+        (Access.AUTO, None, None, (), "a"),
+        (Access.READ, (1, 800), None, (), "bc"),
+        # c needs 150 ms for a floor written now, past the wait limit.
+        (Access.READ, (1, 1000), None, (), "b"),
+        (Access.READ, (1, 1000), None, ("b",), "a"),
+        # A stated age makes c good enough, but not at any age.
+        (Access.READ, (1, 1000), 200.0, ("b",), "c"),
+        (Access.READ, (1, 1000), 50.0, ("b",), "a"),
+    ],
+)
+def test_choose_route(access, floor, max_age_ms, excluded, allowed):
+    floor = Position(*floor) if floor else None
+    request = RouteRequest(
+        access, floor, max_age_ms, 10000.0, frozenset(excluded)
+    )
+    assert set(choices(request)) <= set(allowed)
+
+
+@pytest.mark.parametrize(
+    ("request_", "fleet", "code"),
+    [
+        (
+            dataclasses.replace(READ, access=Access.WRITE),
+            make_fleet(GroupPhase.PROMOTING),
+            FailureCode.UNAVAILABLE,
+        ),
+        (
+            dataclasses.replace(READ, floor=Position(1, 900)),
+            make_fleet(term=2, ends={1: 800}),
+            FailureCode.FLOOR_LOST,
+        ),
+        (
+            dataclasses.replace(READ, excluded=frozenset("abc")),
+            make_fleet(),
+            FailureCode.UNAVAILABLE,
+        ),
+    ],
+)
+def test_no_route_did_not_run(request_, fleet, code):
+    failure = route(request_, fleet).unwrap_err()
+    assert (failure.verdict, failure.code) == (Verdict.NOT_RUN, code)
+
+
+@pytest.mark.parametrize(
+    ("fleet", "usable"),
+    [
+        # A replaced primary may hold discarded writes.
+        (make_fleet(primary="b", term=2, ends={1: 9000}), "c"),
+        (make_fleet(GroupPhase.FENCING), "bc"),
+    ],
+)
+def test_replaced_primary_serves_no_reads(fleet, usable):
+    assert set(choices(READ, fleet=fleet)) <= set(usable)
+
+
+def test_read_waits_for_a_replica_without_primary():
+    # During a change of primary a late answer beats a refusal.
+    fleet = make_fleet(GroupPhase.PROMOTING)
+    request = dataclasses.replace(
+        READ, floor=Position(1, 1000), excluded=frozenset("b")
+    )
+    chosen = route(request, fleet).unwrap()
+    assert chosen.endpoint == "c"
+    assert chosen.catch_up_ms > SETTINGS.replica_wait_ms
+
+
+def test_slow_replica_gets_few_reads_and_recovers():
+    knowledge = make_knowledge()
+    for _ in range(30):
+        knowledge.observe_answer("b", None, 80.0, 40.0, 1000.0)
+    slow = choices(READ, knowledge=knowledge)
+    assert slow["b"] < 0.2 * slow["c"]
+    # Without new answers it must be tried again in the end.
+    later = choices(READ, knowledge=knowledge, now_ms=8000.0)
+    assert later["b"] > 0
+
+
+def test_failing_replica_returns_gradually():
+    # All requests at once on a returning server take it down again.
+    knowledge = make_knowledge()
+    failure = not_run(FailureCode.UNAVAILABLE, "refused")
+    for _ in range(3):
+        knowledge.observe_refusal("b", failure, 1000.0)
+    knowledge.observe_refusal("c", None, 1000.0, Position(1, 900))
+    counts = [
+        choices(READ, knowledge=knowledge, now_ms=now_ms)["b"]
+        for now_ms in (1700.0, 1850.0, 3000.0, 9000.0)
+    ]
+    assert counts[0] == 0
+    assert counts[0] < counts[1] < counts[2] <= counts[3]
+    assert counts[1] < 100
+
+
+def test_lag_is_learned_from_answers():
+    knowledge = make_knowledge()
+    assert knowledge.lag_ms("c") == pytest.approx(150, abs=20)
+    wait_ms = knowledge.catch_up_ms("c", Position(1, 950), 1000.0)
+    assert wait_ms == pytest.approx(100, abs=20)
