--- /dev/null
+++ b/scripts/demo_fleet.py
@@ -0,0 +1,205 @@
+"""Starts a fleet on loopback for the demo: control, proxies, stand-ins.
+
+Each process gets its own settings file and log file under one run folder.
+The product itself never starts processes; only this script does.
+"""
+
+import contextlib
+import dataclasses
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+BIN = pathlib.Path(sys.executable).parent
+STOP_TIMEOUT_S = 10.0
+GROUP = "ledger"
+DATA_CENTRES = ("ulaanbaatar", "darkhan", "erdenet")
+REGION = "mongolia"
+
+
+def free_ports(count):
+    """Return ``count`` TCP ports of loopback that are free now."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            opened = stack.enter_context(socket.socket())
+            opened.bind(("127.0.0.1", 0))
+            ports.append(opened.getsockname()[1])
+        return ports
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetPlan:
+    """Ports of every process of the demo."""
+
+    control_ports: tuple[int, ...]
+    caller_ports: tuple[int, ...]
+    peer_ports: tuple[int, ...]
+    endpoint_ports: tuple[int, ...]
+
+
+def plan_fleet(control_count=3, proxies_count=2, endpoints_count=3):
+    """Choose free ports for a fleet of the given size."""
+    ports = free_ports(control_count + 2 * proxies_count + endpoints_count)
+    take = iter(ports)
+    return FleetPlan(
+        tuple(next(take) for _ in range(control_count)),
+        tuple(next(take) for _ in range(proxies_count)),
+        tuple(next(take) for _ in range(proxies_count)),
+        tuple(next(take) for _ in range(endpoints_count)),
+    )
+
+
+def _address(port):
+    return f"127.0.0.1:{port}"
+
+
+def _location(number):
+    data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+    return f'data_centre = "{data_centre}"\nregion = "{REGION}"\n'
+
+
+def _control_list(plan):
+    return ", ".join(f'"{_address(port)}"' for port in plan.control_ports)
+
+
+def control_settings(plan, number, folder):
+    """Return the TOML text of a control daemon's settings."""
+    members = "".join(
+        f'[[members]]\nmember = "control-{index}"\n'
+        f'address = "{_address(port)}"\n'
+        for index, port in enumerate(plan.control_ports)
+    )
+    return (
+        f'member = "control-{number}"\n'
+        f'listen = "{_address(plan.control_ports[number])}"\n'
+        f'data_folder = "{folder}/control-{number}"\n'
+        f"[location]\n{_location(number)}"
+        f"{members}"
+        f"[observability]\n"
+        f'trace_file = "{folder}/traces-control-{number}.jsonl"\n'
+    )
+
+
+def proxy_settings(plan, number, folder):
+    """Return the TOML text of a proxy's settings."""
+    return (
+        f'daemon = "proxy-{number}"\n'
+        f'listen = "{_address(plan.caller_ports[number])}"\n'
+        f'peer_listen = "{_address(plan.peer_ports[number])}"\n'
+        f"control = [{_control_list(plan)}]\n"
+        'fleet_secret = "demo-secret-of-the-fleet"\n'
+        f"[location]\n{_location(number)}"
+        f"[observability]\n"
+        f'trace_file = "{folder}/traces-proxy-{number}.jsonl"\n'
+    )
+
+
+def endpoint_settings(plan, number, folder):
+    """Return the TOML text of a stand-in server's settings."""
+    role = "primary" if number == 0 else "replica"
+    primary = ""
+    if number:
+        primary = f'primary = "{_address(plan.endpoint_ports[0])}"\n'
+    return (
+        f'endpoint = "server-{number}"\n'
+        f'group = "{GROUP}"\n'
+        f'listen = "{_address(plan.endpoint_ports[number])}"\n'
+        f"control = [{_control_list(plan)}]\n"
+        f'role = "{role}"\n{primary}'
+        f"slots_count = 3\n"
+        f"connection_limit_count = 25\n"
+        f"connect_delay_ms = 12\n"
+        f"statement_delay_ms = 1\n"
+        f"replay_lag_ms = {5 if number else 0}\n"
+        f"[location]\n{_location(number)}"
+    )
+
+
+class Fleet:
+    """Running processes of the demo."""
+
+    def __init__(self, plan, folder):
+        self.plan = plan
+        self.folder = folder
+        self._processes = {}
+
+    def start(self, name, program, settings_text):
+        """Write the settings file of ``name`` and start the program."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(settings_text, encoding="utf-8")
+        with (self.folder / f"{name}.log").open("w") as log:
+            self._processes[name] = subprocess.Popen(
+                [str(BIN / program), str(path)],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def kill(self, name):
+        """End a process at once, as a crash would."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def terminate(self, name):
+        """Ask a process to stop and return its exit code."""
+        process = self._processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout=STOP_TIMEOUT_S)
+
+    def is_running(self, name):
+        """Whether the process has not ended."""
+        return self._processes[name].poll() is None
+
+    def start_all(self):
+        """Start control daemons, stand-in servers and proxies."""
+        plan, folder = self.plan, self.folder
+        for number in range(len(plan.control_ports)):
+            text = control_settings(plan, number, folder)
+            self.start(f"control-{number}", "waxwinglift-control", text)
+        for number in range(len(plan.endpoint_ports)):
+            text = endpoint_settings(plan, number, folder)
+            self.start(f"server-{number}", "waxwinglift-standin", text)
+        for number in range(len(plan.caller_ports)):
+            text = proxy_settings(plan, number, folder)
+            self.start(f"proxy-{number}", "waxwinglift-proxy", text)
+
+    def operator(self, *arguments):
+        """Run the operator's command and return its completed process."""
+        control = []
+        for port in self.plan.control_ports:
+            control += ["--control", _address(port)]
+        return subprocess.run(
+            [str(BIN / "waxwinglift"), *control, *arguments],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    def stop_all(self):
+        """End every process that this fleet started."""
+        for process in self._processes.values():
+            process.send_signal(signal.SIGTERM)
+        deadline_s = time.monotonic() + STOP_TIMEOUT_S
+        for process in self._processes.values():
+            left_s = max(0.1, deadline_s - time.monotonic())
+            try:
+                process.wait(timeout=left_s)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+@contextlib.contextmanager
+def running_fleet(folder, **sizes):
+    """Yield a started fleet; all its processes are ended afterwards."""
+    fleet = Fleet(plan_fleet(**sizes), folder)
+    try:
+        fleet.start_all()
+        yield fleet
+    finally:
+        fleet.stop_all()
--- /dev/null
+++ b/waxwinglift/process/_checks.py
@@ -0,0 +1,75 @@
+"""Checks that several settings models share."""
+
+import ipaddress
+import re
+
+from waxwinglift.process._types import Address
+
+NAME_PATTERN = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")
+
+
+def check_name(value):
+    """Return ``value`` when it is a valid identifier.
+
+    Raises
+    ------
+    ValueError
+        If it is empty, longer than 63 characters or holds other characters
+        than letters, digits, ``_``, ``.`` and ``-``.
+    """
+    if not NAME_PATTERN.match(value):
+        raise ValueError(
+            "must be 1 to 63 letters, digits, '_', '.' or '-', "
+            "starting with a letter or digit"
+        )
+    return value
+
+
+def check_ip_number(value):
+    """Return ``value`` when it is an IPv4 or IPv6 number.
+
+    Raises
+    ------
+    ValueError
+        If it is a host name or not an address.
+    """
+    try:
+        ipaddress.ip_address(value)
+    except ValueError as error:
+        raise ValueError("must be an IP number, not a name") from error
+    return value
+
+
+def check_address(value):
+    """Return the `Address` of a text such as ``127.0.0.1:7001``.
+
+    Raises
+    ------
+    ValueError
+        If the host is no IP number or the port is outside 0 to 65535.
+    """
+    if isinstance(value, Address):
+        return value
+    host, separator, port_text = str(value).rpartition(":")
+    if not separator or not port_text.isdigit():
+        raise ValueError("must be <IP number>:<port>")
+    port = int(port_text)
+    if port > 65535:
+        raise ValueError("port must be 0 to 65535")
+    return Address(check_ip_number(host.strip("[]")), port)
+
+
+def check_unique(values, what):
+    """Return ``values`` when none occurs twice.
+
+    Raises
+    ------
+    ValueError
+        If a value occurs twice; the message names it.
+    """
+    seen = set()
+    for value in values:
+        if value in seen:
+            raise ValueError(f"{what} {value} occurs twice")
+        seen.add(value)
+    return values
--- /dev/null
+++ b/waxwinglift/process/_control_link.py
@@ -0,0 +1,234 @@
+"""A proxy's link to control: the watch stream and the lease renewals."""
+
+import asyncio
+import logging
+
+import mode
+import xxhash
+
+from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process._types import DaemonId
+from waxwinglift.process._types import Location
+from waxwinglift.process.rpc import control_grpc
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._channels import CALL_ERRORS
+from waxwinglift.process.rpc._channels import open_channel
+from waxwinglift.process.rpc._convert import renewal_to_wire
+from waxwinglift.version import LogIndex
+from waxwinglift.version._apply import apply_entry
+from waxwinglift.version._apply import RefusalCode
+from waxwinglift.version._control_core_messages import Renewal
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import decode_fleet
+from waxwinglift.version._types import DaemonState
+
+logger = logging.getLogger(__name__)
+
+RECONNECT_DELAY_S = 0.1
+# Control sends at least one message a second; three missed ones mean that
+# the stream has gone silent.
+WATCH_TIMEOUT_S = 3.0
+
+
+class WatchError(Exception):
+    """Control sent entries that do not continue the applied state."""
+
+
+def order_relays(daemon, addresses):
+    """Return control addresses, the daemon's preferred relay first.
+
+    Rendezvous hashing spreads the proxies over the control daemons without
+    any coordination.
+    """
+    return sorted(
+        addresses,
+        key=lambda address: xxhash.xxh64_intdigest(f"{daemon} {address}"),
+    )
+
+
+class ControlLink(mode.Service):
+    """Keeps the fleet view up to date and the lease alive.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        Settings of the proxy.
+    view : FleetView
+        Updated by the watch stream.
+    lease : DaemonLease
+        Extended by grants.
+    health : object
+        Has ``down_endpoints()`` and ``released_endpoints()``.
+    metrics : object
+        Counters.
+    tracer : opentelemetry.trace.Tracer
+        Source of spans.
+    """
+
+    def __init__(self, settings, view, lease, health, metrics, tracer):
+        super().__init__()
+        self.settings = settings
+        self.view = view
+        self.lease = lease
+        self.health = health
+        self.metrics = metrics
+        self.tracer = tracer
+        self.is_draining = False
+        self._is_stopped = False
+        self._sequence = 0
+        self._renew_now = asyncio.Event()
+        self._relays = order_relays(settings.daemon, settings.control)
+        self._has_lease = False
+        self._was_active = False
+
+    async def on_stop(self):
+        """Tell control that this proxy has stopped, once."""
+        self._is_stopped = True
+        with open_channel(self._relays[0]) as channel:
+            await self._renew_once(channel)
+
+    def renew_soon(self):
+        """Renew at once, for instance after a health change."""
+        self._renew_now.set()
+
+    @mode.Service.task
+    async def _watch_forever(self):
+        while not self.should_stop:
+            relay = self._relays[0]
+            try:
+                with open_channel(relay) as channel:
+                    await self._watch(channel)
+            except (*CALL_ERRORS, WatchError) as error:
+                self.metrics.incr("control.watch_failures")
+                logger.info("watch at %s ended: %r", relay, error)
+                self._next_relay(relay)
+            await self.sleep(RECONNECT_DELAY_S)
+
+    def _next_relay(self, failed):
+        """Use another control daemon unless that has happened already."""
+        if self._relays[0] == failed:
+            self._relays.append(self._relays.pop(0))
+
+    async def _watch(self, channel):
+        stub = control_grpc.ControlStub(channel)
+        relay = self._relays[0]
+        async with stub.Watch.open() as stream:
+            await stream.send_message(
+                control_pb2.WatchRequest(
+                    daemon=self.settings.daemon,
+                    applied_index=self.view.applied_index,
+                ),
+                end=True,
+            )
+            while self._relays[0] == relay:
+                reply = await asyncio.wait_for(
+                    stream.recv_message(), WATCH_TIMEOUT_S
+                )
+                if reply is None:
+                    raise WatchError("stream ended")
+                self._apply(reply)
+
+    def _apply(self, reply):
+        if reply.snapshot:
+            self._apply_snapshot(reply)
+        if not reply.entries:
+            return
+        for offset, payload in enumerate(reply.entries):
+            self._apply_entry(reply.first_index + offset, payload)
+        self.view.notify()
+        self._note_own_state()
+        self.renew_soon()
+
+    def _apply_snapshot(self, reply):
+        # A lower index than the applied one never comes back in force.
+        if reply.snapshot_index <= self.view.applied_index:
+            return
+        self.view.replace(decode_fleet(reply.snapshot))
+        self._note_own_state()
+        self.renew_soon()
+
+    def _apply_entry(self, index, payload):
+        if index <= self.view.applied_index:
+            return
+        entry = decode_entry(payload)
+        outcome = apply_entry(self.view.fleet, LogIndex(index), entry)
+        if outcome.is_err():
+            refusal = outcome.err_value
+            if refusal.code is RefusalCode.WRONG_INDEX:
+                raise WatchError(refusal.message)
+
+    def _note_own_state(self):
+        """Drain when the operator says so, not because of an old entry."""
+        daemon = self.view.fleet.daemons.get(DaemonId(self.settings.daemon))
+        if daemon is None:
+            return
+        if daemon.state is DaemonState.ACTIVE:
+            self._was_active = True
+        elif self._was_active and not self.is_draining:
+            logger.info("draining on the operator's request")
+            self.is_draining = True
+
+    @mode.Service.task
+    async def _renew_forever(self):
+        interval_s = self.settings.timing.renew_interval_ms / 1000
+        while not self.should_stop:
+            relay = self._relays[0]
+            with open_channel(relay) as channel:
+                while self._relays[0] == relay and not self.should_stop:
+                    self._renew_now.clear()
+                    if not await self._renew_once(channel):
+                        self._next_relay(relay)
+                    await self._wait_for_renewal(interval_s)
+
+    async def _wait_for_renewal(self, interval_s):
+        try:
+            await asyncio.wait_for(self._renew_now.wait(), interval_s)
+        except asyncio.TimeoutError:
+            pass
+        self._note_lease()
+
+    async def _renew_once(self, channel):
+        """Send one renewal; return whether the relay answered."""
+        self._sequence += 1
+        renewal = self._make_renewal()
+        stub = control_grpc.ControlStub(channel)
+        self.lease.on_sent(self._sequence, monotonic_ms())
+        timeout_s = self.settings.timing.rpc_timeout_ms / 1000
+        try:
+            grant = await stub.Renew(
+                renewal_to_wire(renewal), timeout=timeout_s
+            )
+        except CALL_ERRORS:
+            self.metrics.incr("control.renewals_lost")
+            return False
+        if grant.granted:
+            self.lease.on_grant(grant.sequence, grant.lease_ms)
+            self.metrics.incr("control.renewals_granted")
+        else:
+            self.metrics.incr("control.renewals_refused")
+        self._note_lease()
+        return True
+
+    def _make_renewal(self):
+        settings = self.settings
+        location = settings.location
+        return Renewal(
+            daemon=DaemonId(settings.daemon),
+            address=settings.peer_listen,
+            location=Location(location.data_centre, location.region),
+            applied_index=self.view.applied_index,
+            sequence=self._sequence,
+            is_draining=self.is_draining,
+            is_stopped=self._is_stopped,
+            down=self.health.down_endpoints(),
+            released=self.health.released_endpoints(),
+        )
+
+    def _note_lease(self):
+        has_lease = self.lease.is_live(monotonic_ms())
+        if has_lease == self._has_lease:
+            return
+        self._has_lease = has_lease
+        logger.info("lease obtained" if has_lease else "lease lost")
+        self.metrics.incr("lease.obtained" if has_lease else "lease.lost")
+        self.view.notify()
--- /dev/null
+++ b/waxwinglift/process/_control_node.py
@@ -0,0 +1,296 @@
+"""Drives one member's consensus node and control core.
+
+The decisions are in ``version``; this module carries their actions out: it
+writes to the log store, hands messages to the transport, runs SQL steps and
+answers proposals and renewals.  Executors are registered by action type.
+"""
+
+import asyncio
+import collections
+import logging
+import random
+
+from result import Err
+
+from waxwinglift.process import _control_bootstrap
+from waxwinglift.process._control_proposals import ProposalError
+from waxwinglift.process._control_proposals import ProposalFailure
+from waxwinglift.process._control_proposals import ProposalTable
+from waxwinglift.process._control_sql import run_server_action
+from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.version import _consensus_types as consensus
+from waxwinglift.version import _control_core_messages as core_messages
+from waxwinglift.version import _failover_messages as failover
+from waxwinglift.version._consensus import ConsensusNode
+from waxwinglift.version._control_core import ControlCore
+from waxwinglift.version._entries import MemberPromoted
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import decode_fleet
+from waxwinglift.version._entry_codec import encode_entry
+from waxwinglift.version._entry_codec import encode_fleet
+
+logger = logging.getLogger(__name__)
+
+EXECUTORS = {}
+
+# A renewal that is decided within one step is answered by one of these.
+LEASE_ANSWERS = (core_messages.GrantLease, core_messages.RefuseLease)
+
+
+def executes(*action_types):
+    """Register the executor of ``action_types``; it takes (node, action)."""
+
+    def register(function):
+        for action_type in action_types:
+            EXECUTORS[action_type] = function
+        return function
+
+    return register
+
+
+class ControlNode:
+    """One control member without its sockets.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the daemon.
+    store : LogStore
+        Open log store.
+    state : StorageState
+        What the store held.
+    send : callable
+        Called with a recipient and a consensus message; must not wait.
+    account : EndpointAccount
+        Account for the SQL of a change of primary.
+    metrics : object
+        Counters.
+    """
+
+    def __init__(self, settings, store, state, send, account, metrics):
+        self.settings = settings
+        self.store = store
+        self.send = send
+        self.account = account
+        self.metrics = metrics
+        self.proposals = ProposalTable()
+        self.changed = asyncio.Event()
+        seed = f"{settings.member}-{random.SystemRandom().random()}"
+        self.consensus = ConsensusNode(
+            _control_bootstrap.consensus_settings(settings),
+            state,
+            random.Random(seed),
+        )
+        self.core = ControlCore(
+            _control_bootstrap.core_settings(settings),
+            random.Random(seed),
+            _control_bootstrap.fleet_of(state),
+        )
+        self.snapshot_index = self.core.fleet.index
+        self.lease_answers = []
+        self._queue = collections.deque()
+        self._is_executing = False
+        self._tasks = set()
+
+    @property
+    def member(self):
+        """This member's name."""
+        return self.settings.member
+
+    @property
+    def fleet(self):
+        """Applied state."""
+        return self.core.fleet
+
+    @property
+    def has_quorum(self):
+        """Whether this member leads and may act for the group now."""
+        return self.consensus.is_leader_with_quorum(monotonic_ms())
+
+    def step_consensus(self, event):
+        """Step the consensus node and carry out its actions."""
+        actions = self.consensus.step(event, monotonic_ms())
+        self._execute_all(actions)
+
+    def step_core(self, event):
+        """Step the control core and carry out its actions."""
+        self._execute_all(self.core.step(event, monotonic_ms()))
+
+    def tick(self):
+        """Let time pass for both cores."""
+        now_ms = monotonic_ms()
+        if now_ms >= self.consensus.deadline_ms(now_ms):
+            self.step_consensus(consensus.Tick())
+        self.step_core(core_messages.ControlTick(self.has_quorum))
+
+    def renew(self, renewal):
+        """Decide a renewal at the leader; return GrantLease or RefuseLease."""
+        self.lease_answers = []
+        event = core_messages.RenewalReceived(renewal, self.has_quorum)
+        self.step_core(event)
+        for answer in self.lease_answers:
+            if answer.daemon == renewal.daemon:
+                return answer
+        return core_messages.RefuseLease(
+            renewal.daemon, renewal.sequence, "no answer", self.fleet.index
+        )
+
+    async def propose(self, entry, timeout_ms):
+        """Append an entry and wait until it is applied here.
+
+        Returns
+        -------
+        Result[Answer, ProposalFailure]
+        """
+        number, future = self.proposals.open()
+        payload = encode_entry(entry)
+        self.step_consensus(consensus.Propose(number, payload))
+        try:
+            return await asyncio.wait_for(future, timeout_ms / 1000)
+        except asyncio.TimeoutError:
+            return Err(
+                ProposalFailure(ProposalError.LOST, "no majority answered")
+            )
+
+    def promote_learners(self):
+        """Propose a vote for learners; refused until they caught up."""
+        if not self.has_quorum:
+            return
+        for row in self.consensus.members:
+            if not row.is_voter:
+                self._propose_unwatched(MemberPromoted(row.member))
+
+    def stop(self):
+        """Cancel the SQL steps that run."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _propose_unwatched(self, entry):
+        number, _ = self.proposals.open()
+        self.step_consensus(consensus.Propose(number, encode_entry(entry)))
+
+    def _execute_all(self, actions):
+        """Execute actions in order; those of nested steps come after."""
+        self._queue.extend(actions)
+        if self._is_executing:
+            return
+        self._is_executing = True
+        try:
+            while self._queue:
+                action = self._queue.popleft()
+                EXECUTORS[type(action)](self, action)
+        finally:
+            self._is_executing = False
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def notify(self):
+        """Wake the watch streams."""
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+
+@executes(consensus.Send)
+def _send(node, action):
+    node.send(action.recipient, action.message)
+
+
+@executes(consensus.Persist)
+def _persist(node, action):
+    node.store.write(action)
+    node.metrics.incr("control.log_writes")
+    node.step_consensus(consensus.Persisted(action.sequence))
+
+
+@executes(consensus.Commit)
+def _commit(node, action):
+    for log_entry in action.entries:
+        entry = decode_entry(log_entry.payload)
+        event = core_messages.EntryCommitted(log_entry.index, entry)
+        actions = node.core.step(event, monotonic_ms())
+        node.proposals.commit(log_entry, node.core.last_outcome)
+        node._execute_all(actions)
+    node.metrics.incr("control.entries_committed", len(action.entries))
+    node.notify()
+    _take_snapshot_if_due(node)
+
+
+def _take_snapshot_if_due(node):
+    index = node.fleet.index
+    if index - node.snapshot_index < node.settings.snapshot_entry_count:
+        return
+    node.snapshot_index = index
+    data = encode_fleet(node.fleet)
+    node.step_consensus(consensus.SnapshotTaken(index, data))
+    logger.info("snapshot taken at log index %d", index)
+
+
+@executes(consensus.InstallSnapshot)
+def _install_snapshot(node, action):
+    fleet = decode_fleet(action.snapshot.data)
+    node.snapshot_index = action.snapshot.index
+    node.step_core(core_messages.StateInstalled(fleet))
+    node.notify()
+    logger.info("snapshot installed at log index %d", fleet.index)
+
+
+@executes(consensus.BecomeLeader)
+def _become_leader(node, action):
+    logger.info("elected control leader in term %d", action.term)
+    node.metrics.incr("control.elections_won")
+    node.step_core(core_messages.BecameLeader())
+
+
+@executes(consensus.StepDown)
+def _step_down(node, action):
+    logger.info("no longer control leader of term %d", action.term)
+    node.proposals.fail_all()
+    node.step_core(core_messages.SteppedDown())
+
+
+@executes(consensus.Accepted)
+def _accepted(node, action):
+    node.proposals.accept(action)
+
+
+@executes(consensus.Refused)
+def _refused(node, action):
+    node.proposals.refuse(action)
+
+
+@executes(failover.Propose)
+def _propose(node, action):
+    logger.info("proposing %s", action.entry)
+    node._propose_unwatched(action.entry)
+
+
+@executes(*LEASE_ANSWERS)
+def _answer_renewal(node, action):
+    node.lease_answers.append(action)
+
+
+@executes(
+    failover.FenceServer,
+    failover.ReadPosition,
+    failover.PromoteServer,
+    failover.RepointServer,
+)
+def _run_server_action(node, action):
+    node.metrics.incr(f"control.{type(action).__name__}")
+    node._spawn(_report_outcome(node, action))
+
+
+async def _report_outcome(node, action):
+    outcome = await run_server_action(action, node.account)
+    if isinstance(outcome, failover.ActionFailed):
+        logger.warning(
+            "%s of %s failed: %s",
+            type(action).__name__,
+            action.endpoint,
+            outcome.message,
+        )
+    if node.core.is_leader:
+        node.step_core(outcome)
--- /dev/null
+++ b/waxwinglift/process/_control_proposals.py
@@ -0,0 +1,92 @@
+"""Proposals to the control log that wait for their outcome."""
+
+import asyncio
+import dataclasses
+import enum
+
+from result import Err
+
+
+class ProposalError(enum.Enum):
+    """Why a proposal has no answer."""
+
+    NOT_LEADER = "this member is not the control leader"
+    NOT_APPENDED = "the control log did not take the entry"
+    LOST = "the leader changed; resend with the same edit id"
+    REFUSED = "the entry contradicts the state"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProposalFailure:
+    """Outcome of a proposal that was not applied, or may not have been."""
+
+    error: ProposalError
+    message: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    term: int
+    future: asyncio.Future
+
+
+class ProposalTable:
+    """Futures of the proposals of this member, by number and by index."""
+
+    def __init__(self):
+        self._next_number = 1
+        self._unplaced = {}
+        self._placed = {}
+
+    def open(self):
+        """Return the number and the future of a new proposal."""
+        number = self._next_number
+        self._next_number += 1
+        future = asyncio.get_running_loop().create_future()
+        self._unplaced[number] = future
+        return number, future
+
+    def accept(self, action):
+        """Record the index and term of an accepted proposal."""
+        future = self._unplaced.pop(action.proposal)
+        self._placed[action.index] = _Waiting(action.term, future)
+
+    def refuse(self, action):
+        """Answer a proposal that was not appended."""
+        future = self._unplaced.pop(action.proposal)
+        if action.leader is None:
+            error = ProposalError.NOT_LEADER
+        else:
+            error = ProposalError.NOT_APPENDED
+        message = f"{error.value}: {action.reason.value}"
+        _resolve(future, Err(ProposalFailure(error, message)))
+
+    def commit(self, entry, outcome):
+        """Answer the proposal at the index of a committed log entry."""
+        waiting = self._placed.pop(entry.index, None)
+        if waiting is None:
+            return
+        if waiting.term != entry.term:
+            error = ProposalError.LOST
+            outcome = Err(ProposalFailure(error, error.value))
+        elif outcome.is_err():
+            refusal = outcome.err_value
+            failure = ProposalFailure(
+                ProposalError.REFUSED,
+                f"{refusal.code.value}: {refusal.message}",
+            )
+            outcome = Err(failure)
+        _resolve(waiting.future, outcome)
+
+    def fail_all(self):
+        """Answer all proposals as lost: their outcome is not known here."""
+        error = ProposalError.LOST
+        placed, self._placed = self._placed, {}
+        for waiting in placed.values():
+            failure = ProposalFailure(error, error.value)
+            _resolve(waiting.future, Err(failure))
+
+
+def _resolve(future, outcome):
+    if not future.done():
+        future.set_result(outcome)
--- /dev/null
+++ b/waxwinglift/process/_control_relay.py
@@ -0,0 +1,101 @@
+"""Passes renewals and announcements on to the control leader in batches."""
+
+import asyncio
+
+from waxwinglift.process.rpc import control_grpc
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._channels import CALL_ERRORS
+
+
+def refusal(renewal, reason):
+    """Return the wire form of a refused renewal."""
+    return control_pb2.Grant(
+        granted=False, sequence=renewal.sequence, reason=reason
+    )
+
+
+class Relay:
+    """Batches of one control member for the leader.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Batch interval and time limits.
+    find_leader : callable
+        Returns the leader's address, None while there is none.
+    channels : ChannelCache
+        Channels shared with the consensus transport.
+    """
+
+    def __init__(self, settings, find_leader, channels):
+        self._settings = settings
+        self._find_leader = find_leader
+        self._channels = channels
+        self._renewals = []
+        self._announcements = {}
+        self._filled = asyncio.Event()
+
+    async def renew(self, renewal):
+        """Pass a renewal on and return the leader's `Grant`."""
+        future = asyncio.get_running_loop().create_future()
+        self._renewals.append((renewal, future))
+        self._filled.set()
+        return await future
+
+    def announce(self, announcement):
+        """Pass an announcement on; a newer one of the endpoint replaces it."""
+        self._announcements[announcement.endpoint] = announcement
+        self._filled.set()
+
+    async def run(self):
+        """Send a batch per interval while there is something to send."""
+        interval_s = self._settings.timing.relay_batch_ms / 1000
+        tasks = set()
+        try:
+            while True:
+                await self._filled.wait()
+                await asyncio.sleep(interval_s)
+                self._filled.clear()
+                # A batch to a silent leader must not hold up the next one.
+                task = asyncio.ensure_future(self._flush())
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _flush(self):
+        renewals, self._renewals = self._renewals, []
+        announcements, self._announcements = self._announcements, {}
+        address = self._find_leader()
+        if address is None:
+            _answer_all(renewals, "no control leader")
+            return
+        batch = control_pb2.RelayBatch(
+            relay=self._settings.member,
+            renewals=[renewal for renewal, _ in renewals],
+            announcements=list(announcements.values()),
+        )
+        stub = control_grpc.ControlStub(self._channels.get(address))
+        timeout_s = self._settings.timing.rpc_timeout_ms / 1000
+        try:
+            reply = await stub.Relay(batch, timeout=timeout_s)
+        except CALL_ERRORS:
+            self._channels.discard(address)
+            _answer_all(renewals, "the control leader does not answer")
+            return
+        if not reply.is_leader:
+            _answer_all(renewals, "the control leader has changed")
+            return
+        for (_, future), grant in zip(renewals, reply.grants):
+            _resolve(future, grant)
+
+
+def _answer_all(renewals, reason):
+    for renewal, future in renewals:
+        _resolve(future, refusal(renewal, reason))
+
+
+def _resolve(future, grant):
+    if not future.done():
+        future.set_result(grant)
--- /dev/null
+++ b/waxwinglift/process/_control_rpc.py
@@ -0,0 +1,246 @@
+"""gRPC front of a control daemon."""
+
+import asyncio
+
+from grpclib.const import Status as GrpcStatus
+from grpclib.exceptions import GRPCError
+
+from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process.rpc import control_grpc
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._channels import CALL_ERRORS
+from waxwinglift.process.rpc._convert import announcement_from_wire
+from waxwinglift.process.rpc._convert import check_announcement
+from waxwinglift.process.rpc._convert import encode_answer
+from waxwinglift.process.rpc._convert import renewal_from_wire
+from waxwinglift.version import _control_core_messages as core_messages
+from waxwinglift.version import _entries
+from waxwinglift.version._consensus_messages import decode_message
+from waxwinglift.version._consensus_types import MessageReceived
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import encode_fleet
+from waxwinglift.version._fleet import EditAnswer
+
+# Entries that an operator may propose; the others are the leader's own.
+OPERATOR_ENTRIES = (
+    _entries.PoolEdited,
+    _entries.DaemonDraining,
+    _entries.MemberAdded,
+    _entries.MemberRemoved,
+)
+WATCH_BATCH_BYTES = 1 << 18
+WATCH_KEEPALIVE_S = 1.0
+
+
+class ControlRpc(control_grpc.ControlBase):
+    """Serves endpoints, proxies, operators and other members.
+
+    Parameters
+    ----------
+    node : ControlNode
+        Decisions of this member.
+    relay : Relay
+        Way to the leader.
+    find_leader : callable
+        Returns the leader's address, None while there is none.
+    channels : ChannelCache
+        Channels to the other members.
+    """
+
+    def __init__(self, node, relay, find_leader, channels):
+        self._node = node
+        self._relay = relay
+        self._find_leader = find_leader
+        self._channels = channels
+        self._timing = node.settings.timing
+
+    async def Announce(self, stream):  # noqa: N802
+        """Accept an endpoint's announcement."""
+        message = await stream.recv_message()
+        problem = check_announcement(announcement_from_wire(message))
+        if problem:
+            raise GRPCError(GrpcStatus.INVALID_ARGUMENT, problem)
+        self._accept_announcement(message)
+        has_leader = self._node.consensus.leader_hint is not None
+        reply = control_pb2.AnnounceReply(accepted=has_leader)
+        await stream.send_message(reply)
+
+    def _accept_announcement(self, message):
+        if not self._node.has_quorum:
+            self._relay.announce(message)
+            return
+        announcement = announcement_from_wire(message)
+        self._node.step_core(core_messages.AnnouncementReceived(announcement))
+
+    async def Renew(self, stream):  # noqa: N802
+        """Grant or refuse a proxy's lease."""
+        message = await stream.recv_message()
+        if self._node.has_quorum:
+            grant = self._renew_here(message)
+        else:
+            grant = await self._relay.renew(message)
+        await stream.send_message(grant)
+
+    def _renew_here(self, message):
+        answer = self._node.renew(renewal_from_wire(message))
+        is_granted = isinstance(answer, core_messages.GrantLease)
+        return control_pb2.Grant(
+            granted=is_granted,
+            lease_ms=answer.lease_ms if is_granted else 0,
+            commit_index=answer.commit_index,
+            sequence=message.sequence,
+            reason="" if is_granted else answer.reason,
+        )
+
+    async def Relay(self, stream):  # noqa: N802
+        """Decide a batch that another member passed on."""
+        batch = await stream.recv_message()
+        if not self._node.has_quorum:
+            await stream.send_message(control_pb2.RelayReply(is_leader=False))
+            return
+        for announcement in batch.announcements:
+            self._accept_announcement(announcement)
+        grants = [self._renew_here(renewal) for renewal in batch.renewals]
+        await stream.send_message(
+            control_pb2.RelayReply(is_leader=True, grants=grants)
+        )
+
+    async def Watch(self, stream):  # noqa: N802
+        """Stream committed entries, after a snapshot where needed.
+
+        An empty message each second tells the proxy that the stream is not
+        silent.
+        """
+        request = await stream.recv_message()
+        index = request.applied_index
+        while True:
+            changed = self._node.changed
+            reply = self._next_entries(index)
+            await stream.send_message(reply)
+            index = max(index, reply.snapshot_index, _last_index(reply))
+            if reply.entries or reply.snapshot:
+                continue
+            try:
+                await asyncio.wait_for(changed.wait(), WATCH_KEEPALIVE_S)
+            except asyncio.TimeoutError:
+                continue
+
+    def _next_entries(self, index):
+        node = self._node
+        if index > node.fleet.index:
+            return control_pb2.WatchReply()
+        entries = node.consensus.committed_entries(index, WATCH_BATCH_BYTES)
+        if entries is None:
+            return control_pb2.WatchReply(
+                snapshot=encode_fleet(node.fleet),
+                snapshot_index=node.fleet.index,
+            )
+        # Only what is applied here: a snapshot sent later must not be older.
+        applied = [e for e in entries if e.index <= node.fleet.index]
+        return control_pb2.WatchReply(
+            first_index=applied[0].index if applied else 0,
+            entries=[entry.payload for entry in applied],
+        )
+
+    async def Consensus(self, stream):  # noqa: N802
+        """Take a message of another member."""
+        envelope = await stream.recv_message()
+        await stream.send_message(control_pb2.ConsensusAck())
+        if envelope.recipient != self._node.member:
+            return
+        try:
+            message = decode_message(envelope.payload)
+        except ValueError:
+            self._node.metrics.incr("control.bad_messages")
+            return
+        self._node.step_consensus(MessageReceived(envelope.sender, message))
+
+    async def Propose(self, stream):  # noqa: N802
+        """Apply an operator's entry, here or at the leader."""
+        request = await stream.recv_message()
+        await stream.send_message(await self._propose(request))
+
+    async def _propose(self, request):
+        try:
+            entry = decode_entry(request.entry)
+        except ValueError as error:
+            return control_pb2.ProposeReply(error=f"bad entry: {error}")
+        if not isinstance(entry, OPERATOR_ENTRIES):
+            return control_pb2.ProposeReply(
+                error=f"{type(entry).__name__} is not for operators"
+            )
+        if not self._node.has_quorum:
+            return await self._forward_proposal(request)
+        outcome = await self._node.propose(entry, self._timing.rpc_timeout_ms)
+        if outcome.is_err():
+            return control_pb2.ProposeReply(error=outcome.err_value.message)
+        reply = control_pb2.ProposeReply(accepted=True)
+        if isinstance(outcome.ok_value, EditAnswer):
+            reply.answer = encode_answer(outcome.ok_value)
+        return reply
+
+    async def _forward_proposal(self, request):
+        address = self._find_leader()
+        if address is None or request.forwarded:
+            return control_pb2.ProposeReply(error="no control leader")
+        request.forwarded = True
+        stub = control_grpc.ControlStub(self._channels.get(address))
+        # Longer than the leader waits, so that its answer arrives.
+        timeout_s = 2 * self._timing.rpc_timeout_ms / 1000
+        try:
+            return await stub.Propose(request, timeout=timeout_s)
+        except CALL_ERRORS:
+            return control_pb2.ProposeReply(
+                error="the answer of the control leader was lost; "
+                "resend with the same edit id"
+            )
+
+    async def Status(self, stream):  # noqa: N802
+        """Describe the fleet, from the leader where there is one."""
+        request = await stream.recv_message()
+        address = self._find_leader()
+        reply = None
+        if not (self._node.has_quorum or request.forwarded or not address):
+            reply = await self._forward_status(address)
+        await stream.send_message(reply or self._describe())
+
+    async def _forward_status(self, address):
+        stub = control_grpc.ControlStub(self._channels.get(address))
+        request = control_pb2.StatusRequest(forwarded=True)
+        timeout_s = self._timing.rpc_timeout_ms / 1000
+        try:
+            return await stub.Status(request, timeout=timeout_s)
+        except CALL_ERRORS:
+            return None
+
+    def _describe(self):
+        node = self._node
+        leases = node.core.leases
+        now_ms = monotonic_ms()
+        daemons = [
+            control_pb2.DaemonStatus(
+                daemon=daemon,
+                applied_index=leases.applied_index(daemon),
+                is_live=leases.is_live(daemon, now_ms),
+            )
+            for daemon in node.fleet.daemons
+        ]
+        return control_pb2.StatusReply(
+            member=node.member,
+            leader=node.consensus.leader_hint or "",
+            control_term=node.consensus.term,
+            commit_index=node.consensus.commit_index,
+            fleet=encode_fleet(node.fleet),
+            daemons=daemons,
+            is_fresh=node.has_quorum,
+            group_notes=[
+                f"{group}: {text}"
+                for group, text in node.core.statuses().items()
+            ],
+        )
+
+
+def _last_index(reply):
+    if not reply.entries:
+        return 0
+    return reply.first_index + len(reply.entries) - 1
--- /dev/null
+++ b/waxwinglift/process/_control_sql.py
@@ -0,0 +1,144 @@
+"""SQL that a change of primary needs, on one endpoint at a time.
+
+Each statement is valid on a PostgreSQL server.  Steps are registered by the
+action that they carry out; each is idempotent.
+"""
+
+import asyncio
+import contextlib
+
+from waxwinglift.connection._backend import EndpointAccount
+from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.connection._backend import EndpointRefused
+from waxwinglift.connection._backend import open_connection
+from waxwinglift.connection._wire import parse_lsn
+from waxwinglift.version import _failover_messages as failover
+from waxwinglift.version import Lsn
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+POLL_INTERVAL_S = 0.01
+ANSWER_LIMIT_BYTES = 1 << 20
+
+TIMELINE_SQL = "SELECT timeline_id FROM pg_control_checkpoint()"
+RECOVERY_SQL = "SELECT pg_is_in_recovery()"
+RECEIVED_SQL = "SELECT pg_last_wal_receive_lsn()"
+RECEIVERS_SQL = "SELECT count(*) FROM pg_stat_wal_receiver"
+PROMOTE_SQL = "SELECT pg_promote(false)"
+RELOAD_SQL = "SELECT pg_reload_conf()"
+
+SERVER_STEPS = {}
+
+
+class StepError(Exception):
+    """The endpoint answered with an error or an unexpected value."""
+
+
+def server_step(action_type):
+    """Register the decorated coroutine for actions of ``action_type``."""
+
+    def register(function):
+        SERVER_STEPS[action_type] = function
+        return function
+
+    return register
+
+
+async def run_server_action(action, account):
+    """Carry out an action and return its outcome event.
+
+    Parameters
+    ----------
+    action : ServerAction
+        Names the endpoint and the time limit.
+    account : EndpointAccount
+        Account of control at the endpoints.
+
+    Returns
+    -------
+    ServerFenced, PositionRead, ServerPromoted, ServerRepointed or ActionFailed
+    """
+    try:
+        async with asyncio.timeout(action.time_limit_ms / 1000):
+            async with _open_session(action.address, account) as connection:
+                return await SERVER_STEPS[type(action)](connection, action)
+    except TimeoutError:
+        return failover.ActionFailed(action, "time limit exceeded")
+    except (EndpointRefused, EndpointConnectionLost, StepError) as error:
+        return failover.ActionFailed(action, str(error))
+
+
+@contextlib.asynccontextmanager
+async def _open_session(address, account: EndpointAccount):
+    connection = await open_connection(address, account, ANSWER_LIMIT_BYTES)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
+async def _query(connection, text):
+    (step,) = await connection.query(text)
+    if step.error is not None:
+        fields = step.error.fields
+        raise StepError(f"{fields.get('C')}: {fields.get('M')}")
+    return step.rows
+
+
+async def _query_value(connection, text):
+    rows = await _query(connection, text)
+    if not rows or rows[0][0] is None:
+        raise StepError(f"no value for {text}")
+    return rows[0][0]
+
+
+async def _set_upstream(connection, conninfo):
+    await _query(
+        connection, f"ALTER SYSTEM SET primary_conninfo = '{conninfo}'"
+    )
+    await _query(connection, RELOAD_SQL)
+
+
+async def _wait_for_value(connection, text, expected):
+    while await _query_value(connection, text) != expected:
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+@server_step(failover.FenceServer)
+async def _fence(connection, action):
+    if await _query_value(connection, RECOVERY_SQL) == "f":
+        raise StepError("the endpoint is not a replica")
+    await _set_upstream(connection, "")
+    await _wait_for_value(connection, RECEIVERS_SQL, "0")
+    return failover.ServerFenced(action.group, action.term, action.endpoint)
+
+
+@server_step(failover.ReadPosition)
+async def _read_position(connection, action):
+    if await _query_value(connection, RECOVERY_SQL) == "f":
+        raise StepError("the endpoint is not a replica")
+    timeline = await _query_value(connection, TIMELINE_SQL)
+    lsn_text = await _query_value(connection, RECEIVED_SQL)
+    position = Position(Term(int(timeline)), Lsn(parse_lsn(lsn_text)))
+    return failover.PositionRead(
+        action.group, action.term, action.endpoint, position
+    )
+
+
+@server_step(failover.PromoteServer)
+async def _promote(connection, action):
+    if await _query_value(connection, RECOVERY_SQL) == "t":
+        await _query(connection, PROMOTE_SQL)
+        await _wait_for_value(connection, RECOVERY_SQL, "f")
+    return failover.ServerPromoted(action.group, action.term, action.endpoint)
+
+
+@server_step(failover.RepointServer)
+async def _repoint(connection, action):
+    primary = action.primary_address
+    conninfo = (
+        f"host={primary.host} port={primary.port} "
+        f"application_name={action.endpoint}"
+    )
+    await _set_upstream(connection, conninfo)
+    return failover.ServerRepointed(action.group, action.term, action.endpoint)
--- /dev/null
+++ b/waxwinglift/process/_observability.py
@@ -0,0 +1,129 @@
+"""Logs, metrics and traces of a process."""
+
+import contextlib
+import json
+import logging
+import sys
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace import sampling
+from opentelemetry.sdk.trace import TracerProvider
+from pythonjsonlogger import json as json_logger
+import statsd
+
+LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+class NullMetrics:
+    """Drops every metric; used without a statsd server."""
+
+    def incr(self, name, count=1):
+        """Count ``count`` events."""
+
+    def timing(self, name, value_ms):
+        """Record a duration in milliseconds."""
+
+    def gauge(self, name, value):
+        """Set a level."""
+
+
+class StatsdMetrics:
+    """Sends metrics to a statsd server by UDP."""
+
+    def __init__(self, settings):
+        self._client = statsd.StatsClient(
+            host=settings.statsd.host,
+            port=settings.statsd.port,
+            prefix=settings.statsd_prefix,
+        )
+
+    def incr(self, name, count=1):
+        """Count ``count`` events."""
+        self._client.incr(name, count)
+
+    def timing(self, name, value_ms):
+        """Record a duration in milliseconds."""
+        self._client.timing(name, value_ms)
+
+    def gauge(self, name, value):
+        """Set a level."""
+        self._client.gauge(name, value)
+
+
+def make_metrics(settings):
+    """Return the metrics client that the settings ask for."""
+    if settings.statsd is None:
+        return NullMetrics()
+    return StatsdMetrics(settings)
+
+
+def configure_logging(settings, process_name):
+    """Write JSON log lines to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = json_logger.JsonFormatter(
+        LOG_FIELDS, static_fields={"process_name": process_name}
+    )
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(settings.log_level.upper())
+    # These libraries log each connection; state changes are ours to log.
+    for name in ("mode", "asyncio", "hpack", "h2", "grpclib"):
+        logging.getLogger(name).setLevel(logging.WARNING)
+
+
+class _FileSpanExporter(export.SpanExporter):
+    """Appends each span to a file as one JSON line."""
+
+    def __init__(self, file):
+        self._file = file
+
+    def export(self, spans):
+        """Write the spans; called once per finished span."""
+        for span in spans:
+            self._file.write(json.dumps(_describe_span(span)) + "\n")
+        self._file.flush()
+        return export.SpanExportResult.SUCCESS
+
+    def shutdown(self):
+        """Do nothing; the file is closed by `open_tracer`."""
+
+
+def _describe_span(span):
+    parent = span.parent
+    return {
+        "trace_id": f"{span.context.trace_id:032x}",
+        "span_id": f"{span.context.span_id:016x}",
+        "parent_id": f"{parent.span_id:016x}" if parent else None,
+        "name": span.name,
+        "service": span.resource.attributes.get("service.name"),
+        "start_ns": span.start_time,
+        "duration_us": (span.end_time - span.start_time) // 1000,
+        "attributes": dict(span.attributes or {}),
+    }
+
+
+@contextlib.contextmanager
+def open_tracer(settings, process_name):
+    """Yield a tracer; spans go to ``settings.trace_file`` when it is set.
+
+    The exporter runs in the event loop's thread, so that a process keeps to
+    one thread.
+    """
+    if settings.trace_file is None:
+        yield trace.NoOpTracer()
+        return
+    sampler = sampling.ParentBased(
+        sampling.TraceIdRatioBased(settings.trace_sample_ratio)
+    )
+    resource = Resource.create({"service.name": process_name})
+    provider = TracerProvider(
+        sampler=sampler, resource=resource, shutdown_on_exit=False
+    )
+    with settings.trace_file.open("a", encoding="utf-8") as file:
+        exporter = _FileSpanExporter(file)
+        provider.add_span_processor(export.SimpleSpanProcessor(exporter))
+        yield provider.get_tracer("waxwinglift")
+        provider.shutdown()
--- /dev/null
+++ b/waxwinglift/process/_runner.py
@@ -0,0 +1,72 @@
+"""Runs a service until it stops or a signal asks it to."""
+
+import asyncio
+import contextlib
+import enum
+import logging
+import signal
+import time
+
+logger = logging.getLogger(__name__)
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the daemons."""
+
+    OK = 0
+    FAILED = 1
+    BAD_SETTINGS = 2
+
+
+def monotonic_ms():
+    """Return the monotonic clock in milliseconds."""
+    return time.monotonic() * 1000.0
+
+
+@contextlib.contextmanager
+def _signals_set_event(loop, event):
+    handled = (signal.SIGTERM, signal.SIGINT)
+    for number in handled:
+        loop.add_signal_handler(number, event.set)
+    try:
+        yield
+    finally:
+        for number in handled:
+            loop.remove_signal_handler(number)
+
+
+async def _run(service):
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    with _signals_set_event(loop, stop_requested):
+        await service.start()
+        requested = asyncio.ensure_future(stop_requested.wait())
+        stopped = asyncio.ensure_future(service.wait_until_stopped())
+        await asyncio.wait(
+            {requested, stopped}, return_when=asyncio.FIRST_COMPLETED
+        )
+        requested.cancel()
+        stopped.cancel()
+        if stop_requested.is_set():
+            logger.info("shutdown requested")
+        await service.stop()
+    if service.crash_reason is not None:
+        logger.error("stopped: %s", service.crash_reason)
+        return ExitCode.FAILED
+    return ExitCode.OK
+
+
+def run_service(make_service):
+    """Run the service that ``make_service`` builds and return an exit code.
+
+    Parameters
+    ----------
+    make_service : callable
+        Called without arguments inside the event loop; returns a
+        `mode.Service`.
+    """
+
+    async def main():
+        return await _run(make_service())
+
+    return asyncio.run(main())
--- /dev/null
+++ b/waxwinglift/process/_settings.py
@@ -0,0 +1,230 @@
+"""Settings of the binaries: TOML files checked by pydantic models.
+
+A model is stored as given and passed whole.  Unknown keys and values outside
+their range are refused with the file, the key and the allowed range.
+"""
+
+import pathlib
+import tomllib
+from typing import Annotated
+
+import pydantic
+from result import Err
+from result import Ok
+
+from waxwinglift.process import _checks
+from waxwinglift.process._types import Address
+
+Name = Annotated[str, pydantic.AfterValidator(_checks.check_name)]
+SocketAddress = Annotated[
+    Address, pydantic.BeforeValidator(_checks.check_address)
+]
+
+
+class SettingsModel(pydantic.BaseModel):
+    """Base of all settings models: unknown keys are refused."""
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, arbitrary_types_allowed=True
+    )
+
+
+class LocationSettings(SettingsModel):
+    """Data centre and region of this VM."""
+
+    data_centre: Name
+    region: Name
+
+
+class ObservabilitySettings(SettingsModel):
+    """Logs, metrics and traces.
+
+    Parameters
+    ----------
+    log_level : str
+        One of debug, info, warning, error.
+    statsd : Address, optional
+        UDP address of a statsd server; counters are dropped without one.
+    statsd_prefix : str
+        First part of each metric name.
+    trace_file : Path, optional
+        File that spans are appended to as JSON lines; off without one.
+    trace_sample_ratio : float
+        Share of new traces that are recorded, 0 to 1.
+    """
+
+    log_level: Annotated[
+        str, pydantic.Field(pattern="^(debug|info|warning|error)$")
+    ] = "info"
+    statsd: SocketAddress | None = None
+    statsd_prefix: Name = "waxwinglift"
+    trace_file: pathlib.Path | None = None
+    trace_sample_ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 1.0
+
+
+class MemberSettings(SettingsModel):
+    """Identifier and address of one control daemon."""
+
+    member: Name
+    address: SocketAddress
+
+
+class ControlTimingSettings(SettingsModel):
+    """Timing of leases; the same on all control daemons.
+
+    The lease must outlast a control election (at most 600 ms plus a vote)
+    by more than one renewal interval, else a normal change of leader would
+    interrupt service.
+    """
+
+    lease_ms: Annotated[int, pydantic.Field(ge=800, le=10_000)] = 1200
+    tick_interval_ms: Annotated[int, pydantic.Field(ge=5, le=100)] = 25
+    relay_batch_ms: Annotated[int, pydantic.Field(ge=1, le=200)] = 20
+    rpc_timeout_ms: Annotated[int, pydantic.Field(ge=50, le=10_000)] = 1000
+
+
+class ControlSettings(SettingsModel):
+    """Settings of ``waxwinglift-control``.
+
+    Parameters
+    ----------
+    member : str
+        This daemon's name in ``members``, or a new one with ``join``.
+    listen : Address
+        gRPC address for proxies, endpoints, operators and other members.
+    members : tuple of MemberSettings
+        First membership of the log; later changes are in the log itself.
+    data_folder : Path
+        Holds the log, the vote and the snapshots.
+    snapshot_entry_count : int
+        Entries after which a snapshot is taken and the log compacted.
+    join : bool
+        Start empty and wait to be added by ``waxwinglift member add``.
+    """
+
+    member: Name
+    location: LocationSettings
+    listen: SocketAddress
+    members: tuple[MemberSettings, ...]
+    data_folder: pathlib.Path
+    snapshot_entry_count: Annotated[
+        int, pydantic.Field(ge=10, le=1_000_000)
+    ] = 1000
+    join: bool = False
+    endpoint_user: str = "waxwinglift"
+    endpoint_password: pydantic.SecretStr = pydantic.SecretStr("")
+    endpoint_database: str = "postgres"
+    timing: ControlTimingSettings = ControlTimingSettings()
+    observability: ObservabilitySettings = ObservabilitySettings()
+
+    @pydantic.model_validator(mode="after")
+    def _check_members(self):
+        names = [member.member for member in self.members]
+        _checks.check_unique(names, "member")
+        if not self.join and self.member not in names:
+            raise ValueError(
+                f"member {self.member} is not in members; "
+                "list it or set join = true"
+            )
+        return self
+
+
+class AuthenticationSettings(SettingsModel):
+    """How callers prove who they are.
+
+    With no password for a pool, callers of that pool are trusted.
+    """
+
+    passwords: dict[Name, pydantic.SecretStr] = {}
+
+
+class ProxyTimingSettings(SettingsModel):
+    """Timing of one proxy."""
+
+    renew_interval_ms: Annotated[int, pydantic.Field(ge=50, le=2000)] = 250
+    rpc_timeout_ms: Annotated[int, pydantic.Field(ge=50, le=10_000)] = 600
+    drain_timeout_ms: Annotated[int, pydantic.Field(ge=0, le=600_000)] = 30_000
+
+
+class ProxySettings(SettingsModel):
+    """Settings of ``waxwinglift-proxy``.
+
+    Parameters
+    ----------
+    daemon : str
+        Unique name of this proxy in the fleet.
+    listen : Address
+        PostgreSQL address for callers.
+    peer_listen : Address
+        gRPC address for other proxies.
+    control : tuple of Address
+        Addresses of the control daemons.
+    fleet_secret : SecretStr
+        Key of the session tokens; the same on all proxies.
+    """
+
+    daemon: Name
+    location: LocationSettings
+    listen: SocketAddress
+    peer_listen: SocketAddress
+    control: Annotated[tuple[SocketAddress, ...], pydantic.Field(min_length=1)]
+    fleet_secret: Annotated[pydantic.SecretStr, pydantic.Field(min_length=16)]
+    endpoint_user: str = "waxwinglift"
+    endpoint_database: str = "postgres"
+    max_message_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 30)] = (
+        16 << 20
+    )
+    replica_wait_ms: Annotated[int, pydantic.Field(ge=0, le=10_000)] = 50
+    statement_timeout_ms: Annotated[
+        int, pydantic.Field(ge=10, le=3_600_000)
+    ] = 10_000
+    authentication: AuthenticationSettings = AuthenticationSettings()
+    timing: ProxyTimingSettings = ProxyTimingSettings()
+    observability: ObservabilitySettings = ObservabilitySettings()
+
+
+def load_settings(path, model):
+    """Read a TOML file and check it.
+
+    Parameters
+    ----------
+    path : str or Path
+        File to read.
+    model : type of SettingsModel
+        Model to check against.
+
+    Returns
+    -------
+    Result[SettingsModel, str]
+        The settings, or every problem found, one a line.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        values = tomllib.loads(text)
+    except OSError as error:
+        return Err(f"{path}: cannot be read: {error.strerror}")
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Err(f"{path}: not valid TOML: {error}")
+    try:
+        return Ok(model.model_validate(values))
+    except pydantic.ValidationError as error:
+        return Err("\n".join(_describe_errors(path, error)))
+
+
+def _describe_errors(path, error):
+    for problem in error.errors(include_url=False):
+        key = ".".join(str(part) for part in problem["loc"]) or "file"
+        if problem["type"] == "missing":
+            yield f"{path}: {key}: is required"
+        elif problem["type"] == "extra_forbidden":
+            yield f"{path}: {key}: unknown key"
+        else:
+            message = problem["msg"].removeprefix("Value error, ")
+            yield f"{path}: {key}: {message}{_show_input(problem)}"
+
+
+def _show_input(problem):
+    value = problem.get("input")
+    if isinstance(value, dict) or "secret" in str(problem["loc"]):
+        return ""
+    return f" (got {value!r})"
--- /dev/null
+++ b/waxwinglift/process/cli/__init__.py
@@ -0,0 +1,7 @@
+"""Commands of the binaries."""
+
+from waxwinglift.process.cli._daemons import control
+from waxwinglift.process.cli._daemons import proxy
+from waxwinglift.process.cli._operator import operator
+
+__all__ = ["control", "operator", "proxy"]
--- /dev/null
+++ b/waxwinglift/process/rpc/_channels.py
@@ -0,0 +1,58 @@
+"""gRPC channels to other processes."""
+
+import asyncio
+import contextlib
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+# Everything that a call to a peer may raise when the peer or the network
+# fails.  ProtocolError of h2 comes as StreamTerminatedError.
+CALL_ERRORS = (
+    GRPCError,
+    StreamTerminatedError,
+    OSError,
+    asyncio.TimeoutError,
+)
+
+
+@contextlib.contextmanager
+def open_channel(address):
+    """Yield a channel to ``address``; it is closed at the end."""
+    channel = Channel(host=address.host, port=address.port)
+    try:
+        yield channel
+    finally:
+        channel.close()
+
+
+class ChannelCache:
+    """Channels by address, opened on first use.
+
+    One channel carries all calls to a process.  `discard` closes a channel
+    after an error, so that the next call opens a new connection: the old one
+    may have gone silent.
+    """
+
+    def __init__(self):
+        self._channels = {}
+
+    def get(self, address):
+        """Return the channel to ``address``."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = Channel(host=address.host, port=address.port)
+            self._channels[address] = channel
+        return channel
+
+    def discard(self, address):
+        """Close the channel to ``address`` if there is one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self):
+        """Close all channels."""
+        for address in list(self._channels):
+            self.discard(address)
--- /dev/null
+++ b/waxwinglift/process/rpc/_convert.py
@@ -0,0 +1,110 @@
+"""Conversion between protobuf messages and the core's types."""
+
+import pydantic
+
+from waxwinglift.process._types import Address
+from waxwinglift.process._types import DaemonId
+from waxwinglift.process._types import DataCentre
+from waxwinglift.process._types import Location
+from waxwinglift.process._types import Region
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.version import EndpointId
+from waxwinglift.version import GroupName
+from waxwinglift.version import LogIndex
+from waxwinglift.version import Term
+from waxwinglift.version._announcements import Announcement
+from waxwinglift.version._control_core_messages import Renewal
+from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._fleet import EditAnswer
+
+_ANSWER_ADAPTER = pydantic.TypeAdapter(EditAnswer)
+
+
+def encode_answer(answer):
+    """Return the JSON bytes of an `EditAnswer`."""
+    return _ANSWER_ADAPTER.dump_json(answer)
+
+
+def decode_answer(data):
+    """Return the `EditAnswer` of JSON bytes.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are no answer to an edit.
+    """
+    return _ANSWER_ADAPTER.validate_json(data)
+
+
+def _location(message):
+    return Location(DataCentre(message.data_centre), Region(message.region))
+
+
+def announcement_from_wire(message):
+    """Return the `Announcement` of a protobuf message."""
+    return Announcement(
+        endpoint=EndpointId(message.endpoint),
+        group=GroupName(message.group),
+        address=Address(message.host, message.port),
+        location=_location(message),
+        slots_count=message.slots_count,
+        connection_limit_count=message.connection_limit_count,
+        group_size_count=message.group_size_count,
+        term=Term(message.term),
+        in_recovery=message.in_recovery,
+        is_leaving=message.leaving,
+    )
+
+
+def check_announcement(announcement):
+    """Return what is wrong with an announcement, an empty text if nothing."""
+    if not announcement.endpoint or not announcement.group:
+        return "endpoint and group must be named"
+    if not announcement.address.host or not announcement.address.port:
+        return "address must be an IP number and a port"
+    if announcement.slots_count < 1:
+        return "slots_count must be at least 1"
+    if announcement.connection_limit_count < 3:
+        return "connection_limit_count must be at least 3"
+    if announcement.group_size_count < 1:
+        return "group_size_count must be at least 1"
+    return ""
+
+
+def renewal_from_wire(message):
+    """Return the `Renewal` of a protobuf message."""
+    return Renewal(
+        daemon=DaemonId(message.daemon),
+        address=Address(message.host, message.port),
+        location=_location(message),
+        applied_index=LogIndex(message.applied_index),
+        sequence=message.sequence,
+        is_draining=message.draining,
+        is_stopped=message.stopped,
+        down=tuple(
+            DownEndpoint(EndpointId(health.endpoint), Term(health.term))
+            for health in message.down
+        ),
+        released=tuple(EndpointId(name) for name in message.released),
+    )
+
+
+def renewal_to_wire(renewal, traceparent=""):
+    """Return the protobuf message of a `Renewal`."""
+    return control_pb2.Renewal(
+        daemon=renewal.daemon,
+        host=renewal.address.host,
+        port=renewal.address.port,
+        data_centre=renewal.location.data_centre,
+        region=renewal.location.region,
+        applied_index=renewal.applied_index,
+        draining=renewal.is_draining,
+        stopped=renewal.is_stopped,
+        down=[
+            control_pb2.DownEndpoint(endpoint=down.endpoint, term=down.term)
+            for down in renewal.down
+        ],
+        released=list(renewal.released),
+        sequence=renewal.sequence,
+        traceparent=traceparent,
+    )
--- /dev/null
+++ b/waxwinglift/process/tests/test_settings.py
@@ -0,0 +1,89 @@
+"""Guards the messages that an operator gets for bad settings."""
+
+import pytest
+
+from waxwinglift.process import _settings
+
+GOOD_PROXY = """
+daemon = "proxy-0"
+listen = "127.0.0.1:6432"
+peer_listen = "127.0.0.1:7432"
+control = ["127.0.0.1:7001"]
+fleet_secret = "0123456789abcdef"
+[location]
+data_centre = "darkhan"
+region = "mongolia"
+"""
+
+GOOD_CONTROL = """
+member = "control-0"
+listen = "127.0.0.1:7001"
+data_folder = "data"
+[[members]]
+member = "control-0"
+address = "127.0.0.1:7001"
+[location]
+data_centre = "darkhan"
+region = "mongolia"
+"""
+
+MODELS = {
+    "proxy": (_settings.ProxySettings, GOOD_PROXY),
+    "control": (_settings.ControlSettings, GOOD_CONTROL),
+}
+
+
+def load(tmp_path, kind, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text, encoding="utf-8")
+    return _settings.load_settings(path, MODELS[kind][0])
+
+
+@pytest.mark.parametrize("kind", sorted(MODELS))
+def test_good_settings_load(tmp_path, kind):
+    assert load(tmp_path, kind, MODELS[kind][1]).is_ok()
+
+
+@pytest.mark.parametrize(
+    ("kind", "old", "new", "expected"),
+    [
+        ("proxy", 'daemon = "proxy-0"', "", "daemon: is required"),
+        ("proxy", "daemon =", "deamon =", "deamon: unknown key"),
+        ("proxy", "127.0.0.1:6432", "localhost:6432", "must be an IP number"),
+        ("proxy", "127.0.0.1:6432", "127.0.0.1", "<IP number>:<port>"),
+        ("proxy", "127.0.0.1:6432", "127.0.0.1:70000", "0 to 65535"),
+        ("proxy", '["127.0.0.1:7001"]', "[]", "control: "),
+        ("proxy", "0123456789abcdef", "short", "at least 16"),
+        ("proxy", "[location]", "[location", "not valid TOML"),
+        (
+            "proxy",
+            "[location]",
+            "[timing]\nrenew_interval_ms = 9\n[location]",
+            "timing.renew_interval_ms: Input should be greater than or "
+            "equal to 50 (got 9)",
+        ),
+        ("control", 'member = "control-0"\nl', 'member = "x"\nl', "join"),
+        (
+            "control",
+            "[[members]]",
+            '[[members]]\nmember = "control-0"\n'
+            'address = "127.0.0.1:7002"\n[[members]]',
+            "member control-0 occurs twice",
+        ),
+    ],
+)
+def test_bad_settings_name_file_key_and_range(
+    tmp_path, kind, old, new, expected
+):
+    # A value that is accepted silently would only show as a fault at run
+    # time, on one of many VMs.
+    text = MODELS[kind][1].replace(old, new, 1)
+    problem = load(tmp_path, kind, text).unwrap_err()
+    assert "settings.toml" in problem
+    assert expected in problem
+
+
+def test_secret_is_not_shown(tmp_path):
+    # Error texts end up in logs and terminals.
+    text = GOOD_PROXY.replace("0123456789abcdef", "abc")
+    assert "abc" not in load(tmp_path, "proxy", text).unwrap_err()
