--- a/waxwinglift_standin/connection/__init__.py
+++ b/waxwinglift_standin/connection/__init__.py
@@ -1,1 +1,35 @@
 """What lives for one connection at the stand-in server."""
+
+from waxwinglift_standin.connection import _handlers
+from waxwinglift_standin.connection import _values as values
+from waxwinglift_standin.connection._session import error_message
+from waxwinglift_standin.connection._session import Session
+from waxwinglift_standin.connection._startup import greeting
+from waxwinglift_standin.connection._startup import read_startup
+from waxwinglift_standin.connection._types import Answer
+from waxwinglift_standin.connection._types import Column
+from waxwinglift_standin.connection._types import Description
+from waxwinglift_standin.connection._types import PgType
+from waxwinglift_standin.connection._types import SessionData
+from waxwinglift_standin.connection._types import SqlError
+from waxwinglift_standin.connection._types import SqlState
+from waxwinglift_standin.connection._types import Transaction
+
+# Importing this module fills the registry of message handlers.
+_FILLED_BY = (_handlers,)
+
+__all__ = [
+    "Answer",
+    "Column",
+    "Description",
+    "PgType",
+    "Session",
+    "SessionData",
+    "SqlError",
+    "SqlState",
+    "Transaction",
+    "error_message",
+    "greeting",
+    "read_startup",
+    "values",
+]
--- /dev/null
+++ b/waxwinglift_standin/connection/_handlers.py
@@ -0,0 +1,224 @@
+"""Answers to each message of the simple and the extended protocol."""
+
+from pygwire import messages as pg
+from waxwinglift_standin.connection import _values as values
+from waxwinglift_standin.connection._session import on_message
+from waxwinglift_standin.connection._types import Description
+from waxwinglift_standin.connection._types import PgType
+from waxwinglift_standin.connection._types import Portal
+from waxwinglift_standin.connection._types import Prepared
+from waxwinglift_standin.connection._types import SqlError
+from waxwinglift_standin.connection._types import SqlState
+from waxwinglift_standin.connection._types import TYPE_SIZES_BYTES
+
+
+def extended(handler):
+    """Wrap a handler: an error skips the messages up to the next Sync."""
+
+    async def guarded(session, message):
+        try:
+            await handler(session, message)
+        except SqlError as error:
+            session.send_error(error)
+            session.skips_to_sync = True
+
+    return guarded
+
+
+def format_at(formats, index):
+    """Return the format code of a value, 0 for text and 1 for binary."""
+    if not formats:
+        return 0
+    return formats[0] if len(formats) == 1 else formats[index]
+
+
+def row_description(columns, formats):
+    """Return the RowDescription of `columns`."""
+    fields = [
+        pg.FieldDescription(
+            name=column.name,
+            type_oid=column.type.value,
+            type_size=TYPE_SIZES_BYTES.get(column.type, -1),
+            type_modifier=-1,
+            format_code=format_at(formats, index),
+        )
+        for index, column in enumerate(columns)
+    ]
+    return pg.RowDescription(fields)
+
+
+def send_rows(session, answer, rows, formats):
+    """Add the DataRow messages of `rows`."""
+    plan = [
+        (column.type, format_at(formats, index) == 1)
+        for index, column in enumerate(answer.columns)
+    ]
+    for row in rows:
+        cells = [
+            values.encode_value(value, pg_type, is_binary)
+            for value, (pg_type, is_binary) in zip(row, plan, strict=True)
+        ]
+        session.send(pg.DataRow(cells))
+
+
+@on_message(pg.Query)
+async def handle_query(session, message):
+    """Run the statements of a simple query."""
+    try:
+        statements = session.executor.parse(message.query_string)
+        if not statements:
+            session.send(pg.EmptyQueryResponse())
+        for statement in statements:
+            if len(statements) > 1:
+                session.executor.begin_implicit(session.data)
+            answer = await session.run(statement, ())
+            if answer.columns is not None:
+                session.send(row_description(answer.columns, ()))
+                send_rows(session, answer, answer.rows, ())
+            if statement is statements[-1]:
+                session.executor.commit_implicit(session.data)
+            session.send(pg.CommandComplete(answer.tag))
+    except SqlError as error:
+        session.send_error(error)
+    session.send_ready()
+    await session.flush()
+
+
+@on_message(pg.Parse)
+@extended
+async def handle_parse(session, message):
+    """Prepare a statement."""
+    if message.statement and message.statement in session.data.prepared:
+        text = f'prepared statement "{message.statement}" already exists'
+        raise SqlError(SqlState.DUPLICATE_STATEMENT, text)
+    statements = session.executor.parse(message.query)
+    if len(statements) > 1:
+        text = "cannot insert multiple commands into a prepared statement"
+        raise SqlError(SqlState.SYNTAX, text)
+    if statements:
+        given = tuple(message.param_types)
+        prepared = Prepared(
+            statements[0],
+            session.executor.describe(session.data, statements[0], given),
+        )
+    else:
+        prepared = Prepared(None, Description((), None))
+    session.data.prepared[message.statement] = prepared
+    session.send(pg.ParseComplete())
+
+
+@on_message(pg.Bind)
+@extended
+async def handle_bind(session, message):
+    """Create a portal with decoded parameters."""
+    prepared = session.prepared(message.statement)
+    types = prepared.description.parameters
+    if len(message.param_values) != len(types):
+        text = (
+            f"bind message supplies {len(message.param_values)} parameters, "
+            f"but the statement requires {len(types)}"
+        )
+        raise SqlError(SqlState.PROTOCOL_VIOLATION, text)
+    parameters = tuple(
+        values.decode_value(
+            data, types[i], format_at(message.param_formats, i) == 1
+        )
+        for i, data in enumerate(message.param_values)
+    )
+    portal = Portal(prepared, parameters, message.result_formats)
+    session.data.portals[message.portal] = portal
+    session.send(pg.BindComplete())
+
+
+@on_message(pg.Describe)
+@extended
+async def handle_describe(session, message):
+    """Describe a prepared statement or a portal."""
+    formats = ()
+    if message.kind == "S":
+        description = session.prepared(message.name).description
+        oids = [pg_type.value for pg_type in description.parameters]
+        session.send(pg.ParameterDescription(oids))
+    else:
+        portal = session.portal(message.name)
+        description = portal.prepared.description
+        formats = portal.result_formats
+    if description.columns is None:
+        session.send(pg.NoData())
+    else:
+        columns = known_columns(description.columns)
+        session.send(row_description(columns, formats))
+
+
+def known_columns(columns):
+    """Return `columns` with the type text where it is unknown."""
+    return tuple(
+        column if column.type else type(column)(column.name, PgType.TEXT)
+        for column in columns
+    )
+
+
+@on_message(pg.Execute)
+@extended
+async def handle_execute(session, message):
+    """Run a portal, or send more of its rows."""
+    portal = session.portal(message.portal)
+    prepared = portal.prepared
+    if prepared.statement is None:
+        session.send(pg.EmptyQueryResponse())
+        return
+    if portal.answer is None:
+        portal.answer = await session.run(
+            prepared.statement, portal.parameters
+        )
+    send_portal(session, portal, message.max_rows)
+
+
+def send_portal(session, portal, max_rows):
+    """Add the next rows of a portal."""
+    answer = portal.answer
+    columns = portal.prepared.description.columns
+    if columns is None:
+        session.send(pg.CommandComplete(answer.tag))
+        return
+    answer = type(answer)(answer.tag, known_columns(columns), answer.rows)
+    end = len(answer.rows)
+    if max_rows:
+        end = min(end, portal.offset_count + max_rows)
+    rows = answer.rows[portal.offset_count : end]
+    send_rows(session, answer, rows, portal.result_formats)
+    portal.offset_count = end
+    if max_rows and end < len(answer.rows):
+        session.send(pg.PortalSuspended())
+    else:
+        session.send(pg.CommandComplete(answer.tag))
+
+
+@on_message(pg.Close)
+@extended
+async def handle_close(session, message):
+    """Close a prepared statement or a portal."""
+    is_statement = message.kind == "S"
+    names = session.data.prepared if is_statement else session.data.portals
+    names.pop(message.name, None)
+    session.send(pg.CloseComplete())
+
+
+@on_message(pg.Flush)
+async def handle_flush(session, _):
+    """Send what is in the output."""
+    await session.flush()
+
+
+@on_message(pg.Sync)
+async def handle_sync(session, _):
+    """End an extended query: commit an implicit transaction."""
+    session.skips_to_sync = False
+    try:
+        session.executor.commit_implicit(session.data)
+    except SqlError as error:
+        session.send_error(error)
+    if session.data.transaction is None:
+        session.data.portals.clear()
+    session.send_ready()
+    await session.flush()
--- /dev/null
+++ b/waxwinglift_standin/connection/_session.py
@@ -0,0 +1,208 @@
+"""PostgreSQL protocol of one caller's connection."""
+
+import asyncio
+import secrets
+
+import pygwire
+from pygwire import messages as pg
+from waxwinglift_standin.connection._types import SqlError
+from waxwinglift_standin.connection._types import SqlState
+
+READ_BYTES = 65536
+REPORTED_PARAMETERS = {
+    "application_name": "application_name",
+    "client_encoding": "client_encoding",
+    "datestyle": "DateStyle",
+    "default_transaction_read_only": "default_transaction_read_only",
+    "timezone": "TimeZone",
+}
+MESSAGE_HANDLERS = {}
+
+
+def on_message(message_type):
+    """Register the handler of a message type."""
+
+    def decorator(handler):
+        MESSAGE_HANDLERS[message_type] = handler
+        return handler
+
+    return decorator
+
+
+def error_message(error, severity="ERROR"):
+    """Return the ErrorResponse of a SqlError."""
+    return pg.ErrorResponse(
+        {
+            "S": severity,
+            "V": severity,
+            "C": error.state.value,
+            "M": error.message,
+        }
+    )
+
+
+class Session:
+    """Answers the messages of one connection after its start-up.
+
+    Parameters
+    ----------
+    data : SessionData
+        State that statements read and change.
+    executor : Executor
+        Parses, describes and runs statements.
+    reader, writer : asyncio streams
+        The connection.
+    decoder : pygwire.FrontendMessageDecoder
+        Decoder that has read the start-up message.
+    runs : asyncio.Event
+        Cleared while the server is frozen.
+    """
+
+    def __init__(self, data, executor, reader, writer, decoder, runs):
+        self.data = data
+        self.executor = executor
+        self.is_silent = False
+        self.skips_to_sync = False
+        self.secret_key = secrets.token_bytes(4)
+        self._runs = runs
+        self._reader = reader
+        self._writer = writer
+        self._decoder = decoder
+        self._output = bytearray()
+        self._running = None
+        self._cancel_error = None
+
+    def send(self, message):
+        """Add a message to the output."""
+        self._output += message.to_wire()
+
+    def send_ready(self):
+        """Add ReadyForQuery with the transaction status."""
+        for name in self.data.changed_parameters:
+            if name in REPORTED_PARAMETERS:
+                value = self.data.parameters[name]
+                reported = REPORTED_PARAMETERS[name]
+                self.send(pg.ParameterStatus(reported, value))
+        self.data.changed_parameters.clear()
+        status = pygwire.TransactionStatus(self.data.status.value)
+        self.send(pg.ReadyForQuery(status))
+
+    def send_error(self, error):
+        """Add an ErrorResponse and note the failure."""
+        self.executor.fail(self.data)
+        self.send(error_message(error))
+
+    async def flush(self):
+        """Send the output and put faults that waited for it in force."""
+        await self._wait_open()
+        self._writer.write(bytes(self._output))
+        self._output.clear()
+        await self._writer.drain()
+        actions = list(self.data.after_answer)
+        self.data.after_answer.clear()
+        for action in actions:
+            action()
+
+    async def _wait_open(self):
+        """Wait while the server is frozen; never return when silent."""
+        if not self._runs.is_set():
+            await self._runs.wait()
+        if self.is_silent:
+            await self._discard_input()
+            raise ConnectionResetError("the connection has gone silent")
+
+    async def _discard_input(self):
+        while await self._reader.read(READ_BYTES):
+            pass
+
+    def cancel(self, error):
+        """Cancel the running statement with `error`."""
+        if self._running is not None:
+            self._cancel_error = error
+            self._running.cancel()
+
+    async def serve(self):
+        """Answer messages until the connection ends."""
+        try:
+            while await self._serve_buffered():
+                data = await self._reader.read(READ_BYTES)
+                if not data:
+                    return
+                self._decoder.feed(data)
+        finally:
+            self.executor.rollback(self.data)
+
+    async def _serve_buffered(self):
+        for message in self._decoder:
+            await self._wait_open()
+            if isinstance(message, pg.Terminate):
+                return False
+            await self.handle(message)
+        if self._output:
+            await self.flush()
+        return True
+
+    async def handle(self, message):
+        """Answer one message."""
+        handler = MESSAGE_HANDLERS.get(type(message))
+        if handler is None:
+            name = type(message).__name__
+            text = f"message {name} is not supported"
+            self.send_error(SqlError(SqlState.PROTOCOL_VIOLATION, text))
+            return
+        if self.skips_to_sync and type(message) is not pg.Sync:
+            return
+        await handler(self, message)
+
+    async def run(self, statement, parameters):
+        """Run a statement so that it can be cancelled."""
+        task = asyncio.current_task()
+        self._running = task
+        timeout = self._start_timeout()
+        try:
+            return await self.executor.run(self.data, statement, parameters)
+        except asyncio.CancelledError:
+            if self._cancel_error is None:
+                raise
+            task.uncancel()
+            raise self._cancel_error from None
+        finally:
+            self._running = self._cancel_error = None
+            if timeout is not None:
+                timeout.cancel()
+
+    def _start_timeout(self):
+        value = self.data.parameters.get("statement_timeout", "0")
+        timeout_ms = float(value.removesuffix("ms") or 0)
+        if not timeout_ms:
+            return None
+        message = "canceling statement due to statement timeout"
+        error = SqlError(SqlState.CANCELLED, message)
+        loop = asyncio.get_running_loop()
+        return loop.call_later(timeout_ms / 1000, self.cancel, error)
+
+    def prepared(self, name):
+        """Return a prepared statement.
+
+        Raises
+        ------
+        SqlError
+            If there is none of this name (26000).
+        """
+        if name not in self.data.prepared:
+            message = f'prepared statement "{name}" does not exist'
+            raise SqlError(SqlState.UNKNOWN_STATEMENT, message)
+        return self.data.prepared[name]
+
+    def portal(self, name):
+        """Return a portal.
+
+        Raises
+        ------
+        SqlError
+            If there is none of this name (34000).
+        """
+        if name not in self.data.portals:
+            message = f'portal "{name}" does not exist'
+            raise SqlError(SqlState.UNKNOWN_PORTAL, message)
+        return self.data.portals[name]
--- /dev/null
+++ b/waxwinglift_standin/connection/_startup.py
@@ -0,0 +1,52 @@
+"""Start-up of a connection, before it is a session."""
+
+import dataclasses
+
+from pygwire import ConnectionPhase
+from pygwire import FrontendMessageDecoder
+from pygwire import messages as pg
+from waxwinglift_standin.connection._session import READ_BYTES
+
+_ENCRYPTION_REQUESTS = (pg.SSLRequest, pg.GSSEncRequest)
+# A start-up message is short; PostgreSQL refuses longer ones as well.
+_STARTUP_LIMIT_BYTES = 10000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartedConnection:
+    """Start-up message, or cancel request, and the decoder after it."""
+
+    message: object
+    decoder: FrontendMessageDecoder
+
+
+async def read_startup(reader, writer):
+    """Refuse encryption and return the first other message.
+
+    Raises
+    ------
+    ConnectionError
+        If the connection ends or sends too much before that.
+    """
+    decoder = FrontendMessageDecoder()
+    while True:
+        for message in decoder:
+            if not isinstance(message, _ENCRYPTION_REQUESTS):
+                decoder.phase = ConnectionPhase.READY
+                return StartedConnection(message, decoder)
+            writer.write(b"N")
+        data = await reader.read(READ_BYTES)
+        if not data or decoder.buffered > _STARTUP_LIMIT_BYTES:
+            raise ConnectionError("no start-up message")
+        decoder.feed(data)
+
+
+def greeting(parameters, process_id, secret_key):
+    """Return the bytes that answer an accepted start-up message."""
+    messages = [pg.AuthenticationOk()]
+    messages += [
+        pg.ParameterStatus(name, value) for name, value in parameters.items()
+    ]
+    messages.append(pg.BackendKeyData(process_id, secret_key))
+    messages.append(pg.ReadyForQuery())
+    return b"".join(message.to_wire() for message in messages)
--- /dev/null
+++ b/waxwinglift_standin/connection/_types.py
@@ -0,0 +1,178 @@
+"""Types that last for a connection: session state, answers and errors."""
+
+import dataclasses
+import enum
+from typing import Any
+
+from waxwinglift.connection import SessionId
+from waxwinglift.connection import TransactionStatus
+
+
+class PgType(enum.Enum):
+    """Types that parameters and results use; the value is the type's oid."""
+
+    BOOL = 16
+    BYTEA = 17
+    INT8 = 20
+    INT2 = 21
+    INT4 = 23
+    TEXT = 25
+    JSON = 114
+    FLOAT4 = 700
+    FLOAT8 = 701
+    UNKNOWN = 705
+    BPCHAR = 1042
+    VARCHAR = 1043
+    TIMESTAMP = 1114
+    TIMESTAMPTZ = 1184
+    NUMERIC = 1700
+    VOID = 2278
+    UUID = 2950
+    PG_LSN = 3220
+    JSONB = 3802
+
+
+TYPE_SIZES_BYTES = {
+    PgType.BOOL: 1,
+    PgType.INT8: 8,
+    PgType.INT2: 2,
+    PgType.INT4: 4,
+    PgType.FLOAT4: 4,
+    PgType.FLOAT8: 8,
+    PgType.TIMESTAMP: 8,
+    PgType.TIMESTAMPTZ: 8,
+    PgType.UUID: 16,
+    PgType.PG_LSN: 8,
+}
+
+
+class SqlState(enum.Enum):
+    """Error codes that the server reports."""
+
+    NOT_SUPPORTED = "0A000"
+    PROTOCOL_VIOLATION = "08P01"
+    INVALID_VALUE = "22023"
+    INVALID_TEXT = "22P02"
+    NOT_NULL = "23502"
+    FOREIGN_KEY = "23503"
+    UNIQUE = "23505"
+    CHECK = "23514"
+    ACTIVE_TRANSACTION = "25001"
+    READ_ONLY = "25006"
+    FAILED_TRANSACTION = "25P02"
+    UNKNOWN_STATEMENT = "26000"
+    UNKNOWN_PORTAL = "34000"
+    UNKNOWN_SAVEPOINT = "3B001"
+    SYNTAX = "42601"
+    UNKNOWN_COLUMN = "42703"
+    UNKNOWN_PARAMETER = "42704"
+    UNKNOWN_FUNCTION = "42883"
+    UNKNOWN_TABLE = "42P01"
+    DUPLICATE_STATEMENT = "42P05"
+    DUPLICATE_TABLE = "42P07"
+    TOO_MANY_CONNECTIONS = "53300"
+    WRONG_STATE = "55000"
+    CANCELLED = "57014"
+    SHUTTING_DOWN = "57P01"
+    INTERNAL = "XX000"
+
+
+class SqlError(Exception):
+    """Error that is reported to the caller.
+
+    Parameters
+    ----------
+    state : SqlState
+        SQLSTATE of the report.
+    message : str
+        Text of the report.
+    """
+
+    def __init__(self, state, message):
+        super().__init__(message)
+        self.state = state
+        self.message = message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Column:
+    """Name and type of a result column."""
+
+    name: str
+    type: PgType
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Result of one statement; `columns` is None when it has no rows."""
+
+    tag: str
+    columns: tuple[Column, ...] | None = None
+    rows: list[tuple] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """Parameter types and result columns of a statement."""
+
+    parameters: tuple[PgType, ...]
+    columns: tuple[Column, ...] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepared:
+    """Prepared statement; `statement` is None for an empty query."""
+
+    statement: Any
+    description: Description
+
+
+@dataclasses.dataclass(slots=True)
+class Portal:
+    """Bound statement with the rows that were not fetched yet."""
+
+    prepared: Prepared
+    parameters: list
+    result_formats: list[int]
+    answer: Answer | None = None
+    offset_count: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Transaction:
+    """Open transaction of a session.
+
+    `statements` holds the writes that will be logged at commit;
+    `savepoints` holds pairs of a name and the number of writes before it.
+    """
+
+    started_us: int
+    is_explicit: bool
+    is_read_only: bool = False
+    holds_writer: bool = False
+    statements: list = dataclasses.field(default_factory=list)
+    savepoints: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class SessionData:
+    """State of a caller's session that statements read and change."""
+
+    id: SessionId
+    parameters: dict[str, str]
+    start_parameters: dict[str, str]
+    transaction: Transaction | None = None
+    has_failed: bool = False
+    prepared: dict[str, Prepared] = dataclasses.field(default_factory=dict)
+    portals: dict[str, Portal] = dataclasses.field(default_factory=dict)
+    changed_parameters: list[str] = dataclasses.field(default_factory=list)
+    after_answer: list = dataclasses.field(default_factory=list)
+
+    @property
+    def status(self):
+        """Transaction status as ReadyForQuery reports it."""
+        if self.transaction is None or not self.transaction.is_explicit:
+            return TransactionStatus.IDLE
+        if self.has_failed:
+            return TransactionStatus.FAILED
+        return TransactionStatus.IN_TRANSACTION
--- /dev/null
+++ b/waxwinglift_standin/process/_faults.py
@@ -0,0 +1,86 @@
+"""Faults that SQL or a test switches."""
+
+from waxwinglift_standin.request import fault
+
+_MAXIMUM_LAG_MS = 60000
+_MAXIMUM_FACTOR = 10000
+
+
+def _parse_switch(value):
+    if value not in ("on", "off"):
+        raise ValueError(f'"{value}" is neither "on" nor "off"')
+    return value == "on"
+
+
+def _parse_number(text, lowest, highest):
+    number = float(text)
+    if not lowest <= number <= highest:
+        raise ValueError(f"{text} is not from {lowest} to {highest}")
+    return number
+
+
+@fault("lag")
+def prepare_lag(state, value):
+    """Set the lags: "<receive ms>/<replay ms>", or "off" for none."""
+    texts = ["0", "0"] if value == "off" else value.split("/")
+    if len(texts) != 2:
+        raise ValueError('expected "<receive ms>/<replay ms>"')
+    receive, replay = (
+        _parse_number(text, 0, _MAXIMUM_LAG_MS) for text in texts
+    )
+
+    def apply():
+        state.faults.receive_lag_ms = receive
+        state.faults.replay_lag_ms = replay
+
+    return apply
+
+
+@fault("freeze")
+def prepare_freeze(state, value):
+    """Freeze with "on" or for a number of ms; resume with "off".
+
+    A frozen server does not read SQL, so over SQL only the form with a
+    number of ms ever ends.
+    """
+    if value in ("on", "off"):
+        return lambda: state.freeze(value == "on")
+    duration_ms = _parse_number(value, 1, _MAXIMUM_LAG_MS)
+    return lambda: state.freeze_for(duration_ms)
+
+
+@fault("silence")
+def prepare_silence(state, value):
+    """Silence the sessions that are open now, for good."""
+    is_on = _parse_switch(value)
+
+    def apply():
+        for session in state.sessions.values() if is_on else ():
+            session.is_silent = True
+
+    return apply
+
+
+@fault("cut_replication")
+def prepare_cut(state, value):
+    """Drop the replication streams to and from this server."""
+    is_on = _parse_switch(value)
+
+    def apply():
+        state.faults.cuts_replication = is_on
+        state.announce_change()
+
+    return apply
+
+
+@fault("slow")
+def prepare_slow(state, value):
+    """Multiply the delays of statements and connections by a factor."""
+    factor = (
+        1.0 if value == "off" else _parse_number(value, 1, _MAXIMUM_FACTOR)
+    )
+
+    def apply():
+        state.faults.slow_factor = factor
+
+    return apply
--- /dev/null
+++ b/waxwinglift_standin/process/_server.py
@@ -0,0 +1,181 @@
+"""Server that can run inside a test or inside a process of its own."""
+
+import asyncio
+import contextlib
+import logging
+
+import pygwire
+from pygwire import messages as pg
+from waxwinglift.connection import SessionId
+from waxwinglift.process import Address
+from waxwinglift_standin.connection import Session
+from waxwinglift_standin.connection import SessionData
+from waxwinglift_standin.connection import SqlError
+from waxwinglift_standin.connection import SqlState
+from waxwinglift_standin.connection import error_message
+from waxwinglift_standin.connection import greeting
+from waxwinglift_standin.connection import read_startup
+from waxwinglift_standin.request import Executor
+from waxwinglift_standin.request import prepare_fault
+from waxwinglift_standin.version import Database
+from waxwinglift_standin.version import ServerState
+
+_LOG = logging.getLogger(__name__)
+_PARAMETERS = {
+    "server_version": "15.0",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "DateStyle": "ISO, MDY",
+    "TimeZone": "UTC",
+    "IntervalStyle": "postgres",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+    "default_transaction_read_only": "off",
+}
+_DISCONNECTS = (ConnectionError, pygwire.PygwireError)
+
+
+class StandinServer:
+    """One server of a group.
+
+    Parameters
+    ----------
+    settings : StandinSettings
+        Settings of the server.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.state = None
+        self._executor = Executor()
+        self._listener = None
+        self._tasks = set()
+        self._next_id = 0
+
+    @property
+    def address(self):
+        """Address that the server listens at."""
+        host, port = self._listener.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    def set_fault(self, name, value):
+        """Switch a fault, as standin_fault() does.
+
+        Raises
+        ------
+        SqlError
+            If the fault is unknown or the value out of range.
+        """
+        prepare_fault(self.state, name, value)()
+
+    async def start(self):
+        """Load the log and listen."""
+        executor = self._executor
+        database = Database(executor.install, executor.set_statement)
+        self.state = ServerState(self.settings, database)
+        executor.server = self.state
+        self.state.load()
+        address = self.settings.address
+        self._listener = await asyncio.start_server(
+            self._accept, str(address.host), address.port, backlog=1000
+        )
+
+    async def stop(self):
+        """Close the listener and every connection at once."""
+        self._listener.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.state.database.close()
+
+    def start_task(self, coroutine):
+        """Run a coroutine until it ends or the server stops."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _accept(self, reader, writer):
+        self.start_task(self._serve(reader, writer))
+
+    async def _serve(self, reader, writer):
+        with contextlib.closing(writer):
+            try:
+                await self.state.runs.wait()
+                started = await read_startup(reader, writer)
+                await self.state.runs.wait()
+                await self._serve_started(reader, writer, started)
+            except _DISCONNECTS as error:
+                _LOG.debug("connection ended", extra={"reason": str(error)})
+
+    async def _serve_started(self, reader, writer, started):
+        message = started.message
+        if isinstance(message, pg.CancelRequest):
+            self._cancel(message)
+        else:
+            await self._serve_session(reader, writer, started)
+
+    def _cancel(self, request):
+        entry = self.state.sessions.get(request.process_id)
+        if entry is None or entry.secret_key != request.secret_key:
+            return
+        text = "canceling statement due to user request"
+        entry.cancel(SqlError(SqlState.CANCELLED, text))
+
+    async def _serve_session(self, reader, writer, started):
+        state = self.state
+        if len(state.sessions) >= self.settings.connection_limit_count:
+            text = "sorry, too many clients already"
+            error = SqlError(SqlState.TOO_MANY_CONNECTIONS, text)
+            writer.write(error_message(error, "FATAL").to_wire())
+            await writer.drain()
+            return
+        self._next_id += 1
+        data = SessionData(
+            id=SessionId(self._next_id),
+            parameters=_session_parameters(started.message.params),
+            start_parameters=_session_parameters(started.message.params),
+        )
+        session = Session(
+            data, self._executor, reader, writer, started.decoder, state.runs
+        )
+        state.sessions[data.id] = session
+        try:
+            await self._greet(writer, started, session)
+            await session.serve()
+        finally:
+            del state.sessions[data.id]
+
+    async def _greet(self, writer, started, session):
+        delay_ms = self.settings.connect_delay_ms
+        delay_ms *= self.state.faults.slow_factor
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+        await self.state.runs.wait()
+        parameters = dict(_PARAMETERS)
+        parameters["in_hot_standby"] = (
+            "on" if self.state.in_recovery else "off"
+        )
+        name = started.message.params.get("application_name", "")
+        parameters["application_name"] = name
+        key = session.secret_key
+        writer.write(greeting(parameters, session.data.id, key))
+        await writer.drain()
+
+
+def _session_parameters(params):
+    defaults = {name.lower(): value for name, value in _PARAMETERS.items()}
+    given = {name.lower(): value for name, value in params.items()}
+    return defaults | {"application_name": "", "search_path": "public"} | given
+
+
+@contextlib.asynccontextmanager
+async def running_server(settings):
+    """Yield a server that listens, and stop it afterwards."""
+    server = StandinServer(settings)
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.stop()
--- /dev/null
+++ b/waxwinglift_standin/process/_settings.py
@@ -0,0 +1,108 @@
+"""Settings of the stand-in server, checked in one place."""
+
+import pathlib
+import tomllib
+from typing import Annotated, Literal
+
+import pydantic
+
+_Name = Annotated[str, pydantic.Field(min_length=1, max_length=63)]
+_Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+_LagMs = Annotated[float, pydantic.Field(ge=0, le=60000)]
+
+
+class SettingsError(Exception):
+    """The settings file cannot be used; the text names file and key."""
+
+
+class AddressSettings(pydantic.BaseModel):
+    """Numeric IP address and TCP port."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    host: pydantic.IPvAnyAddress
+    port: _Port
+
+
+class StandinSettings(pydantic.BaseModel):
+    """Settings of one server.
+
+    Parameters
+    ----------
+    address : AddressSettings
+        Where the server listens; port 0 chooses a free one.
+    control_addresses : tuple of AddressSettings
+        Control daemons, empty for a server that announces itself to none.
+    primary_address : AddressSettings or None
+        Primary that a replica follows at first.
+    slots_count : int
+        Statements that run at once; others wait in order of arrival.
+    leaving_ms : float
+        Time between the first announcement as leaving and the stop.
+    data_file : path or None
+        File that keeps the log, None to keep it in memory.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    id: _Name
+    group: _Name
+    address: AddressSettings
+    data_centre: _Name
+    region: _Name
+    control_addresses: tuple[AddressSettings, ...] = ()
+    group_size_count: Annotated[int, pydantic.Field(ge=1, le=9)] = 3
+    initial_role: Literal["primary", "replica"] = "primary"
+    primary_address: AddressSettings | None = None
+    slots_count: Annotated[int, pydantic.Field(ge=1, le=1000)] = 3
+    connection_limit_count: Annotated[int, pydantic.Field(ge=1, le=10000)] = 25
+    connect_delay_ms: Annotated[float, pydantic.Field(ge=0, le=60000)] = 12.0
+    statement_delay_ms: Annotated[float, pydantic.Field(ge=0, le=60000)] = 1.0
+    receive_lag_ms: _LagMs = 0.0
+    replay_lag_ms: _LagMs = 0.0
+    receiver_retry_ms: Annotated[float, pydantic.Field(ge=10, le=60000)] = 100
+    announce_interval_ms: Annotated[float, pydantic.Field(ge=50, le=60000)] = (
+        500.0
+    )
+    leaving_ms: Annotated[float, pydantic.Field(ge=0, le=600000)] = 5000.0
+    data_file: pathlib.Path | None = None
+
+    @property
+    def primary_conninfo(self):
+        """Connection string of the primary that a replica follows first."""
+        if self.primary_address is None:
+            return ""
+        address = self.primary_address
+        return f"host={address.host} port={address.port}"
+
+
+def describe_problems(path, error):
+    """Return a line per problem that pydantic found in the file."""
+    lines = []
+    for problem in error.errors():
+        key = ".".join(str(part) for part in problem["loc"])
+        text = problem["msg"]
+        if problem["type"] == "extra_forbidden":
+            text = "unknown key"
+        lines.append(f"{path}: {key}: {text}")
+    return "\n".join(lines)
+
+
+def load_settings(path):
+    """Return the settings that the TOML file at `path` holds.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or a key is unknown, missing or out of
+        range.
+    """
+    try:
+        content = tomllib.loads(path.read_text(encoding="utf-8"))
+        return StandinSettings(**content)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except pydantic.ValidationError as error:
+        raise SettingsError(describe_problems(path, error)) from error
--- /dev/null
+++ b/waxwinglift_standin/request/_commands.py
@@ -0,0 +1,233 @@
+"""Commands that do not reach SQLite."""
+
+from waxwinglift_standin.connection import Answer
+from waxwinglift_standin.connection import Column
+from waxwinglift_standin.connection import PgType
+from waxwinglift_standin.connection import SqlError
+from waxwinglift_standin.connection import SqlState
+from waxwinglift_standin.request import _transactions as transactions
+from waxwinglift_standin.request._lexer import TokenKind
+from waxwinglift_standin.request._registries import sql_command
+
+_SCOPES = ("SESSION", "LOCAL")
+_SETTABLE = {
+    "application_name",
+    "bytea_output",
+    "client_encoding",
+    "client_min_messages",
+    "datestyle",
+    "default_transaction_isolation",
+    "default_transaction_read_only",
+    "extra_float_digits",
+    "idle_in_transaction_session_timeout",
+    "intervalstyle",
+    "jit",
+    "lock_timeout",
+    "search_path",
+    "statement_timeout",
+    "synchronous_commit",
+    "timezone",
+}
+
+
+def _words(tokens):
+    return [token.upper for token in tokens]
+
+
+def _unquote(token):
+    if token.kind is TokenKind.STRING:
+        return token.text[1:-1].replace("''", "'")
+    return token.name
+
+
+def _last_name(tokens):
+    return tokens[-1].name
+
+
+@sql_command("BEGIN", "START TRANSACTION")
+def begin(context, tokens):
+    """Start a transaction block."""
+    session = context.session
+    is_read_only = _is_read_only(_words(tokens))
+    default = session.parameters.get("default_transaction_read_only")
+    is_read_only |= default == "on" and "WRITE" not in _words(tokens)
+    transactions.begin(session, True, is_read_only)
+    return Answer("BEGIN")
+
+
+def _is_read_only(words):
+    return "ONLY" in words and words[words.index("ONLY") - 1] == "READ"
+
+
+@sql_command("COMMIT", "END")
+def commit(context, _):
+    """Commit the transaction block."""
+    return Answer(transactions.commit(context.server, context.session))
+
+
+@sql_command("ROLLBACK", "ABORT")
+def rollback(context, tokens):
+    """Undo the transaction block."""
+    if "TO" in _words(tokens):
+        return rollback_to(context, tokens)
+    transactions.rollback(context.server, context.session)
+    return Answer("ROLLBACK")
+
+
+@sql_command("ROLLBACK TO")
+def rollback_to(context, tokens):
+    """Undo the changes since a savepoint."""
+    name = _last_name(tokens)
+    transactions.rollback_to_savepoint(context.server, context.session, name)
+    return Answer("ROLLBACK")
+
+
+@sql_command("SAVEPOINT")
+def savepoint(context, tokens):
+    """Set a savepoint."""
+    name = _last_name(tokens)
+    transactions.set_savepoint(context.server, context.session, name)
+    return Answer("SAVEPOINT")
+
+
+@sql_command("RELEASE")
+def release(context, tokens):
+    """Forget a savepoint."""
+    name = _last_name(tokens)
+    transactions.release_savepoint(context.server, context.session, name)
+    return Answer("RELEASE")
+
+
+@sql_command("SET")
+def set_parameter(context, tokens):
+    """Set a session parameter."""
+    rest = tokens[1:]
+    if _words(rest)[:1] in ([scope] for scope in _SCOPES):
+        rest = rest[1:]
+    words = _words(rest)
+    if words[:1] in (["TRANSACTION"], ["CHARACTERISTICS"]):
+        _set_characteristics(context.session, words)
+        return Answer("SET")
+    if words[:2] == ["TIME", "ZONE"]:
+        _store(context.session, "timezone", rest[2:])
+        return Answer("SET")
+    at = next((i for i, w in enumerate(words) if w in ("=", "TO")), None)
+    if at is None:
+        raise SqlError(SqlState.SYNTAX, "syntax error in SET")
+    name = "".join(token.name for token in rest[:at])
+    _store(context.session, name, rest[at + 1 :])
+    return Answer("SET")
+
+
+def _set_characteristics(session, words):
+    is_read_only = _is_read_only(words)
+    if words[0] == "CHARACTERISTICS":
+        value = "on" if is_read_only else "off"
+        session.parameters["default_transaction_read_only"] = value
+    elif session.transaction is not None:
+        session.transaction.is_read_only |= is_read_only
+
+
+def _store(session, name, tokens):
+    if name not in _SETTABLE and "." not in name:
+        message = f'unrecognized configuration parameter "{name}"'
+        raise SqlError(SqlState.UNKNOWN_PARAMETER, message)
+    value = "".join(_unquote(token) for token in tokens)
+    if value.lower() == "default" and tokens[0].kind is TokenKind.WORD:
+        value = session.start_parameters.get(name, "")
+    session.parameters[name] = value
+    session.changed_parameters.append(name)
+
+
+@sql_command("RESET")
+def reset(context, tokens):
+    """Reset one or all session parameters."""
+    session = context.session
+    name = "".join(token.name for token in tokens[1:])
+    names = list(session.parameters) if name == "all" else [name]
+    for known in names:
+        if known in session.start_parameters:
+            session.parameters[known] = session.start_parameters[known]
+            session.changed_parameters.append(known)
+        else:
+            session.parameters.pop(known, None)
+    return Answer("RESET")
+
+
+@sql_command("SHOW")
+def show(context, tokens):
+    """Show a session parameter."""
+    name = "".join(token.name for token in tokens[1:])
+    name = {"transactionisolationlevel": "transaction_isolation"}.get(
+        name, name
+    )
+    values = context.session.parameters | _computed(context)
+    if name not in values:
+        message = f'unrecognized configuration parameter "{name}"'
+        raise SqlError(SqlState.UNKNOWN_PARAMETER, message)
+    columns = (Column(name, PgType.TEXT),)
+    return Answer("SHOW", columns, [(values[name],)])
+
+
+def _computed(context):
+    server, transaction = context.server, context.session.transaction
+    is_read_only = transaction is not None and transaction.is_read_only
+    return {
+        "transaction_read_only": _on(server.in_recovery or is_read_only),
+        "in_hot_standby": _on(server.in_recovery),
+        "transaction_isolation": "read committed",
+        "primary_conninfo": server.primary_conninfo,
+        "max_connections": str(server.settings.connection_limit_count),
+    }
+
+
+def _on(value):
+    return "on" if value else "off"
+
+
+@sql_command("ALTER SYSTEM")
+def alter_system(context, tokens):
+    """Change a server setting; pg_reload_conf() puts it in force."""
+    if context.session.transaction is not None:
+        message = "ALTER SYSTEM cannot run inside a transaction block"
+        raise SqlError(SqlState.ACTIVE_TRANSACTION, message)
+    name = tokens[3].name if len(tokens) > 3 else ""
+    if name != "primary_conninfo":
+        message = f'unrecognized configuration parameter "{name}"'
+        raise SqlError(SqlState.UNKNOWN_PARAMETER, message)
+    is_reset = tokens[2].upper == "RESET"
+    value = "" if is_reset else _unquote(tokens[-1])
+    context.server.pending_conninfo = value
+    return Answer("ALTER SYSTEM")
+
+
+@sql_command("DEALLOCATE")
+def deallocate(context, tokens):
+    """Drop one or all prepared statements."""
+    name = _last_name(tokens)
+    if name == "all":
+        context.session.prepared.clear()
+        return Answer("DEALLOCATE ALL")
+    context.session.prepared.pop(name, None)
+    return Answer("DEALLOCATE")
+
+
+@sql_command("DISCARD")
+def discard(context, tokens):
+    """Bring the session back to the state after the start."""
+    context.session.prepared.clear()
+    reset(context, [*tokens[:1], tokens[-1]])
+    return Answer("DISCARD ALL")
+
+
+@sql_command("CLOSE")
+def close_all(context, _):
+    """Close all portals."""
+    context.session.portals.clear()
+    return Answer("CLOSE CURSOR ALL")
+
+
+@sql_command("UNLISTEN")
+def unlisten(_, __):
+    """Do nothing, as there are no notifications."""
+    return Answer("UNLISTEN")
--- /dev/null
+++ b/waxwinglift_standin/request/_functions.py
@@ -0,0 +1,257 @@
+"""Functions and views of PostgreSQL that SQLite does not have."""
+
+import datetime
+import os
+import time
+import uuid
+
+from waxwinglift_standin.connection import PgType
+from waxwinglift_standin.connection import SqlError
+from waxwinglift_standin.connection import SqlState
+from waxwinglift_standin.connection import values
+from waxwinglift_standin.request._registries import prepare_fault
+from waxwinglift_standin.request._registries import sql_function
+from waxwinglift_standin.request._registries import system_view
+from waxwinglift_standin.version import format_lsn
+from waxwinglift_standin.version import parse_lsn
+
+SERVER_VERSION = "15.0"
+
+
+def _format_us(moment_us):
+    moment = datetime.datetime.fromtimestamp(0, datetime.timezone.utc)
+    moment += datetime.timedelta(microseconds=moment_us)
+    return values.format_timestamp(moment)
+
+
+@sql_function("pg_current_wal_lsn", PgType.PG_LSN)
+def pg_current_wal_lsn(context):
+    """Return the end of the primary's log."""
+    if context.server.in_recovery:
+        raise SqlError(SqlState.WRONG_STATE, "recovery is in progress")
+    return format_lsn(context.server.log.end_lsn)
+
+
+@sql_function("pg_last_wal_receive_lsn", PgType.PG_LSN)
+def pg_last_wal_receive_lsn(context):
+    """Return the end of what a replica has received and synced."""
+    if not context.server.in_recovery:
+        return None
+    return format_lsn(context.server.log.end_lsn)
+
+
+@sql_function("pg_last_wal_replay_lsn", PgType.PG_LSN)
+def pg_last_wal_replay_lsn(context):
+    """Return the end of what a replica has replayed."""
+    if not context.server.in_recovery:
+        return None
+    return format_lsn(context.server.replay_lsn)
+
+
+@sql_function("pg_last_xact_replay_timestamp", PgType.TIMESTAMPTZ)
+def pg_last_xact_replay_timestamp(context):
+    """Return the commit time of the last transaction that was replayed."""
+    replayed_us = context.server.last_replay_us
+    return None if replayed_us is None else _format_us(replayed_us)
+
+
+@sql_function("pg_is_in_recovery", PgType.BOOL)
+def pg_is_in_recovery(context):
+    """Return whether the server is a replica."""
+    return int(context.server.in_recovery)
+
+
+@sql_function("pg_promote", PgType.BOOL)
+def pg_promote(context, *_):
+    """Make the replica a primary before the statement is answered."""
+    if not context.server.in_recovery:
+        raise SqlError(SqlState.WRONG_STATE, "recovery is not in progress")
+    context.after_statement.append(context.server.promote)
+    return 1
+
+
+@sql_function("pg_reload_conf", PgType.BOOL)
+def pg_reload_conf(context):
+    """Put settings changed by ALTER SYSTEM in force."""
+    context.after_statement.append(context.server.reload)
+    return 1
+
+
+@sql_function("pg_wal_lsn_diff", PgType.NUMERIC)
+def pg_wal_lsn_diff(_, first, second):
+    """Return the bytes between two positions."""
+    if first is None or second is None:
+        return None
+    return parse_lsn(first) - parse_lsn(second)
+
+
+@sql_function("pg_sleep", PgType.VOID)
+def pg_sleep(context, seconds):
+    """Sleep in the statement's slot before it is answered."""
+    context.sleep_s += float(seconds)
+    return ""
+
+
+@sql_function("standin_fault", PgType.TEXT)
+def standin_fault(context, name, value):
+    """Switch a fault after the statement has been answered.
+
+    The value is checked at once.
+    """
+    switch = prepare_fault(context.server, name, str(value))
+    context.session.after_answer.append(switch)
+    return f"{name} {value}"
+
+
+@sql_function("now", PgType.TIMESTAMPTZ)
+@sql_function("transaction_timestamp", PgType.TIMESTAMPTZ)
+def now(context):
+    """Return the start of the transaction."""
+    return _format_us(context.now_us)
+
+
+@sql_function("clock_timestamp", PgType.TIMESTAMPTZ)
+def clock_timestamp(_):
+    """Return the current time."""
+    return _format_us(time.time_ns() // 1000)
+
+
+@sql_function("random", PgType.FLOAT8)
+def random_number(context):
+    """Return a number from 0 to 1; logged writes repeat it exactly."""
+    return context.rng.random()
+
+
+@sql_function("gen_random_uuid", PgType.UUID)
+def gen_random_uuid(context):
+    """Return a random UUID; logged writes repeat it exactly."""
+    return str(uuid.UUID(int=context.rng.getrandbits(128), version=4))
+
+
+@sql_function("version")
+def version(_):
+    """Return the version text."""
+    return f"PostgreSQL {SERVER_VERSION} (waxwinglift stand-in)"
+
+
+@sql_function("current_database")
+def current_database(context):
+    """Return the database name that the session was opened with."""
+    return context.session.start_parameters.get("database", "standin")
+
+
+@sql_function("current_setting")
+def current_setting(context, name, *_):
+    """Return a session parameter."""
+    return context.session.parameters.get(name.lower(), "")
+
+
+@sql_function("pg_backend_pid", PgType.INT4)
+def pg_backend_pid(context):
+    """Return the session's id."""
+    return context.session.id
+
+
+@sql_function("pg_advisory_unlock_all", PgType.VOID)
+def pg_advisory_unlock_all(_):
+    """Do nothing; asyncpg calls this when it resets a connection."""
+    return ""
+
+
+@sql_function("standin_pid", PgType.INT4)
+def standin_pid(_):
+    """Return the id of the server's process."""
+    return os.getpid()
+
+
+@sql_function("standin_bool", PgType.BOOL)
+def standin_bool(_, value):
+    """Return 1 or 0 for the operand of a cast to boolean."""
+    if isinstance(value, str):
+        return values.parse_bool(value)
+    return None if value is None else int(value != 0)
+
+
+@sql_function("standin_timestamptz", PgType.TIMESTAMPTZ)
+def standin_timestamptz(_, value):
+    """Return the form of a timestamp that sorts."""
+    if value is None:
+        return None
+    return values.format_timestamp(values.parse_timestamp(value))
+
+
+@sql_function("standin_epoch", PgType.FLOAT8)
+def standin_epoch(_, value):
+    """Return the seconds since 1970 of a timestamp."""
+    if value is None:
+        return None
+    return values.parse_timestamp(value).timestamp()
+
+
+@system_view(
+    "pg_stat_replication",
+    pid=PgType.INT4,
+    application_name=PgType.TEXT,
+    state=PgType.TEXT,
+    sent_lsn=PgType.PG_LSN,
+    write_lsn=PgType.PG_LSN,
+    flush_lsn=PgType.PG_LSN,
+    replay_lsn=PgType.PG_LSN,
+    sync_state=PgType.TEXT,
+)
+def pg_stat_replication(server):
+    """Return a row per replica that is streaming."""
+    return [
+        {
+            "pid": pid,
+            "application_name": replica.name,
+            "state": "streaming",
+            "sent_lsn": format_lsn(replica.sent_lsn),
+            "write_lsn": format_lsn(replica.flush_lsn),
+            "flush_lsn": format_lsn(replica.flush_lsn),
+            "replay_lsn": format_lsn(replica.replay_lsn),
+            "sync_state": "async",
+        }
+        for pid, replica in server.replicas.items()
+    ]
+
+
+@system_view(
+    "pg_stat_wal_receiver",
+    status=PgType.TEXT,
+    flushed_lsn=PgType.PG_LSN,
+    received_tli=PgType.INT4,
+    sender_host=PgType.TEXT,
+    sender_port=PgType.INT4,
+)
+def pg_stat_wal_receiver(server):
+    """Return one row while the receiver is streaming."""
+    if server.receiver is None:
+        return []
+    return [
+        {
+            "status": "streaming",
+            "flushed_lsn": format_lsn(server.log.end_lsn),
+            "received_tli": server.log.term,
+            "sender_host": server.receiver.host,
+            "sender_port": server.receiver.port,
+        }
+    ]
+
+
+@system_view(
+    "pg_control_checkpoint",
+    checkpoint_lsn=PgType.PG_LSN,
+    redo_lsn=PgType.PG_LSN,
+    timeline_id=PgType.INT4,
+)
+def pg_control_checkpoint(server):
+    """Return the term of the log."""
+    lsn = format_lsn(server.replay_lsn)
+    return [
+        {
+            "checkpoint_lsn": lsn,
+            "redo_lsn": lsn,
+            "timeline_id": server.log.term,
+        }
+    ]
--- /dev/null
+++ b/waxwinglift_standin/request/_rewrite.py
@@ -0,0 +1,275 @@
+"""Turns PostgreSQL forms into the forms that SQLite accepts.
+
+Each rewriting is a function from tokens to tokens in a registry; they run in
+the order of registration.
+"""
+
+from waxwinglift_standin.request._lexer import closing_index
+from waxwinglift_standin.request._lexer import make_token
+from waxwinglift_standin.request._lexer import split_commas
+from waxwinglift_standin.request._lexer import Token
+from waxwinglift_standin.request._lexer import tokenize
+from waxwinglift_standin.request._lexer import TokenKind
+
+REWRITES = []
+
+_SCHEMAS = {"PUBLIC", "PG_CATALOG"}
+_SERIALS = {"SERIAL", "BIGSERIAL", "SMALLSERIAL"}
+_WORDS = {"ILIKE": "LIKE", "CURRENT_USER": "'standin'"}
+# SQL type (first word) -> form of the cast, with the operand as {}.
+_CASTS = {
+    "BOOL": "standin_bool({})",
+    "BOOLEAN": "standin_bool({})",
+    "TIMESTAMPTZ": "standin_timestamptz({})",
+    "TIMESTAMP": "standin_timestamptz({})",
+    "SMALLINT": "CAST({} AS INTEGER)",
+    "INT": "CAST({} AS INTEGER)",
+    "INTEGER": "CAST({} AS INTEGER)",
+    "BIGINT": "CAST({} AS INTEGER)",
+    "INT2": "CAST({} AS INTEGER)",
+    "INT4": "CAST({} AS INTEGER)",
+    "INT8": "CAST({} AS INTEGER)",
+    "REAL": "CAST({} AS REAL)",
+    "FLOAT4": "CAST({} AS REAL)",
+    "FLOAT8": "CAST({} AS REAL)",
+    "DOUBLE": "CAST({} AS REAL)",
+    "NUMERIC": "CAST({} AS NUMERIC)",
+    "DECIMAL": "CAST({} AS NUMERIC)",
+    "TEXT": "CAST({} AS TEXT)",
+    "VARCHAR": "CAST({} AS TEXT)",
+    "CHARACTER": "CAST({} AS TEXT)",
+}
+_SECOND_TYPE_WORDS = {"PRECISION", "VARYING"}
+
+
+def rewriting(function):
+    """Register a rewriting."""
+    REWRITES.append(function)
+    return function
+
+
+def rewrite(tokens):
+    """Return `tokens` in their form for SQLite."""
+    for function in REWRITES:
+        tokens = function(tokens)
+    return tokens
+
+
+def _replace(tokens, at, count, text):
+    return tokens[:at] + tokenize(text) + tokens[at + count :]
+
+
+def _upper(tokens, at):
+    return tokens[at].upper if 0 <= at < len(tokens) else ""
+
+
+def _is_string(tokens, at):
+    return at < len(tokens) and tokens[at].kind is TokenKind.STRING
+
+
+@rewriting
+def drop_schemas(tokens):
+    """Drop the schema of qualified names and the E of escape strings."""
+    kept = []
+    for index, token in enumerate(tokens):
+        following = _upper(tokens, index + 1)
+        if token.upper in _SCHEMAS and following == ".":
+            continue
+        if token.upper == "." and _upper(tokens, index - 1) in _SCHEMAS:
+            continue
+        if token.upper == "E" and _is_string(tokens, index + 1):
+            continue
+        kept.append(token)
+    return kept
+
+
+@rewriting
+def rename_words(tokens):
+    """Replace words that have another name in SQLite."""
+    return [
+        Token(token.kind, _WORDS[token.upper], "")
+        if token.upper in _WORDS
+        else token
+        for token in tokens
+    ]
+
+
+@rewriting
+def call_now(tokens):
+    """Replace CURRENT_TIMESTAMP, whose precision SQLite limits to 1 s."""
+    result = []
+    for token in tokens:
+        if token.upper == "CURRENT_TIMESTAMP":
+            result.extend(tokenize("now()"))
+        else:
+            result.append(token)
+    return result
+
+
+@rewriting
+def subtract_epochs(tokens):
+    """Replace EXTRACT(EPOCH FROM a - b) by a difference of seconds."""
+    for index in range(len(tokens) - 3):
+        words = [token.upper for token in tokens[index : index + 4]]
+        if words != ["EXTRACT", "(", "EPOCH", "FROM"]:
+            continue
+        end = closing_index(tokens, index + 1)
+        inner = _strip_brackets(tokens[index + 4 : end])
+        parts = _split_minus(inner)
+        calls = [
+            f"standin_epoch({' '.join(t.text for t in part)})"
+            for part in parts
+        ]
+        text = f"({' - '.join(calls)})"
+        rest = _replace(tokens, index, end + 1 - index, text)
+        return subtract_epochs(rest)
+    return tokens
+
+
+def _strip_brackets(tokens):
+    while tokens and tokens[0].upper == "(":
+        if closing_index(tokens, 0) != len(tokens) - 1:
+            break
+        tokens = tokens[1:-1]
+    return tokens
+
+
+def _split_minus(tokens):
+    depth = 0
+    for index, token in enumerate(tokens):
+        depth += {"(": 1, ")": -1}.get(token.upper, 0)
+        if token.upper == "-" and depth == 0 and index:
+            return [tokens[:index], tokens[index + 1 :]]
+    return [tokens]
+
+
+@rewriting
+def call_views(tokens):
+    """Replace a set-returning system function in FROM by its view."""
+    for index, token in enumerate(tokens):
+        if token.upper != "PG_CONTROL_CHECKPOINT":
+            continue
+        if [_upper(tokens, index + 1), _upper(tokens, index + 2)] == [
+            "(",
+            ")",
+        ]:
+            rest = tokens[:index] + [token] + tokens[index + 3 :]
+            return call_views(rest)
+    return tokens
+
+
+@rewriting
+def convert_casts(tokens):
+    """Replace `operand::type` by a cast or a conversion function."""
+    at = next((i for i, t in enumerate(tokens) if t.upper == "::"), None)
+    if at is None:
+        return tokens
+    start = operand_start(tokens, at)
+    end = type_end(tokens, at + 1)
+    operand = " ".join(token.text for token in tokens[start:at])
+    form = _CASTS.get(_upper(tokens, at + 1), "{}")
+    text = form.format(operand)
+    return convert_casts(_replace(tokens, start, end - start, text))
+
+
+def operand_start(tokens, cast_index):
+    """Return the index where the operand of a postfix cast starts."""
+    at = cast_index - 1
+    if _upper(tokens, at) == ")":
+        at = _opening_index(tokens, at)
+        is_call = at > 0 and tokens[at - 1].kind is TokenKind.WORD
+        return at - 1 if is_call else at
+    while _upper(tokens, at - 1) == ".":
+        at -= 2
+    return at
+
+
+def _opening_index(tokens, closing):
+    depth = 0
+    for index in range(closing, -1, -1):
+        depth += {")": 1, "(": -1}.get(tokens[index].upper, 0)
+        if depth == 0:
+            return index
+    return 0
+
+
+def type_end(tokens, start):
+    """Return the index after the type name at `start`."""
+    end = start + 1
+    if _upper(tokens, end) in _SECOND_TYPE_WORDS:
+        end += 1
+    if _upper(tokens, end) == "(":
+        end = closing_index(tokens, end) + 1
+    words = [token.upper for token in tokens[end : end + 3]]
+    if words[1:] == ["TIME", "ZONE"]:
+        end += 3
+    return end
+
+
+@rewriting
+def number_parameters(tokens):
+    """Replace $1 by ?1."""
+    return [
+        make_token(TokenKind.PARAM, "?" + token.text[1:])
+        if token.kind is TokenKind.PARAM
+        else token
+        for token in tokens
+    ]
+
+
+@rewriting
+def truncate_by_delete(tokens):
+    """Replace TRUNCATE by DELETE."""
+    if _upper(tokens, 0) != "TRUNCATE":
+        return tokens
+    skip = 2 if _upper(tokens, 1) == "TABLE" else 1
+    return tokenize("DELETE FROM") + tokens[skip : skip + 1]
+
+
+@rewriting
+def adapt_table(tokens):
+    """Adapt column definitions of CREATE TABLE."""
+    if [_upper(tokens, 0), _upper(tokens, 1)] != ["CREATE", "TABLE"]:
+        return tokens
+    opening = next((i for i, t in enumerate(tokens) if t.text == "("), None)
+    if opening is None:
+        return tokens
+    end = closing_index(tokens, opening)
+    parts = split_commas(tokens[opening + 1 : end])
+    body = []
+    for index, part in enumerate(parts):
+        body += tokenize(",") if index else []
+        body += _adapt_column(part)
+    return tokens[: opening + 1] + body + tokens[end:]
+
+
+def _adapt_column(tokens):
+    words = [token.upper for token in tokens]
+    if "GENERATED" in words:
+        start = words.index("GENERATED")
+        end = words.index("IDENTITY") + 1
+        return _serial_column(tokens[:start] + tokens[end:])
+    if len(words) > 1 and words[1] in _SERIALS:
+        return _serial_column(tokens)
+    if "DEFAULT" in words:
+        return _wrap_default(tokens, words.index("DEFAULT") + 1)
+    return tokens
+
+
+def _serial_column(tokens):
+    # Only the exact type INTEGER makes a column the row number in SQLite.
+    rest = tokens[2:]
+    words = [token.upper for token in rest]
+    text = "INTEGER" + (
+        " PRIMARY KEY AUTOINCREMENT" if "PRIMARY" in words else ""
+    )
+    kept = [t for t in rest if t.upper not in ("PRIMARY", "KEY")]
+    return tokens[:1] + tokenize(text) + kept
+
+
+def _wrap_default(tokens, at):
+    if _upper(tokens, at + 1) != "(" or tokens[at].text == "(":
+        return tokens
+    end = closing_index(tokens, at + 1) + 1
+    call = " ".join(token.text for token in tokens[at:end])
+    return _replace(tokens, at, end - at, f"({call})")
--- a/waxwinglift_standin/version/__init__.py
+++ b/waxwinglift_standin/version/__init__.py
@@ -1,1 +1,21 @@
 """What lives for a term: log, replication and promotion."""
+
+from waxwinglift_standin.version._database import Database
+from waxwinglift_standin.version._database import is_schema_change
+from waxwinglift_standin.version._log import find_divergence
+from waxwinglift_standin.version._log import format_lsn
+from waxwinglift_standin.version._log import LogRecord
+from waxwinglift_standin.version._log import parse_lsn
+from waxwinglift_standin.version._state import ReplicaProgress
+from waxwinglift_standin.version._state import ServerState
+
+__all__ = [
+    "Database",
+    "LogRecord",
+    "ReplicaProgress",
+    "ServerState",
+    "find_divergence",
+    "format_lsn",
+    "is_schema_change",
+    "parse_lsn",
+]
--- /dev/null
+++ b/waxwinglift_standin/version/_state.py
@@ -0,0 +1,221 @@
+"""State of a server: role, log, databases, replicas and faults."""
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import time
+
+from waxwinglift.version import EndpointRole
+from waxwinglift.version import Lsn
+from waxwinglift_standin.version._log import decode_transaction
+from waxwinglift_standin.version._log import encode_transaction
+from waxwinglift_standin.version._log import LoggedTransaction
+from waxwinglift_standin.version._log import StatementLog
+
+_LOG = logging.getLogger(__name__)
+
+
+def _now_us():
+    return time.time_ns() // 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults in force and lags; the lags start from the settings."""
+
+    receive_lag_ms: float = 0.0
+    replay_lag_ms: float = 0.0
+    slow_factor: float = 1.0
+    is_frozen: bool = False
+    cuts_replication: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaProgress:
+    """Positions that a streaming replica reported."""
+
+    name: str
+    sent_lsn: Lsn
+    flush_lsn: Lsn
+    replay_lsn: Lsn
+
+
+class FifoSlots:
+    """Slots that are given in order of arrival."""
+
+    def __init__(self, count):
+        self._free_count = count
+        self._waiters = collections.deque()
+
+    async def acquire(self):
+        """Wait for a slot and take it."""
+        if self._free_count and not self._waiters:
+            self._free_count -= 1
+            return
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self.release()
+            raise
+
+    def release(self):
+        """Give a slot back; the first waiter gets it."""
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+        self._free_count += 1
+
+
+class ServerState:
+    """State that the connections of a server share.
+
+    Parameters
+    ----------
+    settings : StandinSettings
+        Settings of the server.
+    database : Database
+        Empty databases.
+    store : LogStore or None
+        File that keeps the log, None for a server in memory.
+    """
+
+    def __init__(self, settings, database, store=None):
+        self.settings = settings
+        self.database = database
+        self.store = store
+        self.log = StatementLog()
+        self.role = EndpointRole(settings.initial_role)
+        self.primary_conninfo = settings.primary_conninfo
+        self.pending_conninfo = self.primary_conninfo
+        self.slots = FifoSlots(settings.slots_count)
+        self.writer = FifoSlots(1)
+        self.faults = Faults(settings.receive_lag_ms, settings.replay_lag_ms)
+        self.replay_lsn = self.log.end_lsn
+        self.last_replay_us = None
+        self.replicas = {}
+        self.receiver = None
+        self.sessions = {}
+        self.changed = asyncio.Event()
+        self.runs = asyncio.Event()
+        self.runs.set()
+        self._replayed_count = 0
+
+    @property
+    def in_recovery(self):
+        """Whether the server is a replica."""
+        return self.role is EndpointRole.REPLICA
+
+    def announce_change(self):
+        """Wake everything that waits for the log, role or faults."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def load(self):
+        """Read the log and the role from the store and replay the log."""
+        if self.store is None:
+            return
+        for record in self.store.load_records():
+            self.log.append(record)
+        self.replay_all()
+        role = self.store.load_value("role")
+        if role is not None:
+            self.role = EndpointRole(role)
+            self.primary_conninfo = self.store.load_value("conninfo")
+            self.pending_conninfo = self.primary_conninfo
+        self.save_role()
+
+    def save_role(self):
+        """Keep role and connection string for the next start."""
+        if self.store is not None:
+            self.store.save_value("role", self.role.value)
+            self.store.save_value("conninfo", self.primary_conninfo)
+
+    def commit(self, transaction):
+        """Commit the working copy and log its statements.
+
+        Raises
+        ------
+        sqlite3.IntegrityError
+            If a deferred constraint fails; nothing is committed then.
+        """
+        self.database.commit()
+        logged = LoggedTransaction(
+            transaction.started_us, _now_us(), transaction.statements
+        )
+        if not logged.statements:
+            return
+        self.database.repeat_committed(logged)
+        self._append(self.log.make_record(encode_transaction(logged)))
+        self._mark_replayed(len(self.log.records))
+        self.announce_change()
+
+    def _append(self, record):
+        if self.store is not None:
+            self.store.append(record)
+        self.log.append(record)
+
+    def _mark_replayed(self, count):
+        self._replayed_count = count
+        if count:
+            self.replay_lsn = self.log.records[count - 1].end_lsn
+
+    def receive(self, record):
+        """Append a record from the primary; it is replayed later."""
+        self._append(record)
+        self.announce_change()
+
+    def replay_next(self):
+        """Apply the next received record; return False when there is none."""
+        if self._replayed_count == len(self.log.records):
+            return False
+        record = self.log.records[self._replayed_count]
+        transaction = decode_transaction(record.payload)
+        self.database.repeat_everywhere(transaction)
+        self._mark_replayed(self._replayed_count + 1)
+        self.last_replay_us = transaction.committed_us
+        return True
+
+    def replay_all(self):
+        """Apply all received records."""
+        while self.replay_next():
+            pass
+
+    def promote(self):
+        """End recovery: replay what was received and start the next term."""
+        if not self.in_recovery:
+            return
+        self.replay_all()
+        self.role = EndpointRole.PRIMARY
+        start = LoggedTransaction(_now_us(), _now_us(), [])
+        term = self.log.term + 1
+        self._append(self.log.make_record(encode_transaction(start), term))
+        self._mark_replayed(len(self.log.records))
+        self.save_role()
+        _LOG.info("promoted", extra={"term": term})
+        self.announce_change()
+
+    def reload(self):
+        """Put the settings changed by ALTER SYSTEM in force."""
+        self.primary_conninfo = self.pending_conninfo
+        self.save_role()
+        self.announce_change()
+
+    def freeze(self, is_frozen):
+        """Stop or resume everything that the server does."""
+        self.faults.is_frozen = is_frozen
+        if is_frozen:
+            self.runs.clear()
+        else:
+            self.runs.set()
+
+    def freeze_for(self, duration_ms):
+        """Freeze, and resume after `duration_ms`."""
+        self.freeze(True)
+        loop = asyncio.get_running_loop()
+        loop.call_later(duration_ms / 1000, self.freeze, False)
