Replicate the stand-in's log and promote replicas

Failover and read routing need groups whose replicas follow a primary, fall behind, are fenced, promoted and repointed. Records carry their term and their byte position, so that the same transactions have the same LSN on every server; a promotion writes a record of its own, as PostgreSQL does. Physical copies of the SQLite file were ruled out: they need a checkpoint per transaction and have no comparable positions.

Not measured.

--- a/waxwinglift_standin/connection/__init__.py
+++ b/waxwinglift_standin/connection/__init__.py
@@ -2,6 +2,8 @@
 
 from waxwinglift_standin.connection import _handlers
 from waxwinglift_standin.connection import _values as values
+from waxwinglift_standin.connection._receiver import ReplicationReceiver
+from waxwinglift_standin.connection._sender import ReplicationSender
 from waxwinglift_standin.connection._session import error_message
 from waxwinglift_standin.connection._session import Session
 from waxwinglift_standin.connection._startup import greeting
@@ -23,6 +25,8 @@
     "Column",
     "Description",
     "PgType",
+    "ReplicationReceiver",
+    "ReplicationSender",
     "Session",
     "SessionData",
     "SqlError",
--- /dev/null
+++ b/waxwinglift_standin/connection/_receiver.py
@@ -0,0 +1,192 @@
+"""Replica's side of a replication stream."""
+
+import asyncio
+import collections
+import contextlib
+import logging
+import re
+
+import pygwire
+from pygwire import messages as pg
+from waxwinglift.process import Address
+from waxwinglift_standin.connection import _stream as stream
+from waxwinglift_standin.version import find_divergence
+
+_LOG = logging.getLogger(__name__)
+_CONNECT_TIMEOUT_S = 2.0
+# A refused log stays refused unless the primary changes, which is rare.
+_REFUSED_RETRY_S = 1.0
+_FAILURES = (OSError, TimeoutError, ValueError, pygwire.PygwireError)
+
+
+class DivergenceError(Exception):
+    """The primary's log does not continue this server's log."""
+
+
+def parse_conninfo(text):
+    """Return the Address that a connection string names.
+
+    Raises
+    ------
+    ValueError
+        If host or port is missing or the port is no number.
+    """
+    parts = dict(re.findall(r"(\w+)\s*=\s*'?([^\s']*)'?", text))
+    if "host" not in parts or "port" not in parts:
+        raise ValueError(f"no host and port in {text!r}")
+    return Address(parts["host"], int(parts["port"]))
+
+
+class ReplicationReceiver:
+    """Follows the primary that the connection string names.
+
+    Parameters
+    ----------
+    state : ServerState
+        State of this server.
+    """
+
+    def __init__(self, state):
+        self._state = state
+        self._pending = collections.deque()
+        self._arrived = asyncio.Event()
+        self._refusal = None
+
+    async def run(self):
+        """Follow, and connect again after each loss."""
+        while True:
+            conninfo = await self._wait_wanted()
+            pause_s = self._state.settings.receiver_retry_ms / 1000
+            try:
+                await stream.run_until_first(
+                    self._follow(conninfo), self._until_unwanted(conninfo)
+                )
+            except DivergenceError as error:
+                self._log_refusal(conninfo, str(error))
+                pause_s = _REFUSED_RETRY_S
+            except _FAILURES as error:
+                _LOG.debug("receiver lost", extra={"reason": str(error)})
+            await self._pause(conninfo, pause_s)
+
+    def _is_wanted(self, conninfo):
+        state = self._state
+        return (
+            state.in_recovery
+            and bool(conninfo)
+            and conninfo == state.primary_conninfo
+            and not state.faults.cuts_replication
+        )
+
+    async def _wait_wanted(self):
+        while not self._is_wanted(self._state.primary_conninfo):
+            await self._state.changed.wait()
+        return self._state.primary_conninfo
+
+    async def _until_unwanted(self, conninfo):
+        while self._is_wanted(conninfo):
+            await self._state.changed.wait()
+
+    async def _pause(self, conninfo, pause_s):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._until_unwanted(conninfo)
+
+    def _log_refusal(self, conninfo, reason):
+        if self._refusal != (conninfo, reason):
+            self._refusal = (conninfo, reason)
+            _LOG.error("replication refused: %s", reason)
+
+    async def _follow(self, conninfo):
+        address = parse_conninfo(conninfo)
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+        with contextlib.closing(writer):
+            self._send_start(writer)
+            decoder = pygwire.BackendMessageDecoder()
+            decoder.phase = pygwire.ConnectionPhase.SIMPLE_QUERY
+            messages = stream.read_copy_data(reader, decoder)
+            async with contextlib.aclosing(messages):
+                await self._check_history(messages)
+                await self._receive(address, messages, writer)
+
+    def _send_start(self, writer):
+        parameters = {
+            "user": "standin",
+            "replication": "true",
+            "application_name": self._state.settings.id,
+        }
+        writer.write(pg.StartupMessage(parameters).to_wire())
+
+    async def _next(self, messages):
+        async with asyncio.timeout(stream.RECEIVER_TIMEOUT_S):
+            return await anext(messages, None)
+
+    async def _check_history(self, messages):
+        data = await self._next(messages)
+        if data is None:
+            raise ConnectionError("the primary closed the stream")
+        log = self._state.log
+        upstream, upstream_end = stream.decode_history(data)
+        reason = find_divergence(
+            log.history, log.end_lsn, upstream, upstream_end
+        )
+        if reason is not None:
+            raise DivergenceError(reason)
+
+    async def _receive(self, address, messages, writer):
+        state = self._state
+        self._pending.clear()
+        state.receiver = address
+        _LOG.info("streaming", extra={"primary": str(address)})
+        state.announce_change()
+        try:
+            await stream.run_until_first(
+                self._read_records(messages),
+                self._append_records(address),
+                self._report(writer),
+            )
+        finally:
+            if state.receiver is address:
+                state.receiver = None
+            state.announce_change()
+
+    async def _read_records(self, messages):
+        loop = asyncio.get_running_loop()
+        while True:
+            data = await self._next(messages)
+            if data is None:
+                return
+            if data != stream.KEEPALIVE:
+                record = stream.decode_record(data)
+                self._pending.append((loop.time(), record))
+                self._arrived.set()
+
+    async def _append_records(self, address):
+        state = self._state
+        while True:
+            if not self._pending:
+                self._arrived.clear()
+                await self._arrived.wait()
+            arrived_s, record = self._pending[0]
+            await state.wait_lag(arrived_s, "receive_lag_ms")
+            # A fenced server must not take a record after it has reported
+            # that its receiver stopped.
+            if state.receiver is not address:
+                return
+            self._pending.popleft()
+            state.receive(record)
+
+    async def _report(self, writer):
+        state, reported = self._state, None
+        while True:
+            changed = state.changed
+            await state.runs.wait()
+            positions = (state.log.end_lsn, state.replay_lsn)
+            if positions != reported:
+                status = stream.encode_status(*positions)
+                writer.write(pg.CopyData(status).to_wire())
+                await writer.drain()
+                reported = positions
+            await changed.wait()
--- a/waxwinglift_standin/process/__init__.py
+++ b/waxwinglift_standin/process/__init__.py
@@ -1,6 +1,7 @@
 """What lives for the server process: settings, services, command."""
 
 from waxwinglift_standin.process import _faults
+from waxwinglift_standin.process._server import running_group
 from waxwinglift_standin.process._server import running_server
 from waxwinglift_standin.process._server import StandinServer
 from waxwinglift_standin.process._settings import AddressSettings
@@ -15,5 +16,6 @@
     "StandinServer",
     "StandinSettings",
     "load_settings",
+    "running_group",
     "running_server",
 ]
--- a/waxwinglift_standin/process/_server.py
+++ b/waxwinglift_standin/process/_server.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 
 import pygwire
 from pygwire import messages as pg
 from waxwinglift.connection import SessionId
 from waxwinglift.process import Address
+from waxwinglift_standin.connection import ReplicationReceiver
+from waxwinglift_standin.connection import ReplicationSender
 from waxwinglift_standin.connection import Session
 from waxwinglift_standin.connection import SessionData
 from waxwinglift_standin.connection import SqlError
@@ -15,9 +18,11 @@
 from waxwinglift_standin.connection import error_message
 from waxwinglift_standin.connection import greeting
 from waxwinglift_standin.connection import read_startup
+from waxwinglift_standin.process._settings import StandinSettings
 from waxwinglift_standin.request import Executor
 from waxwinglift_standin.request import prepare_fault
 from waxwinglift_standin.version import Database
+from waxwinglift_standin.version import open_store
 from waxwinglift_standin.version import ServerState
 
 _LOG = logging.getLogger(__name__)
@@ -51,6 +56,7 @@
         self._listener = None
         self._tasks = set()
         self._next_id = 0
+        self._files = contextlib.ExitStack()
 
     @property
     def address(self):
@@ -72,13 +78,16 @@
         """Load the log and listen."""
         executor = self._executor
         database = Database(executor.install, executor.set_statement)
-        self.state = ServerState(self.settings, database)
+        store = self._files.enter_context(open_store(self.settings.data_file))
+        self.state = ServerState(self.settings, database, store)
         executor.server = self.state
         self.state.load()
         address = self.settings.address
         self._listener = await asyncio.start_server(
             self._accept, str(address.host), address.port, backlog=1000
         )
+        self.start_task(self.state.replay_received())
+        self.start_task(ReplicationReceiver(self.state).run())
 
     async def stop(self):
         """Close the listener and every connection at once."""
@@ -88,6 +97,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.state.database.close()
+        self._files.close()
 
     def start_task(self, coroutine):
         """Run a coroutine until it ends or the server stops."""
@@ -108,14 +118,26 @@
                 await self._serve_started(reader, writer, started)
             except _DISCONNECTS as error:
                 _LOG.debug("connection ended", extra={"reason": str(error)})
+            except Exception:
+                _LOG.exception("connection failed")
 
     async def _serve_started(self, reader, writer, started):
         message = started.message
         if isinstance(message, pg.CancelRequest):
             self._cancel(message)
+        elif "replication" in message.params:
+            await self._serve_replica(reader, writer, started)
         else:
             await self._serve_session(reader, writer, started)
 
+    async def _serve_replica(self, reader, writer, started):
+        self._next_id += 1
+        name = started.message.params.get("application_name", "")
+        sender = ReplicationSender(
+            self.state, self._next_id, name, reader, writer, started.decoder
+        )
+        await sender.serve()
+
     def _cancel(self, request):
         entry = self.state.sessions.get(request.process_id)
         if entry is None or entry.secret_key != request.secret_key:
@@ -179,3 +201,46 @@
         yield server
     finally:
         await server.stop()
+
+
+def _member_settings(number, **values):
+    defaults = {
+        "id": f"server-{number}",
+        "group": "group",
+        "address": {"host": "127.0.0.1", "port": 0},
+        "data_centre": "dc-1",
+        "region": "region-1",
+        "connect_delay_ms": 0,
+        "statement_delay_ms": 0,
+    }
+    return StandinSettings(**(defaults | values))
+
+
+@contextlib.asynccontextmanager
+async def running_group(size=3, **overrides):
+    """Yield the servers of a group, the primary first, all streaming.
+
+    Parameters
+    ----------
+    size : int
+        Number of servers.
+    **overrides
+        Settings of every server that replace the defaults: loopback address
+        with a free port, no delays, no control.
+    """
+    overrides = {"group_size_count": size} | overrides
+    async with contextlib.AsyncExitStack() as stack:
+        settings = _member_settings(1, **overrides)
+        primary = await stack.enter_async_context(running_server(settings))
+        replicas = []
+        for number in range(2, size + 1):
+            role = {
+                "initial_role": "replica",
+                "primary_address": dataclasses.asdict(primary.address),
+            }
+            settings = _member_settings(number, **(overrides | role))
+            server = running_server(settings)
+            replicas.append(await stack.enter_async_context(server))
+        state = primary.state
+        await state.wait_until(lambda: len(state.replicas) == size - 1)
+        yield [primary, *replicas]
--- a/waxwinglift_standin/version/__init__.py
+++ b/waxwinglift_standin/version/__init__.py
@@ -8,6 +8,7 @@
 from waxwinglift_standin.version._log import parse_lsn
 from waxwinglift_standin.version._state import ReplicaProgress
 from waxwinglift_standin.version._state import ServerState
+from waxwinglift_standin.version._store import open_store
 
 __all__ = [
     "Database",
@@ -17,5 +18,6 @@
     "find_divergence",
     "format_lsn",
     "is_schema_change",
+    "open_store",
     "parse_lsn",
 ]
--- a/waxwinglift_standin/version/_state.py
+++ b/waxwinglift_standin/version/_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import logging
 import time
@@ -105,6 +106,7 @@
         self.runs = asyncio.Event()
         self.runs.set()
         self._replayed_count = 0
+        self._received_s = collections.deque()
 
     @property
     def in_recovery(self):
@@ -168,6 +170,7 @@
     def receive(self, record):
         """Append a record from the primary; it is replayed later."""
         self._append(record)
+        self._received_s.append(asyncio.get_running_loop().time())
         self.announce_change()
 
     def replay_next(self):
@@ -179,6 +182,9 @@
         self.database.repeat_everywhere(transaction)
         self._mark_replayed(self._replayed_count + 1)
         self.last_replay_us = transaction.committed_us
+        if self._received_s:
+            self._received_s.popleft()
+        self.announce_change()
         return True
 
     def replay_all(self):
@@ -186,12 +192,47 @@
         while self.replay_next():
             pass
 
+    async def replay_received(self):
+        """Replay received records after the replay lag, until cancelled."""
+        while True:
+            if not self._received_s:
+                await self.changed.wait()
+                continue
+            await self.wait_lag(self._received_s[0], "replay_lag_ms")
+            if self._received_s:
+                self.replay_next()
+            # Gives sessions their turn while a long log is replayed.
+            await asyncio.sleep(0)
+
+    async def wait_lag(self, arrived_s, lag_name):
+        """Wait until the lag of the faults has passed since `arrived_s`.
+
+        A change of the lag applies to waits that have started.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            changed = self.changed
+            lag_s = getattr(self.faults, lag_name) / 1000
+            left_s = arrived_s + lag_s - loop.time()
+            if left_s <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
+        await self.runs.wait()
+
+    async def wait_until(self, condition):
+        """Wait until `condition` returns true after some change."""
+        while not condition():
+            await self.changed.wait()
+
     def promote(self):
         """End recovery: replay what was received and start the next term."""
         if not self.in_recovery:
             return
         self.replay_all()
         self.role = EndpointRole.PRIMARY
+        self.receiver = None
         start = LoggedTransaction(_now_us(), _now_us(), [])
         term = self.log.term + 1
         self._append(self.log.make_record(encode_transaction(start), term))
@@ -202,7 +243,10 @@
 
     def reload(self):
         """Put the settings changed by ALTER SYSTEM in force."""
-        self.primary_conninfo = self.pending_conninfo
+        if self.primary_conninfo != self.pending_conninfo:
+            self.primary_conninfo = self.pending_conninfo
+            # Stops the receiver at once: nothing that is under way is taken.
+            self.receiver = None
         self.save_role()
         self.announce_change()
 
