--- a/waxwinglift_standin/process/__init__.py
+++ b/waxwinglift_standin/process/__init__.py
@@ -1,6 +1,7 @@
 """What lives for the server process: settings, services, command."""
 
 from waxwinglift_standin.process import _faults
+from waxwinglift_standin.process._command import main
 from waxwinglift_standin.process._server import running_group
 from waxwinglift_standin.process._server import running_server
 from waxwinglift_standin.process._server import StandinServer
@@ -16,6 +17,7 @@
     "StandinServer",
     "StandinSettings",
     "load_settings",
+    "main",
     "running_group",
     "running_server",
 ]
--- a/waxwinglift_standin/process/_settings.py
+++ b/waxwinglift_standin/process/_settings.py
@@ -76,12 +76,39 @@
         return f"host={address.host} port={address.port}"
 
 
+def _field_schema(path):
+    """Return the JSON schema of the key at `path`, empty if unknown."""
+    schema = StandinSettings.model_json_schema()
+    definitions = schema.get("$defs", {})
+    for part in path:
+        choices = [schema, *schema.get("anyOf", ())]
+        names = [choice.get("$ref", "").split("/")[-1] for choice in choices]
+        schema = next((definitions[n] for n in names if n), schema)
+        if isinstance(part, int):
+            schema = schema.get("items", {})
+        else:
+            schema = schema.get("properties", {}).get(part, {})
+    return schema
+
+
+def _allowed_range(path):
+    schema = _field_schema(path)
+    if "minimum" in schema and "maximum" in schema:
+        return f"; allowed: {schema['minimum']} to {schema['maximum']}"
+    if "minLength" in schema:
+        lengths = f"{schema['minLength']} to {schema['maxLength']}"
+        return f"; allowed: {lengths} characters"
+    if "enum" in schema:
+        return f"; allowed: {', '.join(schema['enum'])}"
+    return ""
+
+
 def describe_problems(path, error):
     """Return a line per problem that pydantic found in the file."""
     lines = []
     for problem in error.errors():
         key = ".".join(str(part) for part in problem["loc"])
-        text = problem["msg"]
+        text = problem["msg"] + _allowed_range(problem["loc"])
         if problem["type"] == "extra_forbidden":
             text = "unknown key"
         lines.append(f"{path}: {key}: {text}")
