--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -98,25 +98,28 @@
     )
 
 
+def _inline_address(port):
+    return f'{{ host = "127.0.0.1", port = {port} }}'
+
+
 def endpoint_settings(plan, number, folder):
     """Return the TOML text of a stand-in server's settings."""
-    role = "primary" if number == 0 else "replica"
-    primary = ""
-    if number:
-        primary = f'primary = "{_address(plan.endpoint_ports[0])}"\n'
-    return (
-        f'endpoint = "server-{number}"\n'
+    control = ", ".join(_inline_address(port) for port in plan.control_ports)
+    role = "replica" if number else "primary"
+    text = (
+        f'id = "server-{number}"\n'
         f'group = "{GROUP}"\n'
-        f'listen = "{_address(plan.endpoint_ports[number])}"\n'
-        f"control = [{_control_list(plan)}]\n"
-        f'role = "{role}"\n{primary}'
+        f"address = {_inline_address(plan.endpoint_ports[number])}\n"
+        f"control_addresses = [{control}]\n"
+        f'initial_role = "{role}"\n'
         f"slots_count = 3\n"
         f"connection_limit_count = 25\n"
-        f"connect_delay_ms = 12\n"
-        f"statement_delay_ms = 1\n"
-        f"replay_lag_ms = {5 if number else 0}\n"
-        f"[location]\n{_location(number)}"
+        f"{_location(number)}"
     )
+    if number:
+        primary = _inline_address(plan.endpoint_ports[0])
+        text += f"primary_address = {primary}\nreplay_lag_ms = 5\n"
+    return text
 
 
 class Fleet:
@@ -127,13 +130,13 @@
         self.folder = folder
         self._processes = {}
 
-    def start(self, name, program, settings_text):
+    def start(self, name, program, settings_text, *options):
         """Write the settings file of ``name`` and start the program."""
         path = self.folder / f"{name}.toml"
         path.write_text(settings_text, encoding="utf-8")
         with (self.folder / f"{name}.log").open("w") as log:
             self._processes[name] = subprocess.Popen(
-                [str(BIN / program), str(path)],
+                [str(BIN / program), *options, str(path)],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -160,7 +163,9 @@
         plan, folder = self.plan, self.folder
         for number in range(len(plan.control_ports)):
             text = control_settings(plan, number, folder)
-            self.start(f"control-{number}", "waxwinglift-control", text)
+            self.start(
+                f"control-{number}", "waxwinglift-control", text, "--found"
+            )
         for number in range(len(plan.endpoint_ports)):
             text = endpoint_settings(plan, number, folder)
             self.start(f"server-{number}", "waxwinglift-standin", text)
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -25,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 RECONNECT_DELAY_S = 0.1
+# A relay that is cut off from the leader answers, but only with refusals.
+REFUSALS_COUNT = 3
 # Control sends at least one message a second; three missed ones mean that
 # the stream has gone silent.
 WATCH_TIMEOUT_S = 3.0
@@ -76,6 +78,7 @@
         self.is_draining = False
         self._is_stopped = False
         self._sequence = 0
+        self._refusals_count = 0
         self._renew_now = asyncio.Event()
         self._relays = order_relays(settings.daemon, settings.control)
         self._has_lease = False
@@ -106,6 +109,7 @@
 
     def _next_relay(self, failed):
         """Use another control daemon unless that has happened already."""
+        self._refusals_count = 0
         if self._relays[0] == failed:
             self._relays.append(self._relays.pop(0))
 
@@ -188,7 +192,7 @@
         self._note_lease()
 
     async def _renew_once(self, channel):
-        """Send one renewal; return whether the relay answered."""
+        """Send one renewal; return whether to stay with the relay."""
         self._sequence += 1
         renewal = self._make_renewal()
         stub = control_grpc.ControlStub(channel)
@@ -201,13 +205,18 @@
         except CALL_ERRORS:
             self.metrics.incr("control.renewals_lost")
             return False
+        self._take_grant(grant)
+        self._note_lease()
+        return self._refusals_count < REFUSALS_COUNT
+
+    def _take_grant(self, grant):
         if grant.granted:
+            self._refusals_count = 0
             self.lease.on_grant(grant.sequence, grant.lease_ms)
             self.metrics.incr("control.renewals_granted")
         else:
+            self._refusals_count += 1
             self.metrics.incr("control.renewals_refused")
-        self._note_lease()
-        return True
 
     def _make_renewal(self):
         settings = self.settings
