Add session tokens, statement classes and message framing

The data path needs to tell reads from writes, keep its own statements' answers apart from the caller's, and carry floors between proxies. Parsing the SQL text was ruled out: a replica's 25006 corrects a wrong guess at the cost of one hop. Nothing was measured yet.

--- /dev/null
+++ b/waxwinglift/connection/_wire.py
@@ -0,0 +1,212 @@
+"""Framing of PostgreSQL messages without decoding their contents.
+
+Result bytes pass through a proxy undecoded; only the type byte and length of
+each message are read.  ``ReplyFilter`` pairs the answers of one packet with
+the steps that it holds, so that answers to the proxy's own statements are
+kept apart from those that the caller gets.
+"""
+
+import dataclasses
+import enum
+import struct
+
+from pygwire.messages import ErrorResponse
+
+_HEADER = struct.Struct("!cI")
+_HEADER_BYTES = 5
+_LENGTH = struct.Struct("!i")
+_COLUMN_COUNT = struct.Struct("!H")
+# Messages that a server may send at any time.
+_ASYNCHRONOUS = frozenset({b"N", b"S", b"A"})
+_COPY = frozenset({b"G", b"H", b"W"})
+
+
+class WireError(Exception):
+    """A peer sent bytes that are not PostgreSQL messages."""
+
+
+class FrameSplitter:
+    """Cuts a byte stream into messages.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Largest accepted message.
+
+    Raises
+    ------
+    WireError
+        From ``feed``, when a length is out of range.
+    """
+
+    def __init__(self, limit_bytes):
+        self._limit_bytes = limit_bytes
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> list[tuple[bytes, bytes]]:
+        """Return (type, whole message) of each message now complete."""
+        buffer = self._buffer + data if self._buffer else data
+        frames = []
+        start = 0
+        while len(buffer) - start >= _HEADER_BYTES:
+            kind, length = _HEADER.unpack_from(buffer, start)
+            if not 4 <= length <= self._limit_bytes:
+                raise WireError(f"message length {length} is out of range")
+            end = start + 1 + length
+            if end > len(buffer):
+                break
+            frames.append((kind, buffer[start:end]))
+            start = end
+        self._buffer = buffer[start:]
+        return frames
+
+
+class StepKind(enum.Enum):
+    """Messages that get an answer."""
+
+    QUERY = "query"
+    SYNC = "sync"
+    PARSE = "parse"
+    BIND = "bind"
+    CLOSE = "close"
+    DESCRIBE = "describe"
+    EXECUTE = "execute"
+
+
+# Types of the message that ends the answer to each kind.
+_ENDINGS = {
+    StepKind.QUERY: frozenset({b"Z"}),
+    StepKind.SYNC: frozenset({b"Z"}),
+    StepKind.PARSE: frozenset({b"1"}),
+    StepKind.BIND: frozenset({b"2"}),
+    StepKind.CLOSE: frozenset({b"3"}),
+    StepKind.DESCRIBE: frozenset({b"T", b"n"}),
+    StepKind.EXECUTE: frozenset({b"C", b"I", b"s"}),
+}
+_STEP_KINDS = {
+    b"Q": StepKind.QUERY,
+    b"S": StepKind.SYNC,
+    b"P": StepKind.PARSE,
+    b"B": StepKind.BIND,
+    b"C": StepKind.CLOSE,
+    b"D": StepKind.DESCRIBE,
+    b"E": StepKind.EXECUTE,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Step:
+    """One message of a packet and what was seen of its answer.
+
+    ``note`` is free for the sender.  ``tag`` is the last command tag,
+    ``error`` the first error, ``value`` the first column of the last row
+    (kept for steps that are not forwarded only), ``status`` the transaction
+    status of ReadyForQuery.
+    """
+
+    kind: StepKind
+    is_forwarded: bool
+    note: str = ""
+    tag: str = ""
+    error: ErrorResponse | None = None
+    rows: list[list[str | None]] = dataclasses.field(default_factory=list)
+    status: str = ""
+    is_done: bool = False
+
+
+def step_of(kind: bytes, note: str = "") -> Step | None:
+    """Return the forwarded step of a caller's message, None for Flush."""
+    step_kind = _STEP_KINDS.get(kind)
+    return None if step_kind is None else Step(step_kind, True, note)
+
+
+class ReplyFilter:
+    """Pairs answers with steps and returns the bytes to pass on.
+
+    ReadyForQuery is never passed on: the entry proxy writes its own.
+    """
+
+    def __init__(self, steps: list[Step], limit_bytes: int):
+        self._steps = steps
+        self._next = 0
+        self._splitter = FrameSplitter(limit_bytes)
+        self.is_copy = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether each step has its complete answer."""
+        return self._next >= len(self._steps)
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes of the endpoint; return those for the caller."""
+        passed = []
+        for kind, frame in self._splitter.feed(data):
+            if self._take(kind, frame):
+                passed.append(frame)
+        return b"".join(passed)
+
+    def _take(self, kind, frame):
+        if self.is_done:
+            if kind in _ASYNCHRONOUS:
+                return False
+            raise WireError("the endpoint sent an answer to no statement")
+        step = self._steps[self._next]
+        if kind in _ASYNCHRONOUS:
+            return step.is_forwarded and kind != b"A"
+        self.is_copy = self.is_copy or kind in _COPY
+        self._note(step, kind, frame)
+        if kind == b"E" and step.kind is not StepKind.QUERY:
+            self._skip_to_sync()
+        elif kind in _ENDINGS[step.kind]:
+            self._finish(step)
+        return step.is_forwarded and kind != b"Z"
+
+    def _note(self, step, kind, frame):
+        if kind == b"E" and step.error is None:
+            step.error = ErrorResponse.decode(
+                memoryview(frame)[_HEADER_BYTES:]
+            )
+        elif kind == b"C":
+            step.tag = frame[_HEADER_BYTES:-1].decode("utf-8", "replace")
+        elif kind == b"Z":
+            step.status = chr(frame[_HEADER_BYTES])
+        elif kind == b"D" and not step.is_forwarded:
+            step.rows.append(read_row(frame))
+
+    def _finish(self, step):
+        step.is_done = True
+        self._next += 1
+
+    def _skip_to_sync(self):
+        # After an error the server ignores messages up to Sync.
+        while self._steps[self._next].kind is not StepKind.SYNC:
+            self._next += 1
+            if self.is_done:
+                raise WireError("an error was reported outside a cycle")
+
+
+def read_row(frame: bytes) -> list[str | None]:
+    """Return the columns of a DataRow message as text."""
+    (count,) = _COLUMN_COUNT.unpack_from(frame, _HEADER_BYTES)
+    offset = _HEADER_BYTES + 2
+    columns = []
+    for _ in range(count):
+        (length,) = _LENGTH.unpack_from(frame, offset)
+        offset += 4
+        if length < 0:
+            columns.append(None)
+            continue
+        columns.append(frame[offset : offset + length].decode())
+        offset += length
+    return columns
+
+
+def parse_lsn(text: str) -> int:
+    """Return the byte offset of a log position such as ``0/16B3740``."""
+    high, _, low = text.partition("/")
+    return (int(high, 16) << 32) | int(low, 16)
+
+
+def format_lsn(lsn: int) -> str:
+    """Return a byte offset as PostgreSQL writes it."""
+    return f"{lsn >> 32:X}/{lsn & 0xFFFFFFFF:X}"
--- /dev/null
+++ b/waxwinglift/request/_classify.py
@@ -0,0 +1,174 @@
+"""What a statement does, judged by its first keywords only.
+
+The text is not parsed.  A wrong guess costs a hop, never a wrong answer: a
+replica refuses a write with SQLSTATE 25006 and the request goes to the
+primary.  A text with several statements counts as a write.
+"""
+
+import dataclasses
+import enum
+import re
+
+
+class StatementKind(enum.Enum):
+    """Kinds that the data path treats differently."""
+
+    EMPTY = "empty"
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    BEGIN_READ_ONLY = "begin_read_only"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SET = "set"
+    RESET = "reset"
+    SHOW = "show"
+    DISCARD_ALL = "discard_all"
+    DEALLOCATE = "deallocate"
+    UNSUPPORTED = "unsupported"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """A classified statement.
+
+    ``name`` is the parameter, prepared statement or keyword it concerns
+    (``"all"`` for RESET ALL and DEALLOCATE ALL), ``value`` the text that SET
+    assigns, as written.
+    """
+
+    kind: StatementKind
+    name: str = ""
+    value: str = ""
+
+
+_READ_KEYWORDS = frozenset(
+    {"select", "with", "values", "table", "explain", "fetch"}
+)
+_SKIPPED = re.compile(r"(?:\s+|--[^\n]*(?:\n|$)|/\*.*?\*/|;)*", re.DOTALL)
+_KEYWORD = re.compile(r"[A-Za-z_]+")
+_LATER_STATEMENT = re.compile(r";\s*[^\s;]")
+_SET = re.compile(
+    r"set\s+(?:session\s+)?([a-z_][a-z0-9_.]*)\s*(?:=|\s+to\s+)\s*(.+?)"
+    r"[\s;]*$",
+    re.IGNORECASE | re.DOTALL,
+)
+_SET_ZONE = re.compile(
+    r"set\s+(?:session\s+)?time\s+zone\s+(.+?)[\s;]*$",
+    re.IGNORECASE | re.DOTALL,
+)
+_OBJECT = re.compile(
+    r"[a-z]+\s+(?:prepare\s+)?\"?([a-z_0-9.]+)\"?[\s;]*$", re.IGNORECASE
+)
+_READ_ONLY = re.compile(r"\bread\s+only\b", re.IGNORECASE)
+_classifiers = {}
+
+
+def classify(text: str) -> Statement:
+    """Return the kind of a simple query's or prepared statement's text."""
+    start = _SKIPPED.match(text).end()
+    keyword = _KEYWORD.match(text, start)
+    if keyword is None:
+        return _classify_without_keyword(text, start)
+    if _LATER_STATEMENT.search(text, start):
+        return Statement(StatementKind.WRITE)
+    word = keyword.group().lower()
+    classifier = _classifiers.get(word)
+    if classifier is None:
+        return Statement(_kind_of_plain(word))
+    return classifier(text[start:])
+
+
+def _classify_without_keyword(text, start):
+    if start >= len(text):
+        return Statement(StatementKind.EMPTY)
+    is_read = text[start] == "("
+    return Statement(StatementKind.READ if is_read else StatementKind.WRITE)
+
+
+def _kind_of_plain(word):
+    if word in _READ_KEYWORDS:
+        return StatementKind.READ
+    return StatementKind.WRITE
+
+
+def _first_keyword(*words):
+    """Register a classifier for statements that start with ``words``."""
+
+    def register(classifier):
+        for word in words:
+            _classifiers[word] = classifier
+        return classifier
+
+    return register
+
+
+@_first_keyword("begin", "start")
+def _classify_begin(text):
+    if _READ_ONLY.search(text):
+        return Statement(StatementKind.BEGIN_READ_ONLY)
+    return Statement(StatementKind.BEGIN)
+
+
+@_first_keyword("commit", "end")
+def _classify_commit(text):
+    if re.match(r"commit\s+prepared", text, re.IGNORECASE):
+        return Statement(StatementKind.WRITE)
+    return Statement(StatementKind.COMMIT)
+
+
+@_first_keyword("rollback", "abort")
+def _classify_rollback(text):
+    # ROLLBACK TO SAVEPOINT stays in the block, ROLLBACK PREPARED is a write.
+    if re.match(r"\w+\s+(?:work\s+)?(?:to|prepared)\b", text, re.IGNORECASE):
+        return Statement(StatementKind.WRITE)
+    return Statement(StatementKind.ROLLBACK)
+
+
+@_first_keyword("set")
+def _classify_set(text):
+    zone = _SET_ZONE.match(text)
+    if zone is not None:
+        return Statement(StatementKind.SET, "timezone", zone.group(1))
+    assignment = _SET.match(text)
+    # SET LOCAL and SET TRANSACTION end with their block.
+    if assignment is None:
+        return Statement(StatementKind.WRITE)
+    name = assignment.group(1).lower()
+    return Statement(StatementKind.SET, name, assignment.group(2))
+
+
+@_first_keyword("reset")
+def _classify_reset(text):
+    return Statement(StatementKind.RESET, _object_name(text))
+
+
+@_first_keyword("show")
+def _classify_show(text):
+    return Statement(StatementKind.SHOW, _object_name(text))
+
+
+@_first_keyword("discard")
+def _classify_discard(text):
+    return Statement(StatementKind.DISCARD_ALL, _object_name(text))
+
+
+@_first_keyword("deallocate")
+def _classify_deallocate(text):
+    return Statement(StatementKind.DEALLOCATE, _object_name(text, True))
+
+
+@_first_keyword("listen", "unlisten", "copy", "prepare", "execute", "load")
+def _classify_unsupported(text):
+    word = _KEYWORD.match(text).group().lower()
+    # PREPARE TRANSACTION is an ordinary write.
+    if re.match(r"prepare\s+transaction\b", text, re.IGNORECASE):
+        return Statement(StatementKind.WRITE)
+    return Statement(StatementKind.UNSUPPORTED, word.upper())
+
+
+def _object_name(text, keeps_case=False):
+    match = _OBJECT.match(text)
+    if match is None:
+        return ""
+    return match.group(1) if keeps_case else match.group(1).lower()
