Add the session's decisions and the data path's messages

Options, recorded settings, prepared statements and floors of a caller have to survive a change of endpoint, so they live in a synchronous session that the entry side drives. Replaying SET statements as one packet with the request was ruled out: a failed replay would run the request under another caller's settings. Nothing was measured yet.

--- /dev/null
+++ b/waxwinglift/connection/_session.py
@@ -0,0 +1,377 @@
+"""Decisions of one caller's session.
+
+A session knows its options, recorded settings, prepared statements, floors
+and transaction status.  It decides what each statement needs; it holds no
+sockets and encodes no messages.
+"""
+
+from collections.abc import Sequence
+
+from result import Err
+from result import Ok
+from result import Result
+import xxhash
+
+from waxwinglift.connection._session_options import PREFIX
+from waxwinglift.connection._session_options import SessionOptions
+from waxwinglift.connection._session_options import show_option
+from waxwinglift.connection._session_options import with_option
+from waxwinglift.connection._session_options import without_option
+from waxwinglift.connection._session_types import LocalAnswer
+from waxwinglift.connection._session_types import Plan
+from waxwinglift.connection._session_types import PreparedStatement
+from waxwinglift.connection._session_types import RunPlan
+from waxwinglift.connection._token import decode_token
+from waxwinglift.connection._token import encode_token
+from waxwinglift.connection._types import SessionId
+from waxwinglift.connection._types import TransactionStatus
+from waxwinglift.request import Access
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.request._classify import Statement
+from waxwinglift.request._classify import StatementKind
+from waxwinglift.request._floors import advance_floor
+from waxwinglift.version import GroupName
+from waxwinglift.version import PoolTable
+from waxwinglift.version import Position
+from waxwinglift.version import Rank
+
+_LOST_BLOCK = "the transaction block was lost, end it with ROLLBACK"
+
+
+_LOCAL_KINDS = frozenset(
+    {
+        StatementKind.DISCARD_ALL,
+        StatementKind.DEALLOCATE,
+        StatementKind.UNSUPPORTED,
+    }
+)
+_READ_KINDS = frozenset(
+    {
+        StatementKind.READ,
+        StatementKind.SHOW,
+        StatementKind.SET,
+        StatementKind.RESET,
+        StatementKind.EMPTY,
+        StatementKind.BEGIN_READ_ONLY,
+    }
+)
+_FLOORLESS_KINDS = frozenset(
+    {StatementKind.SET, StatementKind.RESET, StatementKind.EMPTY}
+)
+_local_answers = {}
+
+
+def _answers(kind):
+    """Register the method that answers one kind without an endpoint."""
+
+    def register(method):
+        _local_answers[kind] = method
+        return method
+
+    return register
+
+
+class Session:
+    """State of one caller.
+
+    Parameters
+    ----------
+    session : SessionId
+    table : PoolTable
+        Current table of the session's pool; replaced on each edit.
+    token_secret : bytes
+        Fleet secret that signs tokens.
+    """
+
+    def __init__(
+        self, session: SessionId, table: PoolTable, token_secret: bytes
+    ):
+        self.session = session
+        self.table = table
+        self.status = TransactionStatus.IDLE
+        self.options = SessionOptions()
+        self.settings: dict[str, str] = {}
+        self.prepared: dict[str, PreparedStatement] = {}
+        self.block_is_lost = False
+        self.shown_floor: Position | None = None
+        self._floors: dict[GroupName, Position] = {}
+        self._block_settings: dict[str, str] | None = None
+        self._token_secret = token_secret
+
+    @property
+    def rank(self) -> Rank:
+        """Stated rank, or the least urgent one of the table."""
+        return self.options.rank or self.table.rows[-1].rank
+
+    @property
+    def deadline_ms(self) -> int:
+        """Stated deadline, or that of the rank's row."""
+        if self.options.deadline_ms is not None:
+            return self.options.deadline_ms
+        for row in self.table.rows:
+            if row.rank == self.rank:
+                return row.deadline_ms
+        return self.table.rows[-1].deadline_ms
+
+    @property
+    def floor(self) -> Position | None:
+        """Floor in the pool's group, None when there is none yet."""
+        return self._floors.get(self.table.group)
+
+    @property
+    def is_in_block(self) -> bool:
+        """Whether a transaction block is open or waits for ROLLBACK."""
+        return self.status is not TransactionStatus.IDLE
+
+    def observe(self, group: GroupName, position: Position | None):
+        """Raise the floor to a position that the session wrote or read."""
+        floor = advance_floor(self._floors.get(group), position)
+        if floor is not None:
+            self._floors[group] = floor
+
+    def token(self) -> str:
+        """Return the token of the floor; empty when there is none."""
+        if self.floor is None:
+            return ""
+        group = self.table.group
+        return encode_token(self._token_secret, group, self.floor)
+
+    def take_new_token(self) -> str | None:
+        """Return the token if the floor changed since the last call."""
+        if self.floor == self.shown_floor:
+            return None
+        self.shown_floor = self.floor
+        return self.token()
+
+    def set_option(self, name: str, text: str) -> Result[None, Failure]:
+        """Set ``waxwinglift.<name>`` from its text."""
+        if name == "token":
+            return self._set_token(text)
+        changed = with_option(self.options, name, text, self.table)
+        if isinstance(changed, Err):
+            return changed
+        self.options = changed.ok_value
+        return Ok(None)
+
+    def record_startup(self, name: str, text: str) -> Result[None, Failure]:
+        """Take a start-up parameter."""
+        lowered = name.lower()
+        if lowered.startswith(PREFIX):
+            return self.set_option(lowered[len(PREFIX) :], text)
+        if not lowered.replace("_", "").replace(".", "").isalnum():
+            message = f"invalid parameter name {name!r}"
+            return Err(not_run(FailureCode.BAD_PARAMETER, message))
+        # Endpoint connections use UTF-8 already.
+        if lowered == "client_encoding" and _is_utf8(text):
+            return Ok(None)
+        self.settings[lowered] = _literal(lowered, text)
+        return Ok(None)
+
+    def prepare(self, name: str, query: str, param_types, statement):
+        """Record a prepared statement and return it."""
+        endpoint_name = ""
+        if name:
+            identity = f"{query}\0{','.join(map(str, param_types))}"
+            digest = xxhash.xxh3_128_hexdigest(identity.encode())
+            endpoint_name = f"wx_{digest}"
+        types = tuple(param_types)
+        prepared = PreparedStatement(endpoint_name, query, types, statement)
+        self.prepared[name] = prepared
+        return prepared
+
+    def plan(
+        self,
+        executed: Sequence[Statement],
+        described: Sequence[Statement] = (),
+    ) -> Plan:
+        """Decide what the statements of one exchange need.
+
+        Parameters
+        ----------
+        executed : sequence of Statement
+            Statements that run.
+        described : sequence of Statement
+            Statements that are only prepared or described.
+        """
+        everything = [*executed, *described]
+        if any(is_local(one, self.block_is_lost) for one in everything):
+            return self._plan_local(executed, everything)
+        kinds = {statement.kind for statement in everything}
+        is_block = kinds & {StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY}
+        return RunPlan(
+            access=self._access(kinds),
+            starts_block=bool(is_block) and not self.is_in_block,
+            needs_floor=not kinds <= _FLOORLESS_KINDS,
+            statements=tuple(executed),
+        )
+
+    def take_idempotency_key(self) -> str:
+        """Return the key of the transaction that starts, and forget it."""
+        key = self.options.idempotency_key
+        self.options = without_option(self.options, "idempotency_key")
+        return key
+
+    def finish(self, plan: RunPlan, status: TransactionStatus, failed: bool):
+        """Record that an exchange ended with ``status``."""
+        was_in_block = self.is_in_block
+        self.status = status
+        if was_in_block or plan.starts_block:
+            self._finish_in_block(plan, failed)
+        elif not failed:
+            self._apply(self.settings, plan.statements)
+
+    def lose_block(self):
+        """Record that the open block's connection is gone."""
+        self.block_is_lost = True
+        self._block_settings = None
+        self.status = TransactionStatus.FAILED
+
+    def _finish_in_block(self, plan, failed):
+        if self._block_settings is None:
+            self._block_settings = dict(self.settings)
+        if not failed:
+            self._apply(self._block_settings, plan.statements)
+        if self.is_in_block:
+            return
+        kinds = {statement.kind for statement in plan.statements}
+        if StatementKind.ROLLBACK not in kinds and not failed:
+            self.settings = self._block_settings
+        self._block_settings = None
+
+    def _apply(self, settings, statements):
+        for statement in statements:
+            if statement.kind is StatementKind.SET:
+                settings[statement.name] = statement.value
+            elif statement.kind is StatementKind.RESET:
+                settings.pop(statement.name, None)
+
+    def _access(self, kinds):
+        if self.options.idempotency_key:
+            return Access.WRITE
+        if self.options.access is not Access.AUTO:
+            return self.options.access
+        return Access.READ if kinds <= _READ_KINDS else Access.WRITE
+
+    def _plan_local(self, executed, everything):
+        statement = everything[0]
+        if any(other != statement for other in everything):
+            message = "this statement must be alone in its exchange"
+            return not_run(FailureCode.NOT_SUPPORTED, message)
+        if self.block_is_lost:
+            return self._answer_lost_block(statement)
+        if not executed:
+            is_show = statement.kind is StatementKind.SHOW
+            return LocalAnswer("", statement.name if is_show else "")
+        return _local_answers[statement.kind](self, statement)
+
+    def _answer_lost_block(self, statement):
+        if statement.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            self.block_is_lost = False
+            self.status = TransactionStatus.IDLE
+            return LocalAnswer("ROLLBACK")
+        return not_run(FailureCode.FAILED_BLOCK, _LOST_BLOCK)
+
+    @_answers(StatementKind.SET)
+    def _answer_set(self, statement):
+        name = statement.name.removeprefix(PREFIX)
+        outcome = self.set_option(name, _unquote(statement.value))
+        if isinstance(outcome, Err):
+            return outcome.err_value
+        return LocalAnswer("SET")
+
+    @_answers(StatementKind.SHOW)
+    def _answer_show(self, statement):
+        name = statement.name.removeprefix(PREFIX)
+        is_token = name == "token"
+        text = self.token() if is_token else show_option(self.options, name)
+        if text is None:
+            message = f"unknown option {statement.name}"
+            return not_run(FailureCode.BAD_PARAMETER, message)
+        return LocalAnswer("SHOW", statement.name, text)
+
+    @_answers(StatementKind.RESET)
+    def _answer_reset(self, statement):
+        if statement.name == "all":
+            return self._reset_all()
+        name = statement.name.removeprefix(PREFIX)
+        if show_option(self.options, name) is None:
+            message = f"unknown option {statement.name}"
+            return not_run(FailureCode.BAD_PARAMETER, message)
+        self.options = without_option(self.options, name)
+        return LocalAnswer("RESET")
+
+    def _reset_all(self):
+        if self.is_in_block:
+            message = "RESET ALL is supported outside a block only"
+            return not_run(FailureCode.NOT_SUPPORTED, message)
+        self.settings.clear()
+        self.options = SessionOptions()
+        return LocalAnswer("RESET")
+
+    @_answers(StatementKind.DISCARD_ALL)
+    def _answer_discard(self, statement):
+        if statement.name != "all" or self.is_in_block:
+            message = "DISCARD is supported as DISCARD ALL outside a block"
+            return not_run(FailureCode.NOT_SUPPORTED, message)
+        self.prepared.clear()
+        self.settings.clear()
+        self.options = SessionOptions()
+        return LocalAnswer("DISCARD ALL")
+
+    @_answers(StatementKind.DEALLOCATE)
+    def _answer_deallocate(self, statement):
+        if statement.name.lower() == "all":
+            self.prepared.clear()
+            return LocalAnswer("DEALLOCATE ALL")
+        if self.prepared.pop(statement.name, None) is None:
+            message = f"unknown prepared statement {statement.name!r}"
+            return not_run(FailureCode.UNKNOWN_STATEMENT, message)
+        return LocalAnswer("DEALLOCATE")
+
+    @_answers(StatementKind.UNSUPPORTED)
+    def _answer_unsupported(self, statement):
+        message = f"{statement.name} is not supported by the proxy"
+        return not_run(FailureCode.NOT_SUPPORTED, message)
+
+    def _set_token(self, text):
+        if not text:
+            return Ok(None)
+        decoded = decode_token(self._token_secret, text)
+        if isinstance(decoded, Err):
+            return decoded
+        group, floor = decoded.ok_value
+        self.observe(group, floor)
+        return Ok(None)
+
+
+def is_local(statement: Statement, block_is_lost: bool = False) -> bool:
+    """Return whether a statement is answered without an endpoint."""
+    if block_is_lost or statement.kind in _LOCAL_KINDS:
+        return True
+    if statement.kind is StatementKind.RESET and statement.name == "all":
+        return True
+    has_name = statement.kind in (
+        StatementKind.SET,
+        StatementKind.SHOW,
+        StatementKind.RESET,
+    )
+    return has_name and statement.name.startswith(PREFIX)
+
+
+def _is_utf8(text):
+    return text.lower().replace("-", "") in ("utf8", "unicode")
+
+
+def _literal(name, text):
+    # The start-up packet holds a list as one text, SET takes its elements.
+    parts = text.split(",") if name == "search_path" else [text]
+    bare = [part.strip().strip('"') for part in parts]
+    return ", ".join("'" + part.replace("'", "''") + "'" for part in bare)
+
+
+def _unquote(value):
+    if len(value) >= 2 and value[0] == value[-1] == "'":
+        return value[1:-1].replace("''", "'")
+    return value
--- /dev/null
+++ b/waxwinglift/connection/_session_options.py
@@ -0,0 +1,116 @@
+"""Options ``waxwinglift.*`` that a session may set."""
+
+import dataclasses
+
+from result import Err
+from result import Ok
+from result import Result
+
+from waxwinglift.request import Access
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.version import PoolTable
+from waxwinglift.version import Rank
+
+PREFIX = "waxwinglift."
+IDEMPOTENCY_KEY_LIMIT_CHARACTERS = 200
+# The header carries milliseconds as 32 bits.
+_LIMIT_MS = 2**31
+_parsers = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionOptions:
+    """Current values; None stands for the default of the pool's table."""
+
+    rank: Rank | None = None
+    access: Access = Access.AUTO
+    max_age_ms: int = 0
+    deadline_ms: int | None = None
+    idempotency_key: str = ""
+
+
+def with_option(
+    options: SessionOptions, name: str, text: str, table: PoolTable
+) -> Result[SessionOptions, Failure]:
+    """Return the options with one of them set from its text."""
+    parser = _parsers.get(name)
+    if parser is None:
+        return _refuse(f"unknown option {PREFIX}{name}")
+    parsed = parser(text, table)
+    return parsed.map(
+        lambda value: dataclasses.replace(options, **{name: value})
+    )
+
+
+def without_option(options: SessionOptions, name: str) -> SessionOptions:
+    """Return the options with one of them back at its default."""
+    default = getattr(SessionOptions(), name)
+    return dataclasses.replace(options, **{name: default})
+
+
+def show_option(options: SessionOptions, name: str) -> str | None:
+    """Return the text of an option, None when it is unknown."""
+    if name not in _parsers:
+        return None
+    value = getattr(options, name)
+    if isinstance(value, Access):
+        return value.value
+    return "" if value is None else str(value)
+
+
+def _option(name):
+    """Register the parser of one option."""
+
+    def register(parser):
+        _parsers[name] = parser
+        return parser
+
+    return register
+
+
+@_option("rank")
+def _parse_rank(text, table):
+    if any(row.rank == text for row in table.rows):
+        return Ok(Rank(text))
+    return _refuse(f"pool {table.pool} has no rank {text!r}")
+
+
+@_option("access")
+def _parse_access(text, table):
+    try:
+        return Ok(Access(text.lower()))
+    except ValueError:
+        return _refuse("access must be read, write or auto")
+
+
+@_option("max_age_ms")
+def _parse_max_age(text, table):
+    return _parse_ms(text, 0)
+
+
+@_option("deadline_ms")
+def _parse_deadline(text, table):
+    return _parse_ms(text, 1)
+
+
+@_option("idempotency_key")
+def _parse_idempotency_key(text, table):
+    is_short = len(text) <= IDEMPOTENCY_KEY_LIMIT_CHARACTERS
+    if is_short and text.isprintable():
+        return Ok(text)
+    return _refuse("the idempotency key is too long or not printable")
+
+
+def _parse_ms(text, least):
+    if not text.isascii() or not text.isdigit() or len(text) > 10:
+        return _refuse("expected a whole number of milliseconds")
+    value = int(text)
+    if not least <= value < _LIMIT_MS:
+        return _refuse("the number of milliseconds is out of range")
+    return Ok(value)
+
+
+def _refuse(message):
+    return Err(not_run(FailureCode.BAD_PARAMETER, message))
--- a/waxwinglift/request/_classify.py
+++ b/waxwinglift/request/_classify.py
@@ -60,6 +60,11 @@
 _OBJECT = re.compile(
     r"[a-z]+\s+(?:prepare\s+)?\"?([a-z_0-9.]+)\"?[\s;]*$", re.IGNORECASE
 )
+# Statements of the clean-up that asyncpg sends when a connection goes back
+# to its caller's pool; all of them together mean RESET ALL.
+_CLEAN_UP = frozenset(
+    {"select pg_advisory_unlock_all()", "close all", "unlisten *", "reset all"}
+)
 _READ_ONLY = re.compile(r"\bread\s+only\b", re.IGNORECASE)
 _classifiers = {}
 
@@ -71,7 +76,7 @@
     if keyword is None:
         return _classify_without_keyword(text, start)
     if _LATER_STATEMENT.search(text, start):
-        return Statement(StatementKind.WRITE)
+        return _classify_several(text)
     word = keyword.group().lower()
     classifier = _classifiers.get(word)
     if classifier is None:
@@ -86,6 +91,13 @@
     return Statement(StatementKind.READ if is_read else StatementKind.WRITE)
 
 
+def _classify_several(text):
+    parts = {part.strip().lower() for part in text.split(";")} - {""}
+    if parts <= _CLEAN_UP and "reset all" in parts:
+        return Statement(StatementKind.RESET, "all")
+    return Statement(StatementKind.WRITE)
+
+
 def _kind_of_plain(word):
     if word in _READ_KEYWORDS:
         return StatementKind.READ
--- a/waxwinglift/request/_types.py
+++ b/waxwinglift/request/_types.py
@@ -37,6 +37,9 @@
     BAD_MESSAGE = "08P01"
     NOT_SUPPORTED = "0A000"
     CANCELLED = "57014"
+    FAILED_BLOCK = "25P02"
+    BAD_PASSWORD = "28P01"
+    UNKNOWN_STATEMENT = "26000"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
