--- /dev/null
+++ b/waxwinglift/connection/_backend.py
@@ -0,0 +1,209 @@
+"""Connection to an endpoint: start-up, packets and their answers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import struct
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from pygwire.messages import BackendKeyData
+from pygwire.messages import CancelRequest
+from pygwire.messages import ErrorResponse
+from pygwire.messages import PasswordMessage
+from pygwire.messages import Query
+from pygwire.messages import StartupMessage
+from pygwire.messages import Terminate
+
+from waxwinglift.connection._wire import FrameSplitter
+from waxwinglift.connection._wire import ReplyFilter
+from waxwinglift.connection._wire import Step
+from waxwinglift.connection._wire import StepKind
+from waxwinglift.connection._wire import WireError
+from waxwinglift.process import Address
+
+_READ_BYTES = 2**16
+_HEADER_BYTES = 5
+_AUTHENTICATION = struct.Struct("!I")
+_OK = 0
+_CLEARTEXT = 3
+_MD5 = 5
+
+
+class EndpointConnectionLost(Exception):
+    """The connection ended or was closed before the answer was complete."""
+
+
+class EndpointRefused(Exception):
+    """The endpoint refused the connection."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointAccount:
+    """Account that is used at an endpoint."""
+
+    user: str
+    password: str
+    database: str
+
+
+class EndpointConnection:
+    """One open connection to an endpoint.
+
+    ``settings`` holds the settings in force, None when a statement changed
+    them; ``prepared`` the names of the statements prepared on it.
+    """
+
+    def __init__(self, reader, writer, key: BackendKeyData, limit_bytes):
+        self.key = key
+        self.settings: dict[str, str] | None = {}
+        self.prepared: set[str] = set()
+        self._reader = reader
+        self._writer = writer
+        self._limit_bytes = limit_bytes
+        self._is_closed = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether neither side has closed the connection."""
+        return not (
+            self._is_closed
+            or self._writer.is_closing()
+            or self._reader.at_eof()
+        )
+
+    async def run(
+        self,
+        packet: bytes,
+        steps: list[Step],
+        on_bytes: Callable[[bytes], Awaitable[None]] | None = None,
+    ) -> ReplyFilter:
+        """Send a packet and read until each of its steps is answered.
+
+        Raises
+        ------
+        EndpointConnectionLost
+            The packet was sent, at least in part, but not fully answered.
+        """
+        replies = ReplyFilter(steps, self._limit_bytes)
+        try:
+            self._writer.write(packet)
+            while not replies.is_done:
+                passed = replies.feed(await self._read())
+                if replies.is_copy:
+                    raise WireError("COPY is not supported")
+                if passed and on_bytes is not None:
+                    await on_bytes(passed)
+        except (OSError, WireError) as error:
+            self.close()
+            raise EndpointConnectionLost(str(error)) from error
+        return replies
+
+    async def query(self, *texts: str) -> list[Step]:
+        """Run statements of the proxy in one packet; return their steps."""
+        steps = [Step(StepKind.QUERY, False) for _ in texts]
+        packet = b"".join(Query(query_string=t).to_wire() for t in texts)
+        await self.run(packet, steps)
+        return steps
+
+    def close(self):
+        """Close at once; what runs raises EndpointConnectionLost."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        with contextlib.suppress(OSError, RuntimeError):
+            self._writer.write(Terminate().to_wire())
+            self._writer.close()
+        self._reader.feed_eof()
+
+    async def _read(self):
+        data = await self._reader.read(_READ_BYTES)
+        if not data or self._is_closed:
+            raise WireError("the endpoint closed the connection")
+        return data
+
+
+async def open_connection(
+    address: Address, account: EndpointAccount, limit_bytes: int
+) -> EndpointConnection:
+    """Open a connection and wait until it accepts statements.
+
+    Raises
+    ------
+    EndpointRefused
+        The endpoint refused it or broke the protocol.
+    """
+    try:
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+    except OSError as error:
+        raise EndpointRefused(str(error)) from error
+    try:
+        key = await _start(reader, writer, account, limit_bytes)
+    except (OSError, WireError, struct.error) as error:
+        writer.close()
+        raise EndpointRefused(str(error)) from error
+    except BaseException:
+        writer.close()
+        raise
+    return EndpointConnection(reader, writer, key, limit_bytes)
+
+
+async def send_cancel(address: Address, key: BackendKeyData):
+    """Ask the endpoint to stop what runs on another connection."""
+    request = CancelRequest(
+        process_id=key.process_id, secret_key=key.secret_key
+    )
+    with contextlib.suppress(OSError):
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(request.to_wire())
+        writer.close()
+
+
+async def _start(reader, writer, account, limit_bytes):
+    parameters = {
+        "user": account.user,
+        "database": account.database,
+        "application_name": "waxwinglift",
+        "client_encoding": "UTF8",
+    }
+    writer.write(StartupMessage(params=parameters).to_wire())
+    splitter = FrameSplitter(limit_bytes)
+    key = BackendKeyData()
+    while True:
+        data = await reader.read(_READ_BYTES)
+        if not data:
+            raise WireError("the endpoint closed the connection")
+        for kind, frame in splitter.feed(data):
+            payload = memoryview(frame)[_HEADER_BYTES:]
+            if kind == b"Z":
+                return key
+            if kind == b"E":
+                raise WireError(ErrorResponse.decode(payload).message)
+            if kind == b"R":
+                _authenticate(writer, account, payload)
+            elif kind == b"K":
+                key = BackendKeyData.decode(payload)
+
+
+def _authenticate(writer, account, payload):
+    (method,) = _AUTHENTICATION.unpack_from(payload)
+    if method == _OK:
+        return
+    if method == _CLEARTEXT:
+        password = account.password
+    elif method == _MD5:
+        password = _md5_password(account, bytes(payload[4:8]))
+    else:
+        raise WireError(f"authentication method {method} is not supported")
+    writer.write(PasswordMessage(password=password).to_wire())
+
+
+def _md5_password(account, salt):
+    # The protocol prescribes MD5 here; it protects nothing else.
+    secret = (account.password + account.user).encode()
+    inner = hashlib.md5(secret, usedforsecurity=False).hexdigest()
+    outer = hashlib.md5(inner.encode() + salt, usedforsecurity=False)
+    return "md5" + outer.hexdigest()
--- /dev/null
+++ b/waxwinglift/connection/_backend_packet.py
@@ -0,0 +1,204 @@
+"""Packets for an endpoint: a caller's exchange and the proxy's statements."""
+
+import dataclasses
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from pygwire.messages import BindComplete
+from pygwire.messages import Close
+from pygwire.messages import CloseComplete
+from pygwire.messages import CommandComplete
+from pygwire.messages import NoData
+from pygwire.messages import ParameterDescription
+from pygwire.messages import Parse
+from pygwire.messages import ParseComplete
+from pygwire.messages import Query
+
+from waxwinglift.connection._session_types import PreparedStatement
+from waxwinglift.connection._wire import FrameSplitter
+from waxwinglift.connection._wire import Step
+from waxwinglift.connection._wire import step_of
+from waxwinglift.connection._wire import StepKind
+from waxwinglift.request._classify import classify
+from waxwinglift.request._classify import StatementKind
+
+PRIMARY_POSITION_SQL = "SELECT pg_current_wal_lsn()"
+REPLICA_POSITION_SQL = "SELECT pg_last_wal_replay_lsn()"
+_HEADER_BYTES = 5
+_BLOCK_KINDS = frozenset({StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY})
+_SETTING_KINDS = frozenset(
+    {StatementKind.SET, StatementKind.RESET, StatementKind.DISCARD_ALL}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeFacts:
+    """What an exchange does, as far as the owner needs to know."""
+
+    kinds: frozenset[StatementKind]
+    changes_settings: bool
+    may_commit: bool
+    closed_names: tuple[str, ...]
+
+    @property
+    def starts_block(self) -> bool:
+        """Whether the exchange starts a transaction block."""
+        return bool(self.kinds & _BLOCK_KINDS)
+
+    @property
+    def is_rollback(self) -> bool:
+        """Whether the exchange rolls a transaction block back."""
+        return StatementKind.ROLLBACK in self.kinds
+
+
+@dataclasses.dataclass(slots=True)
+class Packet:
+    """Bytes to send in one piece and the steps that they hold."""
+
+    parts: list[bytes] = dataclasses.field(default_factory=list)
+    steps: list[Step] = dataclasses.field(default_factory=list)
+
+    @property
+    def data(self) -> bytes:
+        """Return the bytes."""
+        return b"".join(self.parts)
+
+    def add_query(self, text: str, note: str = "") -> Step:
+        """Append a statement of the proxy; its answer is not forwarded."""
+        step = Step(StepKind.QUERY, False, note)
+        self.parts.append(Query(query_string=text).to_wire())
+        self.steps.append(step)
+        return step
+
+    def add_parse(self, prepared: PreparedStatement):
+        """Append a statement that the caller prepared before."""
+        message = Parse(
+            statement=prepared.endpoint_name,
+            query=prepared.query,
+            param_types=list(prepared.param_types),
+        )
+        name = prepared.endpoint_name
+        step = Step(StepKind.PARSE, False, name, forwards_error=True)
+        self.parts.append(message.to_wire())
+        self.steps.append(step)
+
+    def add_exchange(self, messages: bytes, prepared_names: set[str]):
+        """Append a caller's messages.
+
+        A Parse of a statement that the connection holds already is preceded
+        by a Close: the server refuses to replace a named statement.
+        """
+        for kind, frame in FrameSplitter(len(messages)).feed(messages):
+            name = _parse_name(frame) if kind == b"P" else ""
+            if name in prepared_names:
+                close = Close(kind="S", name=name)
+                self.parts.append(close.to_wire())
+                self.steps.append(Step(StepKind.CLOSE, False))
+            step = step_of(kind, name)
+            self.parts.append(frame)
+            if step is not None:
+                self.steps.append(step)
+
+    def forwarded_steps(self) -> list[Step]:
+        """Return the steps of the caller's messages."""
+        return [step for step in self.steps if step.is_forwarded]
+
+    def newly_prepared(self) -> set[str]:
+        """Return the names of the statements that were prepared."""
+        return {
+            step.note
+            for step in self.steps
+            if step.kind is StepKind.PARSE and step.is_done and step.note
+        }
+
+
+def examine(
+    messages: bytes, prepared: Sequence[PreparedStatement]
+) -> ExchangeFacts:
+    """Return what the messages of an exchange do."""
+    texts = [statement.query for statement in prepared]
+    closed = []
+    for kind, frame in FrameSplitter(len(messages)).feed(messages):
+        if kind == b"Q":
+            texts.append(frame[_HEADER_BYTES:-1].decode())
+        elif kind == b"P":
+            texts.append(_parse_query(frame))
+        elif kind == b"C" and frame[_HEADER_BYTES : _HEADER_BYTES + 1] == b"S":
+            closed.append(frame[_HEADER_BYTES + 1 : -1].decode())
+    kinds = frozenset(classify(text).kind for text in texts)
+    return ExchangeFacts(
+        kinds=kinds,
+        changes_settings=any(_changes_settings(text) for text in texts),
+        may_commit=any(_may_commit(text) for text in texts),
+        closed_names=tuple(closed),
+    )
+
+
+def settings_statements(
+    in_force: Mapping[str, str] | None, wanted: Mapping[str, str]
+) -> list[str]:
+    """Return the statements that bring a connection's settings in line."""
+    if in_force == wanted:
+        return []
+    statements = []
+    if in_force is None or in_force.keys() - wanted.keys():
+        statements.append("RESET ALL")
+        in_force = {}
+    statements.extend(
+        f"SET {name} = {literal}"
+        for name, literal in wanted.items()
+        if in_force.get(name) != literal
+    )
+    return statements
+
+
+def replay_tag(messages: bytes, tag: str) -> bytes:
+    """Return the answer of messages that ran before, without rows."""
+    answers = {
+        b"Q": CommandComplete(tag=tag).to_wire(),
+        b"E": CommandComplete(tag=tag).to_wire(),
+        b"P": ParseComplete().to_wire(),
+        b"B": BindComplete().to_wire(),
+        b"C": CloseComplete().to_wire(),
+        b"D": NoData().to_wire(),
+    }
+    parts = []
+    for kind, frame in FrameSplitter(len(messages)).feed(messages):
+        if kind == b"D" and frame[_HEADER_BYTES : _HEADER_BYTES + 1] == b"S":
+            parts.append(ParameterDescription().to_wire())
+        parts.append(answers.get(kind, b""))
+    return b"".join(parts)
+
+
+def _changes_settings(text):
+    """Return whether a text may change settings of its connection.
+
+    It may say so without need: that costs a RESET ALL.
+    """
+    lowered = text.lower()
+    if classify(text).kind in _SETTING_KINDS or "set_config" in lowered:
+        return True
+    if _has_several(lowered):
+        return any(word in lowered for word in ("set ", "reset ", "discard "))
+    return lowered.lstrip().startswith("set ")
+
+
+def _may_commit(text):
+    if classify(text).kind is StatementKind.COMMIT:
+        return True
+    lowered = text.lower()
+    has_end = "commit" in lowered or "end" in lowered
+    return has_end and _has_several(lowered)
+
+
+def _has_several(text):
+    return ";" in text.rstrip("; \t\r\n")
+
+
+def _parse_name(frame):
+    return frame[_HEADER_BYTES : frame.index(0, _HEADER_BYTES)].decode()
+
+
+def _parse_query(frame):
+    start = frame.index(0, _HEADER_BYTES) + 1
+    return frame[start : frame.index(0, start)].decode()
--- /dev/null
+++ b/waxwinglift/connection/_frontend_local.py
@@ -0,0 +1,81 @@
+"""Encodes answers that need no endpoint."""
+
+from collections.abc import Sequence
+
+from pygwire.messages import BindComplete
+from pygwire.messages import CloseComplete
+from pygwire.messages import CommandComplete
+from pygwire.messages import DataRow
+from pygwire.messages import FieldDescription
+from pygwire.messages import NoData
+from pygwire.messages import ParameterDescription
+from pygwire.messages import ParseComplete
+from pygwire.messages import RowDescription
+
+from waxwinglift.connection._session_types import LocalAnswer
+
+_TEXT_OID = 25
+_encoders = {}
+
+
+def encode_local_answer(answer: LocalAnswer, kinds: Sequence[bytes]) -> bytes:
+    """Return the answers to a caller's messages of the types ``kinds``."""
+    return b"".join(_encoders[kind](answer) for kind in kinds)
+
+
+def _answers(kind):
+    """Register the encoder of the answer to one message type."""
+
+    def register(encoder):
+        _encoders[kind] = encoder
+        return encoder
+
+    return register
+
+
+@_answers(b"Q")
+def _answer_query(answer):
+    return _describe_rows(answer, b"") + _answer_execute(answer)
+
+
+@_answers(b"P")
+def _answer_parse(answer):
+    return ParseComplete().to_wire()
+
+
+@_answers(b"B")
+def _answer_bind(answer):
+    return BindComplete().to_wire()
+
+
+@_answers(b"CS")
+@_answers(b"C")
+def _answer_close(answer):
+    return CloseComplete().to_wire()
+
+
+@_answers(b"DS")
+def _answer_describe_statement(answer):
+    return ParameterDescription().to_wire() + _answer_describe(answer)
+
+
+@_answers(b"D")
+def _answer_describe(answer):
+    return _describe_rows(answer, NoData().to_wire())
+
+
+@_answers(b"E")
+def _answer_execute(answer):
+    row = b""
+    if answer.column:
+        row = DataRow(columns=[answer.value.encode()]).to_wire()
+    return row + CommandComplete(tag=answer.tag).to_wire()
+
+
+def _describe_rows(answer, otherwise):
+    if not answer.column:
+        return otherwise
+    field = FieldDescription(
+        name=answer.column, type_oid=_TEXT_OID, type_size=-1
+    )
+    return RowDescription(fields=[field]).to_wire()
--- a/waxwinglift/connection/_wire.py
+++ b/waxwinglift/connection/_wire.py
@@ -98,10 +98,10 @@
 class Step:
     """One message of a packet and what was seen of its answer.
 
-    ``note`` is free for the sender.  ``tag`` is the last command tag,
-    ``error`` the first error, ``value`` the first column of the last row
-    (kept for steps that are not forwarded only), ``status`` the transaction
-    status of ReadyForQuery.
+    ``note`` is free for the sender; with ``forwards_error`` an error is passed
+    on although other answers are not.  ``tag`` is the last command tag,
+    ``error`` the first error, ``rows`` the rows (of steps that are not
+    forwarded only), ``status`` the transaction status of ReadyForQuery.
     """
 
     kind: StepKind
@@ -112,6 +112,7 @@
     rows: list[list[str | None]] = dataclasses.field(default_factory=list)
     status: str = ""
     is_done: bool = False
+    forwards_error: bool = False
 
 
 def step_of(kind: bytes, note: str = "") -> Step | None:
@@ -159,6 +160,8 @@
             self._skip_to_sync()
         elif kind in _ENDINGS[step.kind]:
             self._finish(step)
+        if kind == b"E" and step.forwards_error:
+            return True
         return step.is_forwarded and kind != b"Z"
 
     def _note(self, step, kind, frame):
--- /dev/null
+++ b/waxwinglift/process/_data_path.py
@@ -0,0 +1,180 @@
+"""Entry side of a proxy: accepts callers that speak PostgreSQL.
+
+The database name is the pool.  Callers are trusted, or give the pool's
+clear-text password, by ``EntrySettings.passwords``.  Every error that the
+proxy itself reports has the detail ``verdict=...``; errors of an endpoint
+are passed on as they came, they rolled the statement back.
+"""
+
+import asyncio
+import hmac
+import itertools
+import random
+from collections.abc import Callable
+
+from opentelemetry import trace
+from pygwire.messages import CancelRequest
+
+from waxwinglift.connection import SessionId
+from waxwinglift.connection._frontend import CallerConnection
+from waxwinglift.connection._frontend import encode_failure
+from waxwinglift.connection._wire import WireError
+from waxwinglift.process._data_path_route import EntryContext
+from waxwinglift.process._data_path_session import EntrySession
+from waxwinglift.process._data_path_session import protocol_failure
+from waxwinglift.process._data_path_session import with_timeout
+from waxwinglift.process._data_path_settings import EntrySettings
+from waxwinglift.process._data_path_types import Executors
+from waxwinglift.process._data_path_types import Metrics
+from waxwinglift.process._data_path_types import monotonic_ms
+from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._types import Address
+
+_DRAIN_CHECK_S = 0.02
+_BACKLOG_COUNT = 1024
+
+
+class EntryServer:
+    """Listens for callers and serves their sessions.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    view : FleetView
+    executors : Executors
+        Finds the owners, in this process or at other proxies.
+    now_ms : callable
+        Monotonic clock.
+    metrics : Metrics
+    tracer : opentelemetry.trace.Tracer
+    rng : random.Random
+        Used for routing and for the jitter of retries.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        view: FleetView,
+        executors: Executors,
+        *,
+        now_ms: Callable[[], float] = monotonic_ms,
+        metrics: Metrics | None = None,
+        tracer: trace.Tracer | None = None,
+        rng: random.Random | None = None,
+    ):
+        self.settings = settings
+        self._context = EntryContext(
+            settings,
+            view,
+            executors,
+            now_ms,
+            metrics or NoMetrics(),
+            tracer or trace.NoOpTracer(),
+            rng or random.Random(),
+        )
+        self._server: asyncio.Server | None = None
+        self._sessions: dict[SessionId, EntrySession] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._ids = itertools.count(1)
+        self._is_draining = False
+
+    @property
+    def address(self) -> Address:
+        """Address that the server listens on."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    @property
+    def session_count(self) -> int:
+        """Open sessions."""
+        return len(self._sessions)
+
+    async def start(self):
+        """Listen for callers."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            self.settings.host,
+            self.settings.port,
+            backlog=_BACKLOG_COUNT,
+        )
+
+    async def drain(self):
+        """Finish what runs, refuse new work, close idle sessions.
+
+        Returns when no session is left.
+        """
+        self._is_draining = True
+        for session in list(self._sessions.values()):
+            if session.is_idle:
+                session.close_for_drain()
+        while self._sessions:
+            await asyncio.sleep(_DRAIN_CHECK_S)
+
+    async def stop(self):
+        """Close the listening socket and every session."""
+        self._is_draining = True
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(list(self._tasks))
+        self._context.close()
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except OSError:
+            # The caller has gone; its open transaction is rolled back.
+            self._context.metrics.incr("entry.disconnected")
+        except asyncio.CancelledError:
+            if not self._is_draining:
+                raise
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        settings = self.settings
+        caller = CallerConnection(
+            reader,
+            writer,
+            settings.message_limit_bytes,
+            settings.write_buffer_bytes,
+        )
+        try:
+            startup = await with_timeout(
+                caller.read_startup(), settings.startup_timeout_ms
+            )
+            if isinstance(startup, CancelRequest):
+                self._cancel(startup)
+            elif startup is not None:
+                peer_host = writer.get_extra_info("peername")[0]
+                await self._serve_session(caller, startup, peer_host)
+        except WireError as error:
+            self._context.metrics.incr("entry.bad_message")
+            failure = protocol_failure(error)
+            caller.flush(encode_failure(failure, "FATAL"))
+
+    async def _serve_session(self, caller, startup, peer_host):
+        number = SessionId(next(self._ids) & 0x7FFFFFFF)
+        session = EntrySession(
+            self._context, caller, number, peer_host, lambda: self._is_draining
+        )
+        self._sessions[number] = session
+        self._context.metrics.incr("entry.session")
+        try:
+            await session.serve(startup)
+        finally:
+            del self._sessions[number]
+
+    def _cancel(self, request):
+        session = self._sessions.get(SessionId(request.process_id))
+        if session is None:
+            return
+        if hmac.compare_digest(session.secret_key, request.secret_key):
+            self._context.metrics.incr("entry.cancel")
+            session.cancel()
--- /dev/null
+++ b/waxwinglift/process/_data_path_route.py
@@ -0,0 +1,125 @@
+"""What the entry side of one proxy shares between its sessions."""
+
+import random
+from collections.abc import Callable
+
+from opentelemetry import trace
+from result import Err
+from result import Result
+
+from waxwinglift.process._data_path_settings import EntrySettings
+from waxwinglift.process._data_path_types import Executors
+from waxwinglift.process._data_path_types import Metrics
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.request._retry import RetryBudget
+from waxwinglift.request._routing import choose_route
+from waxwinglift.request._routing import EndpointKnowledge
+from waxwinglift.request._routing import GroupView
+from waxwinglift.request._routing import Route
+from waxwinglift.request._routing import RouteRequest
+from waxwinglift.request._routing import view_group
+from waxwinglift.version import GroupName
+from waxwinglift.version import PoolName
+from waxwinglift.version import Position
+
+
+class EntryContext:
+    """Fleet view, knowledge, budgets and executors of an entry proxy.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    view : FleetView
+    executors : Executors
+    now_ms : callable
+    metrics : Metrics
+    tracer : opentelemetry.trace.Tracer
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        view: FleetView,
+        executors: Executors,
+        now_ms: Callable[[], float],
+        metrics: Metrics,
+        tracer: trace.Tracer,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.view = view
+        self.executors = executors
+        self.now_ms = now_ms
+        self.metrics = metrics
+        self.tracer = tracer
+        self.rng = rng
+        self._knowledge: dict[GroupName, EndpointKnowledge] = {}
+        self._budgets: dict[PoolName, RetryBudget] = {}
+        self._group_views: dict[GroupName, GroupView | None] = {}
+        view.add_listener(self._group_views.clear)
+
+    def close(self):
+        """Stop listening to the fleet view."""
+        self.view.remove_listener(self._group_views.clear)
+
+    def knowledge(self, group: GroupName) -> EndpointKnowledge:
+        """Return what is known of a group's endpoints."""
+        if group not in self._knowledge:
+            self._knowledge[group] = EndpointKnowledge(self.settings.routing)
+        return self._knowledge[group]
+
+    def budget(self, pool: PoolName) -> RetryBudget:
+        """Return the retry budget of a pool."""
+        if pool not in self._budgets:
+            self._budgets[pool] = RetryBudget(self.settings.retry)
+        return self._budgets[pool]
+
+    def group_view(self, group: GroupName) -> GroupView | None:
+        """Return the current view of a group; kept between changes."""
+        if group not in self._group_views:
+            view = self.view
+            self._group_views[group] = view_group(
+                view.fleet, group, view.location
+            )
+        return self._group_views[group]
+
+    def choose(
+        self, group: GroupName, request: RouteRequest
+    ) -> Result[Route, Failure]:
+        """Choose the endpoint for a request."""
+        if not self.view.lease_is_live():
+            return _unavailable("this proxy has no lease")
+        group_view = self.group_view(group)
+        if group_view is None:
+            return _unavailable(f"group {group} is not known")
+        return choose_route(
+            request,
+            group_view,
+            self.knowledge(group),
+            self.settings.routing,
+            self.now_ms(),
+            self.rng,
+        )
+
+    async def group_position(
+        self, group: GroupName
+    ) -> Result[Position, Failure]:
+        """Ask the owner of the primary for a position to read at."""
+        group_view = self.group_view(group)
+        if group_view is None or group_view.primary is None:
+            return _unavailable(f"group {group} has no active primary")
+        executor = None
+        if group_view.primary.owner is not None:
+            executor = self.executors.executor_for(group_view.primary.owner)
+        if executor is None:
+            return _unavailable(f"the primary of {group} has no owner")
+        self.metrics.incr("entry.group_position")
+        return await executor.group_position(group, group_view.term)
+
+
+def _unavailable(message):
+    return Err(not_run(FailureCode.UNAVAILABLE, message))
--- /dev/null
+++ b/waxwinglift/process/_data_path_run.py
@@ -0,0 +1,391 @@
+"""Runs the exchanges of one session on endpoints, with retries."""
+
+import asyncio
+import dataclasses
+
+from opentelemetry.trace.propagation import tracecontext
+from result import Err
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._frontend_messages import CallerRequest
+from waxwinglift.connection._session import Session
+from waxwinglift.connection._session_types import RunPlan
+from waxwinglift.process._data_path_route import EntryContext
+from waxwinglift.process._data_path_types import Exchange
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._data_path_types import Sink
+from waxwinglift.process._data_path_types import TransactionStream
+from waxwinglift.request import Access
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import may_have_run
+from waxwinglift.request import not_run
+from waxwinglift.request import Verdict
+from waxwinglift.request._retry import decide_retry
+from waxwinglift.request._retry import retry_delay_ms
+from waxwinglift.request._retry import RetryDecision
+from waxwinglift.request._routing import Route
+from waxwinglift.request._routing import RouteRequest
+from waxwinglift.version import EndpointRole
+from waxwinglift.version import Lsn
+from waxwinglift.version import Position
+
+# A newer fleet view usually arrives within this time; the request is tried
+# again then in any case.
+_CHANGE_WAIT_MS = 50.0
+_PASSING_CODES = frozenset(
+    {FailureCode.UNAVAILABLE, FailureCode.SHUTTING_DOWN}
+)
+# No endpoint reaches it: only the age of the data can satisfy the read.
+_UNREACHABLE_LSN = Lsn(2**63 - 1)
+_propagator = tracecontext.TraceContextTextMapPropagator()
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempts:
+    """State of the attempts of one transaction's first exchange."""
+
+    access: Access
+    deadline_ms: float
+    key: str
+    excluded: set = dataclasses.field(default_factory=set)
+    count: int = 0
+    may_have_run: bool = False
+
+
+class _LeaseGuard:
+    """Sink that stops once the entry proxy's lease has expired."""
+
+    def __init__(self, sink: Sink, lease_is_live):
+        self.has_passed = False
+        self.has_expired = False
+        self._sink = sink
+        self._lease_is_live = lease_is_live
+
+    async def take(self, data: bytes):
+        if self.has_expired or not self._lease_is_live():
+            self.has_expired = True
+            return
+        self.has_passed = True
+        await self._sink(data)
+
+
+class RequestRunner:
+    """Routes exchanges of one session; a block stays on its stream.
+
+    Parameters
+    ----------
+    context : EntryContext
+    session : Session
+    caller : str
+        Unit of fairness in the queues.
+    """
+
+    def __init__(self, context: EntryContext, session: Session, caller: str):
+        self._context = context
+        self._session = session
+        self._caller = caller
+        self._stream: TransactionStream | None = None
+        self._block_key = ""
+        self._is_running = False
+        self._is_cancelled = False
+
+    async def run(
+        self, plan: RunPlan, request: CallerRequest, sink: Sink
+    ) -> ExchangeEnd:
+        """Run one exchange and record its outcome in the session."""
+        tracer = self._context.tracer
+        self._is_running = True
+        self._is_cancelled = False
+        exchange = Exchange(request.messages, request.prepared)
+        with tracer.start_as_current_span("caller.request") as span:
+            guard = _LeaseGuard(sink, self._context.view.lease_is_live)
+            try:
+                if self._session.is_in_block:
+                    end = await self._run_in_block(exchange, guard)
+                else:
+                    end = await self._run_first(plan, exchange, guard)
+            finally:
+                self._is_running = False
+            end = self._guard(end, guard)
+            self._note(plan, end, span)
+        if end.failure is not None or end.status is TransactionStatus.IDLE:
+            await self.close()
+        return end
+
+    def cancel(self):
+        """Give up the exchange that runs."""
+        if not self._is_running:
+            return
+        self._is_cancelled = True
+        if self._stream is not None:
+            self._stream.cancel()
+
+    async def close(self):
+        """End the open transaction."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            await stream.close()
+
+    async def _run_in_block(self, exchange, guard):
+        if self._stream is None:
+            message = "the transaction block was lost"
+            return _fail(not_run(FailureCode.FAILED_BLOCK, message))
+        end = await self._run_on(self._stream, exchange, guard)
+        is_unknown = (
+            end.failure is not None
+            and end.failure.verdict is Verdict.MAY_HAVE_RUN
+        )
+        if is_unknown and self._block_key and not guard.has_passed:
+            return await self._look_up(end)
+        return end
+
+    async def _look_up(self, end):
+        """Ask the primary whether a lost keyed block committed."""
+        self._context.metrics.incr("entry.look_up")
+        await self.close()
+        attempts = self._attempts(Access.WRITE, self._block_key)
+        guard = _LeaseGuard(_drop, self._context.view.lease_is_live)
+        found = await self._run_attempts(attempts, Exchange(b""), guard, None)
+        if found.failure is None:
+            message = "the transaction was lost and did not commit"
+            return _fail(not_run(FailureCode.UNAVAILABLE, message))
+        return found if found.failure.verdict is Verdict.RAN else end
+
+    async def _run_first(self, plan, exchange, guard):
+        # SET and the like leave the key for the transaction that follows.
+        takes_key = plan.needs_floor
+        key = self._session.take_idempotency_key() if takes_key else ""
+        attempts = self._attempts(plan.access, key)
+        self._block_key = key if plan.starts_block else ""
+        pool = self._session.table.pool
+        self._context.budget(pool).record_request()
+        return await self._run_attempts(attempts, exchange, guard, plan)
+
+    def _attempts(self, access, key):
+        deadline_ms = self._context.now_ms() + self._session.deadline_ms
+        return _Attempts(access, deadline_ms, key)
+
+    async def _run_attempts(self, attempts, exchange, guard, plan):
+        while True:
+            end, route = await self._attempt(attempts, exchange, guard, plan)
+            if end.failure is None and not end.needs_primary:
+                return end
+            if guard.has_passed or self._is_cancelled:
+                return end
+            if not await self._may_retry(attempts, end, route):
+                return _with_earlier(attempts, end)
+
+    async def _attempt(self, attempts, exchange, guard, plan):
+        if self._is_cancelled:
+            return _fail(_cancelled()), None
+        routed = await self._route(attempts, plan)
+        if isinstance(routed, Err):
+            return _fail(routed.err_value), None
+        route = routed.ok_value
+        executor = self._context.executors.executor_for(route.owner)
+        if executor is None:
+            message = "the endpoint's owner is not known"
+            return _fail(not_run(FailureCode.UNAVAILABLE, message)), None
+        attempts.count += 1
+        self._stream = executor.open(self._header(attempts, route, plan))
+        end = await self._run_observed(route, exchange, guard)
+        is_open = end.failure is None and not end.needs_primary
+        if not is_open or end.status is TransactionStatus.IDLE:
+            await self.close()
+        return end, route
+
+    async def _run_observed(self, route, exchange, guard):
+        knowledge = self._context.knowledge(self._session.table.group)
+        started_ms = self._context.now_ms()
+        knowledge.observe_start(route.endpoint, started_ms)
+        end = await self._run_on(self._stream, exchange, guard)
+        now_ms = self._context.now_ms()
+        if end.failure is None:
+            latency_ms = now_ms - started_ms - end.held_ms
+            knowledge.observe_answer(
+                route.endpoint,
+                end.position,
+                latency_ms,
+                end.queue_wait_ms,
+                now_ms,
+            )
+            return end
+        is_behind = end.failed_position is not None or end.is_stale_owner
+        knowledge.observe_refusal(
+            route.endpoint,
+            None if is_behind else end.failure,
+            now_ms,
+            end.failed_position,
+        )
+        return end
+
+    async def _run_on(self, stream, exchange, guard):
+        stated_ms = self._session.options.deadline_ms
+        if stated_ms is None:
+            return await stream.run(exchange, guard.take)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(stated_ms / 1000, stream.cancel)
+        try:
+            return await stream.run(exchange, guard.take)
+        finally:
+            timer.cancel()
+
+    async def _route(self, attempts, plan):
+        session = self._session
+        group = session.table.group
+        is_read = attempts.access is Access.READ
+        if is_read and plan.needs_floor and session.floor is None:
+            outcome = await self._find_floor()
+            if isinstance(outcome, Err):
+                return outcome
+        request = RouteRequest(
+            access=attempts.access,
+            floor=session.floor,
+            max_age_ms=session.options.max_age_ms or None,
+            deadline_ms=attempts.deadline_ms,
+            excluded=frozenset(attempts.excluded),
+        )
+        return self._context.choose(group, request)
+
+    async def _find_floor(self):
+        """Make the primary's position the floor before the first read."""
+        session = self._session
+        group = session.table.group
+        outcome = await self._context.group_position(group)
+        if isinstance(outcome, Err) and session.options.max_age_ms:
+            return None
+        if isinstance(outcome, Err):
+            return outcome
+        session.observe(group, outcome.ok_value)
+        return None
+
+    def _header(self, attempts, route: Route, plan):
+        session = self._session
+        is_read = attempts.access is Access.READ
+        carrier = {}
+        _propagator.inject(carrier)
+        left_ms = attempts.deadline_ms - self._context.now_ms()
+        needs_floor = is_read and plan is not None and plan.needs_floor
+        return ExecuteHeader(
+            endpoint=route.endpoint,
+            group=session.table.group,
+            epoch=route.epoch,
+            term=route.term,
+            pool=session.table.pool,
+            rank=session.rank,
+            caller=self._caller,
+            floor=self._header_floor(route) if needs_floor else None,
+            max_age_ms=session.options.max_age_ms,
+            deadline_left_ms=max(0, int(left_ms)),
+            read_only=is_read,
+            idempotency_key=attempts.key,
+            traceparent=carrier.get("traceparent", ""),
+            settings=dict(session.settings),
+            applied_index=self._context.view.applied_index,
+        )
+
+    def _header_floor(self, route):
+        floor = self._session.floor
+        if floor is None:
+            # A stated age without a reachable primary.
+            return Position(route.term, _UNREACHABLE_LSN)
+        return floor
+
+    async def _may_retry(self, attempts, end, route):
+        """Decide on another attempt and wait for its time."""
+        if end.needs_primary:
+            attempts.access = Access.WRITE
+            self._context.metrics.incr("entry.rerouted")
+            return True
+        now_ms = self._context.now_ms()
+        left_ms = attempts.deadline_ms - now_ms
+        if left_ms <= 0:
+            return False
+        if end.failed_position is not None:
+            attempts.excluded.add(route.endpoint)
+            return end.failure.code is FailureCode.UNAVAILABLE
+        if self._waits_for_change(end, route):
+            if route is None:
+                attempts.excluded.clear()
+            wait_ms = min(left_ms, _CHANGE_WAIT_MS)
+            await self._context.view.wait_for_change(wait_ms)
+            return True
+        return await self._decide(attempts, end, route, now_ms)
+
+    def _waits_for_change(self, end, route):
+        """Return whether only a newer fleet view can help."""
+        if end.failure.verdict is not Verdict.NOT_RUN:
+            return False
+        if end.is_stale_owner:
+            return True
+        has_other = route is not None and route.role is EndpointRole.REPLICA
+        return end.failure.code in _PASSING_CODES and not has_other
+
+    async def _decide(self, attempts, end, route, now_ms):
+        budget = self._context.budget(self._session.table.pool)
+        decision = decide_retry(
+            end.failure,
+            attempts.count,
+            True,
+            bool(attempts.key) and not attempts.may_have_run,
+            budget,
+            now_ms,
+            attempts.deadline_ms,
+        )
+        if decision is RetryDecision.GIVE_UP:
+            return False
+        self._context.metrics.incr("entry.retried")
+        if decision is RetryDecision.LOOK_UP:
+            # The owner looks the key up before it runs the request again.
+            attempts.may_have_run = True
+        elif route is not None and route.role is EndpointRole.REPLICA:
+            attempts.excluded.add(route.endpoint)
+        settings = self._context.settings.retry
+        delay_ms = retry_delay_ms(attempts.count, settings, self._context.rng)
+        await asyncio.sleep(delay_ms / 1000)
+        return True
+
+    def _guard(self, end, guard):
+        if not guard.has_expired or end.failure is not None:
+            return end
+        message = "the lease expired before the answer was passed on"
+        return dataclasses.replace(end, failure=may_have_run(message))
+
+    def _note(self, plan, end, span):
+        session = self._session
+        if end.failure is not None:
+            span.set_attribute("verdict", end.failure.verdict.value)
+            self._context.metrics.incr(
+                f"entry.failed.{end.failure.verdict.value}"
+            )
+            if session.is_in_block:
+                session.lose_block()
+            return
+        place = "replica" if end.served_by_replica else "primary"
+        self._context.metrics.incr(f"entry.served.{place}")
+        session.observe(session.table.group, end.position)
+        session.finish(plan, end.status, end.has_error)
+
+
+async def _drop(data):
+    """Sink of an exchange without an answer."""
+
+
+def _fail(failure: Failure):
+    return ExchangeEnd(failure=failure)
+
+
+def _cancelled():
+    message = "the statement was cancelled"
+    return not_run(FailureCode.CANCELLED, message)
+
+
+def _with_earlier(attempts, end):
+    """Return the outcome, with the verdict of all attempts together."""
+    failure = end.failure
+    if not attempts.may_have_run or failure.verdict is not Verdict.NOT_RUN:
+        return end
+    message = f"an earlier attempt may have run; {failure.message}"
+    return dataclasses.replace(end, failure=may_have_run(message))
--- /dev/null
+++ b/waxwinglift/process/_data_path_session.py
@@ -0,0 +1,234 @@
+"""One caller's session at the entry side."""
+
+import asyncio
+import secrets
+
+from result import Err
+
+from waxwinglift.connection import SessionId
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._frontend import CallerConnection
+from waxwinglift.connection._frontend import encode_failure
+from waxwinglift.connection._frontend import encode_parameter
+from waxwinglift.connection._frontend import encode_ready
+from waxwinglift.connection._frontend import read_parameters
+from waxwinglift.connection._frontend import StartupRequest
+from waxwinglift.connection._frontend_local import encode_local_answer
+from waxwinglift.connection._frontend_messages import CallerLeft
+from waxwinglift.connection._frontend_messages import CallerRequest
+from waxwinglift.connection._frontend_messages import RequestBuilder
+from waxwinglift.connection._session import Session
+from waxwinglift.connection._session_types import LocalAnswer
+from waxwinglift.connection._wire import WireError
+from waxwinglift.process._data_path_route import EntryContext
+from waxwinglift.process._data_path_run import RequestRunner
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.version import PoolName
+
+_SECRET_BYTES = 4
+_TOKEN_PARAMETER = "waxwinglift.token"
+_SHUTTING_DOWN = not_run(
+    FailureCode.SHUTTING_DOWN, "the proxy is shutting down"
+)
+
+
+class EntrySession:
+    """Serves one caller from start-up to the end of its connection.
+
+    Parameters
+    ----------
+    context : EntryContext
+    caller : CallerConnection
+    session : SessionId
+    peer_host : str
+        Address of the caller.
+    is_draining : callable
+        Returns whether new work is refused.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        caller: CallerConnection,
+        session: SessionId,
+        peer_host: str,
+        is_draining,
+    ):
+        self.secret_key = secrets.token_bytes(_SECRET_BYTES)
+        self._context = context
+        self._caller = caller
+        self._id = session
+        self._peer_host = peer_host
+        self._is_draining = is_draining
+        self._session: Session | None = None
+        self._builder: RequestBuilder | None = None
+        self._runner: RequestRunner | None = None
+        self._is_answering = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is lost when the session is closed now."""
+        if self._session is None:
+            return True
+        return not (
+            self._is_answering
+            or self._session.is_in_block
+            or not self._builder.is_empty
+        )
+
+    async def serve(self, startup):
+        """Serve the caller whose start-up message has arrived.
+
+        Raises
+        ------
+        WireError
+            The caller broke the protocol; it has not been told yet.
+        """
+        request = read_parameters(startup)
+        failure = await self._start(request)
+        if failure is not None:
+            self.close_with(failure)
+            return
+        try:
+            await self._serve_requests()
+        except CallerLeft:
+            pass
+        finally:
+            await self._runner.close()
+
+    def cancel(self):
+        """Give up the statement that runs."""
+        if self._runner is not None:
+            self._runner.cancel()
+
+    def close_with(self, failure: Failure):
+        """Report a failure that ends the session, and close."""
+        self._caller.flush(encode_failure(failure, "FATAL"))
+        self._caller.close()
+
+    def close_for_drain(self):
+        """End the session because the proxy is shutting down."""
+        self.close_with(_SHUTTING_DOWN)
+
+    async def _start(self, request: StartupRequest):
+        context = self._context
+        if self._is_draining():
+            return _SHUTTING_DOWN
+        table = context.view.table(PoolName(request.pool))
+        if table is None or not table.rows:
+            message = f"pool {request.pool!r} does not exist"
+            return not_run(FailureCode.UNKNOWN_POOL, message)
+        password = context.settings.passwords.get(request.pool)
+        if password is not None:
+            if not await self._caller.check_password(password):
+                message = f"wrong password for pool {request.pool!r}"
+                return not_run(FailureCode.BAD_PASSWORD, message)
+        secret = context.settings.token_secret.encode()
+        session = Session(self._id, table, secret)
+        for name, value in request.parameters:
+            outcome = session.record_startup(name, value)
+            if isinstance(outcome, Err):
+                return outcome.err_value
+        self._accept(session, request)
+        return None
+
+    def _accept(self, session, request):
+        settings = self._context.settings
+        self._session = session
+        limit_bytes = settings.message_limit_bytes
+        self._builder = RequestBuilder(session, limit_bytes)
+        caller = f"{request.user}@{self._peer_host}"
+        self._runner = RequestRunner(self._context, session, caller)
+        parameters = dict(settings.reported_parameters)
+        given = dict(request.parameters)
+        parameters["application_name"] = given.get("application_name", "")
+        for name in parameters:
+            parameters[name] = given.get(name, parameters[name])
+        self._caller.accept(self._id, self.secret_key, parameters)
+
+    async def _serve_requests(self):
+        while not self._caller.is_closed:
+            frames = await self._caller.read_frames()
+            if frames is None:
+                return
+            for kind, frame in frames:
+                request = self._builder.take(kind, frame)
+                if request is None:
+                    continue
+                await self._answer(request)
+                if self._is_draining() and self.is_idle:
+                    self.close_for_drain()
+                    return
+
+    async def _answer(self, request: CallerRequest):
+        self._is_answering = True
+        try:
+            failure = await self._answer_or_fail(request)
+        finally:
+            self._is_answering = False
+        parts = []
+        if failure is not None:
+            parts.append(encode_failure(failure))
+            if not request.is_ready_expected:
+                self._builder.skip_to_sync()
+        if request.is_ready_expected:
+            token = self._session.take_new_token()
+            if token is not None:
+                parts.append(encode_parameter(_TOKEN_PARAMETER, token))
+            parts.append(encode_ready(self._session.status))
+        self._caller.flush(b"".join(parts))
+
+    async def _answer_or_fail(self, request):
+        plan = request.plan
+        if isinstance(plan, Failure):
+            return self._note_failure(plan)
+        if isinstance(plan, LocalAnswer):
+            answer = encode_local_answer(plan, request.kinds)
+            await self._caller.write(answer)
+            return None
+        if not request.kinds:
+            return None
+        refusal = self._refuse()
+        if refusal is not None:
+            return refusal
+        end = await self._runner.run(plan, request, self._caller.write)
+        if end.has_error and not request.is_ready_expected:
+            self._builder.skip_to_sync()
+        return end.failure
+
+    def _refuse(self):
+        """Return why new work is refused, None when it is not."""
+        if self._session.is_in_block:
+            return None
+        if self._is_draining():
+            return _SHUTTING_DOWN
+        table = self._context.view.table(self._session.table.pool)
+        if table is None or not table.rows:
+            pool = self._session.table.pool
+            message = f"pool {pool!r} does not exist"
+            return not_run(FailureCode.UNKNOWN_POOL, message)
+        self._session.table = table
+        return None
+
+    def _note_failure(self, failure):
+        # As in the server, an error inside a block fails the block.
+        session = self._session
+        if session.status is TransactionStatus.IN_TRANSACTION:
+            session.status = TransactionStatus.FAILED
+        return failure
+
+
+def protocol_failure(error: WireError) -> Failure:
+    """Return the failure that reports a broken protocol."""
+    return not_run(FailureCode.BAD_MESSAGE, str(error))
+
+
+async def with_timeout(work, timeout_ms: float):
+    """Return the result of ``work``, None when it took too long."""
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            return await work
+    except TimeoutError:
+        return None
--- /dev/null
+++ b/waxwinglift/process/_owner.py
@@ -0,0 +1,285 @@
+"""Owner of one endpoint: its queue, connections, health and positions."""
+
+import asyncio
+from collections.abc import Callable
+
+from opentelemetry import trace
+from pygwire.messages import BackendKeyData
+from result import Result
+
+from waxwinglift.connection import ConnectionId
+from waxwinglift.connection import HealthState
+from waxwinglift.connection._backend import EndpointAccount
+from waxwinglift.connection._backend import open_connection
+from waxwinglift.connection._backend import send_cancel
+from waxwinglift.connection._endpoint_pool import EndpointPool
+from waxwinglift.process._data_path_settings import OwnerSettings
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._data_path_types import Metrics
+from waxwinglift.process._data_path_types import monotonic_ms
+from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._owner_connections import ConnectionKeeper
+from waxwinglift.process._owner_connections import SlotQueue
+from waxwinglift.process._owner_monitor import EndpointMonitor
+from waxwinglift.process._owner_positions import EndpointPositions
+from waxwinglift.process._owner_slot import TransactionSlot
+from waxwinglift.process._owner_stream import OwnerStream
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.request import RequestId
+from waxwinglift.request._admission import AdmissionQueue
+from waxwinglift.version import EndpointId
+from waxwinglift.version import EndpointState
+from waxwinglift.version import GroupName
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+# The monitoring connection, and the one that replaces it.
+_MONITOR_CONNECTIONS_COUNT = 2
+# Least limit that leaves the pool one connection.
+_LEAST_LIMIT_COUNT = 3
+
+
+class EndpointOwner:
+    """Everything that the owner or standby owner of an endpoint holds.
+
+    A standby owner keeps the monitoring connection only; it refuses requests
+    until the fleet's state names it as the owner.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+        Must be known to ``view``.
+    settings : OwnerSettings
+    view : FleetView
+    now_ms : callable
+        Monotonic clock.
+    metrics : Metrics
+    tracer : opentelemetry.trace.Tracer
+    on_health : callable
+        Called with the endpoint and each new HealthState.
+    """
+
+    def __init__(
+        self,
+        endpoint: EndpointId,
+        settings: OwnerSettings,
+        view: FleetView,
+        *,
+        now_ms: Callable[[], float] = monotonic_ms,
+        metrics: Metrics | None = None,
+        tracer: trace.Tracer | None = None,
+        on_health: Callable[[EndpointId, HealthState], None] | None = None,
+    ):
+        record = view.endpoint(endpoint)
+        self.endpoint = endpoint
+        self.group: GroupName = record.group
+        self.settings = settings
+        self.view = view
+        self.now_ms = now_ms
+        self.metrics = metrics or NoMetrics()
+        self.tracer = tracer or trace.NoOpTracer()
+        self._address = record.address
+        self._on_health = on_health
+        self._is_draining = False
+        self._is_enabled = False
+        # Term in which the table of idempotency keys is known to exist.
+        self.key_table_term: Term | None = None
+        self._next_request = 0
+        self._running: set[TransactionSlot] = set()
+        self._cancels: set[asyncio.Task] = set()
+        self._ticker: asyncio.Task | None = None
+        self._build(record)
+
+    @property
+    def health(self) -> HealthState:
+        """Current health of the endpoint."""
+        return self.monitor.health.state
+
+    @property
+    def is_released(self) -> bool:
+        """Whether no connection is left that serves requests."""
+        return self.connections.pool.is_released
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether the endpoint is its group's active primary."""
+        return self.positions.is_primary
+
+    def start(self):
+        """Open the connections and start the timers."""
+        self.view.add_listener(self._on_fleet_change)
+        self.monitor.start()
+        self.positions.start()
+        self._on_fleet_change()
+        self._ticker = asyncio.ensure_future(self._tick())
+
+    async def stop(self):
+        """Close everything at once; what runs fails."""
+        self.view.remove_listener(self._on_fleet_change)
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self._disable("the owner is stopping")
+        self.positions.stop()
+        self.monitor.stop()
+        await asyncio.sleep(0)
+
+    async def drain(self):
+        """Refuse new transactions and wait for those that are open."""
+        self._is_draining = True
+        until_ms = self.now_ms() + self.settings.drain_timeout_ms
+        while self._running and self.now_ms() < until_ms:
+            await asyncio.sleep(self.settings.tick_ms / 1000)
+
+    def open(self, header: ExecuteHeader) -> OwnerStream:
+        """Return the stream of a new transaction."""
+        self._next_request += 1
+        request = RequestId(self._next_request)
+        return OwnerStream(self, header, request)
+
+    async def group_position(
+        self, group: GroupName, term: Term
+    ) -> Result[Position, Failure]:
+        """Return a position that holds every acknowledged write."""
+        return await self.positions.group_position(term)
+
+    def check(self, header: ExecuteHeader) -> ExchangeEnd | None:
+        """Return the refusal of a transaction, None when it may run."""
+        if not self.view.lease_is_live():
+            return _refuse("this proxy has no lease")
+        if self._is_draining:
+            message = "this proxy is shutting down"
+            return _refuse(message, FailureCode.SHUTTING_DOWN)
+        assignment = self.view.assignment(self.endpoint)
+        is_owner = self.view.owns(self.endpoint)
+        if not is_owner or assignment.epoch != header.epoch:
+            return _refuse("this proxy does not own the endpoint", stale=True)
+        return self._check_endpoint(header)
+
+    def enter(self, slot: TransactionSlot):
+        """Count a transaction that got a slot."""
+        self._running.add(slot)
+
+    def leave(self, slot: TransactionSlot):
+        """Forget a transaction that ended."""
+        self._running.discard(slot)
+
+    def cancel_statement(self, key: BackendKeyData):
+        """Ask the endpoint to stop the statement of a connection."""
+        task = asyncio.ensure_future(send_cancel(self._address, key))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def note_silence(self, connection: ConnectionId):
+        """Record that a statement got no answer for a while."""
+        self.metrics.incr("owner.silent")
+        self.monitor.note_silence(connection)
+
+    def _check_endpoint(self, header):
+        group = self.view.group(self.group)
+        record = self.view.endpoint(self.endpoint)
+        if group is None or group.term != header.term:
+            return _refuse("the group's term has changed", stale=True)
+        if record is None or record.state is not EndpointState.JOINED:
+            return _refuse("the endpoint is leaving", stale=True)
+        is_replica = group.primary != self.endpoint
+        if not is_replica and group.phase is not GroupPhase.ACTIVE:
+            return _refuse("a change of primary is in progress", stale=True)
+        if is_replica and not header.read_only:
+            return _refuse("the endpoint is not the primary", stale=True)
+        if self.health is HealthState.DOWN:
+            return _refuse("the endpoint is down")
+        return None
+
+    def _build(self, record):
+        settings = self.settings
+        # Half of the endpoint's connections belongs to the next owner; the
+        # monitoring connections are taken out of this owner's half.
+        reserved_count = 2 * _MONITOR_CONNECTIONS_COUNT
+        limit_count = max(
+            _LEAST_LIMIT_COUNT, record.connection_limit_count - reserved_count
+        )
+        pool = EndpointPool(settings.pool, limit_count, record.slots_count)
+        self.monitor = EndpointMonitor(
+            settings.health,
+            self._open_connection,
+            self.now_ms,
+            self._suspect_siblings,
+            self._change_health,
+        )
+        self.connections = ConnectionKeeper(
+            pool, self._open_connection, self.now_ms, self.monitor.note_life
+        )
+        queue = AdmissionQueue(record.slots_count, settings.admission)
+        self.slots = SlotQueue(queue, self.now_ms)
+        self.positions = EndpointPositions(
+            self.endpoint, settings, self.view, self.monitor, self.now_ms
+        )
+
+    async def _open_connection(self):
+        settings = self.settings
+        account = EndpointAccount(
+            settings.user, settings.password, settings.database or self.group
+        )
+        limit_bytes = settings.answer_limit_bytes
+        return await open_connection(self._address, account, limit_bytes)
+
+    def _suspect_siblings(self, connection):
+        self.connections.suspect_siblings(connection)
+
+    def _change_health(self, state):
+        self.metrics.incr(f"owner.health.{state.value}")
+        if state is HealthState.DOWN:
+            # What waits may still be served elsewhere in time.
+            self._refuse_waiting("the endpoint is down")
+        if self._on_health is not None:
+            self._on_health(self.endpoint, state)
+
+    def _on_fleet_change(self):
+        self._set_tables()
+        self.positions.on_fleet_change()
+        self._check_ownership()
+
+    def _set_tables(self):
+        for name, pool in self.view.fleet.pools.items():
+            if pool.table is not None and pool.table.group == self.group:
+                self.slots.queue.set_table(pool.table)
+            else:
+                self.slots.queue.remove_table(name)
+
+    def _check_ownership(self):
+        may_serve = self.view.owns(self.endpoint) and self.view.lease_is_live()
+        if may_serve and not self._is_enabled:
+            self._is_enabled = True
+            self.connections.enable()
+        elif not may_serve and self._is_enabled:
+            self._disable("the lease or the ownership was lost")
+
+    def _disable(self, reason):
+        self._is_enabled = False
+        self._refuse_waiting(reason)
+        self.connections.close_all()
+
+    def _refuse_waiting(self, reason):
+        failure = not_run(FailureCode.UNAVAILABLE, reason)
+        self.slots.refuse_all(failure)
+        self.connections.refuse_waiting()
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(self.settings.tick_ms / 1000)
+            self._check_ownership()
+            self.monitor.tick()
+            self.positions.tick()
+            self.slots.tick()
+            if self._is_enabled:
+                self.connections.tick()
+
+
+def _refuse(message, code=FailureCode.UNAVAILABLE, stale=False):
+    failure = not_run(code, message)
+    return ExchangeEnd(failure=failure, is_stale_owner=stale)
--- /dev/null
+++ b/waxwinglift/process/_owner_connections.py
@@ -0,0 +1,233 @@
+"""Performs what the endpoint pool and the admission queue decide."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from waxwinglift.connection import ConnectionId
+from waxwinglift.connection._backend import EndpointConnection
+from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.connection._backend import EndpointRefused
+from waxwinglift.connection._endpoint_pool import CloseConnection
+from waxwinglift.connection._endpoint_pool import EndpointPool
+from waxwinglift.connection._endpoint_pool import OpenConnection
+from waxwinglift.connection._endpoint_pool import ProbeConnection
+from waxwinglift.connection._endpoint_pool import UseConnection
+from waxwinglift.request import Failure
+from waxwinglift.request import RequestId
+from waxwinglift.request._admission import AdmissionQueue
+from waxwinglift.request._admission import Start
+from waxwinglift.request._admission import Ticket
+
+_performers = {}
+
+
+def _performs(action_type):
+    """Register the method that performs one type of pool action."""
+
+    def register(method):
+        _performers[action_type] = method
+        return method
+
+    return register
+
+
+class ConnectionKeeper:
+    """Opens, probes, lends and closes the connections of one endpoint.
+
+    Parameters
+    ----------
+    pool : EndpointPool
+    open_connection : callable
+        Opens a connection; raises EndpointRefused.
+    now_ms : callable
+    on_life : callable
+        Called when the endpoint shows that it is alive.
+    """
+
+    def __init__(
+        self,
+        pool: EndpointPool,
+        open_connection: Callable[[], Awaitable[EndpointConnection]],
+        now_ms: Callable[[], float],
+        on_life: Callable[[], None],
+    ):
+        self.pool = pool
+        self._open_connection = open_connection
+        self._now_ms = now_ms
+        self._on_life = on_life
+        self._connections: dict[ConnectionId, EndpointConnection] = {}
+        self._tasks: dict[ConnectionId, asyncio.Task] = {}
+        self._waiters: dict[RequestId, asyncio.Future] = {}
+
+    def enable(self):
+        """Open connections ahead of demand."""
+        self.perform(self.pool.enable(self._now_ms()))
+
+    def close_all(self):
+        """Close every connection, whatever runs on it."""
+        self.perform(self.pool.close_all(self._now_ms()))
+        self.refuse_waiting()
+
+    def refuse_waiting(self):
+        """Give up on the transactions that wait for a connection."""
+        for waiter in self._waiters.values():
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def tick(self):
+        """Run the pool's timers and drop connections that ended."""
+        for connection, link in list(self._connections.items()):
+            if not link.is_usable:
+                self.discard(connection)
+        self.perform(self.pool.tick(self._now_ms()))
+
+    def suspect_siblings(self, connection: ConnectionId):
+        """Have the other connections probed before their next use."""
+        now_ms = self._now_ms()
+        self.perform(self.pool.suspect_siblings(connection, now_ms))
+
+    async def acquire(
+        self, holder: RequestId, timeout_ms: float
+    ) -> tuple[ConnectionId, EndpointConnection] | None:
+        """Return an idle connection, None when there is none in time."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[holder] = waiter
+        self.perform(self.pool.acquire(holder, self._now_ms()))
+        try:
+            if not waiter.done():
+                await asyncio.wait([waiter], timeout=timeout_ms / 1000)
+            return waiter.result() if waiter.done() else None
+        except asyncio.CancelledError:
+            if waiter.done() and waiter.result() is not None:
+                self.release(waiter.result()[0])
+            raise
+        finally:
+            del self._waiters[holder]
+            self.pool.cancel(holder)
+
+    def release(self, connection: ConnectionId):
+        """Take back a connection after ReadyForQuery with status idle."""
+        self.perform(self.pool.release(connection, self._now_ms()))
+
+    def discard(self, connection: ConnectionId):
+        """Close a connection in an unknown state."""
+        self.perform(self.pool.discard(connection, self._now_ms()))
+
+    def perform(self, actions):
+        """Perform the actions of the pool in order."""
+        for action in actions:
+            _performers[type(action)](self, action)
+
+    @_performs(OpenConnection)
+    def _open(self, action):
+        self._run(action.connection, self._finish_open(action.connection))
+
+    @_performs(ProbeConnection)
+    def _probe(self, action):
+        self._run(action.connection, self._finish_probe(action.connection))
+
+    @_performs(CloseConnection)
+    def _close(self, action):
+        task = self._tasks.pop(action.connection, None)
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        link = self._connections.pop(action.connection, None)
+        if link is not None:
+            link.close()
+        closed = self.pool.on_closed(action.connection, self._now_ms())
+        self.perform(closed)
+
+    @_performs(UseConnection)
+    def _use(self, action):
+        waiter = self._waiters.get(action.holder)
+        link = self._connections.get(action.connection)
+        if waiter is None or waiter.done():
+            self.release(action.connection)
+        elif link is None or not link.is_usable:
+            self.discard(action.connection)
+            self.perform(self.pool.acquire(action.holder, self._now_ms()))
+        else:
+            waiter.set_result((action.connection, link))
+
+    def _run(self, connection, work):
+        task = asyncio.ensure_future(work)
+        self._tasks[connection] = task
+        task.add_done_callback(lambda done: self._forget(connection, done))
+
+    def _forget(self, connection, task):
+        if self._tasks.get(connection) is task:
+            del self._tasks[connection]
+
+    async def _finish_open(self, connection):
+        try:
+            link = await self._open_connection()
+        except EndpointRefused:
+            now_ms = self._now_ms()
+            self.perform(self.pool.on_open_failed(connection, now_ms))
+            return
+        self._connections[connection] = link
+        self._on_life()
+        self.perform(self.pool.on_opened(connection, self._now_ms()))
+
+    async def _finish_probe(self, connection):
+        try:
+            await self._connections[connection].query("SELECT 1")
+        except EndpointConnectionLost:
+            self.discard(connection)
+            return
+        self._on_life()
+        self.perform(self.pool.on_probe_answer(connection, self._now_ms()))
+
+
+class SlotQueue:
+    """Waits for slots of one endpoint.
+
+    Parameters
+    ----------
+    queue : AdmissionQueue
+    now_ms : callable
+    """
+
+    def __init__(self, queue: AdmissionQueue, now_ms: Callable[[], float]):
+        self.queue = queue
+        self._now_ms = now_ms
+        self._waiters: dict[RequestId, asyncio.Future] = {}
+
+    async def enter(self, ticket: Ticket) -> Failure | None:
+        """Wait for a slot; return the failure when there is none."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[ticket.request] = waiter
+        self._perform(self.queue.offer(ticket, self._now_ms()))
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self._perform(self.queue.cancel(ticket))
+            if waiter.done() and not waiter.cancelled():
+                self.leave(ticket, 0.0)
+            raise
+        finally:
+            del self._waiters[ticket.request]
+
+    def leave(self, ticket: Ticket, service_ms: float):
+        """Free the slot of a started ticket."""
+        now_ms = self._now_ms()
+        self._perform(self.queue.finish(ticket, now_ms, service_ms))
+
+    def tick(self):
+        """Refuse the tickets whose deadline has passed."""
+        self._perform(self.queue.expire(self._now_ms()))
+
+    def refuse_all(self, failure: Failure):
+        """Refuse everything that waits."""
+        self._perform(self.queue.refuse_all(failure))
+
+    def _perform(self, actions):
+        for action in actions:
+            waiter = self._waiters.get(action.ticket.request)
+            is_start = isinstance(action, Start)
+            if waiter is None or waiter.done():
+                if is_start:
+                    self.leave(action.ticket, 0.0)
+                continue
+            waiter.set_result(None if is_start else action.failure)
--- /dev/null
+++ b/waxwinglift/process/_owner_set.py
@@ -0,0 +1,166 @@
+"""Endpoints of one proxy: owned, as standby, or being released."""
+
+import asyncio
+from collections.abc import Callable
+
+from opentelemetry import trace
+from result import Err
+from result import Result
+
+from waxwinglift.connection import HealthState
+from waxwinglift.process._data_path_settings import OwnerSettings
+from waxwinglift.process._data_path_types import Exchange
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._data_path_types import Metrics
+from waxwinglift.process._data_path_types import monotonic_ms
+from waxwinglift.process._data_path_types import Sink
+from waxwinglift.process._data_path_types import TransactionStream
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._owner import EndpointOwner
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.version import EndpointId
+from waxwinglift.version import EndpointState
+from waxwinglift.version import GroupName
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+
+class OwnerSet:
+    """Starts and stops the owners that the fleet's state asks for.
+
+    It is the executor of this proxy: the entry side uses it directly, and
+    PeerService on behalf of other proxies.
+
+    Parameters
+    ----------
+    settings : OwnerSettings
+    view : FleetView
+    now_ms : callable
+    metrics : Metrics
+    tracer : opentelemetry.trace.Tracer
+    on_health : callable
+        Called with the endpoint and each new HealthState.
+    """
+
+    def __init__(
+        self,
+        settings: OwnerSettings,
+        view: FleetView,
+        *,
+        now_ms: Callable[[], float] = monotonic_ms,
+        metrics: Metrics | None = None,
+        tracer: trace.Tracer | None = None,
+        on_health: Callable[[EndpointId, HealthState], None] | None = None,
+    ):
+        self._settings = settings
+        self._view = view
+        self._options = {
+            "now_ms": now_ms,
+            "metrics": metrics,
+            "tracer": tracer,
+            "on_health": on_health,
+        }
+        self._owners: dict[EndpointId, EndpointOwner] = {}
+        self._stopping: set[asyncio.Task] = set()
+        self._is_draining = False
+
+    def start(self):
+        """Follow the fleet's state."""
+        self._view.add_listener(self._reconcile)
+        self._reconcile()
+
+    async def stop(self):
+        """Close all connections at once."""
+        self._view.remove_listener(self._reconcile)
+        owners = list(self._owners.values())
+        self._owners.clear()
+        for owner in owners:
+            await owner.stop()
+
+    async def drain(self):
+        """Refuse new transactions and wait for those that are open."""
+        self._is_draining = True
+        owners = list(self._owners.values())
+        await asyncio.gather(*(owner.drain() for owner in owners))
+
+    def owner(self, endpoint: EndpointId) -> EndpointOwner | None:
+        """Return the owner or standby owner of an endpoint here."""
+        return self._owners.get(endpoint)
+
+    def health(self) -> dict[EndpointId, HealthState]:
+        """Return the health of each endpoint that is probed here."""
+        return {
+            endpoint: owner.health for endpoint, owner in self._owners.items()
+        }
+
+    def released(self) -> set[EndpointId]:
+        """Return the endpoints that have no serving connection here."""
+        return {
+            endpoint
+            for endpoint, owner in self._owners.items()
+            if owner.is_released
+        }
+
+    def open(self, header: ExecuteHeader) -> TransactionStream:
+        """Return the stream of a new transaction."""
+        owner = self._owners.get(header.endpoint)
+        return _NoOwner() if owner is None else owner.open(header)
+
+    async def group_position(
+        self, group: GroupName, term: Term
+    ) -> Result[Position, Failure]:
+        """Return a position that holds every acknowledged write."""
+        record = self._view.group(group)
+        primary = None if record is None else record.primary
+        owner = self._owners.get(primary)
+        if owner is None:
+            return Err(_not_here())
+        return await owner.group_position(group, term)
+
+    def _reconcile(self):
+        wanted = self._wanted()
+        for endpoint in [e for e in self._owners if e not in wanted]:
+            self._stop(self._owners.pop(endpoint))
+        for endpoint in wanted - self._owners.keys():
+            owner = EndpointOwner(
+                endpoint, self._settings, self._view, **self._options
+            )
+            self._owners[endpoint] = owner
+            owner.start()
+
+    def _wanted(self):
+        view = self._view
+        return {
+            endpoint
+            for endpoint, assignment in view.fleet.owners.items()
+            if view.daemon in (assignment.owner, assignment.standby)
+            and endpoint in view.fleet.endpoints
+            and view.endpoint(endpoint).state is not EndpointState.LOST
+        }
+
+    def _stop(self, owner):
+        task = asyncio.ensure_future(owner.stop())
+        self._stopping.add(task)
+        task.add_done_callback(self._stopping.discard)
+
+
+class _NoOwner:
+    """Stream of an endpoint that this proxy does not own."""
+
+    async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
+        """Refuse the exchange."""
+        return ExchangeEnd(failure=_not_here(), is_stale_owner=True)
+
+    def cancel(self):
+        """Do nothing."""
+
+    async def close(self):
+        """Do nothing."""
+
+
+def _not_here():
+    message = "this proxy does not own the endpoint"
+    return not_run(FailureCode.UNAVAILABLE, message)
--- /dev/null
+++ b/waxwinglift/process/_owner_stream.py
@@ -0,0 +1,289 @@
+"""One transaction at the owner of an endpoint."""
+
+import asyncio
+
+from opentelemetry import trace
+from opentelemetry.trace.propagation import tracecontext
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.connection._backend_packet import examine
+from waxwinglift.connection._backend_packet import Packet
+from waxwinglift.connection._backend_packet import PRIMARY_POSITION_SQL
+from waxwinglift.connection._backend_packet import REPLICA_POSITION_SQL
+from waxwinglift.connection._wire import parse_lsn
+from waxwinglift.process._data_path_types import Exchange
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._data_path_types import Sink
+from waxwinglift.process._owner_answer import AnswerBuffer
+from waxwinglift.process._owner_answer import AnswerTooLarge
+from waxwinglift.process._owner_keyed import look_up_key
+from waxwinglift.process._owner_keyed import run_keyed_block
+from waxwinglift.process._owner_keyed import run_keyed_request
+from waxwinglift.process._owner_slot import StatementFailed
+from waxwinglift.process._owner_slot import TransactionSlot
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import may_have_run
+from waxwinglift.request import not_run
+from waxwinglift.request import RequestId
+from waxwinglift.request import Verdict
+from waxwinglift.version import Lsn
+from waxwinglift.version import Position
+
+READ_ONLY_SQLSTATE = "25006"
+_propagator = tracecontext.TraceContextTextMapPropagator()
+
+
+class OwnerStream:
+    """Runs the exchanges of one transaction on one connection.
+
+    Parameters
+    ----------
+    owner : EndpointOwner
+    header : ExecuteHeader
+    request : RequestId
+        Unique at the owner.
+    """
+
+    def __init__(self, owner, header: ExecuteHeader, request: RequestId):
+        self.header = header
+        self.owner = owner
+        self.slot = TransactionSlot(owner, header, request)
+        self._is_cancelled = False
+        self._work: asyncio.Task | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+
+    async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
+        """Run one exchange and return its outcome."""
+        carrier = {"traceparent": self.header.traceparent}
+        context = _propagator.extract(carrier)
+        span = self.owner.tracer.start_span("owner.execute", context)
+        self._stop_idle_timer()
+        self._work = asyncio.current_task()
+        try:
+            end = await self._run_or_fail(exchange, sink, span)
+        finally:
+            self._work = None
+            span.end()
+        if end.failure is not None:
+            verdict = end.failure.verdict.value
+            self.owner.metrics.incr(f"owner.failed.{verdict}")
+        return end
+
+    def cancel(self):
+        """Give up the exchange that runs."""
+        if self._work is not None:
+            self._is_cancelled = True
+            self._work.cancel()
+
+    async def close(self):
+        """End the transaction; an open block is rolled back."""
+        self._stop_idle_timer()
+        self.slot.discard()
+
+    async def _run_or_fail(self, exchange, sink, span):
+        try:
+            return await self._run(exchange, sink, span)
+        except StatementFailed as error:
+            self.slot.discard()
+            return self.end(failure=error.failure)
+        except EndpointConnectionLost as error:
+            self.slot.stop_statement()
+            return self.end(failure=self._lost(str(error)))
+        except AnswerTooLarge:
+            self.slot.stop_statement()
+            message = "the answer is too large to be held until confirmed"
+            return self.end(failure=may_have_run(message))
+        except asyncio.CancelledError:
+            self.slot.stop_statement()
+            if not self._is_cancelled:
+                raise
+            asyncio.current_task().uncancel()
+            return self.end(failure=self._cancelled())
+        except BaseException:
+            self.slot.discard()
+            raise
+
+    async def _run(self, exchange, sink, span):
+        self.slot.is_sent = False
+        if self.slot.is_ended:
+            message = "the transaction's connection was closed"
+            raise StatementFailed(not_run(FailureCode.UNAVAILABLE, message))
+        facts = examine(exchange.messages, exchange.prepared)
+        is_first = self.slot.link is None
+        if is_first:
+            refusal = await self.slot.begin(facts)
+            if refusal is not None:
+                self.slot.discard()
+                return refusal
+        context = trace.set_span_in_context(span)
+        statement = self.owner.tracer.start_span("endpoint.statement", context)
+        try:
+            return await self._execute(exchange, facts, is_first, sink)
+        finally:
+            statement.end()
+
+    async def _execute(self, exchange, facts, is_first, sink):
+        key = self.header.idempotency_key
+        if key and is_first:
+            return await self._execute_keyed(exchange, facts, key, sink)
+        is_block = not is_first or facts.starts_block
+        buffer = self._buffer(facts, is_block, sink)
+        packet = self.build(exchange)
+        wants_position = not is_block or facts.may_commit
+        position = self._add_position(packet) if wants_position else None
+        await self.slot.send(packet, buffer)
+        self.slot.note(packet, facts)
+        if self._needs_primary(packet, buffer):
+            return self._reroute(packet)
+        return await self.finish(packet, position, facts, buffer)
+
+    async def _execute_keyed(self, exchange, facts, key, sink):
+        if not exchange.messages:
+            return await look_up_key(self, key)
+        if facts.starts_block:
+            return await run_keyed_block(self, exchange, facts, key, sink)
+        return await run_keyed_request(self, exchange, facts, key, sink)
+
+    def build(self, exchange: Exchange) -> Packet:
+        """Return the packet of a caller's exchange."""
+        prepared_names = self.slot.link.prepared
+        packet = Packet()
+        for prepared in exchange.prepared:
+            name = prepared.endpoint_name
+            if not name or name not in prepared_names:
+                packet.add_parse(prepared)
+        packet.add_exchange(exchange.messages, prepared_names)
+        return packet
+
+    async def finish(self, packet, position_step, facts, buffer):
+        """End an exchange whose answers are complete."""
+        has_error = any(
+            step.error is not None
+            for step in packet.steps
+            if step is not position_step
+        )
+        status = last_status(packet)
+        if status is not TransactionStatus.IDLE:
+            await buffer.flush()
+            self._start_idle_timer()
+            return self.end(status=status, has_error=has_error)
+        position = await self._position(position_step, facts)
+        return await self.release(position, buffer, has_error)
+
+    async def release(
+        self, position: Position | None, buffer: AnswerBuffer, has_error: bool
+    ) -> ExchangeEnd:
+        """Free the slot and connection, then hold the answer."""
+        is_replica = self._served_by_replica()
+        self.slot.release()
+        started_ms = self.owner.now_ms()
+        if position is not None and not is_replica:
+            failure = await self.owner.positions.hold(position)
+            if failure is not None:
+                buffer.drop()
+                return self.end(failure=failure)
+        held_ms = self.owner.now_ms() - started_ms
+        await buffer.flush()
+        return self.end(
+            position=position,
+            has_error=has_error,
+            held_ms=held_ms,
+            served_by_replica=is_replica,
+        )
+
+    def held_buffer(self, sink: Sink) -> AnswerBuffer:
+        """Return the buffer of an answer that waits for a quorum."""
+        limit_bytes = self.owner.settings.held_answer_limit_bytes
+        return AnswerBuffer(sink, limit_bytes, is_held=True)
+
+    def end(self, **fields) -> ExchangeEnd:
+        """Return the outcome of the exchange."""
+        return ExchangeEnd(queue_wait_ms=self.slot.queue_wait_ms, **fields)
+
+    def primary_position(self, lsn_text: str) -> Position:
+        """Return the position that the primary reported."""
+        return Position(self.header.term, Lsn(parse_lsn(lsn_text)))
+
+    async def _position(self, step, facts):
+        if step is None and facts.is_rollback:
+            return None
+        if step is None or not step.rows:
+            packet = Packet()
+            step = self._add_position(packet)
+            await self.slot.send(packet, None)
+        if not step.rows or step.rows[0][0] is None:
+            return None
+        if self._served_by_replica():
+            lsn = parse_lsn(step.rows[0][0])
+            return self.owner.positions.observe(lsn)
+        return self.primary_position(step.rows[0][0])
+
+    def _add_position(self, packet):
+        if self._served_by_replica():
+            return packet.add_query(REPLICA_POSITION_SQL)
+        return packet.add_query(PRIMARY_POSITION_SQL)
+
+    def _served_by_replica(self):
+        group = self.owner.view.group(self.owner.group)
+        if group.term != self.header.term:
+            # The role at the time of the check is gone.  Holding the answer
+            # fails it as unconfirmed, which is right for a write.
+            return self.header.read_only and not self.owner.is_primary
+        return group.primary != self.owner.endpoint
+
+    def _buffer(self, facts, is_block, sink):
+        if self._served_by_replica():
+            kept_bytes = self.owner.settings.replica_buffer_bytes
+            keep_bytes = 0 if is_block else kept_bytes
+            return AnswerBuffer(sink, keep_bytes, is_held=False)
+        if is_block and not facts.may_commit:
+            return AnswerBuffer(sink, 0, is_held=False)
+        return self.held_buffer(sink)
+
+    def _needs_primary(self, packet, buffer):
+        if buffer.has_passed or not self._served_by_replica():
+            return False
+        errors = [step.error for step in packet.forwarded_steps()]
+        codes = {error.code for error in errors if error is not None}
+        return READ_ONLY_SQLSTATE in codes
+
+    def _reroute(self, packet):
+        if last_status(packet) is TransactionStatus.IDLE:
+            self.slot.release()
+        else:
+            self.slot.discard()
+        return self.end(needs_primary=True)
+
+    def _lost(self, reason):
+        if self._is_cancelled:
+            return self._cancelled()
+        if not self.slot.is_sent:
+            message = f"connection lost before the statement: {reason}"
+            return not_run(FailureCode.UNAVAILABLE, message)
+        return may_have_run(f"the endpoint's answer was lost: {reason}")
+
+    def _cancelled(self):
+        is_sent = self.slot.is_sent
+        verdict = Verdict.MAY_HAVE_RUN if is_sent else Verdict.NOT_RUN
+        message = "the statement was cancelled"
+        return Failure(verdict, FailureCode.CANCELLED, message)
+
+    def _start_idle_timer(self):
+        delay_s = self.owner.settings.idle_block_timeout_ms / 1000
+        loop = asyncio.get_running_loop()
+        self._idle_timer = loop.call_later(delay_s, self.slot.discard)
+
+    def _stop_idle_timer(self):
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+
+def last_status(packet: Packet) -> TransactionStatus:
+    """Return the status after the caller's last answered message."""
+    steps = packet.forwarded_steps()
+    statuses = [step.status for step in steps if step.status]
+    return TransactionStatus(statuses[-1])
