Add the proxy service and its readiness check

Cause: the data path needs a process that follows control, reports endpoint health and drains on SIGTERM. Ruled out: a readiness check that asks every endpoint (takes all proxies out whenever one restarts) or that probes on each request (load).

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -88,10 +88,11 @@
     """Return the TOML text of a proxy's settings."""
     return (
         f'daemon = "proxy-{number}"\n'
-        f'listen = "{_address(plan.caller_ports[number])}"\n'
         f'peer_listen = "{_address(plan.peer_ports[number])}"\n'
         f"control = [{_control_list(plan)}]\n"
-        'fleet_secret = "demo-secret-of-the-fleet"\n'
+        "[entry]\n"
+        f"port = {plan.caller_ports[number]}\n"
+        'token_secret = "demo-secret-of-the-fleet"\n'
         f"[location]\n{_location(number)}"
         f"[observability]\n"
         f'trace_file = "{folder}/traces-proxy-{number}.jsonl"\n'
--- /dev/null
+++ b/waxwinglift/process/_proxy.py
@@ -0,0 +1,172 @@
+"""Service of a proxy."""
+
+import asyncio
+import contextlib
+import logging
+
+from grpclib.server import Server
+import mode
+
+from waxwinglift.connection import HealthState
+from waxwinglift.process import _readiness
+from waxwinglift.process._control_link import ControlLink
+from waxwinglift.process._data_path import EntryServer
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._owner_set import OwnerSet
+from waxwinglift.process._peer_service import PeerExecutors
+from waxwinglift.process._peer_service import PeerService
+from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process._types import DaemonId
+from waxwinglift.process._types import Location
+from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._leases import DaemonLease
+
+logger = logging.getLogger(__name__)
+
+# Longest wait of a shutdown for the endpoints to move to other proxies.
+HANDOVER_TIMEOUT_S = 5.0
+
+
+@contextlib.asynccontextmanager
+async def _serving_peers(service, address):
+    server = Server([service])
+    await server.start(address.host, address.port)
+    try:
+        yield server
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+class OwnerHealth:
+    """What a proxy reports to control with each renewal."""
+
+    def __init__(self, view, owners):
+        self._view = view
+        self._owners = owners
+
+    def down_endpoints(self):
+        """Return the probed endpoints that are down."""
+        return tuple(
+            DownEndpoint(endpoint, self._term_of(endpoint))
+            for endpoint, state in self._owners.health().items()
+            if state is HealthState.DOWN
+        )
+
+    def _term_of(self, endpoint):
+        record = self._view.endpoint(endpoint)
+        group = None if record is None else self._view.group(record.group)
+        return 0 if group is None else group.term
+
+    def released_endpoints(self):
+        """Return the endpoints handed over that have no connection left."""
+        return tuple(
+            endpoint
+            for endpoint, assignment in self._view.fleet.owners.items()
+            if assignment.previous == self._view.daemon
+            and self._owners.is_released(endpoint)
+        )
+
+
+class ProxyService(mode.Service):
+    """One proxy.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        Settings, passed whole.
+    metrics : object
+        Counters.
+    tracer : opentelemetry.trace.Tracer
+        Source of spans.
+    """
+
+    def __init__(self, settings, metrics, tracer):
+        super().__init__()
+        self.settings = settings
+        location = settings.location
+        self.lease = DaemonLease()
+        self.view = FleetView(
+            DaemonId(settings.daemon),
+            Location(location.data_centre, location.region),
+            lambda: self.lease.is_live(monotonic_ms()),
+        )
+        options = {"metrics": metrics, "tracer": tracer}
+        self.owners = OwnerSet(
+            settings.owner, self.view, on_health=self._on_health, **options
+        )
+        self.peers = PeerExecutors(self.view, self.owners)
+        self.entry = EntryServer(
+            settings.entry, self.view, self.peers, **options
+        )
+        self.link = ControlLink(
+            settings,
+            self.view,
+            self.lease,
+            OwnerHealth(self.view, self.owners),
+            metrics,
+            tracer,
+        )
+        self._is_stopping = False
+
+    async def on_start(self):
+        """Serve peers and callers, then follow control."""
+        settings = self.settings
+        service = PeerService(self.owners)
+        await self.add_async_context(
+            _serving_peers(service, settings.peer_listen)
+        )
+        if settings.ready_listen is not None:
+            await self.add_async_context(
+                _readiness.serving_readiness(
+                    settings.ready_listen, self.judge_readiness
+                )
+            )
+        self.owners.start()
+        await self.entry.start()
+        await self.link.start()
+        logger.info("serving callers at %s", self.entry.address)
+
+    async def on_stop(self):
+        """Drain: hand endpoints over, finish what runs, then stop."""
+        self._is_stopping = True
+        self.link.is_draining = True
+        self.link.renew_soon()
+        limit_s = self.settings.timing.drain_timeout_ms / 1000
+        try:
+            async with asyncio.timeout(limit_s):
+                await asyncio.gather(
+                    self.entry.drain(), self._wait_for_handover()
+                )
+                await self.owners.drain()
+        except TimeoutError:
+            logger.warning("drain timeout: open transactions are cut")
+        await self.entry.stop()
+        await self.owners.stop()
+        await self.link.stop()
+        await self.peers.close()
+        logger.info("stopped")
+
+    async def _wait_for_handover(self):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HANDOVER_TIMEOUT_S):
+                while self._owns_any():
+                    await self.view.wait_for_change(100)
+
+    def _owns_any(self):
+        return any(
+            assignment.owner == self.view.daemon
+            for assignment in self.view.fleet.owners.values()
+        )
+
+    def _on_health(self, endpoint, state):
+        logger.info("endpoint %s is %s", endpoint, state.value)
+        self.link.renew_soon()
+
+    def judge_readiness(self):
+        """Return whether the balancer should send callers here."""
+        return _readiness.judge_readiness(
+            self._is_stopping,
+            self.lease.is_live(monotonic_ms()),
+            set(self.owners.health().values()),
+        )
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -13,6 +13,8 @@
 from result import Ok
 
 from waxwinglift.process import _checks
+from waxwinglift.process._data_path_settings import EntrySettings
+from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._types import Address
 
 Name = Annotated[str, pydantic.AfterValidator(_checks.check_name)]
@@ -129,15 +131,6 @@
         return self
 
 
-class AuthenticationSettings(SettingsModel):
-    """How callers prove who they are.
-
-    With no password for a pool, callers of that pool are trusted.
-    """
-
-    passwords: dict[Name, pydantic.SecretStr] = {}
-
-
 class ProxyTimingSettings(SettingsModel):
     """Timing of one proxy."""
 
@@ -153,35 +146,37 @@
     ----------
     daemon : str
         Unique name of this proxy in the fleet.
-    listen : Address
-        PostgreSQL address for callers.
     peer_listen : Address
         gRPC address for other proxies.
     control : tuple of Address
         Addresses of the control daemons.
-    fleet_secret : SecretStr
-        Key of the session tokens; the same on all proxies.
+    ready_listen : Address, optional
+        HTTP address of the readiness check for the balancer.
+    entry : EntrySettings
+        PostgreSQL side towards callers.
+    owner : OwnerSettings
+        Side towards the endpoints that this proxy owns.
     """
 
     daemon: Name
     location: LocationSettings
-    listen: SocketAddress
     peer_listen: SocketAddress
     control: Annotated[tuple[SocketAddress, ...], pydantic.Field(min_length=1)]
-    fleet_secret: Annotated[pydantic.SecretStr, pydantic.Field(min_length=16)]
-    endpoint_user: str = "waxwinglift"
-    endpoint_database: str = "postgres"
-    max_message_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 30)] = (
-        16 << 20
-    )
-    replica_wait_ms: Annotated[int, pydantic.Field(ge=0, le=10_000)] = 50
-    statement_timeout_ms: Annotated[
-        int, pydantic.Field(ge=10, le=3_600_000)
-    ] = 10_000
-    authentication: AuthenticationSettings = AuthenticationSettings()
+    ready_listen: SocketAddress | None = None
+    entry: EntrySettings
+    owner: OwnerSettings = OwnerSettings()
     timing: ProxyTimingSettings = ProxyTimingSettings()
     observability: ObservabilitySettings = ObservabilitySettings()
 
+    @pydantic.field_validator("entry")
+    @classmethod
+    def _check_entry(cls, entry):
+        try:
+            _checks.check_ip_number(entry.host)
+        except ValueError as error:
+            raise ValueError(f"host {error}") from error
+        return entry
+
 
 def load_settings(path, model):
     """Read a TOML file and check it.
