Serve transactions between proxies and run the first queries

An entry proxy reaches endpoints of other owners over one gRPC stream per transaction; both sides use the same executor interface. ExchangeEnd carries held_us and has_error, which the entry side needs for latency estimates and for Flush.

--- a/waxwinglift/connection/_frontend.py
+++ b/waxwinglift/connection/_frontend.py
@@ -5,6 +5,7 @@
 import hmac
 import struct
 
+import pygwire
 from pygwire import PygwireError
 from pygwire.messages import AuthenticationCleartextPassword
 from pygwire.messages import AuthenticationOk
@@ -33,7 +34,9 @@
 _REFUSED_REQUESTS = frozenset({80877103, 80877104})
 _CANCEL_REQUEST = 80877102
 _READY = {
-    status: ReadyForQuery(status=status.value).to_wire()
+    status: ReadyForQuery(
+        status=pygwire.TransactionStatus(status.value)
+    ).to_wire()
     for status in TransactionStatus
 }
 
--- /dev/null
+++ b/waxwinglift/process/_peer_codec.py
@@ -0,0 +1,159 @@
+"""Conversion between the data path's messages and protobuf."""
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._session_types import PreparedStatement
+from waxwinglift.process._data_path_types import Exchange
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process.rpc import peer_pb2
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import Verdict
+from waxwinglift.request._classify import classify
+from waxwinglift.version import EndpointId
+from waxwinglift.version import Epoch
+from waxwinglift.version import GroupName
+from waxwinglift.version import LogIndex
+from waxwinglift.version import Lsn
+from waxwinglift.version import PoolName
+from waxwinglift.version import Position
+from waxwinglift.version import Rank
+from waxwinglift.version import Term
+
+_US_PER_MS = 1000
+
+
+def encode_position(wire, position: Position):
+    """Fill a WirePosition."""
+    wire.term = position.term
+    wire.lsn = position.lsn
+
+
+def decode_position(wire) -> Position:
+    """Return the position of a WirePosition."""
+    return Position(Term(wire.term), Lsn(wire.lsn))
+
+
+def encode_failure(wire, failure: Failure):
+    """Fill a WireFailure."""
+    wire.verdict = failure.verdict.value
+    wire.sqlstate = failure.code.value
+    wire.message = failure.message
+
+
+def decode_failure(wire) -> Failure:
+    """Return the failure of a WireFailure."""
+    return Failure(
+        Verdict(wire.verdict), FailureCode(wire.sqlstate), wire.message
+    )
+
+
+def encode_exchange(
+    exchange: Exchange, header: ExecuteHeader | None
+) -> peer_pb2.ExecuteFrame:
+    """Return the frame of an exchange; the first one carries the header."""
+    frame = peer_pb2.ExecuteFrame(messages=exchange.messages)
+    for statement in exchange.prepared:
+        frame.prepared.add(
+            name=statement.endpoint_name,
+            query=statement.query,
+            param_types=statement.param_types,
+        )
+    if header is not None:
+        _encode_header(frame.header, header)
+    return frame
+
+
+def decode_exchange(frame) -> Exchange:
+    """Return the exchange of a frame."""
+    prepared = tuple(
+        PreparedStatement(
+            one.name, one.query, tuple(one.param_types), classify(one.query)
+        )
+        for one in frame.prepared
+    )
+    return Exchange(frame.messages, prepared)
+
+
+def decode_header(wire) -> ExecuteHeader:
+    """Return the header of an ExecuteHeader message."""
+    has_floor = wire.HasField("floor")
+    return ExecuteHeader(
+        endpoint=EndpointId(wire.endpoint),
+        group=GroupName(wire.group),
+        epoch=Epoch(wire.epoch),
+        term=Term(wire.term),
+        pool=PoolName(wire.pool),
+        rank=Rank(wire.rank),
+        caller=wire.caller,
+        floor=decode_position(wire.floor) if has_floor else None,
+        max_age_ms=wire.max_age_ms,
+        deadline_left_ms=wire.deadline_left_ms,
+        read_only=wire.read_only,
+        idempotency_key=wire.idempotency_key,
+        traceparent=wire.traceparent,
+        settings=dict(wire.settings),
+        applied_index=LogIndex(wire.applied_index),
+    )
+
+
+def encode_end(wire, end: ExchangeEnd):
+    """Fill an ExchangeEnd message."""
+    wire.transaction_status = end.status.value
+    wire.queue_wait_us = round(end.queue_wait_ms * _US_PER_MS)
+    wire.held_us = round(end.held_ms * _US_PER_MS)
+    wire.needs_primary = end.needs_primary
+    wire.served_by_replica = end.served_by_replica
+    wire.has_error = end.has_error
+    if end.position is not None:
+        encode_position(wire.position, end.position)
+    if end.failure is None:
+        return
+    encode_failure(wire.failure, end.failure)
+    wire.failure.stale_owner = end.is_stale_owner
+    if end.failed_position is not None:
+        encode_position(wire.failure.position, end.failed_position)
+
+
+def decode_end(wire) -> ExchangeEnd:
+    """Return the outcome of an ExchangeEnd message."""
+    failure = wire.failure
+    has_failure = wire.HasField("failure")
+    has_failed_position = has_failure and failure.HasField("position")
+    return ExchangeEnd(
+        status=TransactionStatus(wire.transaction_status),
+        position=(
+            decode_position(wire.position)
+            if wire.HasField("position")
+            else None
+        ),
+        failure=decode_failure(failure) if has_failure else None,
+        failed_position=(
+            decode_position(failure.position) if has_failed_position else None
+        ),
+        is_stale_owner=failure.stale_owner,
+        needs_primary=wire.needs_primary,
+        has_error=wire.has_error,
+        queue_wait_ms=wire.queue_wait_us / _US_PER_MS,
+        held_ms=wire.held_us / _US_PER_MS,
+        served_by_replica=wire.served_by_replica,
+    )
+
+
+def _encode_header(wire, header):
+    wire.endpoint = header.endpoint
+    wire.group = header.group
+    wire.epoch = header.epoch
+    wire.term = header.term
+    wire.pool = header.pool
+    wire.rank = header.rank
+    wire.caller = header.caller
+    if header.floor is not None:
+        encode_position(wire.floor, header.floor)
+    wire.max_age_ms = header.max_age_ms
+    wire.deadline_left_ms = header.deadline_left_ms
+    wire.read_only = header.read_only
+    wire.idempotency_key = header.idempotency_key
+    wire.traceparent = header.traceparent
+    wire.settings.update(header.settings)
+    wire.applied_index = header.applied_index
--- /dev/null
+++ b/waxwinglift/process/_peer_service.py
@@ -0,0 +1,151 @@
+"""Serves transactions to other proxies, one gRPC stream per transaction."""
+
+import asyncio
+
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server
+from h2.settings import SettingCodes
+from result import Ok
+
+from waxwinglift.process._data_path_types import Executor
+from waxwinglift.process._peer_codec import decode_exchange
+from waxwinglift.process._peer_codec import decode_header
+from waxwinglift.process._peer_codec import encode_end
+from waxwinglift.process._peer_codec import encode_failure
+from waxwinglift.process._peer_codec import encode_position
+from waxwinglift.process.rpc import peer_grpc
+from waxwinglift.process.rpc import peer_pb2
+from waxwinglift.version import GroupName
+from waxwinglift.version import Term
+
+# A transaction holds its stream while it waits in the owner's queue, so the
+# library's limit of 100 would hold urgent requests back at the entry proxy.
+_STREAM_LIMIT_COUNT = 100_000
+
+
+class PeerService(peer_grpc.PeerBase):
+    """Runs transactions for other proxies.
+
+    Parameters
+    ----------
+    executor : Executor
+        Owners of this process.
+    """
+
+    def __init__(self, executor: Executor):
+        self._executor = executor
+
+    async def Execute(self, stream):
+        """Serve one transaction."""
+        frame = await stream.recv_message()
+        if frame is None:
+            return
+        transaction = self._executor.open(decode_header(frame.header))
+        served = _ServedTransaction(stream, transaction)
+        try:
+            await served.serve(frame)
+        finally:
+            await transaction.close()
+
+    async def GroupPosition(self, stream):
+        """Answer with a position that holds every acknowledged write."""
+        request = await stream.recv_message()
+        outcome = await self._executor.group_position(
+            GroupName(request.group), Term(request.term)
+        )
+        reply = peer_pb2.GroupPositionReply()
+        if isinstance(outcome, Ok):
+            encode_position(reply.position, outcome.ok_value)
+        else:
+            encode_failure(reply.failure, outcome.err_value)
+        await stream.send_message(reply)
+
+
+class PeerServer(Server):
+    """gRPC server that accepts many concurrent streams per connection.
+
+    Parameters
+    ----------
+    handlers : list
+        Services, PeerService among them.
+    """
+
+    def __init__(self, handlers):
+        super().__init__(handlers)
+
+    def _protocol_factory(self):
+        protocol = super()._protocol_factory()
+        return _WideProtocol(
+            protocol.handler, protocol.config, protocol.h2_config
+        )
+
+
+class _WideProtocol(H2Protocol):
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        limits = {SettingCodes.MAX_CONCURRENT_STREAMS: _STREAM_LIMIT_COUNT}
+        self.connection._connection.update_settings(limits)
+        self.connection.flush()
+
+
+class _ServedTransaction:
+    """Runs exchanges while it listens for a cancel or the end."""
+
+    def __init__(self, stream, transaction):
+        self._stream = stream
+        self._transaction = transaction
+        self._incoming = None
+        self._running = None
+
+    async def serve(self, frame):
+        try:
+            while frame is not None:
+                self._running = asyncio.ensure_future(self._run(frame))
+                if not await self._finish_exchange():
+                    return
+                frame = await self._next()
+                while frame is not None and frame.cancel:
+                    # The exchange had ended before the cancel arrived.
+                    frame = await self._next()
+        finally:
+            for task in (self._running, self._incoming):
+                if task is not None:
+                    task.cancel()
+
+    async def _finish_exchange(self):
+        """Wait for the end of the exchange; False when the peer has gone."""
+        while not self._running.done():
+            incoming = self._listen()
+            await asyncio.wait(
+                {self._running, incoming},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not incoming.done() or self._running.done():
+                continue
+            frame = await self._next()
+            if frame is None:
+                return False
+            if frame.cancel:
+                self._transaction.cancel()
+        await self._running
+        return True
+
+    def _listen(self):
+        if self._incoming is None:
+            receive = self._stream.recv_message()
+            self._incoming = asyncio.ensure_future(receive)
+        return self._incoming
+
+    async def _next(self):
+        frame = await self._listen()
+        self._incoming = None
+        return frame
+
+    async def _run(self, frame):
+        end = await self._transaction.run(decode_exchange(frame), self._sink)
+        reply = peer_pb2.ResultFrame()
+        encode_end(reply.end, end)
+        await self._stream.send_message(reply)
+
+    async def _sink(self, data):
+        await self._stream.send_message(peer_pb2.ResultFrame(messages=data))
