Add the measuring rig of the policies

Cause: policy constants need figures, and a change of policy needs figures before and after.

The rig runs both deployments in virtual time around the real decision modules; servers, network and callers are small fakes. Ruled out: independent requests without sessions, which would never need a replica to catch up.

--- /dev/null
+++ b/waxwinglift_bench/process/_callers.py
@@ -0,0 +1,114 @@
+"""Sessions that read and write, think, and roam between proxies."""
+
+import collections
+
+from waxwinglift.request._floors import advance_floor
+from waxwinglift_bench.request._requests import SimulatedRequest
+
+# A session sends about this many requests in a row with pauses in between;
+# its reads follow closely on its writes, which is the hard case for replicas.
+REQUEST_COUNT = 10
+PAUSE_MS = 50.0
+# Part of the requests that go to another proxy than the one before.
+ROAM_PART = 0.1
+# Part of the sessions that start without a token.
+NEW_PART = 0.2
+CALLER_COUNT = 20
+
+
+class Session:
+    """One session of a caller; it keeps its floor between visits."""
+
+    def __init__(self, group, load, caller, entry):
+        self.group = group
+        self.load = load
+        self.caller = caller
+        self.entry = entry
+        self.floor = None
+
+
+class Callers:
+    """Starts sessions at random times and drives their requests."""
+
+    def __init__(self, world):
+        self._world = world
+        self._simulation = world.simulation
+        self._rng = world.load_rng
+        self._resting = collections.defaultdict(list)
+        self._rate_factors = collections.Counter()
+        self._request_count = 0
+
+    def start(self):
+        """Schedule the first arrival of each group and rank."""
+        for group in self._world.fleet.groups:
+            for load in self._world.deployment.ranks:
+                self._schedule_arrival(group, load)
+
+    def set_rate_factor(self, rank, factor):
+        """Multiply the arrivals of a rank from now on."""
+        self._rate_factors[rank] = factor - 1
+
+    def _schedule_arrival(self, group, load):
+        rate = self._world.deployment.request_rate_per_ms * load.part
+        rate *= (1 + self._rate_factors[load.row.rank]) / REQUEST_COUNT
+        delay_ms = self._rng.expovariate(rate)
+        self._simulation.after(delay_ms, self._arrive, group, load)
+
+    def _arrive(self, group, load):
+        self._schedule_arrival(group, load)
+        resting = self._resting[(group, load.row.rank)]
+        if resting and self._rng.random() >= NEW_PART:
+            index = self._rng.randrange(len(resting))
+            resting[index], resting[-1] = resting[-1], resting[index]
+            session = resting.pop()
+        else:
+            number = self._rng.randrange(CALLER_COUNT)
+            caller = f"{load.row.rank}{number}"
+            session = Session(group, load, caller, self._world.any_entry())
+        self._send(session, REQUEST_COUNT)
+
+    def _send(self, session, left_count):
+        if not session.entry.is_live or self._rng.random() < ROAM_PART:
+            session.entry = self._world.any_entry()
+        load = session.load
+        is_write = self._rng.random() < load.write_part
+        if session.floor is None and not is_write:
+            # The position of the primary, asked for by the entry proxy.
+            session.floor = self._world.logs[session.group].position()
+        self._request_count += 1
+        sigma = self._world.deployment.service_sigma
+        now_ms = self._simulation.now_ms
+        request = SimulatedRequest(
+            number=self._request_count,
+            group=session.group,
+            rank=load.row.rank,
+            caller=session.caller,
+            is_write=is_write,
+            floor=session.floor,
+            max_age_ms=None if is_write else load.max_age_ms,
+            arrival_ms=now_ms,
+            deadline_ms=now_ms + load.row.deadline_ms,
+            service_factor=self._rng.lognormvariate(0.0, sigma),
+            done=None,
+        )
+        self._world.statistics.record_arrival(request)
+        request.done = lambda outcome: self._simulation.after(
+            self._world.deployment.caller_delay_ms,
+            *(self._receive, session, request, outcome, left_count),
+        )
+        self._simulation.after(
+            self._world.deployment.caller_delay_ms,
+            *(session.entry.submit, request),
+        )
+
+    def _receive(self, session, request, outcome, left_count):
+        now_ms = self._simulation.now_ms
+        self._world.statistics.record(request, outcome, now_ms)
+        if outcome.failure is None:
+            session.floor = advance_floor(session.floor, outcome.position)
+        if left_count <= 1:
+            key = (session.group, session.load.row.rank)
+            self._resting[key].append(session)
+            return
+        pause_ms = self._rng.expovariate(1 / PAUSE_MS)
+        self._simulation.after(pause_ms, self._send, session, left_count - 1)
--- /dev/null
+++ b/waxwinglift_bench/process/_owner.py
@@ -0,0 +1,252 @@
+"""Owner side of the simulated proxies, around the real decisions."""
+
+from waxwinglift.connection._endpoint_pool import CloseConnection
+from waxwinglift.connection._endpoint_pool import EndpointPool
+from waxwinglift.connection._endpoint_pool import OpenConnection
+from waxwinglift.connection._endpoint_pool import ProbeConnection
+from waxwinglift.connection._endpoint_pool import UseConnection
+from waxwinglift.process._policy_settings import EndpointPoolSettings
+from waxwinglift.request import FailureCode
+from waxwinglift.request import may_have_run
+from waxwinglift.request import not_run
+from waxwinglift.request._admission import AdmissionQueue
+from waxwinglift.request._admission import Start
+from waxwinglift.request._admission import Ticket
+from waxwinglift.request._commit_wait import CommitWait
+from waxwinglift.request._commit_wait import Release
+from waxwinglift.request._floors import check_floor
+from waxwinglift.request._floors import FloorState
+from waxwinglift_bench.process._deployment import build_table
+from waxwinglift_bench.request._requests import Outcome
+
+# An owner polls the position of a replica at this interval while a read
+# waits for a floor.
+FLOOR_POLL_MS = 5.0
+
+
+class QuorumGate:
+    """Holds answers of one primary until a replica has their position."""
+
+    def __init__(self, world, group):
+        self._world = world
+        self._group = group
+        self._term = world.fleet.groups[group].term
+        self._wait = CommitWait(quorum_count=2)
+        self._wait.on_lease(True)
+        self._wait.on_term(self._term)
+        self._held = {}
+        self._is_polling = False
+
+    def hold(self, request, position, reply):
+        """Call ``reply(failure, held_ms)`` once the position is safe."""
+        now_ms = self._world.simulation.now_ms
+        self._held[request.number] = (reply, now_ms)
+        self._apply(self._wait.hold(request.number, position, now_ms))
+        self._schedule_poll()
+
+    def close(self):
+        """Fail everything: the lease or the primary is lost."""
+        self._apply(self._wait.on_lease(False))
+
+    def _schedule_poll(self):
+        if self._is_polling or not self._wait.held_count:
+            return
+        self._is_polling = True
+        interval_ms = self._wait.poll_interval_ms()
+        self._world.simulation.after(interval_ms, self._poll)
+
+    def _poll(self):
+        self._is_polling = False
+        lsns = self._world.flushed_lsns(self._group)
+        primary_lsn = self._world.logs[self._group].position().lsn
+        now_ms = self._world.simulation.now_ms
+        actions = self._wait.on_positions(self._term, primary_lsn, lsns)
+        self._apply(actions + self._wait.expire(now_ms))
+        self._schedule_poll()
+
+    def _apply(self, actions):
+        now_ms = self._world.simulation.now_ms
+        for action in actions:
+            reply, since_ms = self._held.pop(action.request)
+            is_released = isinstance(action, Release)
+            failure = None if is_released else action.failure
+            reply(failure, now_ms - since_ms)
+
+
+class OwnerSide:
+    """Queue, connections and commit wait of one owned endpoint."""
+
+    def __init__(self, world, endpoint, proxy):
+        self._world = world
+        self._simulation = world.simulation
+        self.proxy = proxy
+        self.endpoint = endpoint
+        self._server = world.servers[endpoint]
+        group = world.fleet.endpoints[endpoint].group
+        self._group = group
+        self._queue = world.variant.make_queue(world.deployment)
+        self._queue.set_table(build_table(world.deployment, group))
+        self._pool = EndpointPool(
+            EndpointPoolSettings(),
+            world.deployment.connection_limit_count,
+            world.deployment.slots_count,
+        )
+        self._gate = QuorumGate(world, group)
+        self._is_live = True
+        self._jobs = {}
+        self._apply_pool(self._pool.enable(self._simulation.now_ms))
+
+    def stop(self):
+        """Stop without a word, like a proxy that is cut off."""
+        self._is_live = False
+        self._jobs.clear()
+
+    def lose_server(self):
+        """Fail what runs, as when all connections break."""
+        self._is_live = False
+        failure = not_run(FailureCode.UNAVAILABLE, "endpoint replaced")
+        self._apply_queue(self._queue.refuse_all(failure))
+        jobs, self._jobs = self._jobs, {}
+        for _, reply, _, _ in jobs.values():
+            reply(Outcome(may_have_run("connection lost")))
+        self._gate.close()
+
+    def become_primary(self):
+        """Hold answers from now on: the endpoint was promoted."""
+        self._gate = QuorumGate(self._world, self._group)
+
+    def execute(self, request, reply):
+        """Run a request; ``reply(outcome)`` is called once."""
+        if not self._is_live:
+            failure = not_run(FailureCode.UNAVAILABLE, "not the owner")
+            reply(Outcome(failure))
+            return
+        self._await_floor(request, reply, self._simulation.now_ms)
+
+    def _await_floor(self, request, reply, since_ms):
+        now_ms = self._simulation.now_ms
+        position = self._server.position()
+        if self._is_good_enough(request, position):
+            self._offer(request, reply, now_ms - since_ms)
+            return
+        limit_ms = self._world.variant.routing.replica_wait_ms * 1.5
+        if now_ms - since_ms >= limit_ms or not self._is_live:
+            failure = not_run(FailureCode.UNAVAILABLE, "behind the floor")
+            reply(
+                Outcome(
+                    failure,
+                    position,
+                    floor_wait_ms=now_ms - since_ms,
+                    is_behind=True,
+                )
+            )
+            return
+        self._simulation.after(
+            FLOOR_POLL_MS, self._await_floor, request, reply, since_ms
+        )
+
+    def _is_good_enough(self, request, position):
+        if request.max_age_ms is not None and not self._server.is_primary:
+            now_ms = self._simulation.now_ms
+            if self._server.lag.at(now_ms) <= request.max_age_ms:
+                return True
+        ends = self._world.fleet.groups[self._group].term_ends
+        return check_floor(request.floor, position, ends) is FloorState.MET
+
+    def _offer(self, request, reply, floor_wait_ms):
+        now_ms = self._simulation.now_ms
+        ticket = Ticket(
+            request.number,
+            f"{request.group}pool",
+            request.rank,
+            request.caller,
+            now_ms,
+            request.deadline_ms,
+        )
+        self._jobs[request.number] = (request, reply, floor_wait_ms, ticket)
+        self._world.record_offer(self.endpoint, request)
+        self._simulation.at(request.deadline_ms, self._expire)
+        actions = self._queue.offer(ticket, now_ms)
+        refused_count = sum(not isinstance(a, Start) for a in actions)
+        self._world.statistics.record_refusals(refused_count, now_ms)
+        self._apply_queue(actions)
+
+    def _expire(self):
+        self._apply_queue(self._queue.expire(self._simulation.now_ms))
+
+    def _apply_queue(self, actions):
+        for action in actions:
+            number = action.ticket.request
+            if isinstance(action, Start):
+                now_ms = self._simulation.now_ms
+                self._apply_pool(self._pool.acquire(number, now_ms))
+            elif number in self._jobs:
+                _, reply, _, _ = self._jobs.pop(number)
+                reply(Outcome(action.failure))
+
+    def _apply_pool(self, actions):
+        for action in actions:
+            if isinstance(action, OpenConnection):
+                self._simulation.after(
+                    self._world.deployment.connect_ms,
+                    self._opened,
+                    action.connection,
+                )
+            elif isinstance(action, UseConnection):
+                self._run(action.holder, action.connection)
+            else:
+                assert not isinstance(
+                    action, (CloseConnection, ProbeConnection)
+                )
+
+    def _opened(self, connection):
+        now_ms = self._simulation.now_ms
+        self._apply_pool(self._pool.on_opened(connection, now_ms))
+
+    def _run(self, number, connection):
+        if number not in self._jobs:
+            return
+        request = self._jobs[number][0]
+        started_ms = self._simulation.now_ms
+        local_ms = self._world.deployment.local_delay_ms
+        self._world.statistics.record_read(request, self._server.position())
+
+        def ended(position):
+            self._simulation.after(
+                local_ms, self._ended, number, connection, position, started_ms
+            )
+
+        self._simulation.after(local_ms, self._server.run, request, ended)
+
+    def _ended(self, number, connection, position, started_ms):
+        if number not in self._jobs:
+            return
+        now_ms = self._simulation.now_ms
+        request, reply, floor_wait_ms, ticket = self._jobs.pop(number)
+        queue_wait_ms = started_ms - ticket.arrival_ms
+        self._apply_pool(self._pool.release(connection, now_ms))
+        service_ms = now_ms - started_ms
+        self._apply_queue(self._queue.finish(ticket, now_ms, service_ms))
+        self._answer(request, reply, position, queue_wait_ms, floor_wait_ms)
+
+    def _answer(self, request, reply, position, queue_wait_ms, floor_wait_ms):
+        if not self._server.is_primary:
+            outcome = Outcome(
+                None, position, queue_wait_ms, floor_wait_ms, by_replica=True
+            )
+            reply(outcome)
+            return
+
+        def confirmed(failure, held_ms):
+            reply(
+                Outcome(
+                    failure, position, queue_wait_ms, floor_wait_ms, held_ms
+                )
+            )
+
+        self._gate.hold(request, position, confirmed)
+
+
+def make_real_queue(settings, deployment):
+    """Return the real admission queue."""
+    return AdmissionQueue(deployment.slots_count, settings)
--- /dev/null
+++ b/waxwinglift_bench/process/_scenarios.py
@@ -0,0 +1,99 @@
+"""Load and faults of the measuring rig, by name."""
+
+from waxwinglift_bench.process._world import WARM_UP_MS
+
+SCENARIOS = {}
+FLOOD_FACTOR = 10.0
+# A fault starts this long after the warm-up.
+FAULT_MS = 2000.0
+TAKEOVER_MS = 1300.0
+WRITE_GAP_MS = 1500.0
+SLOW_FACTOR = 5.0
+SLOW_FOR_MS = 4000.0
+LAGGING_MS = 2000.0
+
+
+def scenario(name):
+    """Register a function that prepares a world before it runs."""
+
+    def register(function):
+        SCENARIOS[name] = function
+        return function
+
+    return register
+
+
+@scenario("normal")
+def normal(world):
+    """Usual load without faults."""
+
+
+@scenario("low_flood")
+def low_flood(world):
+    """Ten times the usual arrivals of the lowest rank."""
+    _flood(world, world.deployment.ranks[-1])
+
+
+@scenario("urgent_flood")
+def urgent_flood(world):
+    """Ten times the usual arrivals of the most urgent rank."""
+    _flood(world, world.deployment.ranks[0])
+
+
+@scenario("replica_lagging")
+def replica_lagging(world):
+    """One replica of each group falls 2 s behind, for good."""
+    for group in world.fleet.groups:
+        lag = world.servers[f"{group}s1"].lag
+        _fault(world, setattr, lag, "extra_ms", LAGGING_MS)
+
+
+@scenario("replica_slow")
+def replica_slow(world):
+    """One replica of each group takes five times as long, for 4 s."""
+    for group in world.fleet.groups:
+        server = world.servers[f"{group}s1"]
+        _fault(world, setattr, server, "slow_factor", SLOW_FACTOR)
+        end_ms = WARM_UP_MS + FAULT_MS + SLOW_FOR_MS
+        world.simulation.at(end_ms, setattr, server, "slow_factor", 1.0)
+
+
+@scenario("proxy_cut")
+def proxy_cut(world):
+    """A proxy that owns a primary is cut off."""
+    proxy = world.fleet.owners["g0s0"].owner
+    _fault(world, world.cut_proxy, proxy, TAKEOVER_MS)
+
+
+@scenario("primary_change")
+def primary_change(world):
+    """One group loses its primary; writes stop for 1.5 s."""
+    _fault(world, world.stop_primary, "g0", WRITE_GAP_MS)
+
+
+def _pair(first, second):
+    def prepare(world):
+        SCENARIOS[first](world)
+        SCENARIOS[second](world)
+
+    scenario(f"{first}+{second}")(prepare)
+
+
+_pair("low_flood", "replica_slow")
+_pair("low_flood", "replica_lagging")
+_pair("low_flood", "primary_change")
+_pair("urgent_flood", "proxy_cut")
+_pair("urgent_flood", "replica_slow")
+_pair("replica_lagging", "replica_slow")
+_pair("proxy_cut", "primary_change")
+
+
+def _flood(world, load):
+    world.simulation.at(
+        WARM_UP_MS / 4,
+        *(world.callers.set_rate_factor, load.row.rank, FLOOD_FACTOR),
+    )
+
+
+def _fault(world, function, *arguments):
+    world.simulation.at(WARM_UP_MS + FAULT_MS, function, *arguments)
--- /dev/null
+++ b/waxwinglift_bench/process/_simulation.py
@@ -0,0 +1,29 @@
+"""Virtual time: a heap of events that one loop runs in order."""
+
+import heapq
+import itertools
+
+
+class Simulation:
+    """Runs callbacks at virtual times; ties run in order of scheduling."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self._events = []
+        self._sequence = itertools.count()
+
+    def after(self, delay_ms, function, *arguments):
+        """Call ``function`` after ``delay_ms``."""
+        self.at(self.now_ms + delay_ms, function, *arguments)
+
+    def at(self, time_ms, function, *arguments):
+        """Call ``function`` at ``time_ms``."""
+        event = (time_ms, next(self._sequence), function, arguments)
+        heapq.heappush(self._events, event)
+
+    def run(self, until_ms):
+        """Run all events before ``until_ms``."""
+        while self._events and self._events[0][0] < until_ms:
+            self.now_ms, _, function, arguments = heapq.heappop(self._events)
+            function(*arguments)
+        self.now_ms = until_ms
--- /dev/null
+++ b/waxwinglift_bench/process/_world.py
@@ -0,0 +1,180 @@
+"""One simulated deployment: servers, proxies, callers and statistics."""
+
+import dataclasses
+import random
+
+from waxwinglift.process._policy_settings import AdmissionSettings
+from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift.request._routing import view_group
+from waxwinglift.version import EndpointId
+from waxwinglift.version import Epoch
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import Lsn
+from waxwinglift.version import OwnerAssignment
+from waxwinglift.version import Term
+from waxwinglift_bench.process._callers import Callers
+from waxwinglift_bench.process._deployment import build_fleet
+from waxwinglift_bench.process._entry import EntrySide
+from waxwinglift_bench.process._entry import PEER_TIMEOUT_MS
+from waxwinglift_bench.process._owner import make_real_queue
+from waxwinglift_bench.process._owner import OwnerSide
+from waxwinglift_bench.process._servers import GroupLog
+from waxwinglift_bench.process._servers import Server
+from waxwinglift_bench.process._simulation import Simulation
+from waxwinglift_bench.process._split import SplitEntry
+from waxwinglift_bench.request._statistics import RunStatistics
+
+WARM_UP_MS = 2000.0
+# Time for the last requests of the window to end.
+TAIL_MS = 2500.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """Version of the policies that a run uses."""
+
+    name: str
+    routing: RoutingSettings
+    admission: AdmissionSettings
+    is_split: bool = False
+
+    def make_queue(self, deployment):
+        """Return the queue of one endpoint."""
+        return make_real_queue(self.admission, deployment)
+
+
+class World:
+    """Everything of one run; the same seed gives the same figures."""
+
+    def __init__(self, deployment, variant, duration_ms, seed):
+        self.deployment = deployment
+        self.variant = variant
+        self.simulation = Simulation()
+        self.rng = random.Random(f"{seed} policy")
+        self.load_rng = random.Random(f"{seed} load")
+        self.fleet = build_fleet(deployment)
+        self.logs = {group: GroupLog() for group in self.fleet.groups}
+        self.servers = {
+            endpoint: self._make_server(endpoint, seed)
+            for endpoint in self.fleet.endpoints
+        }
+        self.until_ms = WARM_UP_MS + duration_ms
+        self.statistics = RunStatistics(WARM_UP_MS, self.until_ms)
+        self._views = {}
+        self.owners = {}
+        entry_class = SplitEntry if variant.is_split else EntrySide
+        self.entries = [entry_class(self, proxy) for proxy in self.proxies]
+        if not variant.is_split:
+            for endpoint, assignment in self.fleet.owners.items():
+                self.owners[endpoint] = OwnerSide(
+                    self, endpoint, assignment.owner
+                )
+        self.callers = Callers(self)
+
+    @property
+    def proxies(self):
+        """Ids of all proxies."""
+        return list(self.fleet.daemons)
+
+    def run(self):
+        """Run to the end; requests in flight may still finish."""
+        self.callers.start()
+        self.simulation.run(self.until_ms + TAIL_MS)
+
+    def any_entry(self):
+        """Return the proxy that the load balancer picks."""
+        live = [entry for entry in self.entries if entry.is_live]
+        return self.load_rng.choice(live)
+
+    def view(self, group, location):
+        """Return the view of a group, built once per change."""
+        key = (group, location)
+        if key not in self._views:
+            self._views[key] = view_group(self.fleet, group, location)
+        return self._views[key]
+
+    def flushed_lsns(self, group):
+        """Return what each replica of a group has on disk."""
+        return {
+            endpoint: Lsn(server.flushed_lsn())
+            for endpoint, server in self.servers.items()
+            if self.fleet.endpoints[endpoint].group == group
+            and not server.is_primary
+        }
+
+    def record_offer(self, endpoint, request):
+        """Record work that reached the queue of an endpoint."""
+        service_ms = self.deployment.service_ms * request.service_factor
+        self.statistics.record_offer(
+            endpoint, request.rank, service_ms, self.simulation.now_ms
+        )
+
+    def cut_proxy(self, proxy, takeover_ms):
+        """Cut a proxy off; its endpoints move after ``takeover_ms``."""
+        for endpoint, assignment in list(self.fleet.owners.items()):
+            if assignment.owner == proxy and endpoint in self.owners:
+                self.owners[endpoint].stop()
+                self.simulation.after(takeover_ms, self._take_over, endpoint)
+        self.simulation.after(PEER_TIMEOUT_MS, self._notice_cut, proxy)
+
+    def _notice_cut(self, proxy):
+        for entry in self.entries:
+            if entry.proxy == proxy:
+                entry.stop()
+            elif entry.is_live:
+                entry.lose_peer(proxy)
+
+    def _take_over(self, endpoint):
+        old = self.fleet.owners[endpoint]
+        epoch = Epoch(old.epoch + 1)
+        self.fleet.owners[endpoint] = OwnerAssignment(
+            endpoint, old.standby, None, epoch
+        )
+        self.owners[endpoint] = OwnerSide(self, endpoint, old.standby)
+        self._change()
+
+    def stop_primary(self, group, gap_ms):
+        """Lose the primary of a group; writes resume after ``gap_ms``."""
+        state = self.fleet.groups[group]
+        server = self.servers[state.primary]
+        server.stop()
+        if state.primary in self.owners:
+            self.owners[state.primary].lose_server()
+        state.term_ends[state.term] = self.logs[group].position().lsn
+        state.term = Term(state.term + 1)
+        state.phase = GroupPhase.PROMOTING
+        state.primary = EndpointId(f"{group}s1")
+        self._change()
+        self.simulation.after(gap_ms, self._resume_writes, group)
+
+    def _resume_writes(self, group):
+        state = self.fleet.groups[group]
+        self.servers[state.primary].is_primary = True
+        self.logs[group].term = state.term
+        state.phase = GroupPhase.ACTIVE
+        if state.primary in self.owners:
+            self.owners[state.primary].become_primary()
+        self._change()
+
+    def _change(self):
+        self._views = {}
+        for entry in self.entries:
+            if entry.is_live:
+                entry.fleet_changed()
+
+    def _make_server(self, endpoint, seed):
+        log = self.logs[self.fleet.endpoints[endpoint].group]
+        rng = random.Random(f"{seed} {endpoint}")
+        return Server(
+            self.simulation,
+            endpoint,
+            self.deployment,
+            log,
+            rng,
+            self._record_run,
+        )
+
+    def _record_run(self, endpoint, request, service_ms):
+        self.statistics.record_run(
+            endpoint, request.rank, service_ms, self.simulation.now_ms
+        )
--- /dev/null
+++ b/waxwinglift_bench/process/measure.py
@@ -0,0 +1,95 @@
+"""Command `measure`: the policies under load, in virtual time."""
+
+import time
+
+import click
+
+from waxwinglift.process._policy_settings import AdmissionSettings
+from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift_bench.process._deployment import DEPLOYMENTS
+from waxwinglift_bench.process._scenarios import SCENARIOS
+from waxwinglift_bench.process._world import Variant
+from waxwinglift_bench.process._world import World
+
+VARIANTS = {
+    v.name: v
+    for v in (
+        Variant("split", RoutingSettings(), AdmissionSettings(), True),
+        Variant(
+            "first",
+            RoutingSettings(policy="two_choices", replica_wait_ms=100.0),
+            AdmissionSettings(),
+        ),
+        Variant("now", RoutingSettings(), AdmissionSettings()),
+    )
+}
+
+
+def run_world(deployment, variant, scenario, duration_s, seed):
+    """Run one scenario and return its world."""
+    world = World(deployment, variant, duration_s * 1000.0, seed)
+    SCENARIOS[scenario](world)
+    world.run()
+    return world
+
+
+def header(deployment):
+    """Return the heading of the table of one deployment."""
+    ranks = [load.row.rank for load in deployment.ranks]
+    columns = " ".join(f"{rank + ' /s (share)':>20}" for rank in ranks)
+    return (
+        f"{'scenario':32} {'policy':6} {'repl%':>6} {'p50':>6} {'p99':>6} "
+        f"{'miss%':>6} {columns} {'floor%':>7} {'early':>6} {'unkn':>5}"
+    )
+
+
+def row(scenario, variant, world):
+    """Return one line of figures."""
+    figures = world.statistics
+    urgent = world.deployment.ranks[0].row.rank
+    counts = figures.ranks[urgent]
+    columns = " ".join(
+        f"{figures.goodput_per_s(load.row.rank):10.1f} "
+        f"({figures.share_percent(load.row.rank):6.1f}%)"
+        for load in world.deployment.ranks
+    )
+    kept = min(
+        figures.floor_kept_percent(load.row, world.deployment.slots_count)
+        for load in world.deployment.ranks
+    )
+    unknown = sum(f.unknown_count for f in figures.ranks.values())
+    missed = 100.0 * counts.missed_count / max(1, counts.offered_count)
+    return (
+        f"{scenario:32} {variant:6} {figures.replica_percent():6.1f} "
+        f"{figures.percentile_ms(urgent, 50):6.1f} "
+        f"{figures.percentile_ms(urgent, 99):6.1f} {missed:6.2f} "
+        f"{columns} {kept:7.1f} {figures.early_refusal_count:6} {unknown:5}"
+    )
+
+
+@click.command()
+@click.option("--deployment", "deployments", multiple=True)
+@click.option("--scenario", "scenarios", multiple=True)
+@click.option("--policy", "policies", multiple=True)
+@click.option("--duration-s", default=8.0, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def measure(deployments, scenarios, policies, duration_s, seed):
+    """Print a table of figures per scenario and policy version."""
+    started_s = time.monotonic()
+    for name in deployments or DEPLOYMENTS:
+        deployment = DEPLOYMENTS[name]
+        click.echo(f"\n{name}\n{header(deployment)}")
+        for scenario in scenarios or SCENARIOS:
+            for policy in policies or VARIANTS:
+                world = run_world(
+                    deployment, VARIANTS[policy], scenario, duration_s, seed
+                )
+                click.echo(row(scenario, policy, world))
+                violations = world.statistics.floor_violation_count
+                if violations:
+                    click.echo(f"  {violations} reads below their floor")
+    click.echo(f"\n{time.monotonic() - started_s:.0f} s", err=True)
+
+
+if __name__ == "__main__":
+    measure()
--- /dev/null
+++ b/waxwinglift_bench/request/_requests.py
@@ -0,0 +1,49 @@
+"""Simulated requests and their outcomes."""
+
+import dataclasses
+from typing import Any
+
+from waxwinglift.request import Failure
+from waxwinglift.version import EndpointId
+from waxwinglift.version import GroupName
+from waxwinglift.version import Position
+from waxwinglift.version import Rank
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class SimulatedRequest:
+    """One request of a session; ``done(outcome)`` ends it at the caller."""
+
+    number: int
+    group: GroupName
+    rank: Rank
+    caller: str
+    is_write: bool
+    floor: Position | None
+    max_age_ms: float | None
+    arrival_ms: float
+    deadline_ms: float
+    # Statement time relative to the median.
+    service_factor: float
+    done: Any
+    excluded: frozenset[EndpointId] = frozenset()
+    attempt_count: int = 1
+    sent_ms: float = 0.0
+    is_ended: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Answer or failure of one attempt.
+
+    ``floor_wait_ms`` and ``held_ms`` are the waits for a replica and for a
+    quorum; ``is_behind`` marks a replica that did not reach the floor.
+    """
+
+    failure: Failure | None = None
+    position: Position | None = None
+    queue_wait_ms: float = 0.0
+    floor_wait_ms: float = 0.0
+    held_ms: float = 0.0
+    is_behind: bool = False
+    by_replica: bool = False
