Test the failover planner step by step

One fault was found: before its first look at the leases a new leader took every owner for lost and believed the standby owner alone.

--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -74,7 +74,9 @@
 
     def reset(self):
         """Forget all progress; the fleet state says where groups stand."""
-        self.live_daemons = frozenset()
+        # None until the leases were observed: an owner is not known to be
+        # lost before.
+        self.live_daemons = None
         self.passed_index = None
         self.observed_index = -1
         self.is_changing = False
--- a/waxwinglift/version/_failover_steps.py
+++ b/waxwinglift/version/_failover_steps.py
@@ -95,7 +95,7 @@
     def why_failed(self):
         """Return why the primary must be replaced, None when it is in use."""
         primary = self.fleet.endpoints.get(self.group.primary)
-        if primary is None:
+        if primary is None or self.planner.live_daemons is None:
             return None
         if primary.state is EndpointState.LEAVING:
             return "primary is leaving"
--- /dev/null
+++ b/waxwinglift/version/tests/failover_rig.py
@@ -0,0 +1,107 @@
+"""Drives a FailoverPlanner against servers that answer at once."""
+
+import dataclasses
+
+from waxwinglift.version import _entries as entries
+from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version._failover import FailoverPlanner
+from waxwinglift.version._failover import FailoverSettings
+from waxwinglift.version._types import Position
+from waxwinglift.version.tests.fleets import daemon_joined
+from waxwinglift.version.tests.fleets import extend
+from waxwinglift.version.tests.fleets import group_entries
+from waxwinglift.version.tests.fleets import make_fleet
+
+OUTCOMES = {
+    messages.FenceServer: messages.ServerFenced,
+    messages.PromoteServer: messages.ServerPromoted,
+    messages.RepointServer: messages.ServerRepointed,
+}
+
+
+@dataclasses.dataclass
+class Server:
+    """Reachable or not, and the position that it reports."""
+
+    position: Position = Position(1, 100)
+    is_reachable: bool = True
+
+
+class Rig:
+    """Fleet, planner and servers; entries are committed at once."""
+
+    def __init__(self, groups=("g",), sites="abc"):
+        logged = [e for g in groups for e in group_entries(g, sites)]
+        self.fleet = make_fleet(*map(daemon_joined, "abc"), *logged)
+        owned = [
+            entries.OwnerAssignment(e, "a", "b", 1)
+            for e in self.fleet.endpoints
+        ]
+        extend(self.fleet, entries.OwnersAssigned(tuple(owned)))
+        self.servers = {e: Server() for e in self.fleet.endpoints}
+        self.live = frozenset("abc")
+        self.passed_index = None
+        self.now_ms = 0.0
+        self.actions = []
+        self.take_over()
+
+    def take_over(self):
+        """Continue with a planner that knows the fleet state only."""
+        self.planner = FailoverPlanner(FailoverSettings())
+        self.handle(messages.LeadershipStarted())
+
+    def report(self, daemon, *endpoints, term=1):
+        """Let ``daemon`` report exactly ``endpoints`` as down."""
+        down = tuple(messages.DownEndpoint(e, term) for e in endpoints)
+        self.handle(messages.HealthReported(daemon, down))
+
+    def observe(self):
+        """Let the planner see the leases."""
+        passed = self.passed_index
+        self.handle(messages.LeasesObserved(self.live, passed))
+
+    def run(self, steps_count=30, step_ms=50):
+        """Repeat the report of the old primary and observe the leases."""
+        for _ in range(steps_count):
+            self.now_ms += step_ms
+            self.observe()
+
+    def handle(self, event):
+        pending = [event]
+        while pending:
+            event = pending.pop(0)
+            for action in self.planner.step(self.fleet, event, self.now_ms):
+                self.actions.append(action)
+                outcome = self.execute(action)
+                if outcome is not None:
+                    pending.append(outcome)
+
+    def execute(self, action):
+        """Return the outcome of ``action``, None when it has none."""
+        if isinstance(action, messages.Propose):
+            extend(self.fleet, action.entry)
+            return messages.LeasesObserved(self.live, self.passed_index)
+        server = self.servers[action.endpoint]
+        if not server.is_reachable:
+            return messages.ActionFailed(action, "no answer")
+        name = (action.group, action.term, action.endpoint)
+        if isinstance(action, messages.ReadPosition):
+            return messages.PositionRead(*name, server.position)
+        return OUTCOMES[type(action)](*name)
+
+    def proposed(self, entry_type):
+        """Return the proposed entries of a type."""
+        return [
+            a.entry
+            for a in self.actions
+            if isinstance(a, messages.Propose)
+            and isinstance(a.entry, entry_type)
+        ]
+
+    def sent(self, action_type, term=None):
+        """Return the servers that actions of a type went to."""
+        return {
+            a.endpoint
+            for a in self.actions
+            if isinstance(a, action_type) and term in (None, a.term)
+        }
--- a/waxwinglift/version/tests/fleets.py
+++ b/waxwinglift/version/tests/fleets.py
@@ -7,7 +7,13 @@
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._types import EndpointRole
 
-REGIONS = {"a": "north", "b": "north", "c": "south", "d": "south"}
+REGIONS = {
+    "a": "north",
+    "b": "north",
+    "c": "south",
+    "d": "south",
+    "e": "south",
+}
 
 
 def location(site):
