End watch streams when a proxy changes its relay

Ruled out: the log shipping itself (a plain watch client received each entry). Before: lease lost 2 s after the start, before any write. After: the stream is cancelled and refusals of the leader no longer cause a move.

--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -42,10 +42,11 @@
     Rendezvous hashing spreads the proxies over the control daemons without
     any coordination.
     """
-    return sorted(
-        addresses,
-        key=lambda address: xxhash.xxh64_intdigest(f"{daemon} {address}"),
-    )
+
+    def weight(address):
+        return xxhash.xxh64_intdigest(f"{daemon} {address}".encode())
+
+    return sorted(addresses, key=weight)
 
 
 class ControlLink(mode.Service):
@@ -79,6 +80,7 @@
         self._is_stopped = False
         self._sequence = 0
         self._refusals_count = 0
+        self._refusal_reason = "no answer"
         self._renew_now = asyncio.Event()
         self._relays = order_relays(settings.daemon, settings.control)
         self._has_lease = False
@@ -117,20 +119,25 @@
         stub = control_grpc.ControlStub(channel)
         relay = self._relays[0]
         async with stub.Watch.open() as stream:
-            await stream.send_message(
-                control_pb2.WatchRequest(
-                    daemon=self.settings.daemon,
-                    applied_index=self.view.applied_index,
-                ),
-                end=True,
+            try:
+                await self._follow(stream, relay)
+            finally:
+                # The stream has no end of its own to wait for.
+                await stream.cancel()
+
+    async def _follow(self, stream, relay):
+        request = control_pb2.WatchRequest(
+            daemon=self.settings.daemon,
+            applied_index=self.view.applied_index,
+        )
+        await stream.send_message(request, end=True)
+        while self._relays[0] == relay:
+            reply = await asyncio.wait_for(
+                stream.recv_message(), WATCH_TIMEOUT_S
             )
-            while self._relays[0] == relay:
-                reply = await asyncio.wait_for(
-                    stream.recv_message(), WATCH_TIMEOUT_S
-                )
-                if reply is None:
-                    raise WatchError("stream ended")
-                self._apply(reply)
+            if reply is None:
+                raise WatchError("stream ended")
+            self._apply(reply)
 
     def _apply(self, reply):
         if reply.snapshot:
@@ -215,7 +222,10 @@
             self.lease.on_grant(grant.sequence, grant.lease_ms)
             self.metrics.incr("control.renewals_granted")
         else:
-            self._refusals_count += 1
+            # The leader's own refusals name its log index; only those of a
+            # relay without a leader call for another relay.
+            self._refusals_count += grant.commit_index == 0
+            self._refusal_reason = grant.reason
             self.metrics.incr("control.renewals_refused")
 
     def _make_renewal(self):
@@ -238,6 +248,10 @@
         if has_lease == self._has_lease:
             return
         self._has_lease = has_lease
-        logger.info("lease obtained" if has_lease else "lease lost")
-        self.metrics.incr("lease.obtained" if has_lease else "lease.lost")
+        if has_lease:
+            logger.info("lease obtained")
+            self.metrics.incr("lease.obtained")
+        else:
+            logger.warning("lease lost: %s", self._refusal_reason)
+            self.metrics.incr("lease.lost")
         self.view.notify()
--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -1,6 +1,7 @@
 """gRPC front of a control daemon."""
 
 import asyncio
+import contextlib
 
 from grpclib.const import Status as GrpcStatus
 from grpclib.exceptions import GRPCError
@@ -116,14 +117,11 @@
         while True:
             changed = self._node.changed
             reply = self._next_entries(index)
+            if not reply.entries and not reply.snapshot:
+                await _wait_for_event(changed, WATCH_KEEPALIVE_S)
+                reply = self._next_entries(index)
             await stream.send_message(reply)
             index = max(index, reply.snapshot_index, _last_index(reply))
-            if reply.entries or reply.snapshot:
-                continue
-            try:
-                await asyncio.wait_for(changed.wait(), WATCH_KEEPALIVE_S)
-            except asyncio.TimeoutError:
-                continue
 
     def _next_entries(self, index):
         node = self._node
@@ -240,6 +238,11 @@
         )
 
 
+async def _wait_for_event(event, timeout_s):
+    with contextlib.suppress(asyncio.TimeoutError):
+        await asyncio.wait_for(event.wait(), timeout_s)
+
+
 def _last_index(reply):
     if not reply.entries:
         return 0
--- a/waxwinglift/process/_observability.py
+++ b/waxwinglift/process/_observability.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 
+import mode
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import export
@@ -72,6 +73,7 @@
     # These libraries log each connection; state changes are ours to log.
     for name in ("mode", "asyncio", "hpack", "h2", "grpclib"):
         logging.getLogger(name).setLevel(logging.WARNING)
+    mode.Service.mundane_level = "debug"
 
 
 class _FileSpanExporter(export.SpanExporter):
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 
-from grpclib.server import Server
 import mode
 
 from waxwinglift.connection import HealthState
@@ -13,7 +12,8 @@
 from waxwinglift.process._data_path import EntryServer
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._owner_set import OwnerSet
-from waxwinglift.process._peer_service import PeerExecutors
+from waxwinglift.process._peer_client import PeerClients
+from waxwinglift.process._peer_service import PeerServer
 from waxwinglift.process._peer_service import PeerService
 from waxwinglift.process._runner import monotonic_ms
 from waxwinglift.process._types import DaemonId
@@ -29,7 +29,7 @@
 
 @contextlib.asynccontextmanager
 async def _serving_peers(service, address):
-    server = Server([service])
+    server = PeerServer([service])
     await server.start(address.host, address.port)
     try:
         yield server
@@ -64,9 +64,13 @@
             endpoint
             for endpoint, assignment in self._view.fleet.owners.items()
             if assignment.previous == self._view.daemon
-            and self._owners.is_released(endpoint)
+            and self._is_released(endpoint)
         )
 
+    def _is_released(self, endpoint):
+        owner = self._owners.owner(endpoint)
+        return owner is None or owner.is_released
+
 
 class ProxyService(mode.Service):
     """One proxy.
@@ -95,7 +99,7 @@
         self.owners = OwnerSet(
             settings.owner, self.view, on_health=self._on_health, **options
         )
-        self.peers = PeerExecutors(self.view, self.owners)
+        self.peers = PeerClients(self.view, self.owners)
         self.entry = EntryServer(
             settings.entry, self.view, self.peers, **options
         )
@@ -144,7 +148,7 @@
         await self.entry.stop()
         await self.owners.stop()
         await self.link.stop()
-        await self.peers.close()
+        self.peers.close()
         logger.info("stopped")
 
     async def _wait_for_handover(self):
--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -81,6 +81,8 @@
         self.leases = LeaseTable(settings.leases)
         self.announcements = AnnouncementTable(settings.announcements)
         self.planner = FailoverPlanner(settings.failover)
+        # Outcome of the last committed entry, for the member's proposals.
+        self.last_outcome = None
         self.is_leader = False
         self.has_quorum = False
         self.commit_times = collections.deque()
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -24,6 +24,7 @@
     if event.index <= core.fleet.index:
         return []
     outcome = apply_entry(core.fleet, event.index, event.entry)
+    core.last_outcome = outcome
     if isinstance(outcome, Err):
         if outcome.err_value.code is RefusalCode.WRONG_INDEX:
             raise ValueError(outcome.err_value.message)
