Add the consensus core of the control log

The control log needs one leader per term and a lease that ends before another leader can start. Counting an append before the follower's term is durable was ruled out: after a crash that follower could obey a leader of an older term and drop entries it had confirmed. Letting the own vote or append count before the disk reports it was ruled out for the same reason. A member that has just started refuses votes for one minimum election timeout, because it may have answered a leader before.

--- /dev/null
+++ b/waxwinglift/version/_consensus_election.py
@@ -0,0 +1,121 @@
+"""Pre-votes, votes and the change to leader."""
+
+from waxwinglift.version._consensus_leader import lead
+from waxwinglift.version._consensus_messages import PreVoteRequest
+from waxwinglift.version._consensus_messages import PreVoteResponse
+from waxwinglift.version._consensus_messages import VoteRequest
+from waxwinglift.version._consensus_messages import VoteResponse
+from waxwinglift.version._consensus_state import on_message
+from waxwinglift.version._consensus_types import NodeRole
+from waxwinglift.version._consensus_types import Send
+
+
+def is_loyal(node, now_ms):
+    """Return whether the member must refuse votes and pre-votes.
+
+    A leader counts on it: it stops acting as one before the minimum election
+    timeout has passed at a majority.
+    """
+    if node.role is NodeRole.LEADER:
+        return node.has_quorum_contact(now_ms)
+    age_ms = now_ms - node.leader_contact_ms
+    return age_ms < node.settings.election_timeout_min_ms
+
+
+def campaign(node, now_ms):
+    """Ask for pre-votes; a member without a vote only waits on."""
+    node.reset_election_deadline(now_ms)
+    if not node.is_voter or is_loyal(node, now_ms):
+        return
+    node.become_follower(node.term, None, now_ms)
+    node.role = NodeRole.PRE_CANDIDATE
+    request = PreVoteRequest(
+        node.term + 1, node.log.last_index, node.log.last_term
+    )
+    for member in node.others(node.configuration.voters):
+        node.send(member, request)
+    _count_pre_vote(node, node.member, now_ms)
+
+
+def _count_pre_vote(node, member, now_ms):
+    node.votes.add(member)
+    if node.configuration.is_majority(node.votes):
+        _stand(node, now_ms)
+
+
+def _stand(node, now_ms):
+    """Start an election; requests leave once the own vote is durable."""
+    node.role = NodeRole.CANDIDATE
+    node.term += 1
+    node.voted_for = node.member
+    node.votes.clear()
+    node.reset_election_deadline(now_ms)
+    request = VoteRequest(node.term, node.log.last_index, node.log.last_term)
+    voters = node.others(node.configuration.voters)
+    sends = tuple(Send(member, request) for member in voters)
+    node.persist_vote(sends=sends, counts_vote=True)
+
+
+def count_vote(node, member, now_ms):
+    """Count a durable vote for this candidate."""
+    node.votes.add(member)
+    if node.configuration.is_majority(node.votes):
+        lead(node, now_ms)
+
+
+def _may_vote(node, sender, request):
+    if request.term < node.term:
+        return False
+    is_free = request.term > node.term or node.voted_for in (None, sender)
+    is_complete = node.log.is_up_to_date(request.last_index, request.last_term)
+    return is_free and is_complete
+
+
+@on_message(PreVoteRequest)
+def _on_pre_vote_request(node, sender, request, now_ms):
+    is_granted = not is_loyal(node, now_ms) and _may_vote(
+        node, sender, request
+    )
+    term = request.term if is_granted else node.term
+    node.send(sender, PreVoteResponse(term, is_granted))
+
+
+@on_message(PreVoteResponse)
+def _on_pre_vote_response(node, sender, response, now_ms):
+    if not response.is_granted:
+        if response.term > node.term:
+            node.become_follower(response.term, None, now_ms)
+        return
+    is_expected = response.term == node.term + 1
+    if node.role is NodeRole.PRE_CANDIDATE and is_expected:
+        _count_pre_vote(node, sender, now_ms)
+
+
+@on_message(VoteRequest)
+def _on_vote_request(node, sender, request, now_ms):
+    """Vote at most once in a term; the answer waits for the disk.
+
+    While loyal the member ignores the request and its term, so that a
+    member that lost its connection cannot depose a leader.
+    """
+    if is_loyal(node, now_ms):
+        return
+    if request.term > node.term:
+        node.become_follower(request.term, None, now_ms)
+    if not _may_vote(node, sender, request):
+        node.send(sender, VoteResponse(node.term, False))
+        return
+    node.voted_for = sender
+    node.reset_election_deadline(now_ms)
+    response = VoteResponse(node.term, True)
+    node.persist_vote(sends=(Send(sender, response),))
+
+
+@on_message(VoteResponse)
+def _on_vote_response(node, sender, response, now_ms):
+    if response.term > node.term:
+        node.become_follower(response.term, None, now_ms)
+        return
+    is_current = response.term == node.term and response.is_granted
+    if is_current and node.role is NodeRole.CANDIDATE:
+        count_vote(node, sender, now_ms)
--- /dev/null
+++ b/waxwinglift/version/_consensus_follower.py
@@ -0,0 +1,198 @@
+"""Appends and snapshots at a follower, and completed writes."""
+
+from waxwinglift.version._consensus_election import count_vote
+from waxwinglift.version._consensus_leader import advance_commit
+from waxwinglift.version._consensus_messages import AppendRequest
+from waxwinglift.version._consensus_messages import AppendResponse
+from waxwinglift.version._consensus_messages import Snapshot
+from waxwinglift.version._consensus_messages import SnapshotRequest
+from waxwinglift.version._consensus_state import on_event
+from waxwinglift.version._consensus_state import on_message
+from waxwinglift.version._consensus_types import ConsensusError
+from waxwinglift.version._consensus_types import InstallSnapshot
+from waxwinglift.version._consensus_types import NodeRole
+from waxwinglift.version._consensus_types import Persisted
+from waxwinglift.version._consensus_types import SnapshotTaken
+
+
+def _follow(node, sender, request, now_ms):
+    """Follow the sender; return False when its term has passed."""
+    if request.term < node.term:
+        response = AppendResponse(node.term, False, 0, request.sent_ms)
+        node.send(sender, response)
+        return False
+    if request.term == node.term and node.role is NodeRole.LEADER:
+        raise ConsensusError(f"{sender} also leads term {node.term}")
+    if request.term > node.term or node.leader != sender:
+        node.become_follower(request.term, sender, now_ms)
+    node.leader_contact_ms = now_ms
+    node.answered_sent_ms = request.sent_ms
+    node.reset_election_deadline(now_ms)
+    return True
+
+
+def _acknowledge(node):
+    """Report the durable entries known to equal the leader's.
+
+    Before the term is durable nothing is reported: after a crash the member
+    could follow a leader of an older term and drop those entries.
+    """
+    match_index = min(node.verified_index, node.log.durable_index)
+    if node.durable_term < node.term:
+        match_index = 0
+    response = AppendResponse(
+        node.term, True, match_index, node.answered_sent_ms
+    )
+    node.send(node.leader, response)
+
+
+def _advance(node):
+    """Commit what the leader has committed and this member holds durably."""
+    known_index = min(node.leader_commit_index, node.verified_index)
+    node.commit_to(min(known_index, node.log.durable_index))
+
+
+@on_message(AppendRequest)
+def _on_append_request(node, sender, request, now_ms):
+    if not _follow(node, sender, request, now_ms):
+        return
+    if not _matches(node, request):
+        hint_index = _hint(node, request)
+        response = AppendResponse(
+            node.term, False, hint_index, request.sent_ms
+        )
+        node.send(sender, response)
+        return
+    _store(node, request.entries)
+    matched_index = request.previous_index + len(request.entries)
+    node.verified_index = max(node.verified_index, matched_index)
+    commit_index = max(node.leader_commit_index, request.commit_index)
+    node.leader_commit_index = commit_index
+    _advance(node)
+    _acknowledge(node)
+
+
+def _matches(node, request):
+    # Committed entries are the same at every leader.
+    if request.previous_index <= node.commit_index:
+        return True
+    return node.log.term_at(request.previous_index) == request.previous_term
+
+
+def _hint(node, request):
+    """Return an index at which the logs may agree."""
+    if request.previous_index > node.log.last_index:
+        return node.log.last_index
+    first_index = node.log.first_index_of_term(request.previous_index)
+    return max(node.commit_index, first_index - 1)
+
+
+def _store(node, entries):
+    """Append the entries that are new; drop those that they replace."""
+    _check_committed(node, entries)
+    fresh = [
+        entry
+        for entry in entries
+        if entry.index > node.commit_index
+        and node.log.term_at(entry.index) != entry.term
+    ]
+    if not fresh:
+        return
+    first_index = fresh[0].index
+    truncate_after = None
+    if first_index <= node.log.last_index:
+        truncate_after = first_index - 1
+        _truncate(node, truncate_after)
+    for entry in fresh:
+        node.log.append(entry)
+        node.membership.on_append(entry)
+    node.persist_entries(fresh, truncate_after)
+
+
+def _check_committed(node, entries):
+    for entry in entries:
+        known_term = node.log.term_at(entry.index)
+        is_committed = entry.index <= node.commit_index
+        if is_committed and known_term not in (None, entry.term):
+            raise ConsensusError(f"committed entry {entry.index} changed")
+
+
+def _truncate(node, index):
+    node.log.truncate_after(index)
+    node.membership.on_truncate(index)
+    node.forget_pending_after(index)
+
+
+@on_message(SnapshotRequest)
+def _on_snapshot_request(node, sender, request, now_ms):
+    if not _follow(node, sender, request, now_ms):
+        return
+    snapshot = request.snapshot
+    is_known = node.log.term_at(snapshot.index) == snapshot.term
+    if snapshot.index > node.commit_index and not is_known:
+        _install(node, snapshot)
+    node.verified_index = max(node.verified_index, snapshot.index)
+    commit_index = max(node.leader_commit_index, snapshot.index)
+    node.leader_commit_index = commit_index
+    _advance(node)
+    _acknowledge(node)
+
+
+def _install(node, snapshot):
+    node.log.reset(snapshot)
+    node.membership.reset(snapshot)
+    node.forget_pending_after(0)
+    node.snapshot = snapshot
+    node.commit_index = snapshot.index
+    node.persist(snapshot=snapshot, last_index=snapshot.index)
+    node.actions.append(InstallSnapshot(snapshot))
+
+
+@on_event(Persisted)
+def _on_persisted(node, event, now_ms):
+    """Release what waited for the disk."""
+    known_index = node.log.durable_index
+    known_term = node.durable_term
+    while node.pending and node.pending[0].sequence <= event.sequence:
+        _complete(node, node.pending.popleft(), now_ms)
+    if (node.log.durable_index, node.durable_term) == (
+        known_index,
+        known_term,
+    ):
+        return
+    if node.role is NodeRole.LEADER:
+        advance_commit(node, now_ms)
+    elif node.role is NodeRole.FOLLOWER and node.leader is not None:
+        _advance(node)
+        _acknowledge(node)
+
+
+def _complete(node, record, now_ms):
+    durable_index = max(node.log.durable_index, record.last_index)
+    node.log.durable_index = durable_index
+    node.durable_term = max(node.durable_term, record.term)
+    if record.term != node.term:
+        return
+    node.actions.extend(record.sends)
+    if record.counts_vote and node.role is NodeRole.CANDIDATE:
+        count_vote(node, node.member, now_ms)
+
+
+@on_event(SnapshotTaken)
+def _on_snapshot_taken(node, event, now_ms):
+    """Compact the log behind an applied state; an old one is ignored."""
+    known_index = node.snapshot.index if node.snapshot else 0
+    if event.index <= known_index:
+        return
+    if event.index > node.commit_index:
+        raise ConsensusError(f"{event.index} is not committed")
+    node.snapshot = Snapshot(
+        index=event.index,
+        term=node.log.term_at(event.index),
+        members=node.membership.at(event.index).members,
+        data=event.data,
+    )
+    node.persist(snapshot=node.snapshot)
+    node.membership.on_compact(event.index)
+    retained_count = node.settings.retained_entries_count
+    node.log.compact(event.index - retained_count)
--- /dev/null
+++ b/waxwinglift/version/_consensus_membership.py
@@ -0,0 +1,184 @@
+"""Configuration of the control group, derived from the log.
+
+A member uses the newest configuration in its log from the moment it is
+appended, not once it is committed: with one change at a time the majorities
+of neighbouring configurations overlap, so that both may be in use at once.
+A truncated change is undone.
+"""
+
+import dataclasses
+
+from waxwinglift.version._consensus_messages import LogEntry
+from waxwinglift.version._consensus_messages import MemberRole
+from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entries import MemberAdded
+from waxwinglift.version._entries import MemberPromoted
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import encode_entry
+
+# Below the term of the first leader, so that its own entry commits them.
+BOOTSTRAP_TERM = 0
+
+_MEMBER_KINDS = frozenset(
+    {
+        EntryKind.MEMBER_ADDED,
+        EntryKind.MEMBER_PROMOTED,
+        EntryKind.MEMBER_REMOVED,
+    }
+)
+
+
+def read_change(payload):
+    """Return the member entry of ``payload``, or None for another kind."""
+    # The search spares most entries the decoding; a match proves nothing.
+    if b'"member_' not in payload:
+        return None
+    entry = decode_entry(payload)
+    return entry if entry.kind in _MEMBER_KINDS else None
+
+
+def bootstrap_entries(members):
+    """Return the first entries of the log of a new control group.
+
+    Parameters
+    ----------
+    members : iterable of (DaemonId, Address)
+        The same on all initial members.  They write these entries to their
+        empty stores before the first start; a member that joins later
+        starts with an empty log.
+
+    Returns
+    -------
+    tuple of LogEntry
+    """
+    ordered = sorted(members)
+    changes = [MemberAdded(member, address) for member, address in ordered]
+    changes += [MemberPromoted(member) for member, _ in ordered]
+    return tuple(
+        LogEntry(index, BOOTSTRAP_TERM, encode_entry(change))
+        for index, change in enumerate(changes, start=1)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """Members in force from ``index``."""
+
+    index: int
+    members: tuple[MemberRole, ...] = ()
+
+    @property
+    def voters(self):
+        return tuple(m.member for m in self.members if m.is_voter)
+
+    @property
+    def everyone(self):
+        return tuple(m.member for m in self.members)
+
+    @property
+    def majority_count(self):
+        return len(self.voters) // 2 + 1
+
+    def is_majority(self, members):
+        """Return whether ``members`` contain a majority of the voters."""
+        granted = sum(voter in members for voter in self.voters)
+        return granted >= self.majority_count
+
+    def majority_value(self, values):
+        """Return the highest value that a majority of voters reached.
+
+        Parameters
+        ----------
+        values : mapping of DaemonId to a number
+            One for each voter.
+        """
+        ordered = sorted((values[v] for v in self.voters), reverse=True)
+        return ordered[self.majority_count - 1]
+
+    def changed_by(self, change, index):
+        """Return the next configuration, or None for an invalid change."""
+        roles = {m.member: m.is_voter for m in self.members}
+        if not _CHANGES[change.kind](roles, change.member):
+            return None
+        members = tuple(MemberRole(m, roles[m]) for m in sorted(roles))
+        return Configuration(index, members)
+
+
+_CHANGES = {}
+
+
+def _changes(kind):
+    def register(function):
+        _CHANGES[kind] = function
+        return function
+
+    return register
+
+
+@_changes(EntryKind.MEMBER_ADDED)
+def _add(roles, member):
+    if member in roles:
+        return False
+    roles[member] = False
+    return True
+
+
+@_changes(EntryKind.MEMBER_PROMOTED)
+def _promote(roles, member):
+    if roles.get(member) is not False:
+        return False
+    roles[member] = True
+    return True
+
+
+@_changes(EntryKind.MEMBER_REMOVED)
+def _remove(roles, member):
+    is_last = [m for m, is_voter in roles.items() if is_voter] == [member]
+    if member not in roles or is_last:
+        return False
+    del roles[member]
+    return True
+
+
+class MembershipHistory:
+    """Configurations of the log, newest last."""
+
+    def __init__(self, snapshot, entries):
+        self._history = []
+        self.reset(snapshot)
+        for entry in entries:
+            self.on_append(entry)
+
+    @property
+    def current(self):
+        return self._history[-1]
+
+    def at(self, index):
+        """Return the configuration in force at ``index``."""
+        return [c for c in self._history if c.index <= index][-1]
+
+    def reset(self, snapshot):
+        """Start again from the configuration of ``snapshot``."""
+        members = snapshot.members if snapshot else ()
+        index = snapshot.index if snapshot else 0
+        self._history = [Configuration(index, members)]
+
+    def on_append(self, entry):
+        """Use the configuration of an appended entry, if it changes it."""
+        change = read_change(entry.payload)
+        if change is None:
+            return
+        following = self.current.changed_by(change, entry.index)
+        if following is not None:
+            self._history.append(following)
+
+    def on_truncate(self, index):
+        """Undo the changes behind ``index``."""
+        while self.current.index > index:
+            self._history.pop()
+
+    def on_compact(self, index):
+        """Forget the configurations before the one in force at ``index``."""
+        kept = self.at(index)
+        later = [c for c in self._history if c.index > index]
+        self._history = [kept, *later]
--- /dev/null
+++ b/waxwinglift/version/_consensus_state.py
@@ -0,0 +1,177 @@
+"""State of one consensus node and the steps that all its parts share."""
+
+import collections
+import dataclasses
+
+from waxwinglift.version._consensus_log import MemoryLog
+from waxwinglift.version._consensus_membership import MembershipHistory
+from waxwinglift.version._consensus_types import Commit
+from waxwinglift.version._consensus_types import NodeRole
+from waxwinglift.version._consensus_types import Persist
+from waxwinglift.version._consensus_types import Send
+from waxwinglift.version._consensus_types import StepDown
+from waxwinglift.version._consensus_types import Vote
+
+EVENT_HANDLERS = {}
+MESSAGE_HANDLERS = {}
+
+
+def on_event(event_class):
+    """Register ``function(node, event, now_ms)`` for an event."""
+    return _registrar(EVENT_HANDLERS, event_class)
+
+
+def on_message(message_class):
+    """Register ``function(node, sender, message, now_ms)``."""
+    return _registrar(MESSAGE_HANDLERS, message_class)
+
+
+def _registrar(registry, key):
+    def register(function):
+        if key in registry:
+            raise ValueError(f"{key.__name__} is registered twice")
+        registry[key] = function
+        return function
+
+    return register
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What a leader knows about another member.
+
+    ``contact_ms`` is the send time of the latest append that it answered.
+    """
+
+    next_index: int
+    match_index: int = 0
+    contact_ms: float = float("-inf")
+    snapshot_sent_ms: float = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class PendingPersist:
+    """A Persist action whose completion is not reported yet.
+
+    ``sends`` leave once it is durable, unless the term has changed.
+    """
+
+    sequence: int
+    term: int
+    last_index: int
+    sends: tuple[Send, ...]
+    counts_vote: bool
+
+
+class NodeState:
+    """Volatile and durable state of one member."""
+
+    def __init__(self, settings, storage_state, rng):
+        snapshot = storage_state.snapshot
+        self.settings = settings
+        self.rng = rng
+        self.member = settings.member
+        self.actions = []
+        self.term = storage_state.vote.term
+        self.voted_for = storage_state.vote.voted_for
+        self.durable_term = self.term
+        self.snapshot = snapshot
+        self.log = MemoryLog(snapshot, storage_state.entries)
+        self.membership = MembershipHistory(snapshot, storage_state.entries)
+        self.commit_index = snapshot.index if snapshot else 0
+        self.pending = collections.deque()
+        self.sequence = 0
+        self.role = NodeRole.FOLLOWER
+        self.leader = None
+        # None until the first event.  A member that has just started may
+        # have answered a leader before, so it counts as a contact.
+        self.leader_contact_ms = None
+        self.election_deadline_ms = 0.0
+        self.votes = set()
+        # As a follower: agreement with the leader of this term.
+        self.verified_index = 0
+        self.leader_commit_index = 0
+        self.answered_sent_ms = 0.0
+        # As a leader.
+        self.progress = {}
+        self.term_start_index = 0
+        self.elected_ms = 0.0
+        self.round_ms = 0.0
+        self.quorum_contact_ms = None
+
+    @property
+    def configuration(self):
+        return self.membership.current
+
+    @property
+    def is_voter(self):
+        return self.member in self.configuration.voters
+
+    def others(self, members):
+        return [m for m in members if m != self.member]
+
+    def send(self, recipient, message):
+        self.actions.append(Send(recipient, message))
+
+    def reset_election_deadline(self, now_ms):
+        low = self.settings.election_timeout_min_ms
+        high = self.settings.election_timeout_max_ms
+        self.election_deadline_ms = now_ms + self.rng.uniform(low, high)
+
+    def persist(self, sends=(), counts_vote=False, last_index=0, **parts):
+        """Emit a Persist action and remember what waits for it."""
+        self.sequence += 1
+        self.actions.append(Persist(self.sequence, **parts))
+        self.pending.append(
+            PendingPersist(
+                self.sequence, self.term, last_index, sends, counts_vote
+            )
+        )
+
+    def persist_vote(self, **waiting):
+        self.persist(vote=Vote(self.term, self.voted_for), **waiting)
+
+    def persist_entries(self, entries, truncate_after=None):
+        self.persist(
+            entries=tuple(entries),
+            truncate_after=truncate_after,
+            last_index=entries[-1].index,
+        )
+
+    def forget_pending_after(self, index):
+        """Entries behind ``index`` are replaced: do not count them."""
+        for record in self.pending:
+            record.last_index = min(record.last_index, index)
+
+    def become_follower(self, term, leader, now_ms):
+        """Follow ``leader``, or nobody yet, in ``term``."""
+        was_leader = self.role is NodeRole.LEADER
+        self.role = NodeRole.FOLLOWER
+        self.leader = leader
+        self.votes.clear()
+        self.progress.clear()
+        self.verified_index = 0
+        self.leader_commit_index = 0
+        self.quorum_contact_ms = None
+        if term > self.term:
+            self.term = term
+            self.voted_for = None
+            self.persist_vote()
+        if was_leader:
+            self.reset_election_deadline(now_ms)
+            self.actions.append(StepDown(self.term))
+
+    def commit_to(self, index):
+        """Emit the entries up to ``index``, each one once."""
+        if index <= self.commit_index:
+            return
+        entries = self.log.between(self.commit_index + 1, index)
+        self.commit_index = index
+        self.actions.append(Commit(entries))
+
+    def has_quorum_contact(self, now_ms):
+        """Return whether a majority answered within the check-quorum time."""
+        if self.role is not NodeRole.LEADER or self.quorum_contact_ms is None:
+            return False
+        age_ms = now_ms - self.quorum_contact_ms
+        return age_ms < self.settings.check_quorum_ms
--- /dev/null
+++ b/waxwinglift/version/tests/test_consensus.py
@@ -0,0 +1,267 @@
+"""Guards agreement of the control log under the faults of the platform."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from waxwinglift.version import _entries as e
+from waxwinglift.version._consensus_messages import decode_message
+from waxwinglift.version._consensus_types import Accepted
+from waxwinglift.version._consensus_types import ConsensusSettings
+from waxwinglift.version._consensus_types import ProposalRefusal
+from waxwinglift.version.tests.virtual_group import ADDRESS
+from waxwinglift.version.tests.virtual_group import VirtualGroup
+
+NAMES = ["m1", "m2", "m3", "m4", "m5"]
+ROWS = (e.RankRow("urgent", 1, 0, 0, 10, 100),)
+TABLE = e.PoolTable("p", "g", ROWS)
+
+
+def edit(edit_id, version):
+    return e.PoolEdited(edit_id, "p", version, TABLE)
+
+
+def started(count, seed=1, **settings):
+    group = VirtualGroup(NAMES[:count], seed, **settings)
+    group.run(2_000)
+    return group, group.leader()
+
+
+def commit(group, entry, wait_ms=500):
+    """Propose until the leader accepts, and wait for the commit."""
+    for _ in range(20):
+        leader = group.leader()
+        outcome = leader and group.propose(leader.name, entry)
+        group.run(wait_ms)
+        if isinstance(outcome, Accepted):
+            entry = group.committed.get(outcome.index)
+            if entry and entry.term == outcome.term:
+                return outcome
+    raise AssertionError("no commit")
+
+
+class ControlGroupMachine(stateful.RuleBasedStateMachine):
+    """Random faults; the group asserts its invariants at every step."""
+
+    @stateful.initialize(
+        count=st.sampled_from([3, 5]), seed=st.integers(0, 999)
+    )
+    def start(self, count, seed):
+        self.group = VirtualGroup(NAMES[:count], seed)
+        self.names = st.sampled_from(NAMES[:count])
+        self.edits_count = 0
+        self.group.run(1_000)
+
+    def pick(self, number):
+        return NAMES[number % len(self.group.members)]
+
+    @stateful.rule(duration_ms=st.sampled_from([2, 10, 60, 400, 900]))
+    def run(self, duration_ms):
+        self.group.run(duration_ms)
+
+    @stateful.rule(number=st.integers(0, 4), age=st.integers(0, 2))
+    def propose(self, number, age):
+        """Send a new edit, or an earlier one again, to any member."""
+        self.edits_count += age == 0
+        number_of_edit = max(0, self.edits_count - age)
+        entry = edit(f"i{number_of_edit}", number_of_edit // 2)
+        self.group.propose(self.pick(number), entry)
+
+    @stateful.rule(age=st.integers(0, 2), times=st.integers(1, 4))
+    def propose_to_leader(self, age, times):
+        leader = self.group.leader()
+        for _ in range(times if leader else 0):
+            self.propose(NAMES.index(leader.name), age)
+
+    @stateful.rule(number=st.integers(0, 4))
+    def crash(self, number):
+        self.group.crash(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 4))
+    def restart(self, number):
+        self.group.restart(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 4))
+    def freeze(self, number):
+        self.group.freeze(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 4))
+    def thaw(self, number):
+        self.group.thaw(self.pick(number))
+
+    @stateful.rule(numbers=st.sets(st.integers(0, 4), max_size=3))
+    def isolate(self, numbers):
+        self.group.isolate({self.pick(number) for number in numbers})
+
+    @stateful.rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        duplication=st.sampled_from([0.0, 0.3]),
+        delay_ms=st.sampled_from([5.0, 60.0, 300.0]),
+    )
+    def disturb(self, loss, duplication, delay_ms):
+        self.group.loss = loss
+        self.group.duplication = duplication
+        self.group.delay_ms = delay_ms
+
+    def teardown(self):
+        """After the faults the group must work and agree again."""
+        if not hasattr(self, "group"):
+            return
+        self.group.repair()
+        self.group.delay_ms = 5.0
+        self.group.run(4_000)
+        commit(self.group, e.NoOperation())
+        indexes = {m.fleet.index for m in self.group.members.values()}
+        assert len(indexes) == 1
+
+
+TestControlGroup = ControlGroupMachine.TestCase
+TestControlGroup.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=40,
+    stateful_step_count=30,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_member_isolated_for_an_hour_returns_quietly(seed):
+    # Without the pre-vote its raised term would depose the leader.  Timers
+    # are 20 times longer than usual to save steps.
+    slow = {
+        "heartbeat_ms": 1_500.0,
+        "check_quorum_ms": 5_000.0,
+        "election_timeout_min_ms": 6_000.0,
+        "election_timeout_max_ms": 12_000.0,
+    }
+    group = VirtualGroup(NAMES[:3], seed, **slow)
+    group.run(40_000)
+    leader = group.leader()
+    other = next(n for n in group.members if n != leader.name)
+    group.isolate({other})
+    group.run(3_600_000)
+    term, count = leader.node.term, group.step_downs_count
+    group.repair()
+    group.run(60_000)
+    assert (leader.node.term, group.step_downs_count) == (term, count)
+    assert group.members[other].node.term == term
+
+
+@pytest.mark.parametrize("count", [3, 5])
+@pytest.mark.parametrize("seed", range(4))
+def test_isolated_leader_stops_before_another_starts(count, seed):
+    # The group asserts at each step that at most one leads with quorum.
+    group, leader = started(count, seed)
+    group.isolate({leader.name})
+    group.run(260)
+    assert not leader.leads()
+    group.run(2_500)
+    assert group.leader() not in (None, leader)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_second_member_lost_right_after_repair(seed):
+    # The replacement must hold the log by the time its vote counts.
+    group, leader = started(3, seed)
+    lost, second = [n for n in group.members if n != leader.name]
+    for version in range(20):
+        commit(group, edit(f"i{version}", version), 50)
+    group.crash(lost)
+    group.add("m4")
+    for entry in (
+        e.MemberAdded("m4", ADDRESS),
+        e.MemberRemoved(lost),
+        e.MemberPromoted("m4"),
+    ):
+        commit(group, entry, 300)
+    group.crash(second)
+    group.run(2_000)
+    commit(group, edit("late", 20))
+    assert group.members["m4"].fleet.pools["p"].version == 21
+    assert group.installs_count >= 1
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ([e.MemberPromoted("m4")], ProposalRefusal.INVALID_CHANGE),
+        ([e.MemberRemoved("m4")], ProposalRefusal.INVALID_CHANGE),
+        ([e.MemberAdded("m1", ADDRESS)], ProposalRefusal.INVALID_CHANGE),
+        (
+            [e.MemberAdded("m4", ADDRESS), e.MemberAdded("m5", ADDRESS)],
+            ProposalRefusal.CHANGE_IN_PROGRESS,
+        ),
+        (
+            [e.MemberAdded("m4", ADDRESS), None, e.MemberPromoted("m4")],
+            ProposalRefusal.NOT_CAUGHT_UP,
+        ),
+    ],
+)
+def test_member_change_is_refused(changes, reason):
+    group, leader = started(3)
+    for change in changes:
+        if change is None:
+            group.run(300)
+            continue
+        outcome = group.propose(leader.name, change)
+    assert outcome.reason is reason
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_removed_leader_steps_down(seed):
+    # A leader outside of the group would count majorities it is not in.
+    group, leader = started(3, seed)
+    commit(group, e.MemberRemoved(leader.name), 3_000)
+    assert group.leader() not in (None, leader)
+    commit(group, edit("i", 0))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_racing_edits_and_resend_across_snapshot(seed):
+    # Of two edits of one version one wins; a resend repeats the answer.
+    group, leader = started(3, seed)
+    for edit_id in ("a", "b"):
+        group.propose(leader.name, edit(edit_id, 0))
+    group.run(200)
+    for version in range(1, 20):
+        commit(group, edit(f"i{version}", version), 50)
+    first = dict(group.answers)
+    for name in group.members:
+        group.crash(name)
+        group.restart(name)
+    group.run(2_000)
+    commit(group, edit("a", 0))
+    commit(group, edit("b", 0))
+    assert group.answers == first
+    applied = [first[edit_id].unwrap().is_applied for edit_id in ("a", "b")]
+    assert applied == [True, False]
+    assert leader.node.snapshot.index > 10
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 5])
+def test_group_of_any_size_commits(count):
+    group, _ = started(count)
+    commit(group, edit("i", 0))
+    assert {m.fleet.index for m in group.members.values()} == {2 * count + 2}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"heartbeat_ms": 250.0},
+        {"check_quorum_ms": 300.0},
+        {"election_timeout_min_ms": 600.0},
+    ],
+)
+def test_settings_that_break_the_lease_are_refused(change):
+    # Check-quorum must end before members may vote for another leader.
+    with pytest.raises(ValueError):
+        ConsensusSettings(member="m1", **change)
+
+
+@pytest.mark.parametrize("payload", [b"", b"[]", b'{"kind":"vote"}', b"1"])
+def test_malformed_message_is_an_error(payload):
+    with pytest.raises(ValueError):
+        decode_message(payload)
