--- a/waxwinglift_standin/process/_faults.py
+++ b/waxwinglift_standin/process/_faults.py
@@ -32,6 +32,7 @@
     def apply():
         state.faults.receive_lag_ms = receive
         state.faults.replay_lag_ms = replay
+        state.announce_change()
 
     return apply
 
--- a/waxwinglift_standin/request/_rewrite.py
+++ b/waxwinglift_standin/request/_rewrite.py
@@ -39,6 +39,28 @@
     "VARCHAR": "CAST({} AS TEXT)",
     "CHARACTER": "CAST({} AS TEXT)",
 }
+# Words after which a bracket starts an operand and not arguments.
+_BEFORE_OPERANDS = {
+    "SELECT",
+    "DISTINCT",
+    "WHERE",
+    "HAVING",
+    "BY",
+    "ON",
+    "AND",
+    "OR",
+    "NOT",
+    "IN",
+    "BETWEEN",
+    "LIKE",
+    "WHEN",
+    "THEN",
+    "ELSE",
+    "RETURNING",
+    "LIMIT",
+    "OFFSET",
+    "VALUES",
+}
 _SECOND_TYPE_WORDS = {"PRECISION", "VARYING"}
 
 
@@ -177,13 +199,18 @@
     at = cast_index - 1
     if _upper(tokens, at) == ")":
         at = _opening_index(tokens, at)
-        is_call = at > 0 and tokens[at - 1].kind is TokenKind.WORD
-        return at - 1 if is_call else at
+        return at - 1 if _is_call(tokens, at) else at
     while _upper(tokens, at - 1) == ".":
         at -= 2
     return at
 
 
+def _is_call(tokens, opening):
+    if not opening or tokens[opening - 1].kind is not TokenKind.WORD:
+        return False
+    return tokens[opening - 1].upper not in _BEFORE_OPERANDS
+
+
 def _opening_index(tokens, closing):
     depth = 0
     for index in range(closing, -1, -1):
--- a/waxwinglift_standin/request/_transactions.py
+++ b/waxwinglift_standin/request/_transactions.py
@@ -24,6 +24,7 @@
     ("already exists", SqlState.DUPLICATE_TABLE),
     ("syntax error", SqlState.SYNTAX),
     ("incomplete input", SqlState.SYNTAX),
+    ("values were supplied", SqlState.SYNTAX),
     ("unrecognized token", SqlState.SYNTAX),
 ]
 
--- a/waxwinglift_standin/version/_state.py
+++ b/waxwinglift_standin/version/_state.py
@@ -49,6 +49,11 @@
         self._free_count = count
         self._waiters = collections.deque()
 
+    @property
+    def waiting_count(self):
+        """Number of those that wait."""
+        return sum(not waiter.done() for waiter in self._waiters)
+
     async def acquire(self):
         """Wait for a slot and take it."""
         if self._free_count and not self._waiters:
