Scope SET to transactions and check time-outs in the stand-in

SET LOCAL stayed in force after its transaction, a rolled-back SET stayed as well, and a statement_timeout with a unit ended the connection. A real server does none of this, so callers could come to rely on the difference. Faults can now also be in force from the start, by the settings.

--- a/waxwinglift_standin/connection/_session.py
+++ b/waxwinglift_standin/connection/_session.py
@@ -5,6 +5,7 @@
 
 import pygwire
 from pygwire import messages as pg
+from waxwinglift_standin.connection import _values as values
 from waxwinglift_standin.connection._types import SqlError
 from waxwinglift_standin.connection._types import SqlState
 
@@ -173,7 +174,7 @@
 
     def _start_timeout(self):
         value = self.data.parameters.get("statement_timeout", "0")
-        timeout_ms = float(value.removesuffix("ms") or 0)
+        timeout_ms = values.parse_duration_ms(value)
         if not timeout_ms:
             return None
         message = "canceling statement due to statement timeout"
--- a/waxwinglift_standin/connection/_types.py
+++ b/waxwinglift_standin/connection/_types.py
@@ -143,7 +143,9 @@
     """Open transaction of a session.
 
     `statements` holds the writes that will be logged at commit;
-    `savepoints` holds pairs of a name and the number of writes before it.
+    `savepoints` holds pairs of a name and the number of writes before it;
+    `local_values` and `set_values` hold what the parameters of SET LOCAL and
+    of SET were before.
     """
 
     started_us: int
@@ -152,6 +154,8 @@
     holds_writer: bool = False
     statements: list = dataclasses.field(default_factory=list)
     savepoints: list = dataclasses.field(default_factory=list)
+    local_values: dict = dataclasses.field(default_factory=dict)
+    set_values: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwinglift_standin/connection/_values.py
+++ b/waxwinglift_standin/connection/_values.py
@@ -24,6 +24,8 @@
     PgType.FLOAT4: "!f",
     PgType.FLOAT8: "!d",
 }
+# Longer units first, as "ms" also ends with "s".
+_UNITS_MS = {"ms": 1, "min": 60000, "s": 1000}
 _INTEGERS = (PgType.INT2, PgType.INT4, PgType.INT8)
 _FLOATS = (PgType.FLOAT4, PgType.FLOAT8)
 _TIMES = (PgType.TIMESTAMP, PgType.TIMESTAMPTZ)
@@ -78,6 +80,21 @@
     return moment.astimezone(datetime.timezone.utc)
 
 
+def parse_duration_ms(text):
+    """Return the milliseconds of a time-out's text form.
+
+    Raises
+    ------
+    ValueError
+        If `text` is not a number with an optional unit.
+    """
+    text = text.strip()
+    for unit, factor in _UNITS_MS.items():
+        if text.endswith(unit):
+            return float(text.removesuffix(unit)) * factor
+    return float(text)
+
+
 def parse_bool(text):
     """Return 1 or 0 for the text form of a boolean."""
     word = text.strip().lower()
--- a/waxwinglift_standin/process/__init__.py
+++ b/waxwinglift_standin/process/__init__.py
@@ -1,6 +1,5 @@
 """What lives for the server process: settings, services, command."""
 
-from waxwinglift_standin.process import _faults
 from waxwinglift_standin.process._command import main
 from waxwinglift_standin.process._server import running_group
 from waxwinglift_standin.process._server import running_server
@@ -9,9 +8,6 @@
 from waxwinglift_standin.process._settings import load_settings
 from waxwinglift_standin.process._settings import StandinSettings
 
-# Importing this module fills the registry of faults.
-_FILLED_BY = (_faults,)
-
 __all__ = [
     "AddressSettings",
     "StandinServer",
--- a/waxwinglift_standin/process/_server.py
+++ b/waxwinglift_standin/process/_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import logging
+import re
 
 import pygwire
 from pygwire import messages as pg
@@ -37,6 +38,7 @@
     "standard_conforming_strings": "on",
     "default_transaction_read_only": "off",
 }
+_OPTION = re.compile(r"-c\s*([\w.]+)=(\S+)")
 _DISCONNECTS = (ConnectionError, pygwire.PygwireError)
 
 
@@ -86,6 +88,8 @@
         self._listener = await asyncio.start_server(
             self._accept, str(address.host), address.port, backlog=1000
         )
+        for name, value in self.settings.faults.items():
+            self.set_fault(name, value)
         self.start_task(self.state.replay_received())
         self.start_task(ReplicationReceiver(self.state).run())
 
@@ -188,8 +192,10 @@
 
 def _session_parameters(params):
     defaults = {name.lower(): value for name, value in _PARAMETERS.items()}
-    given = {name.lower(): value for name, value in params.items()}
-    return defaults | {"application_name": "", "search_path": "public"} | given
+    defaults |= {"application_name": "", "search_path": "public"}
+    options = dict(_OPTION.findall(params.get("options", "")))
+    given = options | params
+    return defaults | {name.lower(): value for name, value in given.items()}
 
 
 @contextlib.asynccontextmanager
--- a/waxwinglift_standin/process/_settings.py
+++ b/waxwinglift_standin/process/_settings.py
@@ -5,6 +5,12 @@
 from typing import Annotated, Literal
 
 import pydantic
+from waxwinglift_standin.connection import SqlError
+from waxwinglift_standin.process import _faults
+from waxwinglift_standin.request import prepare_fault
+
+# Importing this module fills the registry of faults.
+_FILLED_BY = (_faults,)
 
 _Name = Annotated[str, pydantic.Field(min_length=1, max_length=63)]
 _Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
@@ -41,6 +47,9 @@
         Time between the first announcement as leaving and the stop.
     data_file : path or None
         File that keeps the log, None to keep it in memory.
+    faults : dict
+        Faults in force from the start, as name and value of
+        standin_fault(); the lags have settings of their own.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -66,6 +75,17 @@
     )
     leaving_ms: Annotated[float, pydantic.Field(ge=0, le=600000)] = 5000.0
     data_file: pathlib.Path | None = None
+    faults: dict[str, str] = {}
+
+    @pydantic.field_validator("faults")
+    @classmethod
+    def _check_faults(cls, faults):
+        for name, value in faults.items():
+            try:
+                prepare_fault(None, name, value)
+            except SqlError as error:
+                raise ValueError(error.message) from error
+        return faults
 
     @property
     def primary_conninfo(self):
--- a/waxwinglift_standin/process/tests/test_callers.py
+++ b/waxwinglift_standin/process/tests/test_callers.py
@@ -152,6 +152,7 @@
         ("selec 1", "42601"),
         ("create table item (id int)", "42P07"),
         ("set no_such_name = 1", "42704"),
+        ("set statement_timeout = 'soon'", "22023"),
         ("show no_such_name", "42704"),
         ("select pg_promote()", "55000"),
         ("select standin_fault('no', 'on')", "22023"),
@@ -211,6 +212,14 @@
         ("set application_name = 'b'; reset all; show application_name",
          ("a",)),
         ("select current_database()", ("pool",)),
+        ("show my.option", ("1",)),
+        ("begin; set local my.key = 'x'; commit; show my.option", ("1",)),
+        ("set my.key = 'a'; begin; set local my.key = 'b'; commit; "
+         "show my.key", ("a",)),
+        ("set my.key = 'a'; begin; set my.key = 'b'; commit; show my.key",
+         ("b",)),
+        ("set my.key = 'a'; begin; set my.key = 'b'; rollback; show my.key",
+         ("a",)),
     ],
 )  # fmt: skip
 def test_parameters(sql, row):
@@ -218,11 +227,11 @@
     async def scenario():
         async with running_group(1) as (server,):
             async with helpers.psycopg_caller(
-                server, application_name="a"
+                server, application_name="a", options="-c my.option=1"
             ) as connection:
-                cursor = await connection.execute(sql)
-                while cursor.nextset():
-                    pass
+                # One message each: one message would be one transaction.
+                for statement in sql.split("; "):
+                    cursor = await connection.execute(statement)
                 return await cursor.fetchone()
 
     assert helpers.run(scenario()) == row
--- a/waxwinglift_standin/process/tests/test_faults.py
+++ b/waxwinglift_standin/process/tests/test_faults.py
@@ -124,6 +124,15 @@
     assert helpers.run(scenario()) == ([], [(1,)])
 
 
+def test_fault_from_settings():
+    # The demo starts servers that have a fault from the start.
+    async def scenario():
+        async with running_group(1, faults={"slow": "3"}) as (server,):
+            return server.state.faults.slow_factor
+
+    assert helpers.run(scenario()) == 3.0
+
+
 def test_slow_multiplies_delays(monkeypatch):
     # A slow server must be slower by the stated factor, and only then.
     slept_s = []
--- a/waxwinglift_standin/process/tests/test_replication.py
+++ b/waxwinglift_standin/process/tests/test_replication.py
@@ -1,12 +1,15 @@
 """Replication, lag, fencing, promotion and divergence within a group."""
 
+import asyncio
 import logging
 
 import pytest
 
+from waxwinglift_standin.connection import _receiver
 from waxwinglift_standin.process import running_group
 from waxwinglift_standin.process import running_server
 from waxwinglift_standin.process.tests import _helpers as helpers
+from waxwinglift_standin.version import find_divergence
 
 POSITIONS = (
     "select pg_last_wal_receive_lsn(), pg_last_wal_replay_lsn(), "
@@ -193,10 +196,19 @@
     assert helpers.run(scenario()) == [(1,)]
 
 
-def test_diverged_replica_refuses_to_follow(caplog):
+def test_diverged_replica_refuses_to_follow(caplog, monkeypatch):
     # Following would leave rows on it that the group has discarded.
     caplog.set_level(logging.ERROR)
 
+    checks = []
+
+    def check(*arguments):
+        checks.append(arguments)
+        return find_divergence(*arguments)
+
+    monkeypatch.setattr(_receiver, "_REFUSED_RETRY_S", 0.01)
+    monkeypatch.setattr(_receiver, "find_divergence", check)
+
     async def scenario():
         async with running_group(3, receiver_retry_ms=10) as servers:
             primary, behind, ahead = servers
@@ -207,13 +219,10 @@
             await helpers.caught_up(primary, ahead)
             await promote(behind)
             await insert(behind, 2)
-            refused = len(caplog.records)
+            checks.clear()
             await follow(ahead, behind)
-            for _ in range(2):
-                behind.state.announce_change()
-            while len(caplog.records) == refused:
-                await ahead.state.runs.wait()
-                await helpers.query(ahead, RECEIVERS)
+            while len(checks) < 3:
+                await asyncio.sleep(0.001)
             return await helpers.query(ahead, SELECT)
 
     assert helpers.run(scenario()) == [(1,)]
--- a/waxwinglift_standin/process/tests/test_settings.py
+++ b/waxwinglift_standin/process/tests/test_settings.py
@@ -35,6 +35,7 @@
         ({"slots_count": 0}, ["slots_count", "allowed: 1 to 1000"]),
         ({"id": ""}, ["id:", "allowed: 1 to 63 characters"]),
         ({"initial_role": "x"}, ["initial_role", "primary, replica"]),
+        ({"faults": {"melt": "on"}}, ["faults", 'unknown fault "melt"']),
         ({"address": {"host": "localhost", "port": 1}}, ["address.host"]),
         ({"control_addresses": [{"host": "127.0.0.1", "port": 70000}]},
          ["control_addresses.0.port", "allowed: 0 to 65535"]),
--- a/waxwinglift_standin/process/tests/test_transactions.py
+++ b/waxwinglift_standin/process/tests/test_transactions.py
@@ -150,7 +150,7 @@
     async def scenario():
         async with running_group(1) as (server,):
             async with helpers.psycopg_caller(server) as connection:
-                await connection.execute("set statement_timeout = 20")
+                await connection.execute("set statement_timeout = '0.02s'")
                 sleep = connection.execute("select pg_sleep(60)")
                 return await helpers.sqlstate(sleep)
 
--- a/waxwinglift_standin/request/__init__.py
+++ b/waxwinglift_standin/request/__init__.py
@@ -5,8 +5,6 @@
 from waxwinglift_standin.request._executor import Executor
 from waxwinglift_standin.request._registries import fault
 from waxwinglift_standin.request._registries import prepare_fault
-from waxwinglift_standin.request._registries import sql_command
-from waxwinglift_standin.request._registries import sql_function
 
 # Importing these modules fills the registries.
 _FILLED_BY = (_commands, _functions)
@@ -15,6 +13,4 @@
     "Executor",
     "fault",
     "prepare_fault",
-    "sql_command",
-    "sql_function",
 ]
--- a/waxwinglift_standin/request/_commands.py
+++ b/waxwinglift_standin/request/_commands.py
@@ -5,11 +5,11 @@
 from waxwinglift_standin.connection import PgType
 from waxwinglift_standin.connection import SqlError
 from waxwinglift_standin.connection import SqlState
+from waxwinglift_standin.connection import values
 from waxwinglift_standin.request import _transactions as transactions
 from waxwinglift_standin.request._lexer import TokenKind
 from waxwinglift_standin.request._registries import sql_command
 
-_SCOPES = ("SESSION", "LOCAL")
 _SETTABLE = {
     "application_name",
     "bytea_output",
@@ -102,20 +102,21 @@
 def set_parameter(context, tokens):
     """Set a session parameter."""
     rest = tokens[1:]
-    if _words(rest)[:1] in ([scope] for scope in _SCOPES):
+    is_local = _words(rest)[:1] == ["LOCAL"]
+    if is_local or _words(rest)[:1] == ["SESSION"]:
         rest = rest[1:]
     words = _words(rest)
     if words[:1] in (["TRANSACTION"], ["CHARACTERISTICS"]):
         _set_characteristics(context.session, words)
         return Answer("SET")
     if words[:2] == ["TIME", "ZONE"]:
-        _store(context.session, "timezone", rest[2:])
+        _store(context.session, "timezone", rest[2:], is_local)
         return Answer("SET")
     at = next((i for i, w in enumerate(words) if w in ("=", "TO")), None)
     if at is None:
         raise SqlError(SqlState.SYNTAX, "syntax error in SET")
     name = "".join(token.name for token in rest[:at])
-    _store(context.session, name, rest[at + 1 :])
+    _store(context.session, name, rest[at + 1 :], is_local)
     return Answer("SET")
 
 
@@ -128,17 +129,38 @@
         session.transaction.is_read_only |= is_read_only
 
 
-def _store(session, name, tokens):
+def _store(session, name, tokens, is_local):
     if name not in _SETTABLE and "." not in name:
         message = f'unrecognized configuration parameter "{name}"'
         raise SqlError(SqlState.UNKNOWN_PARAMETER, message)
     value = "".join(_unquote(token) for token in tokens)
     if value.lower() == "default" and tokens[0].kind is TokenKind.WORD:
         value = session.start_parameters.get(name, "")
+    _check_value(name, value)
+    _remember(session, name, is_local)
     session.parameters[name] = value
     session.changed_parameters.append(name)
 
 
+def _check_value(name, value):
+    if not name.endswith("_timeout"):
+        return
+    try:
+        values.parse_duration_ms(value)
+    except ValueError as error:
+        message = f'invalid value for parameter "{name}": "{value}"'
+        raise SqlError(SqlState.INVALID_VALUE, message) from error
+
+
+def _remember(session, name, is_local):
+    """Keep the value from before the transaction, which undoes the SET."""
+    transaction = session.transaction
+    if transaction is None:
+        return
+    kept = transaction.local_values if is_local else transaction.set_values
+    kept.setdefault(name, session.parameters.get(name))
+
+
 @sql_command("RESET")
 def reset(context, tokens):
     """Reset one or all session parameters."""
@@ -161,12 +183,12 @@
     name = {"transactionisolationlevel": "transaction_isolation"}.get(
         name, name
     )
-    values = context.session.parameters | _computed(context)
-    if name not in values:
+    known = context.session.parameters | _computed(context)
+    if name not in known:
         message = f'unrecognized configuration parameter "{name}"'
         raise SqlError(SqlState.UNKNOWN_PARAMETER, message)
     columns = (Column(name, PgType.TEXT),)
-    return Answer("SHOW", columns, [(values[name],)])
+    return Answer("SHOW", columns, [(known[name],)])
 
 
 def _computed(context):
--- a/waxwinglift_standin/request/_functions.py
+++ b/waxwinglift_standin/request/_functions.py
@@ -1,7 +1,6 @@
 """Functions and views of PostgreSQL that SQLite does not have."""
 
 import datetime
-import os
 import time
 import uuid
 
@@ -158,12 +157,6 @@
     return ""
 
 
-@sql_function("standin_pid", PgType.INT4)
-def standin_pid(_):
-    """Return the id of the server's process."""
-    return os.getpid()
-
-
 @sql_function("standin_bool", PgType.BOOL)
 def standin_bool(_, value):
     """Return 1 or 0 for the operand of a cast to boolean."""
--- a/waxwinglift_standin/request/_statement.py
+++ b/waxwinglift_standin/request/_statement.py
@@ -4,7 +4,6 @@
 import enum
 import functools
 
-from waxwinglift_standin.request._lexer import closing_index
 from waxwinglift_standin.request._lexer import find_word
 from waxwinglift_standin.request._lexer import join
 from waxwinglift_standin.request._lexer import split_statements
@@ -133,8 +132,3 @@
     words = [token.upper for token in statement.tokens[1:4]]
     noun = "INDEX" if "INDEX" in words else words[0]
     return f"{verb} {noun}" if verb in _SCHEMA_VERBS else verb
-
-
-def bracket(tokens, opening):
-    """Return the tokens inside the bracket at index `opening`."""
-    return tokens[opening + 1 : closing_index(tokens, opening)]
--- a/waxwinglift_standin/request/_transactions.py
+++ b/waxwinglift_standin/request/_transactions.py
@@ -90,18 +90,30 @@
             raise translate_error(error) from error
         transaction.holds_writer = False
         server.writer.release()
+    _restore(session, transaction.local_values)
     session.transaction = None
     return "COMMIT"
 
 
 def rollback(server, session):
     """Undo the open transaction."""
-    if session.transaction is not None:
-        _undo(server, session.transaction)
+    transaction = session.transaction
+    if transaction is not None:
+        _undo(server, transaction)
+        _restore(session, transaction.local_values | transaction.set_values)
     session.transaction = None
     session.has_failed = False
 
 
+def _restore(session, values):
+    for name, value in values.items():
+        if value is None:
+            session.parameters.pop(name, None)
+        else:
+            session.parameters[name] = value
+            session.changed_parameters.append(name)
+
+
 def fail(server, session):
     """Mark the open transaction as failed after an error.
 
--- a/waxwinglift_standin/version/__init__.py
+++ b/waxwinglift_standin/version/__init__.py
@@ -1,7 +1,6 @@
 """What lives for a term: log, replication and promotion."""
 
 from waxwinglift_standin.version._database import Database
-from waxwinglift_standin.version._database import is_schema_change
 from waxwinglift_standin.version._log import find_divergence
 from waxwinglift_standin.version._log import format_lsn
 from waxwinglift_standin.version._log import LogRecord
@@ -17,7 +16,6 @@
     "ServerState",
     "find_divergence",
     "format_lsn",
-    "is_schema_change",
     "open_store",
     "parse_lsn",
 ]
