Log the results of functions with each write of the stand-in

Replaying a write called its functions again: pg_current_wal_lsn() raised on a replica and stopped its replay, and current_setting() had no session there. Seeding random() and now() per statement covered only these two. Records now hold what the functions returned, and a repetition takes it from there.

Statements that were described before no longer infer their columns twice.

--- a/waxwinglift_standin/connection/_handlers.py
+++ b/waxwinglift_standin/connection/_handlers.py
@@ -143,15 +143,17 @@
         portal = session.portal(message.name)
         description = portal.prepared.description
         formats = portal.result_formats
-    if description.columns is None:
+    columns = known_columns(description.columns)
+    if columns is None:
         session.send(pg.NoData())
     else:
-        columns = known_columns(description.columns)
         session.send(row_description(columns, formats))
 
 
 def known_columns(columns):
     """Return `columns` with the type text where it is unknown."""
+    if columns is None:
+        return None
     return tuple(
         column if column.type else type(column)(column.name, PgType.TEXT)
         for column in columns
@@ -168,8 +170,9 @@
         session.send(pg.EmptyQueryResponse())
         return
     if portal.answer is None:
+        columns = known_columns(prepared.description.columns)
         portal.answer = await session.run(
-            prepared.statement, portal.parameters
+            prepared.statement, portal.parameters, columns
         )
     send_portal(session, portal, message.max_rows)
 
@@ -177,11 +180,9 @@
 def send_portal(session, portal, max_rows):
     """Add the next rows of a portal."""
     answer = portal.answer
-    columns = portal.prepared.description.columns
-    if columns is None:
+    if answer.columns is None:
         session.send(pg.CommandComplete(answer.tag))
         return
-    answer = type(answer)(answer.tag, known_columns(columns), answer.rows)
     end = len(answer.rows)
     if max_rows:
         end = min(end, portal.offset_count + max_rows)
--- a/waxwinglift_standin/connection/_session.py
+++ b/waxwinglift_standin/connection/_session.py
@@ -155,13 +155,15 @@
             return
         await handler(self, message)
 
-    async def run(self, statement, parameters):
+    async def run(self, statement, parameters, columns=None):
         """Run a statement so that it can be cancelled."""
         task = asyncio.current_task()
         self._running = task
         timeout = self._start_timeout()
         try:
-            return await self.executor.run(self.data, statement, parameters)
+            return await self.executor.run(
+                self.data, statement, parameters, columns
+            )
         except asyncio.CancelledError:
             if self._cancel_error is None:
                 raise
--- a/waxwinglift_standin/process/_server.py
+++ b/waxwinglift_standin/process/_server.py
@@ -79,10 +79,10 @@
     async def start(self):
         """Load the log and listen."""
         executor = self._executor
-        database = Database(executor.install, executor.set_statement)
+        database = Database(executor.install, executor.calls)
         store = self._files.enter_context(open_store(self.settings.data_file))
         self.state = ServerState(self.settings, database, store)
-        executor.server = self.state
+        executor.attach(self.state)
         self.state.load()
         address = self.settings.address
         self._listener = await asyncio.start_server(
@@ -107,9 +107,14 @@
         """Run a coroutine until it ends or the server stops."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._forget_task)
         return task
 
+    def _forget_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("task failed", exc_info=task.exception())
+
     def _accept(self, reader, writer):
         self.start_task(self._serve(reader, writer))
 
--- a/waxwinglift_standin/process/tests/test_replication.py
+++ b/waxwinglift_standin/process/tests/test_replication.py
@@ -48,9 +48,15 @@
             await helpers.query(
                 primary,
                 "create table n (v int, at timestamptz default now(), "
-                "r float8 default random(), u uuid default gen_random_uuid())",
+                "r float8 default random(), u uuid default gen_random_uuid(), "
+                "lsn pg_lsn, pid int)",
             )
             await insert(primary, 1, 2)
+            await helpers.query(
+                primary,
+                "insert into n (v, lsn, pid) values "
+                "(3, pg_current_wal_lsn(), pg_backend_pid())",
+            )
             ((lsn,),) = await helpers.query(
                 primary, "select pg_current_wal_lsn()"
             )
--- /dev/null
+++ b/waxwinglift_standin/request/_description.py
@@ -0,0 +1,148 @@
+"""Describes the parameters and result columns of statements."""
+
+import re
+import sqlite3
+
+from waxwinglift_standin.connection import Column
+from waxwinglift_standin.connection import Description
+from waxwinglift_standin.connection import PgType
+from waxwinglift_standin.request import _transactions as transactions
+from waxwinglift_standin.request._inference import Inference
+from waxwinglift_standin.request._inference import type_of_name
+from waxwinglift_standin.request._lexer import split_commas
+from waxwinglift_standin.request._lexer import tokenize
+from waxwinglift_standin.request._registries import SYSTEM_VIEWS
+from waxwinglift_standin.request._statement import StatementKind
+
+_IDENTIFIER = re.compile(r"^[^\W\d]\w*$")
+_CALL = re.compile(r"^([^\W\d]\w*) ?\(")
+_DUPLICATE = re.compile(r":\d+$")
+_VALUE_TYPES = {
+    int: PgType.INT8,
+    float: PgType.FLOAT8,
+    bytes: PgType.BYTEA,
+}
+# Descriptions that are kept; callers that write values into their SQL would
+# otherwise fill the memory.
+_DESCRIPTIONS_COUNT = 5000
+
+
+class Describer:
+    """Describes statements and keeps the descriptions until a DDL commits.
+
+    Parameters
+    ----------
+    database : Database
+        Databases whose tables the statements name.
+    """
+
+    def __init__(self, database):
+        self._database = database
+        self._descriptions = {}
+        self._tables = {}
+
+    def columns(self, session, statement, names, rows):
+        """Return the columns of a result that was not described before."""
+        known = self.describe(session, statement, (), names).columns
+        if known is None or len(known) != len(names):
+            known = tuple(Column(_pg_name(name), None) for name in names)
+        return tuple(
+            column if column.type else _typed(column, rows, index)
+            for index, column in enumerate(known)
+        )
+
+    def describe(self, session, statement, given, names=None):
+        """Return the Description of a statement, with unknown types None.
+
+        Parameters
+        ----------
+        given : tuple of int
+            Oids of parameters that the caller stated, 0 where unset.
+        names : list of str or None
+            Result columns as SQLite names them, None if it has not run.
+
+        Raises
+        ------
+        SqlError
+            If the statement names something that does not exist.
+        """
+        if statement.kind is StatementKind.COMMAND:
+            return _describe_command(statement)
+        if _is_working(session):
+            return self._describe(statement, given, names, True)
+        key = (statement, given, self._database.schema_version)
+        if key not in self._descriptions:
+            if len(self._descriptions) >= _DESCRIPTIONS_COUNT:
+                self._descriptions.clear()
+            self._descriptions[key] = self._describe(
+                statement, given, names, False
+            )
+        return self._descriptions[key]
+
+    def _describe(self, statement, given, names, is_working):
+        def columns_of(table):
+            return self._columns_of(table, is_working)
+
+        inference = Inference(statement, columns_of)
+        count = max(statement.parameters_count(), len(given))
+        parameters = inference.parameters(count, given)
+        if not statement.returns_rows:
+            return Description(parameters, None)
+        if statement.kind is StatementKind.WRITE:
+            names = inference.returning_names()
+        elif names is None:
+            names = self._column_names(statement, count, is_working)
+        names = [_pg_name(name) for name in names]
+        types = inference.columns(names)
+        return Description(parameters, tuple(map(Column, names, types)))
+
+    def _column_names(self, statement, count, is_working):
+        # LIMIT 0 keeps the functions of the statement from being called.
+        sql = f"SELECT * FROM ({statement.sql}) LIMIT 0"
+        try:
+            names, _ = self._database.read(sql, (None,) * count, is_working)
+        except sqlite3.Error as error:
+            raise transactions.translate_error(error) from error
+        return names
+
+    def _columns_of(self, table, is_working):
+        if table in SYSTEM_VIEWS:
+            return SYSTEM_VIEWS[table].columns
+        key = (table, self._database.schema_version)
+        if not is_working and key in self._tables:
+            return self._tables[key]
+        _, rows = self._database.read(
+            "SELECT name, type FROM pragma_table_info(?)", (table,), is_working
+        )
+        columns = {
+            name.lower(): type_of_name(tokenize(text)) for name, text in rows
+        }
+        if not is_working:
+            self._tables[key] = columns
+        return columns
+
+
+def _describe_command(statement):
+    if statement.verb != "SHOW":
+        return Description((), None)
+    name = "".join(token.name for token in statement.tokens[1:])
+    return Description((), (Column(name, PgType.TEXT),))
+
+
+def _is_working(session):
+    return session.transaction is not None and session.transaction.holds_writer
+
+
+def _pg_name(name):
+    name = _DUPLICATE.sub("", name)
+    if _IDENTIFIER.match(name):
+        return name
+    call = _CALL.match(name)
+    if call and len(split_commas(tokenize(name))) == 1:
+        return call.group(1).lower()
+    return "?column?"
+
+
+def _typed(column, rows, index):
+    value = next((r[index] for r in rows if r[index] is not None), None)
+    return Column(column.name, _VALUE_TYPES.get(type(value), PgType.TEXT))
--- a/waxwinglift_standin/request/_functions.py
+++ b/waxwinglift_standin/request/_functions.py
@@ -1,6 +1,7 @@
 """Functions and views of PostgreSQL that SQLite does not have."""
 
 import datetime
+import random
 import time
 import uuid
 
@@ -76,7 +77,7 @@
     return 1
 
 
-@sql_function("pg_wal_lsn_diff", PgType.NUMERIC)
+@sql_function("pg_wal_lsn_diff", PgType.NUMERIC, is_pure=True)
 def pg_wal_lsn_diff(_, first, second):
     """Return the bytes between two positions."""
     if first is None or second is None:
@@ -106,7 +107,7 @@
 @sql_function("transaction_timestamp", PgType.TIMESTAMPTZ)
 def now(context):
     """Return the start of the transaction."""
-    return _format_us(context.now_us)
+    return _format_us(context.session.transaction.started_us)
 
 
 @sql_function("clock_timestamp", PgType.TIMESTAMPTZ)
@@ -116,15 +117,15 @@
 
 
 @sql_function("random", PgType.FLOAT8)
-def random_number(context):
-    """Return a number from 0 to 1; logged writes repeat it exactly."""
-    return context.rng.random()
+def random_number(_):
+    """Return a number from 0 to 1."""
+    return random.random()
 
 
 @sql_function("gen_random_uuid", PgType.UUID)
-def gen_random_uuid(context):
-    """Return a random UUID; logged writes repeat it exactly."""
-    return str(uuid.UUID(int=context.rng.getrandbits(128), version=4))
+def gen_random_uuid(_):
+    """Return a random UUID."""
+    return str(uuid.uuid4())
 
 
 @sql_function("version")
@@ -157,7 +158,7 @@
     return ""
 
 
-@sql_function("standin_bool", PgType.BOOL)
+@sql_function("standin_bool", PgType.BOOL, is_pure=True)
 def standin_bool(_, value):
     """Return 1 or 0 for the operand of a cast to boolean."""
     if isinstance(value, str):
@@ -165,7 +166,7 @@
     return None if value is None else int(value != 0)
 
 
-@sql_function("standin_timestamptz", PgType.TIMESTAMPTZ)
+@sql_function("standin_timestamptz", PgType.TIMESTAMPTZ, is_pure=True)
 def standin_timestamptz(_, value):
     """Return the form of a timestamp that sorts."""
     if value is None:
@@ -173,7 +174,7 @@
     return values.format_timestamp(values.parse_timestamp(value))
 
 
-@sql_function("standin_epoch", PgType.FLOAT8)
+@sql_function("standin_epoch", PgType.FLOAT8, is_pure=True)
 def standin_epoch(_, value):
     """Return the seconds since 1970 of a timestamp."""
     if value is None:
--- a/waxwinglift_standin/request/_registries.py
+++ b/waxwinglift_standin/request/_registries.py
@@ -11,11 +11,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SqlFunction:
-    """Function of SQL: receives the context, then its arguments."""
+    """Function of SQL: receives the context, then its arguments.
+
+    A pure function returns the same for the same arguments, so that writes
+    need not record its results.
+    """
 
     name: str
     run: Callable
     type: PgType
+    is_pure: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,8 +42,6 @@
 
     server: Any
     session: Any = None
-    now_us: int = 0
-    rng: Any = None
     sleep_s: float = 0.0
     after_statement: list = dataclasses.field(default_factory=list)
 
@@ -49,11 +52,11 @@
 FAULTS = {}
 
 
-def sql_function(name, returns=PgType.TEXT):
+def sql_function(name, returns=PgType.TEXT, is_pure=False):
     """Register a function of SQL under `name`."""
 
     def decorator(run):
-        SQL_FUNCTIONS[name] = SqlFunction(name, run, returns)
+        SQL_FUNCTIONS[name] = SqlFunction(name, run, returns, is_pure)
         return run
 
     return decorator
--- a/waxwinglift_standin/version/__init__.py
+++ b/waxwinglift_standin/version/__init__.py
@@ -1,6 +1,7 @@
 """What lives for a term: log, replication and promotion."""
 
 from waxwinglift_standin.version._database import Database
+from waxwinglift_standin.version._database import FunctionCalls
 from waxwinglift_standin.version._log import find_divergence
 from waxwinglift_standin.version._log import format_lsn
 from waxwinglift_standin.version._log import LogRecord
@@ -11,6 +12,7 @@
 
 __all__ = [
     "Database",
+    "FunctionCalls",
     "LogRecord",
     "ReplicaProgress",
     "ServerState",
--- a/waxwinglift_standin/version/_database.py
+++ b/waxwinglift_standin/version/_database.py
@@ -6,9 +6,51 @@
 them from the log.
 """
 
-import random
+import contextlib
 import sqlite3
 
+from waxwinglift_standin.version._log import LoggedStatement
+
+
+class FunctionCalls:
+    """Results of the server's functions within a write.
+
+    A write records them.  A repetition returns the recorded ones, so that it
+    has the same effect at another time, on another server, without the
+    session and without side effects.
+    """
+
+    def __init__(self):
+        self._recorded = None
+        self._repeated = None
+
+    def call(self, function, *arguments):
+        """Return the function's result, or the recorded one."""
+        if self._repeated is not None:
+            return next(self._repeated)
+        result = function(*arguments)
+        if self._recorded is not None:
+            self._recorded.append(result)
+        return result
+
+    @contextlib.contextmanager
+    def recording(self):
+        """Yield the list that results are recorded in."""
+        self._recorded = []
+        try:
+            yield self._recorded
+        finally:
+            self._recorded = None
+
+    @contextlib.contextmanager
+    def repeating(self, results):
+        """Return `results` instead of calling functions."""
+        self._repeated = iter(results)
+        try:
+            yield
+        finally:
+            self._repeated = None
+
 
 class Database:
     """Committed state and working copy of one server.
@@ -17,16 +59,15 @@
     ----------
     install : callable
         Adds functions and views to a new SQLite connection.
-    set_statement : callable
-        Receives the time in microseconds and the random generator that the
-        next statement uses.
+    calls : FunctionCalls
+        Passes on the calls of the installed functions.
     """
 
-    def __init__(self, install, set_statement):
+    def __init__(self, install, calls):
         self.committed = self._open(install)
         self.working = self._open(install)
         self.schema_version = 0
-        self._set_statement = set_statement
+        self._calls = calls
 
     @staticmethod
     def _open(install):
@@ -51,19 +92,28 @@
         """Start a write transaction on the working copy."""
         self.working.execute("BEGIN")
 
-    def write(self, sql, parameters, started_us, index):
-        """Run a write and return (column names or None, rows, count)."""
-        return self._write(self.working, sql, parameters, started_us, index)
-
-    def _write(self, connection, sql, parameters, started_us, index):
-        # The seed makes random values the same wherever this is repeated.
-        self._set_statement(started_us, random.Random(f"{started_us}.{index}"))
-        cursor = connection.execute(sql, parameters)
+    def write(self, sql, parameters):
+        """Run a write.
+
+        Returns
+        -------
+        statement : LoggedStatement
+            What repeats the write.
+        names : list of str or None
+            Names of the result columns.
+        rows : list of tuple
+            Result rows.
+        count : int
+            Number of rows changed.
+        """
+        with self._calls.recording() as results:
+            cursor = self.working.execute(sql, parameters)
+            rows = cursor.fetchall()
+        statement = LoggedStatement(sql, tuple(parameters), tuple(results))
         if cursor.description is None:
-            return None, [], max(cursor.rowcount, 0)
+            return statement, None, [], max(cursor.rowcount, 0)
         names = [field[0] for field in cursor.description]
-        rows = cursor.fetchall()
-        return names, rows, len(rows)
+        return statement, names, rows, len(rows)
 
     def commit(self):
         """Commit the working copy."""
@@ -90,11 +140,13 @@
 
     def _repeat(self, connection, transaction):
         connection.execute("BEGIN")
-        for index, (sql, parameters) in enumerate(transaction.statements):
-            started_us = transaction.started_us
-            self._write(connection, sql, parameters, started_us, index)
+        for statement in transaction.statements:
+            with self._calls.repeating(statement.results):
+                connection.execute(
+                    statement.sql, statement.parameters
+                ).fetchall()
         connection.execute("COMMIT")
-        if any(is_schema_change(sql) for sql, _ in transaction.statements):
+        if any(is_schema_change(s.sql) for s in transaction.statements):
             self.schema_version += 1
 
 
--- a/waxwinglift_standin/version/_log.py
+++ b/waxwinglift_standin/version/_log.py
@@ -29,13 +29,25 @@
     payload: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoggedStatement:
+    """Write in SQLite's form.
+
+    `results` holds what the server's functions returned in order, so that
+    now() or random() return the same when the statement is repeated.
+    """
+
+    sql: str
+    parameters: tuple
+    results: tuple = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoggedTransaction:
-    """Content of a record; `statements` are pairs of SQL and parameters."""
+    """Content of a record."""
 
-    started_us: int
     committed_us: int
-    statements: list
+    statements: list[LoggedStatement]
 
 
 def format_lsn(lsn):
@@ -67,17 +79,21 @@
     return value
 
 
+def _pack_values(values):
+    return [_pack_value(value) for value in values]
+
+
+def _unpack_values(values):
+    return tuple(_unpack_value(value) for value in values)
+
+
 def encode_transaction(transaction):
     """Return the payload of a transaction's record."""
     statements = [
-        [sql, [_pack_value(value) for value in parameters]]
-        for sql, parameters in transaction.statements
+        [s.sql, _pack_values(s.parameters), _pack_values(s.results)]
+        for s in transaction.statements
     ]
-    content = {
-        "at": transaction.started_us,
-        "end": transaction.committed_us,
-        "do": statements,
-    }
+    content = {"at": transaction.committed_us, "do": statements}
     return json.dumps(content, separators=(",", ":")).encode()
 
 
@@ -85,10 +101,10 @@
     """Return the transaction of a record's payload."""
     content = json.loads(payload)
     statements = [
-        (sql, tuple(_unpack_value(value) for value in parameters))
-        for sql, parameters in content["do"]
+        LoggedStatement(sql, _unpack_values(given), _unpack_values(results))
+        for sql, given, results in content["do"]
     ]
-    return LoggedTransaction(content["at"], content["end"], statements)
+    return LoggedTransaction(content["at"], statements)
 
 
 def next_end(start_lsn, payload):
--- a/waxwinglift_standin/version/_state.py
+++ b/waxwinglift_standin/version/_state.py
@@ -152,9 +152,7 @@
             If a deferred constraint fails; nothing is committed then.
         """
         self.database.commit()
-        logged = LoggedTransaction(
-            transaction.started_us, _now_us(), transaction.statements
-        )
+        logged = LoggedTransaction(_now_us(), transaction.statements)
         if not logged.statements:
             return
         self.database.repeat_committed(logged)
@@ -238,7 +236,7 @@
         self.replay_all()
         self.role = EndpointRole.PRIMARY
         self.receiver = None
-        start = LoggedTransaction(_now_us(), _now_us(), [])
+        start = LoggedTransaction(_now_us(), [])
         term = self.log.term + 1
         self._append(self.log.make_record(encode_transaction(start), term))
         self._mark_replayed(len(self.log.records))
--- a/waxwinglift_standin/version/tests/test_log.py
+++ b/waxwinglift_standin/version/tests/test_log.py
@@ -8,10 +8,13 @@
 from waxwinglift_standin.version import parse_lsn
 from waxwinglift_standin.version._log import decode_transaction
 from waxwinglift_standin.version._log import encode_transaction
+from waxwinglift_standin.version._log import LoggedStatement
 from waxwinglift_standin.version._log import LoggedTransaction
 from waxwinglift_standin.version._log import StatementLog
 
-TRANSACTION = LoggedTransaction(5, 6, [("INSERT", (1, "a", b"\x00", None))])
+TRANSACTION = LoggedTransaction(
+    6, [LoggedStatement("INSERT", (1, "a", b"\x00", None), (0.5, b"\x01"))]
+)
 
 
 @pytest.mark.parametrize(
