Report stops and protocol errors of the stand-in to callers

A stop closed connections without a word, like a crash, and a malformed message did the same, so that callers could not tell the cases apart. stop() now reports 57P01, kill() stays silent for tests of crashes, and a malformed message is answered with 08P01. Casts to pg_lsn are padded, because positions are compared as text.

--- a/waxwinglift_standin/connection/_session.py
+++ b/waxwinglift_standin/connection/_session.py
@@ -122,6 +122,13 @@
             self._cancel_error = error
             self._running.cancel()
 
+    def terminate(self):
+        """Report that the server stops, unless the connection is silent."""
+        if not self.is_silent:
+            text = "terminating connection due to administrator command"
+            error = SqlError(SqlState.SHUTTING_DOWN, text)
+            self._writer.write(error_message(error, "FATAL").to_wire())
+
     async def serve(self):
         """Answer messages until the connection ends."""
         try:
--- a/waxwinglift_standin/process/_server.py
+++ b/waxwinglift_standin/process/_server.py
@@ -39,7 +39,6 @@
     "default_transaction_read_only": "off",
 }
 _OPTION = re.compile(r"-c\s*([\w.]+)=(\S+)")
-_DISCONNECTS = (ConnectionError, pygwire.PygwireError)
 
 
 class StandinServer:
@@ -94,7 +93,14 @@
         self.start_task(ReplicationReceiver(self.state).run())
 
     async def stop(self):
-        """Close the listener and every connection at once."""
+        """Tell the sessions that the server stops, and stop."""
+        if self.state.runs.is_set():
+            for session in self.state.sessions.values():
+                session.terminate()
+        await self.kill()
+
+    async def kill(self):
+        """Close the listener and every connection without a word."""
         self._listener.close()
         tasks = list(self._tasks)
         for task in tasks:
@@ -125,7 +131,10 @@
                 started = await read_startup(reader, writer)
                 await self.state.runs.wait()
                 await self._serve_started(reader, writer, started)
-            except _DISCONNECTS as error:
+            except pygwire.PygwireError as error:
+                failure = SqlError(SqlState.PROTOCOL_VIOLATION, str(error))
+                writer.write(error_message(failure, "FATAL").to_wire())
+            except ConnectionError as error:
                 _LOG.debug("connection ended", extra={"reason": str(error)})
             except Exception:
                 _LOG.exception("connection failed")
--- a/waxwinglift_standin/process/tests/test_callers.py
+++ b/waxwinglift_standin/process/tests/test_callers.py
@@ -212,6 +212,10 @@
         ("set application_name = 'b'; reset all; show application_name",
          ("a",)),
         ("select current_database()", ("pool",)),
+        ("select pg_current_wal_lsn() >= '0/1000000'::pg_lsn", (True,)),
+        ("select pg_wal_lsn_diff('1/0', '0/FFFFFFFF')", (1,)),
+        ("select extract(epoch from now() - '2026-01-01'::timestamptz) > 0",
+         (True,)),
         ("show my.option", ("1",)),
         ("begin; set local my.key = 'x'; commit; show my.option", ("1",)),
         ("set my.key = 'a'; begin; set local my.key = 'b'; commit; "
@@ -222,7 +226,7 @@
          ("a",)),
     ],
 )  # fmt: skip
-def test_parameters(sql, row):
+def test_values_and_parameters(sql, row):
     # Guards the session parameters that a proxy keeps per session.
     async def scenario():
         async with running_group(1) as (server,):
--- a/waxwinglift_standin/process/tests/test_transactions.py
+++ b/waxwinglift_standin/process/tests/test_transactions.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import psycopg
 import pytest
+from pygwire import messages as pg
 
 from waxwinglift_standin.process import running_group
 from waxwinglift_standin.process.tests import _helpers as helpers
@@ -172,3 +174,46 @@
             return refused, await helpers.query(server, "select 1")
 
     assert helpers.run(scenario()) == ("53300", [(1,)])
+
+
+@pytest.mark.parametrize(
+    ("method", "state"), [("stop", "57P01"), ("kill", None)]
+)
+def test_stop_is_reported(method, state):
+    # A stop that looks like a crash would make clean restarts ambiguous, and
+    # tests of crashes need one that is not reported.
+    async def scenario():
+        async with running_group(1) as (server,):
+            async with helpers.psycopg_caller(server) as connection:
+                await getattr(server, method)()
+                with pytest.raises(psycopg.OperationalError) as caught:
+                    await connection.execute("select 1")
+        return caught.value.sqlstate
+
+    assert helpers.run(scenario()) == state
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x00\x00\x08\x00\x01\x00\x00",  # protocol 1
+        pg.StartupMessage({"user": "a"}).to_wire() + b"?\x00\x00\x00\x04",
+        pg.StartupMessage({"user": "a"}).to_wire() + b"B\x00\x00\x00\x05x",
+    ],
+)
+def test_malformed_messages_end_the_connection(data):
+    # A broken caller must get a reason and not disturb the others.
+    async def scenario():
+        async with running_group(1) as (server,):
+            address = server.address
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+            writer.write(data)
+            answer = await reader.read()
+            writer.close()
+            return answer, await helpers.query(server, "select 1")
+
+    answer, rows = helpers.run(scenario())
+    assert b"C08P01\x00" in answer
+    assert rows == [(1,)]
--- a/waxwinglift_standin/request/_functions.py
+++ b/waxwinglift_standin/request/_functions.py
@@ -174,6 +174,12 @@
     return values.format_timestamp(values.parse_timestamp(value))
 
 
+@sql_function("standin_lsn", PgType.PG_LSN, is_pure=True)
+def standin_lsn(_, value):
+    """Return the padded form of a position, whose text compares in order."""
+    return None if value is None else format_lsn(parse_lsn(value))
+
+
 @sql_function("standin_epoch", PgType.FLOAT8, is_pure=True)
 def standin_epoch(_, value):
     """Return the seconds since 1970 of a timestamp."""
--- a/waxwinglift_standin/request/_rewrite.py
+++ b/waxwinglift_standin/request/_rewrite.py
@@ -38,6 +38,7 @@
     "TEXT": "CAST({} AS TEXT)",
     "VARCHAR": "CAST({} AS TEXT)",
     "CHARACTER": "CAST({} AS TEXT)",
+    "PG_LSN": "standin_lsn({})",
 }
 # Words after which a bracket starts an operand and not arguments.
 _BEFORE_OPERANDS = {
