--- a/waxwinglift_standin/connection/_session.py
+++ b/waxwinglift_standin/connection/_session.py
@@ -5,6 +5,7 @@
 
 import pygwire
 from pygwire import messages as pg
+from waxwinglift_standin.connection import _values as values
 from waxwinglift_standin.connection._types import SqlError
 from waxwinglift_standin.connection._types import SqlState
 
@@ -121,6 +122,13 @@
             self._cancel_error = error
             self._running.cancel()
 
+    def terminate(self):
+        """Report that the server stops, unless the connection is silent."""
+        if not self.is_silent:
+            text = "terminating connection due to administrator command"
+            error = SqlError(SqlState.SHUTTING_DOWN, text)
+            self._writer.write(error_message(error, "FATAL").to_wire())
+
     async def serve(self):
         """Answer messages until the connection ends."""
         try:
@@ -154,13 +162,15 @@
             return
         await handler(self, message)
 
-    async def run(self, statement, parameters):
+    async def run(self, statement, parameters, columns=None):
         """Run a statement so that it can be cancelled."""
         task = asyncio.current_task()
         self._running = task
         timeout = self._start_timeout()
         try:
-            return await self.executor.run(self.data, statement, parameters)
+            return await self.executor.run(
+                self.data, statement, parameters, columns
+            )
         except asyncio.CancelledError:
             if self._cancel_error is None:
                 raise
@@ -173,7 +183,7 @@
 
     def _start_timeout(self):
         value = self.data.parameters.get("statement_timeout", "0")
-        timeout_ms = float(value.removesuffix("ms") or 0)
+        timeout_ms = values.parse_duration_ms(value)
         if not timeout_ms:
             return None
         message = "canceling statement due to statement timeout"
--- a/waxwinglift_standin/version/_state.py
+++ b/waxwinglift_standin/version/_state.py
@@ -49,6 +49,11 @@
         self._free_count = count
         self._waiters = collections.deque()
 
+    @property
+    def waiting_count(self):
+        """Number of those that wait."""
+        return sum(not waiter.done() for waiter in self._waiters)
+
     async def acquire(self):
         """Wait for a slot and take it."""
         if self._free_count and not self._waiters:
@@ -147,9 +152,7 @@
             If a deferred constraint fails; nothing is committed then.
         """
         self.database.commit()
-        logged = LoggedTransaction(
-            transaction.started_us, _now_us(), transaction.statements
-        )
+        logged = LoggedTransaction(_now_us(), transaction.statements)
         if not logged.statements:
             return
         self.database.repeat_committed(logged)
@@ -233,7 +236,7 @@
         self.replay_all()
         self.role = EndpointRole.PRIMARY
         self.receiver = None
-        start = LoggedTransaction(_now_us(), _now_us(), [])
+        start = LoggedTransaction(_now_us(), [])
         term = self.log.term + 1
         self._append(self.log.make_record(encode_transaction(start), term))
         self._mark_replayed(len(self.log.records))
