--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -135,7 +135,8 @@
     settings = EntrySettings(token_secret=SECRET, **options.get("entry", {}))
     entry = EntryServer(settings, view, peers, metrics=metrics)
     server = PeerServer([PeerService(owners)])
-    with socket.socket() as listener:
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol.
+    with socket.socket(proto=socket.IPPROTO_TCP) as listener:
         listener.bind(("127.0.0.1", 0))
         address = Address(*listener.getsockname())
         await server.start(sock=listener.dup())
--- a/waxwinglift/request/_classify.py
+++ b/waxwinglift/request/_classify.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import functools
 import re
 
 
@@ -42,6 +43,8 @@
     value: str = ""
 
 
+# Callers repeat few texts; parameters come apart from the text.
+_CACHE_COUNT = 1024
 _READ_KEYWORDS = frozenset(
     {"select", "with", "values", "table", "explain", "fetch"}
 )
@@ -69,6 +72,7 @@
 _classifiers = {}
 
 
+@functools.lru_cache(maxsize=_CACHE_COUNT)
 def classify(text: str) -> Statement:
     """Return the kind of a simple query's or prepared statement's text."""
     start = _SKIPPED.match(text).end()
--- /dev/null
+++ b/waxwinglift_bench/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What a benchmark measures on a caller's connection."""
