Count on the floor share in the expected wait

Cause: in an urgent flood the expected wait of a lower rank added up the whole urgent queue, so work that its floor would have served in time was refused early. The wait by weights also compounded over ranks.

Ruled out: a longer deadline for lower ranks, which only hides the wrong estimate. The rig's measure of the floor counted work that still waited at the end of the window as withheld; it now compares work that ran with work that was refused.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -25,11 +25,14 @@
     floor_window_ms : float
         Service that a rank below its floor may catch up with, in
         milliseconds of the endpoint's whole capacity.
+    is_floor_expected : bool
+        Whether the expected wait of a rank counts on its floor share.
     """
 
     initial_service_ms: float = pydantic.Field(4.0, gt=0)
     service_weight: float = pydantic.Field(0.05, gt=0, le=1)
     floor_window_ms: float = pydantic.Field(200.0, gt=0)
+    is_floor_expected: bool = True
 
 
 class RoutingSettings(PolicySettings):
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -191,12 +191,18 @@
         rank = self._ranks[(ticket.pool, ticket.rank)]
         if not self._must_wait(rank):
             return 0.0
-        ahead_count = rank.ahead_count(ticket.caller) + 1
+        own_count = rank.ahead_count(ticket.caller) + 1
+        ahead_count = own_count
         for other in self._ranks.values():
             if other is not rank:
-                ahead_count += _served_before_count(other, rank, ahead_count)
+                ahead_count += _served_before_count(other, rank, own_count)
         slots_count = self._usable_slots_count(rank)
-        return ahead_count * self._service_ms / slots_count
+        wait_ms = ahead_count * self._service_ms / slots_count
+        if self.settings.is_floor_expected and rank.floor_share > 0:
+            # However long the higher ranks' queues are, the floor serves it.
+            floor_slots = rank.floor_share * self.slots_count
+            return min(wait_ms, own_count * self._service_ms / floor_slots)
+        return wait_ms
 
     def _must_wait(self, rank):
         if len(self._running) >= self.slots_count:
@@ -279,14 +285,14 @@
                 del self._ranks[key]
 
 
-def _served_before_count(other, rank, ahead_count):
+def _served_before_count(other, rank, own_count):
     """Return how many waiting tickets of another rank are served first."""
     if other.is_most_urgent and not rank.is_most_urgent:
         return len(other)
     if rank.is_most_urgent and not other.is_most_urgent:
         return 0
     ratio = other.row.weight / max(1, rank.row.weight)
-    return min(len(other), round(ahead_count * ratio))
+    return min(len(other), round(own_count * ratio))
 
 
 def _refuse(ticket, code, message):
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -239,3 +239,17 @@
     while driver.running:
         driver.finish()
     assert len(driver.started) == 3
+
+
+@pytest.mark.parametrize(
+    ("urgent_count", "refused"),
+    # 100 urgent ones take 400 ms, but the floor of 20% serves after 20 ms.
+    [(0, False), (100, False), (1000, False)],
+)
+def test_expected_wait_counts_on_the_floor(urgent_count, refused):
+    # Work that its floor would serve in time must not be refused.
+    driver = Driver(make_queue())
+    for _ in range(urgent_count + 1):
+        driver.offer("urgent", deadline_ms=1e9)
+    driver.offer("middle", deadline_ms=100.0)
+    assert bool(driver.refused) is refused
--- a/waxwinglift_bench/process/_owner.py
+++ b/waxwinglift_bench/process/_owner.py
@@ -164,7 +164,6 @@
             request.deadline_ms,
         )
         self._jobs[request.number] = (request, reply, floor_wait_ms, ticket)
-        self._world.record_offer(self.endpoint, request)
         self._simulation.at(request.deadline_ms, self._expire)
         actions = self._queue.offer(ticket, now_ms)
         refused_count = sum(not isinstance(a, Start) for a in actions)
@@ -181,7 +180,8 @@
                 now_ms = self._simulation.now_ms
                 self._apply_pool(self._pool.acquire(number, now_ms))
             elif number in self._jobs:
-                _, reply, _, _ = self._jobs.pop(number)
+                request, reply, _, _ = self._jobs.pop(number)
+                self._world.record_loss(self.endpoint, request)
                 reply(Outcome(action.failure))
 
     def _apply_pool(self, actions):
--- a/waxwinglift_bench/process/_split.py
+++ b/waxwinglift_bench/process/_split.py
@@ -60,7 +60,6 @@
         return group.primary if is_stale else replica
 
     def _enqueue(self, request, target):
-        self._world.record_offer(target, request)
         self._queues[target].append(request)
         self._start_next(target)
 
@@ -69,6 +68,7 @@
         while queue and self._free_counts[target] > 0:
             request = queue.popleft()
             if self._simulation.now_ms > request.deadline_ms:
+                self._world.record_loss(target, request)
                 self._refuse(request)
                 continue
             self._free_counts[target] -= 1
--- a/waxwinglift_bench/process/_world.py
+++ b/waxwinglift_bench/process/_world.py
@@ -102,10 +102,10 @@
             and not server.is_primary
         }
 
-    def record_offer(self, endpoint, request):
-        """Record work that reached the queue of an endpoint."""
+    def record_loss(self, endpoint, request):
+        """Record work that the queue of an endpoint refused."""
         service_ms = self.deployment.service_ms * request.service_factor
-        self.statistics.record_offer(
+        self.statistics.record_loss(
             endpoint, request.rank, service_ms, self.simulation.now_ms
         )
 
--- a/waxwinglift_bench/process/measure.py
+++ b/waxwinglift_bench/process/measure.py
@@ -18,7 +18,7 @@
         Variant(
             "first",
             RoutingSettings(policy="two_choices", replica_wait_ms=100.0),
-            AdmissionSettings(),
+            AdmissionSettings(is_floor_expected=False),
         ),
         Variant("now", RoutingSettings(), AdmissionSettings()),
     )
--- a/waxwinglift_bench/request/_statistics.py
+++ b/waxwinglift_bench/request/_statistics.py
@@ -35,7 +35,7 @@
         self.read_count = 0
         self.floor_violation_count = 0
         self.early_refusal_count = 0
-        self.offered_ms = collections.Counter()
+        self.lost_ms = collections.Counter()
         self.used_ms = collections.Counter()
 
     def record_arrival(self, request):
@@ -43,10 +43,10 @@
         if self._is_inside(request.arrival_ms):
             self.ranks[request.rank].offered_count += 1
 
-    def record_offer(self, endpoint, rank, service_ms, now_ms):
-        """Add work that reached the queue of an endpoint."""
+    def record_loss(self, endpoint, rank, service_ms, now_ms):
+        """Add work that a queue refused, early or at its deadline."""
         if self._is_inside(now_ms):
-            self.offered_ms[(endpoint, rank)] += service_ms
+            self.lost_ms[(endpoint, rank)] += service_ms
 
     def record_run(self, endpoint, rank, service_ms, now_ms):
         """Add slot time that a statement takes."""
@@ -110,16 +110,17 @@
         """Return the least part of its floor that a rank got anywhere.
 
         At each endpoint a rank is owed its floor share of the slots, or
-        what was offered when that is less.
+        all that it asked for when that is less.  Work that still waits at
+        either end of the window counts when it runs or is refused.
         """
         window_ms = self.until_ms - self.from_ms
         capacity_ms = slots_count * window_ms * row.floor_percent / 100.0
         kept = [
-            self.used_ms[(endpoint, rank)] / min(offered_ms, capacity_ms)
-            for (endpoint, rank), offered_ms in self.offered_ms.items()
-            if rank == row.rank and min(offered_ms, capacity_ms) > 0
+            self.used_ms[key] / min(self.used_ms[key] + lost_ms, capacity_ms)
+            for key, lost_ms in self.lost_ms.items()
+            if key[1] == row.rank and capacity_ms > 0
         ]
-        return 100.0 * min(kept, default=1.0)
+        return 100.0 * min([1.0, *kept])
 
     def _is_inside(self, time_ms):
         return self.from_ms <= time_ms < self.until_ms
