Let a limited share of reads skip the wait for a replica

Cause: with replicas up to 200 ms behind, a read that follows a write waited up to 150 ms for a replica while the bound on the replica share leaves 10% of the reads to the primary. Half of these waits were longer than expected, because the average of the lag follows a moving lag late.

A token bucket per group and proxy earns 0.09 tokens per read; the less is left, the more time a read must save, and the lower half of the bucket is for the most urgent rank. The owner refuses a read whose wait exceeds the expectation, so that it goes to the primary after all.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -44,11 +44,19 @@
         Name in the registry of routing policies.
     replica_wait_ms : float
         Longest expected wait for a replica to reach a floor.
+    prompt_wait_ms : float
+        Wait that no read goes to the primary for.
+    primary_share : float
+        Part of the reads that may go to the primary to save a wait.
+    primary_burst_count : float
+        Most such reads saved up.
     distance_ms : tuple of float
         Round trip within the data centre, the region, and beyond; used
         until latencies have been measured.
     latency_weight : float
-        Weight of a new sample in the moving averages.
+        Weight of a new sample in the moving averages of latencies.
+    lag_weight : float
+        Weight of a new sample in the moving average of a replica's lag.
     stale_after_ms : float
         Half-life of the influence of a measured latency.
     backoff_ms, backoff_limit_ms : float
@@ -59,9 +67,13 @@
     """
 
     policy: str = "two_choices"
-    replica_wait_ms: float = pydantic.Field(100.0, ge=0)
+    replica_wait_ms: float = pydantic.Field(150.0, ge=0)
+    prompt_wait_ms: float = pydantic.Field(5.0, ge=0)
+    primary_share: float = pydantic.Field(0.09, ge=0, le=1)
+    primary_burst_count: float = pydantic.Field(30.0, ge=1)
     distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
     latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
+    lag_weight: float = pydantic.Field(0.6, gt=0, le=1)
     stale_after_ms: float = pydantic.Field(500.0, gt=0)
     backoff_ms: float = pydantic.Field(200.0, gt=0)
     backoff_limit_ms: float = pydantic.Field(5000.0, gt=0)
--- a/waxwinglift/request/_knowledge.py
+++ b/waxwinglift/request/_knowledge.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift.request._primary_share import PrimaryShare
 from waxwinglift.version import Position
 from waxwinglift.version import Term
 from waxwinglift.version import ZERO_POSITION
@@ -83,12 +84,18 @@
     Parameters
     ----------
     settings : RoutingSettings, optional
+
+    Attributes
+    ----------
+    primary_share : PrimaryShare
+        What is left of the reads that may go to the primary.
     """
 
     def __init__(self, settings=None):
         self.settings = settings or RoutingSettings()
         self._records = {}
         self._timeline = LogTimeline()
+        self.primary_share = PrimaryShare(self.settings)
 
     def observe_start(self, endpoint, now_ms):
         """Record that a request was sent to ``endpoint``."""
@@ -114,9 +121,12 @@
         record = self._record(endpoint)
         self._end_flight(record)
         service_ms = max(0.0, latency_ms - queue_wait_ms)
-        record.service_ms = self._average(record.service_ms, service_ms)
+        weight = self.settings.latency_weight
+        record.service_ms = self._average(
+            record.service_ms, service_ms, weight
+        )
         record.queue_wait_ms = self._average(
-            record.queue_wait_ms, queue_wait_ms
+            record.queue_wait_ms, queue_wait_ms, weight
         )
         record.observed_ms = now_ms
         record.failure_count = 0
@@ -200,10 +210,10 @@
     def _end_flight(self, record):
         record.in_flight_count = max(0, record.in_flight_count - 1)
 
-    def _average(self, old_ms, new_ms):
+    def _average(self, old_ms, new_ms, weight):
         if old_ms is None:
             return new_ms
-        return old_ms + self.settings.latency_weight * (new_ms - old_ms)
+        return old_ms + weight * (new_ms - old_ms)
 
     def _observe_position(self, record, position, now_ms):
         if position is None or position < record.position:
@@ -211,4 +221,6 @@
         record.position = position
         self._timeline.record(position, now_ms)
         reached_ms = self._timeline.reached_ms(position)
-        record.lag_ms = self._average(record.lag_ms, now_ms - reached_ms)
+        record.lag_ms = self._average(
+            record.lag_ms, now_ms - reached_ms, self.settings.lag_weight
+        )
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -63,6 +63,8 @@
         On the same clock as ``now_ms``.
     excluded : frozenset of EndpointId
         Endpoints that refused this request before.
+    is_urgent : bool
+        Whether its rank is the first of the pool's table.
     """
 
     access: Access
@@ -70,13 +72,15 @@
     max_age_ms: float | None
     deadline_ms: float
     excluded: frozenset[EndpointId] = frozenset()
+    is_urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """Endpoint to use and what its owner must check.
 
-    ``catch_up_ms`` is the expected wait for the floor at the endpoint.
+    ``catch_up_ms`` is the expected wait for the floor at the endpoint;
+    after ``wait_limit_ms`` the owner refuses and another route is better.
     """
 
     endpoint: EndpointId
@@ -85,6 +89,7 @@
     epoch: Epoch
     term: Term
     catch_up_ms: float
+    wait_limit_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,7 +118,8 @@
     request : RouteRequest
     group_view : GroupView
     knowledge : EndpointKnowledge
-        Knowledge about the same group.
+        Knowledge about the same group; a read that goes to the primary
+        is charged to its `primary_share`.
     settings : RoutingSettings
     now_ms : float
     rng : random.Random
@@ -128,16 +134,27 @@
         return Err(not_run(FailureCode.FLOOR_LOST, message))
     if request.access is not Access.READ:
         return _route_to_primary(request, group_view)
+    if not request.excluded:
+        knowledge.primary_share.record_read()
     candidates = _candidates(request, group_view, knowledge, now_ms)
     prompt = _within_wait(request, candidates, settings, now_ms)
     usable = _admitted(prompt, rng)
-    if usable:
-        policy = ROUTING_POLICIES[settings.policy]
-        return Ok(_route(policy(usable, rng), group_view))
     to_primary = _route_to_primary(request, group_view)
-    if to_primary.is_err() and candidates:
+    if usable:
+        chosen = ROUTING_POLICIES[settings.policy](usable, rng)
+        if to_primary.is_err() or not _is_wait_saved(
+            request, chosen, group_view.primary, knowledge, now_ms
+        ):
+            limit_ms = _wait_limit_ms(
+                request, chosen, to_primary.is_ok(), knowledge, now_ms
+            )
+            return Ok(_route(chosen, group_view, limit_ms))
+    if to_primary.is_ok():
+        knowledge.primary_share.spend()
+    elif candidates:
         fallback = min(candidates, key=lambda c: (-c.share, c.cost_ms))
-        return Ok(_route(fallback, group_view))
+        limit_ms = _wait_limit_ms(request, fallback, False, knowledge, now_ms)
+        return Ok(_route(fallback, group_view, limit_ms))
     return to_primary
 
 
@@ -197,6 +214,15 @@
     return [c for c in candidates if c.catch_up_ms <= limit_ms]
 
 
+def _is_wait_saved(request, chosen, primary, knowledge, now_ms):
+    """Return whether the primary is enough faster than the replica."""
+    if chosen.catch_up_ms <= 0:
+        return False
+    saving_ms = chosen.cost_ms - knowledge.load_ms(primary, now_ms)
+    least_ms = knowledge.primary_share.least_saving_ms(request.is_urgent)
+    return min(saving_ms, chosen.catch_up_ms) > least_ms
+
+
 def _admitted(candidates, rng):
     return [c for c in candidates if rng.random() < c.share]
 
@@ -212,7 +238,17 @@
     return Ok(_route(Candidate(view, 0.0, 0.0, 1.0), group_view))
 
 
-def _route(candidate, group_view):
+def _wait_limit_ms(request, chosen, has_primary, knowledge, now_ms):
+    left_ms = max(0.0, request.deadline_ms - now_ms) / 2
+    if not has_primary:
+        return left_ms
+    # Once the wait is this much longer than expected, going to the primary
+    # would have been the better choice.
+    excess_ms = knowledge.primary_share.least_saving_ms(request.is_urgent)
+    return min(left_ms, 1.5 * chosen.catch_up_ms + excess_ms)
+
+
+def _route(candidate, group_view, wait_limit_ms=0.0):
     view = candidate.view
     return Route(
         endpoint=view.endpoint,
@@ -221,4 +257,5 @@
         epoch=view.epoch,
         term=group_view.term,
         catch_up_ms=candidate.catch_up_ms,
+        wait_limit_ms=wait_limit_ms,
     )
--- a/waxwinglift_bench/process/_entry.py
+++ b/waxwinglift_bench/process/_entry.py
@@ -96,6 +96,7 @@
                 request.max_age_ms,
                 request.deadline_ms,
                 request.excluded,
+                request.rank == self._world.urgent_rank,
             ),
             self._world.view(request.group, self._location),
             self._knowledge[request.group],
@@ -134,6 +135,7 @@
             self._fail(request, route, Outcome(failure))
             return
         knowledge.observe_start(route.endpoint, self._simulation.now_ms)
+        request.wait_limit_ms = route.wait_limit_ms
         request.sent_ms = self._simulation.now_ms
         self._flights[request.number] = _Flight(request, route)
         delay_ms = self._delay_ms(route)
--- a/waxwinglift_bench/process/_world.py
+++ b/waxwinglift_bench/process/_world.py
@@ -71,6 +71,11 @@
                 )
         self.callers = Callers(self)
 
+    @property
+    def urgent_rank(self):
+        """The most urgent rank of all pools."""
+        return self.deployment.ranks[0].row.rank
+
     @property
     def proxies(self):
         """Ids of all proxies."""
--- a/waxwinglift_bench/process/measure.py
+++ b/waxwinglift_bench/process/measure.py
@@ -17,7 +17,12 @@
         Variant("split", RoutingSettings(), AdmissionSettings(), True),
         Variant(
             "first",
-            RoutingSettings(policy="two_choices", replica_wait_ms=100.0),
+            RoutingSettings(
+                policy="two_choices",
+                replica_wait_ms=100.0,
+                prompt_wait_ms=100.0,
+                lag_weight=0.2,
+            ),
             AdmissionSettings(is_floor_expected=False),
         ),
         Variant("now", RoutingSettings(), AdmissionSettings()),
--- a/waxwinglift_bench/request/_requests.py
+++ b/waxwinglift_bench/request/_requests.py
@@ -29,6 +29,7 @@
     excluded: frozenset[EndpointId] = frozenset()
     attempt_count: int = 1
     sent_ms: float = 0.0
+    wait_limit_ms: float = 0.0
     is_ended: bool = False
 
 
