--- a/waxwinglift_bench/process/_owner.py
+++ b/waxwinglift_bench/process/_owner.py
@@ -129,14 +129,14 @@
         if self._is_good_enough(request, position):
             self._offer(request, reply, now_ms - since_ms)
             return
-        limit_ms = self._world.variant.routing.replica_wait_ms * 1.5
-        if now_ms - since_ms >= limit_ms or not self._is_live:
+        waited_ms = now_ms - since_ms
+        if waited_ms >= request.wait_limit_ms or not self._is_live:
             failure = not_run(FailureCode.UNAVAILABLE, "behind the floor")
             reply(
                 Outcome(
                     failure,
                     position,
-                    floor_wait_ms=now_ms - since_ms,
+                    floor_wait_ms=waited_ms,
                     is_behind=True,
                 )
             )
@@ -164,7 +164,6 @@
             request.deadline_ms,
         )
         self._jobs[request.number] = (request, reply, floor_wait_ms, ticket)
-        self._world.record_offer(self.endpoint, request)
         self._simulation.at(request.deadline_ms, self._expire)
         actions = self._queue.offer(ticket, now_ms)
         refused_count = sum(not isinstance(a, Start) for a in actions)
@@ -181,7 +180,8 @@
                 now_ms = self._simulation.now_ms
                 self._apply_pool(self._pool.acquire(number, now_ms))
             elif number in self._jobs:
-                _, reply, _, _ = self._jobs.pop(number)
+                request, reply, _, _ = self._jobs.pop(number)
+                self._world.record_loss(self.endpoint, request)
                 reply(Outcome(action.failure))
 
     def _apply_pool(self, actions):
