--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -1,8 +1,10 @@
 """A proxy's link to control: the watch stream and the lease renewals."""
 
 import asyncio
+import contextlib
 import logging
 
+from grpclib.exceptions import ProtocolError
 import mode
 import xxhash
 
@@ -122,8 +124,10 @@
             try:
                 await self._follow(stream, relay)
             finally:
-                # The stream has no end of its own to wait for.
-                await stream.cancel()
+                # The stream has no end of its own to wait for.  Cancelling
+                # fails when the connection was never opened.
+                with contextlib.suppress(ProtocolError, *CALL_ERRORS):
+                    await stream.cancel()
 
     async def _follow(self, stream, relay):
         request = control_pb2.WatchRequest(
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -128,7 +128,8 @@
             )
         self.owners.start()
         await self.entry.start()
-        await self.link.start()
+        # A crash of the link stops the proxy: it could not renew its lease.
+        await self.add_runtime_dependency(self.link)
         logger.info("serving callers at %s", self.entry.address)
 
     async def on_stop(self):
--- a/waxwinglift/process/cli/_pools.py
+++ b/waxwinglift/process/cli/_pools.py
@@ -22,14 +22,21 @@
     """Show and edit pool tables."""
 
 
-def _fetch_pool(addresses, name):
-    fleet = decode_fleet(_client.fetch_status(addresses).fleet)
+def _find_pool(fleet, name):
     found = fleet.pools.get(PoolName(name))
-    if found is None or found.table is None:
+    if found is None:
         raise click.ClickException(f"no pool {name}")
     return found
 
 
+def _fetch_pool(addresses, name):
+    fleet = decode_fleet(_client.fetch_status(addresses).fleet)
+    found = _find_pool(fleet, name)
+    if found.table is None:
+        raise click.ClickException(f"pool {name} is deleted")
+    return found
+
+
 def _submit(addresses, edit_id, name, expected_version, table):
     edit_id = edit_id or uuid.uuid4().hex
     entry = PoolEdited(
@@ -136,6 +143,46 @@
     _submit(addresses, edit_id, name, expected_version or found.version, table)
 
 
+@pool.command("history")
+@click.argument("name")
+@click.pass_obj
+def show_history(addresses, name):
+    """Print the latest replaced tables of a pool, oldest first."""
+    fleet = decode_fleet(_client.fetch_status(addresses).fleet)
+    for past in _find_pool(fleet, name).history:
+        click.echo(f"version {past.version}")
+        click.echo(_table_format.format_table(past.table), nl=False)
+
+
+@pool.command("rollback")
+@click.argument("name")
+@click.option(
+    "--to",
+    "past_version",
+    type=click.IntRange(min=1),
+    required=True,
+    help="Version whose table comes back in force.",
+)
+@_edit_id_option
+@click.pass_obj
+def rollback_pool(addresses, name, past_version, edit_id):
+    """Put an earlier table back in force, under a new version.
+
+    \b
+    Example:
+      waxwinglift -c 127.0.0.1:7001 pool rollback payouts --to 3
+    """
+    fleet = decode_fleet(_client.fetch_status(addresses).fleet)
+    found = _find_pool(fleet, name)
+    tables = {past.version: past.table for past in found.history}
+    if past_version not in tables:
+        kept = ", ".join(str(version) for version in tables) or "none"
+        raise click.ClickException(
+            f"pool {name}: version {past_version} is not kept; kept: {kept}"
+        )
+    _submit(addresses, edit_id, name, found.version, tables[past_version])
+
+
 @pool.command("delete")
 @click.argument("name")
 @click.option(
--- a/waxwinglift/version/_edits.py
+++ b/waxwinglift/version/_edits.py
@@ -4,11 +4,14 @@
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._fleet import EditAnswer
 from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._fleet import PastTable
 from waxwinglift.version._fleet import Pool
 from waxwinglift.version._types import TableVersion
 
 # Answers kept for resent edits; at 310 edits a day this is a month.
 EDIT_ANSWERS_COUNT = 10_000
+# Replaced tables that an operator can roll back to.
+PAST_TABLES_COUNT = 10
 # PostgreSQL truncates database names to 63 bytes.
 POOL_NAME_LIMIT_BYTES = 63
 ROWS_LIMIT_COUNT = 64
@@ -97,7 +100,14 @@
 
 
 def _set_table(state, pool, table: PoolTable | None, version):
-    state.pools[pool] = Pool(table=table, version=version)
+    history = ()
+    known = state.pools.get(pool)
+    if known is not None:
+        history = known.history
+        if known.table is not None:
+            history += (PastTable(known.version, known.table),)
+    kept = history[-PAST_TABLES_COUNT:]
+    state.pools[pool] = Pool(table=table, version=version, history=kept)
 
 
 def _keep_answer(state, edit_id, answer):
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -21,12 +21,24 @@
 from waxwinglift.version._types import Term
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PastTable:
+    """A table that a later edit replaced."""
+
+    version: TableVersion
+    table: PoolTable
+
+
 @dataclasses.dataclass(slots=True)
 class Pool:
-    """Current table of a pool; a deleted pool keeps its version."""
+    """Current table of a pool; a deleted pool keeps its version.
+
+    ``history`` holds the latest replaced tables, oldest first.
+    """
 
     table: PoolTable | None
     version: TableVersion
+    history: tuple[PastTable, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwinglift_bench/process/_slopes.py
+++ b/waxwinglift_bench/process/_slopes.py
@@ -9,6 +9,7 @@
 import random
 import time
 import tracemalloc
+from collections.abc import Callable
 
 from waxwinglift.process import DaemonId
 from waxwinglift.process.rpc import control_pb2
@@ -43,11 +44,26 @@
         return self.fixed + self.per_unit * size
 
 
-def measurement(name, unit, per, sizes):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measurement:
+    """A cost as a function of a size.
+
+    ``pick`` chooses among the repeats: the least processor time is the one
+    least disturbed; the most memory is the one that reused least.
+    """
+
+    function: Callable[[int], float]
+    unit: str
+    per: str
+    sizes: tuple[int, ...]
+    pick: Callable
+
+
+def measurement(name, unit, per, sizes, pick=min):
     """Register a function of a size that returns a cost in ``unit``."""
 
     def register(function):
-        MEASUREMENTS[name] = (function, unit, per, sizes)
+        MEASUREMENTS[name] = Measurement(function, unit, per, sizes, pick)
         return function
 
     return register
@@ -66,13 +82,13 @@
 
 def measure_slope(name):
     """Run one measurement at all its sizes and return its `Slope`."""
-    function, unit, per, sizes = MEASUREMENTS[name]
-    points = [
-        (size, min(function(size) for _ in range(REPEATS_COUNT)))
-        for size in sizes
-    ]
+    found = MEASUREMENTS[name]
+    points = []
+    for size in found.sizes:
+        costs = [found.function(size) for _ in range(REPEATS_COUNT)]
+        points.append((size, found.pick(costs)))
     fixed, per_unit = fit_line(points)
-    return Slope(name, unit, per, fixed, per_unit)
+    return Slope(name, found.unit, found.per, fixed, per_unit)
 
 
 def _time_us(function, count):
--- /dev/null
+++ b/waxwinglift_bench/process/_slopes_command.py
@@ -0,0 +1,123 @@
+"""The slopes command: measured lines and the cost at the target size."""
+
+import dataclasses
+
+import click
+
+from waxwinglift_bench.process import _slopes
+from waxwinglift_bench.process import _slopes_sessions
+from waxwinglift_bench.process import _slopes_transport
+
+# Modules whose import fills the registry.
+MEASUREMENT_MODULES = (_slopes_sessions, _slopes_transport)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Sizes that the users state for two years ahead."""
+
+    daemons_count: int = 450
+    databases_count: int = 870
+    callers_count: int = 2_200_000
+    control_vms_count: int = 7
+    renewals_per_s: float = 4.0
+    ticks_per_s: float = 40.0
+    relay_batches_per_s: float = 50.0
+    announcements_per_s: float = 2.0
+    edits_per_day: int = 310
+
+
+CORE_BOUND_PERCENT = 3.3
+MEMORY_BOUND_MB = 128.0
+TRAFFIC_BOUND_KB_PER_S = 14.0
+
+LINE = "{:44} {:>12} {}"
+
+
+def proxy_costs(slopes, target):
+    """Yield (name, value, unit, bound) of control at one proxy."""
+    call_us = slopes["renewal call: processor"].per_unit
+    call_bytes = slopes["renewal call: bytes"].per_unit
+    edits_per_s = target.edits_per_day / 86_400
+    core_percent = target.renewals_per_s * call_us / 1e4
+    state = slopes["daemon: fleet state"].at(target.databases_count)
+    by_daemons = slopes["daemon: fleet state by daemons"]
+    state += by_daemons.per_unit * target.daemons_count
+    traffic = target.renewals_per_s * call_bytes
+    traffic += edits_per_s * slopes["edit entry"].at(3)
+    yield "core", core_percent, "%", CORE_BOUND_PERCENT
+    yield "memory of the fleet state", state / 1e6, "MB", MEMORY_BOUND_MB
+    yield "traffic", traffic / 1e3, "KB/s", TRAFFIC_BOUND_KB_PER_S
+
+
+def leader_core_percent(slopes, target):
+    """Return the control leader's processor time, % of a core."""
+    renewals_per_s = target.daemons_count * target.renewals_per_s
+    endpoints_count = 3 * target.databases_count
+    announcements_per_s = endpoints_count * target.announcements_per_s
+    tick_us = slopes["leader: tick, by databases"].at(target.databases_count)
+    by_daemons = slopes["leader: tick, by daemons"]
+    tick_us += by_daemons.per_unit * target.daemons_count
+    relay = slopes["relay call: processor"]
+    followers_count = target.control_vms_count - 1
+    batches_per_s = target.relay_batches_per_s * followers_count
+    total_us = (
+        renewals_per_s * slopes["leader: renewal"].at(target.daemons_count)
+        + announcements_per_s
+        * slopes["leader: announcement"].at(target.databases_count)
+        + target.ticks_per_s * tick_us
+        + batches_per_s * relay.fixed
+        + (renewals_per_s + announcements_per_s) * relay.per_unit
+    )
+    return total_us / 1e4
+
+
+def follower_core_percent(slopes, target):
+    """Return a follower's processor time as a relay, % of a core."""
+    daemons_count = target.daemons_count / target.control_vms_count
+    endpoints_count = 3 * target.databases_count / target.control_vms_count
+    calls_per_s = daemons_count * target.renewals_per_s
+    calls_per_s += endpoints_count * target.announcements_per_s
+    call_us = slopes["renewal call: processor"].per_unit
+    batch_us = slopes["relay call: processor"].fixed
+    total_us = calls_per_s * call_us + target.relay_batches_per_s * batch_us
+    return total_us / 1e4
+
+
+@click.command()
+def slopes():
+    """Print measured slopes and the cost at the target size.
+
+    Processor times of calls are those of both ends together, an upper bound
+    for either.
+    """
+    measured = {}
+    for name in _slopes.MEASUREMENTS:
+        slope = _slopes.measure_slope(name)
+        measured[name] = slope
+        click.echo(
+            f"{name:36} {slope.fixed:14.1f} + {slope.per_unit:10.3f} "
+            f"{slope.unit} per {slope.per}"
+        )
+    target = Target()
+    click.echo(f"\nat {target.daemons_count} daemons, control per proxy:")
+    is_within = True
+    for name, value, unit, bound in proxy_costs(measured, target):
+        is_within &= value <= bound
+        text = f"{value:.3f}"
+        click.echo(LINE.format(name, text, f"{unit} (bound {bound})"))
+    leader = leader_core_percent(measured, target)
+    follower = follower_core_percent(measured, target)
+    click.echo(LINE.format("control leader, core", f"{leader:.1f}", "%"))
+    click.echo(LINE.format("control follower, core", f"{follower:.1f}", "%"))
+    callers_count = target.callers_count / target.daemons_count
+    callers_mb = measured["proxy: idle caller"].per_unit * callers_count / 1e6
+    click.echo(
+        LINE.format(
+            f"callers' memory, {callers_count:.0f} per proxy",
+            f"{callers_mb:.1f}",
+            "MB",
+        )
+    )
+    if not is_within:
+        raise click.exceptions.Exit(1)
--- /dev/null
+++ b/waxwinglift_bench/process/_slopes_sessions.py
@@ -0,0 +1,101 @@
+"""Memory and set-up time of callers' connections at one proxy.
+
+The callers are plain sockets in the same process; a socket object without
+buffers costs well under 1 KB, so the slope is that of the proxy.
+"""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import socket
+import struct
+import time
+
+from waxwinglift.process import DaemonId
+from waxwinglift.process._data_path import EntryServer
+from waxwinglift.process._data_path_settings import EntrySettings
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift_bench.process import _slopes_fleet
+from waxwinglift_bench.process._slopes import measurement
+
+STATUS_PATH = pathlib.Path("/proc/self/statm")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+PROTOCOL_VERSION = 196608
+READY_FOR_QUERY = b"Z\x00\x00\x00\x05I"
+READ_BYTES = 4096
+
+
+class _NoExecutors:
+    """No statement runs in these measurements."""
+
+    def executor_for(self, daemon):
+        return None
+
+
+@contextlib.asynccontextmanager
+async def _running_entry():
+    fleet = _slopes_fleet.build_fleet(2, 1)
+    daemon = _slopes_fleet.daemon_name(0)
+    view = FleetView(
+        DaemonId(daemon), _slopes_fleet.location(0), lambda: True, fleet
+    )
+    settings = EntrySettings(token_secret="slopes-secret")
+    server = EntryServer(settings, view, _NoExecutors())
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.stop()
+
+
+def _startup_packet():
+    body = struct.pack("!I", PROTOCOL_VERSION)
+    body += b"user\0caller\0database\0pool-0000\0\0"
+    return struct.pack("!I", len(body) + 4) + body
+
+
+async def _connect(address):
+    loop = asyncio.get_running_loop()
+    opened = socket.socket()
+    opened.setblocking(False)
+    await loop.sock_connect(opened, (address.host, address.port))
+    await loop.sock_sendall(opened, _startup_packet())
+    data = b""
+    while READY_FOR_QUERY not in data:
+        received = await loop.sock_recv(opened, READ_BYTES)
+        if not received:
+            raise ConnectionError("the proxy closed the connection")
+        data += received
+    return opened
+
+
+def _resident_bytes():
+    return int(STATUS_PATH.read_text().split()[1]) * PAGE_BYTES
+
+
+async def _open_callers(count):
+    async with _running_entry() as server:
+        before_bytes = _resident_bytes()
+        started = time.process_time()
+        callers = [await _connect(server.address) for _ in range(count)]
+        elapsed_us = (time.process_time() - started) * 1e6
+        grown_bytes = _resident_bytes() - before_bytes
+        for caller in callers:
+            caller.close()
+        await asyncio.sleep(0.1)
+    return grown_bytes, elapsed_us
+
+
+@measurement(
+    "proxy: idle caller", "bytes", "caller", (500, 1500, 3000), pick=max
+)
+def caller_bytes(count):
+    """Resident memory that idle callers add to a proxy."""
+    return asyncio.run(_open_callers(count))[0]
+
+
+@measurement("proxy: caller's start-up", "us", "caller", (200, 1000))
+def caller_startup_us(count):
+    """Processor time of both ends to open callers' connections."""
+    return asyncio.run(_open_callers(count))[1]
