--- a/waxwinglift/process/_owner_keyed.py
+++ b/waxwinglift/process/_owner_keyed.py
@@ -28,8 +28,7 @@
     outcome = await _insert_key(stream, key, False)
     buffer = stream.held_buffer(sink)
     if isinstance(outcome, ReportFailure):
-        stream.slot.release()
-        return stream.end(failure=outcome.failure)
+        return await _report_ran(stream, outcome.failure, buffer)
     if isinstance(outcome, ReturnTag):
         await buffer.take(replay_tag(exchange.messages, outcome.tag))
         return await _release_read(stream, buffer)
@@ -56,8 +55,8 @@
         return await stream.finish(packet, None, facts, buffer)
     outcome = await _insert_key(stream, key, True)
     if isinstance(outcome, ReportFailure):
-        stream.slot.release()
-        return stream.end(failure=outcome.failure)
+        buffer.drop()
+        return await _report_ran(stream, outcome.failure, buffer)
     return await stream.finish(packet, None, facts, buffer)
 
 
@@ -76,8 +75,8 @@
     if isinstance(outcome, ReturnTag):
         outcome = decide_on_insert(0, True, outcome.tag)
     if isinstance(outcome, ReportFailure):
-        stream.slot.release()
-        return stream.end(failure=outcome.failure)
+        buffer = stream.held_buffer(_no_answer)
+        return await _report_ran(stream, outcome.failure, buffer)
     await _run(stream, _ROLLBACK)
     stream.slot.release()
     return stream.end()
@@ -119,6 +118,19 @@
     return await stream.release(end_position, buffer, False)
 
 
+async def _report_ran(stream, failure, buffer):
+    """Report that the work ran, once a quorum has the key.
+
+    Until then a change of primary could still discard it.
+    """
+    end = await _release_read(stream, buffer)
+    return end if end.failure is not None else stream.end(failure=failure)
+
+
+async def _no_answer(data):
+    """Sink of a look-up, which has no answer bytes."""
+
+
 async def _release_read(stream, buffer):
     """End a request that only read the stored tag.
 
--- a/waxwinglift/process/tests/test_data_path.py
+++ b/waxwinglift/process/tests/test_data_path.py
@@ -111,7 +111,7 @@
             await caller.execute(TABLE)
             await fetch(caller, "SELECT %s::int", 7, prepare=True)
             for server in servers:
-                _drop_sessions(server)
+                drop_sessions(server)
             await asyncio.sleep(0.05)
             rows = await fetch(caller, "SELECT %s::int", 8, prepare=True)
         assert rows == [(8,)]
@@ -268,6 +268,7 @@
     run(scenario)
 
 
-def _drop_sessions(server):
+def drop_sessions(server):
+    """Close the server's end of each connection."""
     for session in list(server.state.sessions.values()):
         session._writer.close()
