Hand endpoints over without failing work and fix block settings

A change of owner closed the endpoint's connections at once, so open transactions failed; the old owner now finishes them, then closes and reports the endpoint as released.

--- a/waxwinglift/connection/_session.py
+++ b/waxwinglift/connection/_session.py
@@ -216,6 +216,8 @@
     def finish(self, plan: RunPlan, status: TransactionStatus, failed: bool):
         """Record that an exchange ended with ``status``."""
         was_in_block = self.is_in_block
+        # COMMIT of a failed block rolls it back.
+        failed = failed or self.status is TransactionStatus.FAILED
         self.status = status
         if was_in_block or plan.starts_block:
             self._finish_in_block(plan, failed)
--- a/waxwinglift/connection/_wire.py
+++ b/waxwinglift/connection/_wire.py
@@ -41,23 +41,37 @@
 
     def __init__(self, limit_bytes):
         self._limit_bytes = limit_bytes
-        self._buffer = b""
+        self._parts: list[bytes] = []
+        self._parts_bytes = 0
+        self._wanted_bytes = 0
 
     def feed(self, data: bytes) -> list[tuple[bytes, bytes]]:
         """Return (type, whole message) of each message now complete."""
-        buffer = self._buffer + data if self._buffer else data
+        self._parts.append(data)
+        self._parts_bytes += len(data)
+        # Joining the parts of a large message once keeps it linear.
+        if self._parts_bytes < self._wanted_bytes:
+            return []
+        is_single = len(self._parts) == 1
+        return self._cut(data if is_single else b"".join(self._parts))
+
+    def _cut(self, buffer):
         frames = []
         start = 0
+        self._wanted_bytes = 0
         while len(buffer) - start >= _HEADER_BYTES:
             kind, length = _HEADER.unpack_from(buffer, start)
             if not 4 <= length <= self._limit_bytes:
                 raise WireError(f"message length {length} is out of range")
             end = start + 1 + length
             if end > len(buffer):
+                self._wanted_bytes = end - start
                 break
             frames.append((kind, buffer[start:end]))
             start = end
-        self._buffer = buffer[start:]
+        rest = buffer[start:]
+        self._parts = [rest] if rest else []
+        self._parts_bytes = len(rest)
         return frames
 
 
@@ -83,6 +97,15 @@
     StepKind.DESCRIBE: frozenset({b"T", b"n"}),
     StepKind.EXECUTE: frozenset({b"C", b"I", b"s"}),
 }
+# Other types that may come before; Query allows any.
+_BEFORE = {
+    StepKind.SYNC: frozenset({b"E"}),
+    StepKind.PARSE: frozenset({b"E"}),
+    StepKind.BIND: frozenset({b"E"}),
+    StepKind.CLOSE: frozenset({b"E"}),
+    StepKind.DESCRIBE: frozenset({b"E", b"t"}),
+    StepKind.EXECUTE: frozenset({b"E", b"D"}) | _COPY,
+}
 _STEP_KINDS = {
     b"Q": StepKind.QUERY,
     b"S": StepKind.SYNC,
@@ -154,11 +177,14 @@
         step = self._steps[self._next]
         if kind in _ASYNCHRONOUS:
             return step.is_forwarded and kind != b"A"
+        is_ending = kind in _ENDINGS[step.kind]
+        if not is_ending and kind not in _BEFORE.get(step.kind, (kind,)):
+            raise WireError(f"unexpected answer {kind!r} to {step.kind.value}")
         self.is_copy = self.is_copy or kind in _COPY
         self._note(step, kind, frame)
         if kind == b"E" and step.kind is not StepKind.QUERY:
             self._skip_to_sync()
-        elif kind in _ENDINGS[step.kind]:
+        elif is_ending:
             self._finish(step)
         if kind == b"E" and step.forwards_error:
             return True
--- /dev/null
+++ b/waxwinglift/connection/tests/test_wire.py
@@ -0,0 +1,144 @@
+"""Guards the pairing of answers with the messages of a packet."""
+
+import pytest
+from pygwire.messages import Bind
+from pygwire.messages import BindComplete
+from pygwire.messages import CommandComplete
+from pygwire.messages import DataRow
+from pygwire.messages import ErrorResponse
+from pygwire.messages import Execute
+from pygwire.messages import NoticeResponse
+from pygwire.messages import Parse
+from pygwire.messages import ParseComplete
+from pygwire.messages import Query
+from pygwire.messages import ReadyForQuery
+from pygwire.messages import Sync
+
+from waxwinglift.connection._backend_packet import examine
+from waxwinglift.connection._backend_packet import Packet
+from waxwinglift.connection._backend_packet import settings_statements
+from waxwinglift.connection._session_types import PreparedStatement
+from waxwinglift.connection._wire import FrameSplitter
+from waxwinglift.connection._wire import ReplyFilter
+from waxwinglift.connection._wire import WireError
+from waxwinglift.request._classify import classify
+
+LIMIT = 2**20
+ROW = DataRow(columns=[b"0/10"]).to_wire()
+DONE = CommandComplete(tag="SELECT 1").to_wire()
+READY = ReadyForQuery().to_wire()
+ERROR = ErrorResponse(fields={"C": "42601", "M": "bad"}).to_wire()
+NOTICE = NoticeResponse(fields={"M": "note"}).to_wire()
+PARSED = ParseComplete().to_wire()
+BOUND = BindComplete().to_wire()
+QUERY = Query(query_string="SELECT 1").to_wire()
+CYCLE = (
+    Parse(statement="wx_1", query="SELECT 1").to_wire()
+    + Bind(statement="wx_1").to_wire()
+    + Execute().to_wire()
+    + Sync().to_wire()
+)
+OLD = PreparedStatement("wx_0", "SELECT 0", (), classify("SELECT 0"))
+POSITION = ROW + DONE + READY
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 7, 1000])
+@pytest.mark.parametrize(
+    ("messages", "prepared", "answers", "passed"),
+    [
+        (QUERY, (), ROW + DONE + READY, ROW + DONE),
+        (QUERY, (), NOTICE + ERROR + READY, NOTICE + ERROR),
+        (
+            CYCLE,
+            (),
+            PARSED + BOUND + ROW + DONE + READY,
+            PARSED + BOUND + ROW + DONE,
+        ),
+        (CYCLE, (), PARSED + ERROR + READY, PARSED + ERROR),
+        (
+            CYCLE,
+            (OLD,),
+            PARSED + PARSED + BOUND + DONE + READY,
+            PARSED + BOUND + DONE,
+        ),
+        (CYCLE, (OLD,), ERROR + READY, ERROR),
+    ],
+)
+def test_own_answers_are_kept_apart(
+    messages, prepared, answers, passed, chunk_bytes
+):
+    # A byte of the proxy's own statements in a caller's answer, or the
+    # reverse, would break the session.
+    packet = Packet()
+    for statement in prepared:
+        packet.add_parse(statement)
+    packet.add_exchange(messages, set())
+    position = packet.add_query("SELECT pg_current_wal_lsn()")
+    replies = ReplyFilter(packet.steps, LIMIT)
+    data = answers + POSITION
+    parts = [
+        replies.feed(data[start : start + chunk_bytes])
+        for start in range(0, len(data), chunk_bytes)
+    ]
+    assert b"".join(parts) == passed
+    assert replies.is_done
+    assert position.rows == [["0/10"]]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"Z\0\0\0\3", b"Z\x7f\0\0\0", READY + READY, ERROR + ERROR + DONE],
+)
+def test_broken_answers_are_noticed(data):
+    # An answer that belongs to nobody must close the connection.
+    packet = Packet()
+    packet.add_exchange(Sync().to_wire(), set())
+    with pytest.raises(WireError):
+        ReplyFilter(packet.steps, LIMIT).feed(data)
+
+
+def test_splitter_joins_large_messages():
+    # Messages arrive in pieces of any size.
+    frames = [Query(query_string="x" * size).to_wire() for size in (9, 5000)]
+    data = b"".join(frames)
+    splitter = FrameSplitter(LIMIT)
+    found = []
+    for start in range(0, len(data), 100):
+        found += splitter.feed(data[start : start + 100])
+    assert found == [(b"Q", frame) for frame in frames]
+
+
+@pytest.mark.parametrize(
+    ("in_force", "wanted", "statements"),
+    [
+        ({}, {}, []),
+        ({"a": "1"}, {"a": "1"}, []),
+        ({}, {"a": "1"}, ["SET a = 1"]),
+        ({"a": "2"}, {"a": "1"}, ["SET a = 1"]),
+        ({"b": "2"}, {"a": "1"}, ["RESET ALL", "SET a = 1"]),
+        (None, {}, ["RESET ALL"]),
+    ],
+)
+def test_settings_are_brought_in_line(in_force, wanted, statements):
+    # A setting of another caller must not stay in force.
+    assert settings_statements(in_force, wanted) == statements
+
+
+@pytest.mark.parametrize(
+    ("text", "changes_settings", "may_commit"),
+    [
+        ("SELECT 1", False, False),
+        ("UPDATE t SET v = 1", False, False),
+        ("SET a = 1", True, False),
+        ("SET LOCAL a = 1", True, False),
+        ("SELECT 1; SET a = 1", True, False),
+        ("SELECT set_config('a', '1', false)", True, False),
+        ("COMMIT", False, True),
+        ("UPDATE t SET v = 1; COMMIT", True, True),
+    ],
+)
+def test_exchange_is_examined(text, changes_settings, may_commit):
+    # A missed SET leaks it; a missed COMMIT passes an answer on too early.
+    facts = examine(Query(query_string=text).to_wire(), ())
+    assert facts.changes_settings is changes_settings
+    assert facts.may_commit is may_commit
--- a/waxwinglift/process/_data_path_session.py
+++ b/waxwinglift/process/_data_path_session.py
@@ -6,7 +6,6 @@
 from result import Err
 
 from waxwinglift.connection import SessionId
-from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._frontend import encode_parameter
@@ -183,7 +182,7 @@
     async def _answer_or_fail(self, request):
         plan = request.plan
         if isinstance(plan, Failure):
-            return self._note_failure(plan)
+            return await self._fail(plan)
         if isinstance(plan, LocalAnswer):
             answer = encode_local_answer(plan, request.kinds)
             await self._caller.write(answer)
@@ -212,11 +211,14 @@
         self._session.table = table
         return None
 
-    def _note_failure(self, failure):
-        # As in the server, an error inside a block fails the block.
-        session = self._session
-        if session.status is TransactionStatus.IN_TRANSACTION:
-            session.status = TransactionStatus.FAILED
+    async def _fail(self, failure):
+        """Fail the open block too, as the server does after an error.
+
+        COMMIT must then roll back, so the block is given up at the endpoint.
+        """
+        if self._session.is_in_block:
+            self._session.lose_block()
+            await self._runner.close()
         return failure
 
 
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -62,6 +62,8 @@
     tracer : opentelemetry.trace.Tracer
     on_health : callable
         Called with the endpoint and each new HealthState.
+    on_released : callable
+        Called once the serving connections are closed.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         metrics: Metrics | None = None,
         tracer: trace.Tracer | None = None,
         on_health: Callable[[EndpointId, HealthState], None] | None = None,
+        on_released: Callable[[], None] | None = None,
     ):
         record = view.endpoint(endpoint)
         self.endpoint = endpoint
@@ -85,8 +88,10 @@
         self.tracer = tracer or trace.NoOpTracer()
         self._address = record.address
         self._on_health = on_health
+        self._on_released = on_released
         self._is_draining = False
         self._is_enabled = False
+        self._lost_ms: float | None = None
         # Term in which the table of idempotency keys is known to exist.
         self.key_table_term: Term | None = None
         self._next_request = 0
@@ -132,7 +137,7 @@
         """Refuse new transactions and wait for those that are open."""
         self._is_draining = True
         until_ms = self.now_ms() + self.settings.drain_timeout_ms
-        while self._running and self.now_ms() < until_ms:
+        while self._is_busy() and self.now_ms() < until_ms:
             await asyncio.sleep(self.settings.tick_ms / 1000)
 
     def open(self, header: ExecuteHeader) -> OwnerStream:
@@ -252,17 +257,43 @@
                 self.slots.queue.remove_table(name)
 
     def _check_ownership(self):
-        may_serve = self.view.owns(self.endpoint) and self.view.lease_is_live()
-        if may_serve and not self._is_enabled:
+        is_live = self.view.lease_is_live()
+        is_owner = self.view.owns(self.endpoint)
+        if is_live and is_owner:
+            self._enable()
+        elif not is_live:
+            self._disable("the lease was lost")
+        elif self._is_enabled:
+            self._hand_over()
+
+    def _enable(self):
+        self._lost_ms = None
+        if not self._is_enabled:
             self._is_enabled = True
             self.connections.enable()
-        elif not may_serve and self._is_enabled:
-            self._disable("the lease or the ownership was lost")
+
+    def _hand_over(self):
+        """Finish the open transactions; the next owner has its own half."""
+        if self._lost_ms is None:
+            self._lost_ms = self.now_ms()
+            self._refuse_waiting("the endpoint has another owner")
+        waited_ms = self.now_ms() - self._lost_ms
+        is_late = waited_ms >= self.settings.drain_timeout_ms
+        if is_late or not self._is_busy():
+            self._disable("the endpoint has another owner")
+
+    def _is_busy(self):
+        """Return whether a transaction is open or an answer is held."""
+        return bool(self._running or self.positions.commit_wait.held_count)
 
     def _disable(self, reason):
+        if not self._is_enabled:
+            return
         self._is_enabled = False
         self._refuse_waiting(reason)
         self.connections.close_all()
+        if self._on_released is not None:
+            asyncio.get_running_loop().call_soon(self._on_released)
 
     def _refuse_waiting(self, reason):
         failure = not_run(FailureCode.UNAVAILABLE, reason)
--- a/waxwinglift/process/_owner_positions.py
+++ b/waxwinglift/process/_owner_positions.py
@@ -67,6 +67,8 @@
         self._changed = asyncio.Event()
         self._wake = asyncio.Event()
         self._waiting_count = 0
+        self._started_polls_count = 0
+        self._finished_poll = 0
         self._held: dict[RequestId, asyncio.Future] = {}
         self._next_request = 0
         self._task: asyncio.Task | None = None
@@ -161,16 +163,18 @@
     async def group_position(self, term: Term) -> Result[Position, Failure]:
         """Return a position that holds every acknowledged write.
 
-        An answer is acknowledged only once it is within the confirmed
-        offset that this owner has polled, so that offset is enough.
+        An answer is acknowledged only once a quorum has its position, here
+        or at an earlier owner that still finishes its work; a poll that
+        starts after the request therefore sees it.
         """
         until_ms = self._now_ms() + _GROUP_POSITION_TIMEOUT_MS
+        wanted_poll = self._started_polls_count + 1
         while True:
             failure = self._check_group_position(term)
             if failure is not None:
                 return Err(failure)
             lsn = self.commit_wait.confirmed_lsn
-            if lsn:
+            if lsn and self._finished_poll >= wanted_poll:
                 return Ok(Position(term, lsn))
             self._wake.set()
             left_ms = until_ms - self._now_ms()
@@ -280,6 +284,8 @@
 
     async def _poll_primary(self):
         term = self._group().term
+        self._started_polls_count += 1
+        poll = self._started_polls_count
         replicas, primary = await self._monitor.query(
             _REPLICAS_SQL, PRIMARY_POSITION_SQL
         )
@@ -293,6 +299,7 @@
         lsn = Lsn(parse_lsn(primary.rows[0][0]))
         self._check_lease()
         self._perform(self.commit_wait.on_positions(term, lsn, lsns))
+        self._finished_poll = poll
         self._notify()
 
     async def _poll_replica(self):
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -123,10 +123,16 @@
     def _reconcile(self):
         wanted = self._wanted()
         for endpoint in [e for e in self._owners if e not in wanted]:
-            self._stop(self._owners.pop(endpoint))
+            # An owner that still finishes transactions is stopped later.
+            if self._owners[endpoint].is_released:
+                self._stop(self._owners.pop(endpoint))
         for endpoint in wanted - self._owners.keys():
             owner = EndpointOwner(
-                endpoint, self._settings, self._view, **self._options
+                endpoint,
+                self._settings,
+                self._view,
+                on_released=self._reconcile,
+                **self._options,
             )
             self._owners[endpoint] = owner
             owner.start()
--- a/waxwinglift/process/_owner_slot.py
+++ b/waxwinglift/process/_owner_slot.py
@@ -31,7 +31,8 @@
     """Checks a transaction, and holds its slot and connection.
 
     ``is_sent`` tells whether a byte of the caller's statement may have
-    reached the endpoint.
+    reached the endpoint; ``is_replica`` is the endpoint's role at the start,
+    whatever happened to it since.
 
     Parameters
     ----------
@@ -45,6 +46,7 @@
         self.link: EndpointConnection | None = None
         self.is_sent = False
         self.is_ended = False
+        self.is_replica = False
         self.queue_wait_ms = 0.0
         self._owner = owner
         self._header = header
@@ -70,7 +72,9 @@
         if failure is not None:
             return self._refuse(failure)
         # The assignment and the lease may have changed during the waits.
-        return owner.check(self._header)
+        refusal = owner.check(self._header)
+        self.is_replica = not owner.is_primary
+        return refusal
 
     async def send(self, packet: Packet, buffer: AnswerBuffer | None):
         """Send a packet and read its answers within the time limits.
--- a/waxwinglift/process/_owner_stream.py
+++ b/waxwinglift/process/_owner_stream.py
@@ -177,7 +177,7 @@
         self, position: Position | None, buffer: AnswerBuffer, has_error: bool
     ) -> ExchangeEnd:
         """Free the slot and connection, then hold the answer."""
-        is_replica = self._served_by_replica()
+        is_replica = self.slot.is_replica
         self.slot.release()
         started_ms = self.owner.now_ms()
         if position is not None and not is_replica:
@@ -216,26 +216,18 @@
             await self.slot.send(packet, None)
         if not step.rows or step.rows[0][0] is None:
             return None
-        if self._served_by_replica():
+        if self.slot.is_replica:
             lsn = parse_lsn(step.rows[0][0])
             return self.owner.positions.observe(lsn)
         return self.primary_position(step.rows[0][0])
 
     def _add_position(self, packet):
-        if self._served_by_replica():
+        if self.slot.is_replica:
             return packet.add_query(REPLICA_POSITION_SQL)
         return packet.add_query(PRIMARY_POSITION_SQL)
 
-    def _served_by_replica(self):
-        group = self.owner.view.group(self.owner.group)
-        if group.term != self.header.term:
-            # The role at the time of the check is gone.  Holding the answer
-            # fails it as unconfirmed, which is right for a write.
-            return self.header.read_only and not self.owner.is_primary
-        return group.primary != self.owner.endpoint
-
     def _buffer(self, facts, is_block, sink):
-        if self._served_by_replica():
+        if self.slot.is_replica:
             kept_bytes = self.owner.settings.replica_buffer_bytes
             keep_bytes = 0 if is_block else kept_bytes
             return AnswerBuffer(sink, keep_bytes, is_held=False)
@@ -244,7 +236,7 @@
         return self.held_buffer(sink)
 
     def _needs_primary(self, packet, buffer):
-        if buffer.has_passed or not self._served_by_replica():
+        if buffer.has_passed or not self.slot.is_replica:
             return False
         errors = [step.error for step in packet.forwarded_steps()]
         codes = {error.code for error in errors if error is not None}
--- /dev/null
+++ b/waxwinglift/request/tests/test_classify.py
@@ -0,0 +1,57 @@
+"""Guards the guess of what a statement does."""
+
+import pytest
+
+from waxwinglift.request._classify import classify
+from waxwinglift.request._classify import StatementKind
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "name", "value"),
+    [
+        ("SELECT 1", "READ", "", ""),
+        (" -- note\n/* a */ select 1;", "READ", "", ""),
+        ("(SELECT 1) UNION (SELECT 2)", "READ", "", ""),
+        ("SELECT 1; DELETE FROM t", "WRITE", "", ""),
+        ("INSERT INTO t VALUES (1)", "WRITE", "", ""),
+        ("", "EMPTY", "", ""),
+        (" ;; ", "EMPTY", "", ""),
+        ("BEGIN", "BEGIN", "", ""),
+        ("START TRANSACTION READ ONLY", "BEGIN_READ_ONLY", "", ""),
+        (
+            "BEGIN ISOLATION LEVEL SERIALIZABLE, READ ONLY",
+            "BEGIN_READ_ONLY",
+            "",
+            "",
+        ),
+        ("COMMIT", "COMMIT", "", ""),
+        ("end work", "COMMIT", "", ""),
+        ("COMMIT PREPARED 'a'", "WRITE", "", ""),
+        ("ROLLBACK", "ROLLBACK", "", ""),
+        ("ROLLBACK TO SAVEPOINT a", "WRITE", "", ""),
+        ("SET a.b = 'x;y'", "WRITE", "", ""),
+        (
+            "SET waxwinglift.rank = 'urgent'",
+            "SET",
+            "waxwinglift.rank",
+            "'urgent'",
+        ),
+        ("set session TimeZone to 'UTC';", "SET", "timezone", "'UTC'"),
+        ("SET TIME ZONE 'UTC'", "SET", "timezone", "'UTC'"),
+        ("SET LOCAL a = 1", "WRITE", "", ""),
+        ("SET TRANSACTION READ ONLY", "WRITE", "", ""),
+        ("SHOW waxwinglift.token", "SHOW", "waxwinglift.token", ""),
+        ("RESET ALL", "RESET", "all", ""),
+        ("SELECT pg_advisory_unlock_all(); RESET ALL;", "RESET", "all", ""),
+        ("DISCARD ALL", "DISCARD_ALL", "all", ""),
+        ('DEALLOCATE PREPARE "Big"', "DEALLOCATE", "Big", ""),
+        ("LISTEN a", "UNSUPPORTED", "LISTEN", ""),
+        ("PREPARE TRANSACTION 'a'", "WRITE", "", ""),
+    ],
+)
+def test_statement_is_classified(text, kind, name, value):
+    # A write taken for a read costs a hop; a missed COMMIT or SET would
+    # lose a confirmation or a setting.
+    found = classify(text)
+    assert found.kind is StatementKind[kind]
+    assert (found.name, found.value) == (name, value)
