Move endpoints that only their owner cannot reach

The fault pairs showed writes stopped for 3.5 s when the primary was cut from its owner while a replica was missing: the primary could not be replaced, and its owner stayed. A change of primary with fewer fenced servers was ruled out. The owner now loses an endpoint that it has found down for 400 ms while the standby owner has not; it moves at most every 5 s.

--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -42,6 +42,9 @@
     rebalance_delay_ms : int
         Quiet time after the proxies changed before owners are moved to
         their preferred place; restarts take about this long.
+    handover_pause_ms : int
+        Least time between two moves of an endpoint that only its owner
+        cannot reach.
     undrain_ms : int
         Time without a draining renewal after which a proxy that restarted
         counts as active again.
@@ -57,6 +60,7 @@
     tick_interval_ms: int = 50
     apply_limit_ms: int = 1000
     rebalance_delay_ms: int = 3000
+    handover_pause_ms: int = 5000
     undrain_ms: int = 1000
     propose_retry_ms: int = 500
 
@@ -92,6 +96,8 @@
         """Drop what only holds for one leadership."""
         self.live = frozenset()
         self.released = set()
+        self.unreachable = frozenset()
+        self.moved_ms = {}
         self.leaving = set()
         self.drained_ms = {}
         self.proposed_ms = {}
@@ -178,8 +184,13 @@
         if not self.is_owner_repair_due and not may_rebalance:
             return []
         entry = plan_owners(
-            self.fleet, self.live, self.released, may_rebalance
+            self.fleet,
+            self.live,
+            self.released,
+            may_rebalance,
+            self.unreachable,
         )
+        self.unreachable = frozenset()
         if may_rebalance:
             pause_ms = self.settings.propose_retry_ms
             self.rebalance_due_ms = now_ms + pause_ms if entry else None
@@ -233,9 +244,24 @@
     lost = core.announcements.expired(core.fleet, now_ms)
     actions += [failover.Propose(entry) for entry in lost]
     actions += core.observe_leases(now_ms)
+    _find_unreachable(core, now_ms)
     return actions + core.plan_owners(now_ms)
 
 
+def _find_unreachable(core, now_ms):
+    """Move endpoints that only their owner cannot reach, at most so often.
+
+    An endpoint that comes and goes would otherwise move at each report.
+    """
+    pause_ms = core.settings.handover_pause_ms
+    for endpoint in core.planner.unreachable(core.fleet, now_ms):
+        moved_ms = core.moved_ms.get(endpoint)
+        if moved_ms is None or now_ms - moved_ms >= pause_ms:
+            core.moved_ms[endpoint] = now_ms
+            core.unreachable |= {endpoint}
+            core.is_owner_repair_due = True
+
+
 def _require_old_commits(core, now_ms):
     limit_ms = now_ms - core.settings.apply_limit_ms
     while core.commit_times and core.commit_times[0][0] <= limit_ms:
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import dataclasses
 
 import pydantic
 
@@ -13,6 +14,7 @@
 from waxwinglift.version._failover_progress import Progress
 from waxwinglift.version._failover_steps import advance_group
 from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import Term
 
 
 class FailoverSettings(pydantic.BaseModel):
@@ -22,6 +24,10 @@
     ----------
     report_ttl_ms : int
         Age at which a health report no longer counts; four renewals.
+    handover_after_ms : int
+        Time for which only the owner finds an endpoint down before it loses
+        the endpoint.  Longer than two probes, so that the standby owner
+        finds a primary that is really down as well.
     retry_interval_ms : int
         Time between a failed action and its repetition.
     propose_retry_ms : int
@@ -34,6 +40,7 @@
     model_config = pydantic.ConfigDict(frozen=True)
 
     report_ttl_ms: int = 1000
+    handover_after_ms: int = 400
     retry_interval_ms: int = 100
     propose_retry_ms: int = 500
     fence_limit_ms: int = 400
@@ -59,6 +66,14 @@
     return register
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Down:
+    """Term of the latest report of an endpoint, time of the first one."""
+
+    term: Term
+    since_ms: float
+
+
 class FailoverPlanner:
     """Decides the next actions of all changes of primary.
 
@@ -119,9 +134,34 @@
 
     def is_down(self, daemon, endpoint, term, now_ms):
         """Return whether ``daemon`` recently reported the endpoint down."""
-        down, received_ms = self.reports.get(daemon, ({}, 0.0))
+        down = self._recent_report(daemon, now_ms) or {}
+        return endpoint in down and down[endpoint].term >= term
+
+    def unreachable(self, fleet, now_ms):
+        """Return the endpoints that only their owner cannot reach.
+
+        The owner has reported them down for some time and the standby owner,
+        which probes them too, does not.
+        """
+        oldest_ms = now_ms - self.settings.handover_after_ms
+        found = set()
+        for daemon in self.reports:
+            down = self._recent_report(daemon, now_ms) or {}
+            for endpoint, report in down.items():
+                assignment = fleet.owners.get(endpoint)
+                if assignment is None or assignment.owner != daemon:
+                    continue
+                other = self._recent_report(assignment.standby, now_ms)
+                is_up = other is not None and endpoint not in other
+                if is_up and report.since_ms <= oldest_ms:
+                    found.add(endpoint)
+        return found
+
+    def _recent_report(self, daemon, now_ms):
+        """Return what ``daemon`` finds down, None without a report."""
+        down, received_ms = self.reports.get(daemon, (None, 0.0))
         is_recent = now_ms - received_ms < self.settings.report_ttl_ms
-        return is_recent and down.get(endpoint, -1) >= term
+        return down if is_recent else None
 
     def current_progress(self, group):
         """Return the progress of the group's current term and phase."""
@@ -166,7 +206,12 @@
 @on_planner_event(messages.HealthReported)
 def _on_health(planner, fleet, event, now_ms):
     known, _ = planner.reports.get(event.daemon, ({}, 0.0))
-    down = {report.endpoint: report.term for report in event.down}
+    down = {}
+    for report in event.down:
+        since_ms = now_ms
+        if report.endpoint in known:
+            since_ms = known[report.endpoint].since_ms
+        down[report.endpoint] = _Down(report.term, since_ms)
     planner.reports[event.daemon] = (down, now_ms)
     changed = [e for e in down if e not in known and e in fleet.endpoints]
     return sorted({fleet.endpoints[e].group for e in changed})
--- a/waxwinglift/version/_ownership.py
+++ b/waxwinglift/version/_ownership.py
@@ -9,11 +9,13 @@
 import dataclasses
 import functools
 import math
+from collections.abc import Collection
 
 import xxhash
 
 from waxwinglift.version._entries import OwnerAssignment
 from waxwinglift.version._entries import OwnersAssigned
+from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version._types import Epoch
 
@@ -131,7 +133,13 @@
     ]
 
 
-def plan_owners(fleet, live_daemons, released=frozenset(), may_rebalance=True):
+def plan_owners(
+    fleet,
+    live_daemons,
+    released=frozenset(),
+    may_rebalance=True,
+    unreachable=frozenset(),
+):
     """Return the assignments to change, or None.
 
     Parameters
@@ -145,6 +153,9 @@
     may_rebalance : bool
         Whether endpoints with a working owner may move to another one.  A
         repair after a loss leaves them where they are.
+    unreachable : collection of EndpointId
+        Endpoints that go to their standby owner, because only the owner
+        cannot reach them.
 
     Returns
     -------
@@ -157,68 +168,86 @@
     may hold some: a change that would make a third waits until the first
     has released them or its lease has run out.
     """
-    candidates = _find_candidates(fleet, live_daemons)
-    preferred = (
-        preferred_owners(fleet, live_daemons) if may_rebalance else None
+    plan = _Plan(
+        fleet=fleet,
+        candidates=_find_candidates(fleet, live_daemons),
+        preferred=(
+            preferred_owners(fleet, live_daemons) if may_rebalance else None
+        ),
+        live_daemons=live_daemons,
+        released=released,
+        unreachable=unreachable,
     )
     changes = []
     for endpoint in sorted(fleet.endpoints):
-        current = fleet.owners.get(endpoint)
-        planned = _plan_endpoint(
-            fleet, candidates, preferred, live_daemons, released, endpoint
+        current = fleet.owners.get(endpoint) or OwnerAssignment(
+            endpoint, None, None, Epoch(0)
         )
-        if planned.epoch != (current.epoch if current else 0):
+        planned = plan.assignment(current)
+        if planned != current:
             changes.append(planned)
         if len(changes) == MAX_CHANGES_COUNT:
             break
     return OwnersAssigned(tuple(changes)) if changes else None
 
 
-def _plan_endpoint(
-    fleet, candidates, preferred, live_daemons, released, endpoint
-):
-    current = fleet.owners.get(endpoint) or OwnerAssignment(
-        endpoint, None, None, Epoch(0)
-    )
-    previous = current.previous
-    if previous not in live_daemons or endpoint in released:
-        previous = None
-    wanted = _choose_owner(fleet, candidates, preferred, live_daemons, current)
-    holders = {
-        daemon
-        for daemon in (current.owner, previous)
-        if daemon in live_daemons and daemon != wanted
-    }
-    owner = current.owner
-    if wanted != owner and len(holders) < 2:
-        owner = wanted
-        previous = next(iter(holders), None)
-    standby = current.standby
-    if not _is_good_standby(fleet, candidates, owner, standby):
-        standby = _choose_standby(fleet, candidates, endpoint, owner)
-    planned = OwnerAssignment(
-        endpoint, owner, standby, current.epoch, previous
-    )
-    if planned == current:
-        return current
-    # The log takes assignments with a higher epoch only.
-    return dataclasses.replace(planned, epoch=Epoch(current.epoch + 1))
-
-
-def _choose_owner(fleet, candidates, preferred, live_daemons, current):
-    """Return the owner that the endpoint ought to have."""
-    endpoint = current.endpoint
-    if current.owner in candidates.everywhere:
-        if preferred is None or current.previous is not None:
-            return current.owner
-        return preferred.get(endpoint, current.owner)
-    if current.standby in candidates.everywhere:
-        return current.standby
-    nearest = candidates.nearest(fleet.endpoints[endpoint].location)
-    if nearest:
-        return ranked(endpoint, nearest)[0]
-    # A draining owner still serves while nobody can take over.
-    return current.owner if current.owner in live_daemons else None
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """Inputs of one plan."""
+
+    fleet: FleetState
+    candidates: _Candidates
+    preferred: dict | None
+    live_daemons: Collection
+    released: Collection
+    unreachable: Collection
+
+    def assignment(self, current):
+        """Return what replaces ``current``; equal when nothing changes."""
+        endpoint = current.endpoint
+        previous = current.previous
+        if previous not in self.live_daemons or endpoint in self.released:
+            previous = None
+        wanted = self.wanted_owner(current)
+        holders = {
+            daemon
+            for daemon in (current.owner, previous)
+            if daemon in self.live_daemons and daemon != wanted
+        }
+        owner = current.owner
+        if wanted != owner and len(holders) < 2:
+            owner = wanted
+            previous = next(iter(holders), None)
+        standby = current.standby
+        if not _is_good_standby(self.fleet, self.candidates, owner, standby):
+            standby = _choose_standby(
+                self.fleet, self.candidates, endpoint, owner
+            )
+        planned = OwnerAssignment(
+            endpoint, owner, standby, current.epoch, previous
+        )
+        if planned == current:
+            return current
+        # The log takes assignments with a higher epoch only.
+        return dataclasses.replace(planned, epoch=Epoch(current.epoch + 1))
+
+    def wanted_owner(self, current):
+        """Return the owner that the endpoint ought to have."""
+        endpoint = current.endpoint
+        eligible = self.candidates.everywhere
+        if current.owner in eligible and endpoint not in self.unreachable:
+            if self.preferred is None or current.previous is not None:
+                return current.owner
+            return self.preferred.get(endpoint, current.owner)
+        if current.standby in eligible:
+            return current.standby
+        location = self.fleet.endpoints[endpoint].location
+        nearest = self.candidates.nearest(location)
+        if nearest:
+            return ranked(endpoint, nearest)[0]
+        # A draining owner still serves while nobody can take over.
+        is_live = current.owner in self.live_daemons
+        return current.owner if is_live else None
 
 
 def _is_good_standby(fleet, candidates, owner, standby):
--- a/waxwinglift/version/tests/test_failover.py
+++ b/waxwinglift/version/tests/test_failover.py
@@ -249,3 +249,29 @@
     rig.run(20, 100)
     fences = [a for a in rig.actions if isinstance(a, messages.FenceServer)]
     assert len(fences) == 2 * 4
+
+
+@pytest.mark.parametrize(
+    ("owner_down", "standby_down", "standby_reports", "age_ms", "is_found"),
+    [
+        (True, False, True, 400, True),
+        (True, False, True, 399, False),
+        (True, True, True, 400, False),
+        # Without a report the standby may be cut off itself.
+        (True, False, False, 400, False),
+        (False, True, True, 400, False),
+    ],
+)
+def test_endpoint_that_only_its_owner_cannot_reach(
+    owner_down, standby_down, standby_reports, age_ms, is_found
+):
+    # With a replica missing the primary cannot be replaced, and an owner
+    # that is cut off from it would stop all writes.
+    rig = Rig()
+    for now_ms in (0, age_ms):
+        rig.now_ms = now_ms
+        rig.report("a", *["g-c"] * owner_down)
+        if standby_reports:
+            rig.report("b", *["g-c"] * standby_down)
+    found = rig.planner.unreachable(rig.fleet, rig.now_ms)
+    assert found == ({"g-c"} if is_found else set())
--- a/waxwinglift/version/tests/test_ownership.py
+++ b/waxwinglift/version/tests/test_ownership.py
@@ -115,3 +115,12 @@
     assert settle(fleet, ["a1"]) is None
     settle(fleet, [])
     assert fleet.owners["g-a"].owner is None
+
+
+def test_endpoint_that_its_owner_cannot_reach_goes_to_the_standby():
+    fleet = fleet_of(["a1", "b1"], ["g-a"])
+    settle(fleet, ["a1", "b1"])
+    live = frozenset(["a1", "b1"])
+    extend(fleet, plan_owners(fleet, live, (), False, {"g-a"}))
+    assigned = fleet.owners["g-a"]
+    assert (assigned.owner, assigned.previous) == ("b1", "a1")
--- /dev/null
+++ b/waxwinglift_bench/version/_faults.py
@@ -0,0 +1,159 @@
+"""Faults of the fault tables.
+
+Each takes the run, picks its victims from the state at that moment and
+schedules its own end.
+"""
+
+FAULTS = {}
+
+# Longer than a lease with margin and a change of primary.
+LONG_MS = 3500.0
+SHORT_MS = 1000.0
+
+
+def fault(name):
+    """Register a fault under the name that the table prints."""
+
+    def register(function):
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+def _names(nodes):
+    return [node.name for node in nodes]
+
+
+def _cut(run, first, second, duration_ms=LONG_MS):
+    pairs = (_names(first), _names(second))
+    run.world.cut(*pairs)
+    run.after(duration_ms, run.world.heal, *pairs)
+
+
+def _kill(run, node, duration_ms=LONG_MS):
+    node.kill()
+    run.after(duration_ms, node.restart)
+
+
+def _freeze(run, node, duration_ms):
+    node.freeze()
+    run.after(duration_ms, node.thaw)
+
+
+@fault("primary killed")
+def _primary_killed(run):
+    _kill(run, run.primary)
+
+
+@fault("old primary returns")
+def _old_primary_returns(run):
+    """Back before, during or after the change."""
+    _kill(run, run.primary, run.world.rng.uniform(300.0, 1500.0))
+
+
+@fault("primary frozen")
+def _primary_frozen(run):
+    _freeze(run, run.primary, LONG_MS)
+
+
+@fault("primary frozen briefly")
+def _primary_frozen_briefly(run):
+    _freeze(run, run.primary, SHORT_MS)
+
+
+@fault("primary cut from replicas")
+def _primary_cut_from_replicas(run):
+    _cut(run, [run.primary], run.replicas())
+
+
+@fault("primary cut from control")
+def _primary_cut_from_control(run):
+    _cut(run, [run.primary], run.members)
+
+
+@fault("primary cut from proxies")
+def _primary_cut_from_proxies(run):
+    _cut(run, [run.primary], run.proxies)
+
+
+@fault("primary cut from its owner")
+def _primary_cut_from_owner(run):
+    _cut(run, [run.primary], [run.owner])
+
+
+@fault("primary isolated")
+def _primary_isolated(run):
+    others = [*run.members, *run.proxies, *run.replicas()]
+    _cut(run, [run.primary], others)
+
+
+@fault("replica lagging")
+def _replica_lagging(run):
+    replica = run.world.rng.choice(run.replicas())
+    replica.replay_delay_ms = 400.0
+    run.after(LONG_MS, setattr, replica, "replay_delay_ms", 0.0)
+
+
+@fault("replica killed")
+def _replica_killed(run):
+    _kill(run, run.world.rng.choice(run.replicas()))
+
+
+@fault("primary leaves")
+def _primary_leaves(run):
+    server = run.primary
+    server.is_leaving = True
+    run.after(LONG_MS, setattr, server, "is_leaving", False)
+
+
+@fault("owner killed")
+def _owner_killed(run):
+    _kill(run, run.owner)
+
+
+@fault("owner frozen")
+def _owner_frozen(run):
+    _freeze(run, run.owner, 2 * SHORT_MS)
+
+
+@fault("owner cut from control")
+def _owner_cut_from_control(run):
+    _cut(run, [run.owner], run.members)
+
+
+@fault("control leader killed")
+def _leader_killed(run):
+    _kill(run, run.leader)
+
+
+@fault("control leader frozen")
+def _leader_frozen(run):
+    _freeze(run, run.leader, 2 * SHORT_MS)
+
+
+@fault("control leader cut from the others")
+def _leader_cut(run):
+    others = [m for m in run.members if m is not run.leader]
+    _cut(run, [run.leader], others)
+
+
+@fault("control leader loses its disk")
+def _leader_loses_disk(run):
+    """It must not come back under its name: it has forgotten its votes."""
+    run.leader.lose_disk()
+
+
+@fault("data centre of the primary lost")
+def _data_centre_lost(run):
+    site = run.primary.site
+    for node in [*run.members, *run.proxies, *run.servers]:
+        if node.site == site:
+            _kill(run, node)
+
+
+@fault("regions cut from each other")
+def _regions_cut(run):
+    nodes = [*run.members, *run.proxies, *run.servers]
+    south = [n for n in nodes if n.site == "c"]
+    _cut(run, south, [n for n in nodes if n.site != "c"])
