Add the fault tables in virtual time

The promises of a change of primary need a run of the real control core, log, leases and wait for the quorum under each pair of faults. Traces of the loss of a data centre showed two faults: a replica whose announcements had stopped was not repointed, and a new standby owner was believed before it could have noticed a silent server.

--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import math
 
 import pydantic
 
@@ -42,6 +43,9 @@
     rebalance_delay_ms : int
         Quiet time after the proxies changed before owners are moved to
         their preferred place; restarts take about this long.
+    handover_settle_ms : int
+        Time after an assignment in which a new standby owner finds out
+        whether it reaches the endpoint.
     handover_pause_ms : int
         Least time between two moves of an endpoint that only its owner
         cannot reach.
@@ -60,6 +64,7 @@
     tick_interval_ms: int = 50
     apply_limit_ms: int = 1000
     rebalance_delay_ms: int = 3000
+    handover_settle_ms: int = 1000
     handover_pause_ms: int = 5000
     undrain_ms: int = 1000
     propose_retry_ms: int = 500
@@ -98,6 +103,8 @@
         self.released = set()
         self.unreachable = frozenset()
         self.moved_ms = {}
+        self.assigned_ms = {}
+        self.elected_ms = -math.inf
         self.leaving = set()
         self.drained_ms = {}
         self.proposed_ms = {}
@@ -204,6 +211,7 @@
 def _on_became_leader(core, event, now_ms):
     core.forget_leadership()
     core.is_leader = True
+    core.elected_ms = now_ms
     core.has_quorum = False
     core.leases.start_leadership(core.fleet.daemons, now_ms)
     core.announcements.start_leadership(core.fleet, now_ms)
@@ -253,10 +261,12 @@
 
     An endpoint that comes and goes would otherwise move at each report.
     """
-    pause_ms = core.settings.handover_pause_ms
+    settings = core.settings
     for endpoint in core.planner.unreachable(core.fleet, now_ms):
-        moved_ms = core.moved_ms.get(endpoint)
-        if moved_ms is None or now_ms - moved_ms >= pause_ms:
+        moved_ms = core.moved_ms.get(endpoint, -math.inf)
+        assigned_ms = core.assigned_ms.get(endpoint, core.elected_ms)
+        is_settled = now_ms - assigned_ms >= settings.handover_settle_ms
+        if is_settled and now_ms - moved_ms >= settings.handover_pause_ms:
             core.moved_ms[endpoint] = now_ms
             core.unreachable |= {endpoint}
             core.is_owner_repair_due = True
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -71,6 +71,7 @@
 def _after_owners_assigned(core, event, now_ms):
     for assignment in event.entry.assignments:
         core.assigned_index[assignment.endpoint] = event.index
+        core.assigned_ms[assignment.endpoint] = now_ms
         core.released.discard(assignment.endpoint)
     core.owners_proposed_ms = None
     core.is_owner_repair_due = True
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -13,6 +13,7 @@
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._failover_progress import Progress
 from waxwinglift.version._failover_steps import advance_group
+from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import Term
 
@@ -30,6 +31,8 @@
         finds a primary that is really down as well.
     retry_interval_ms : int
         Time between a failed action and its repetition.
+    lost_retry_ms : int
+        The same for a server whose announcements have stopped.
     propose_retry_ms : int
         Time after which an entry that was not committed is proposed again.
     fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
@@ -42,6 +45,7 @@
     report_ttl_ms: int = 1000
     handover_after_ms: int = 400
     retry_interval_ms: int = 100
+    lost_retry_ms: int = 500
     propose_retry_ms: int = 500
     fence_limit_ms: int = 400
     read_limit_ms: int = 250
@@ -68,9 +72,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Down:
-    """Term of the latest report of an endpoint, time of the first one."""
+    """Latest report of an endpoint and the time of the first one."""
 
     term: Term
+    is_reachable: bool
     since_ms: float
 
 
@@ -98,6 +103,7 @@
         self.reports = {}
         self.progress = {}
         self.repointed = {}
+        self.lost = set()
 
     def step(self, fleet, event, now_ms):
         """Return the actions that follow from ``event``.
@@ -153,6 +159,7 @@
                     continue
                 other = self._recent_report(assignment.standby, now_ms)
                 is_up = other is not None and endpoint not in other
+                is_up = is_up and not report.is_reachable
                 if is_up and report.since_ms <= oldest_ms:
                     found.add(endpoint)
         return found
@@ -211,7 +218,9 @@
         since_ms = now_ms
         if report.endpoint in known:
             since_ms = known[report.endpoint].since_ms
-        down[report.endpoint] = _Down(report.term, since_ms)
+        down[report.endpoint] = _Down(
+            report.term, report.is_reachable, since_ms
+        )
     planner.reports[event.daemon] = (down, now_ms)
     changed = [e for e in down if e not in known and e in fleet.endpoints]
     return sorted({fleet.endpoints[e].group for e in changed})
@@ -263,7 +272,10 @@
     progress = _find_progress(planner, fleet, action)
     if progress is None:
         return ()
+    endpoint = fleet.endpoints.get(action.endpoint)
     due_ms = now_ms + planner.settings.retry_interval_ms
+    if endpoint is None or endpoint.state is EndpointState.LOST:
+        due_ms = now_ms + planner.settings.lost_retry_ms
     progress.retry_at(type(action), action.endpoint, due_ms, event.message)
     return (action.group,)
 
--- a/waxwinglift/version/_failover_messages.py
+++ b/waxwinglift/version/_failover_messages.py
@@ -80,10 +80,13 @@
 
     ``term`` is the group's term that the proxy had applied when it probed;
     a report from before the last change of primary does not count.
+    ``is_reachable`` says that a primary answers probes while no quorum
+    confirms its writes.
     """
 
     endpoint: EndpointId
     term: Term
+    is_reachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_failover_steps.py
+++ b/waxwinglift/version/_failover_steps.py
@@ -227,21 +227,24 @@
 def _repoint_stragglers(change):
     """Repoint the replicas of an older term, also those that come back.
 
+    A server without announcements is tried as well: it may still replicate.
     A server that left recovery in an older term is a former primary: it may
     hold writes that the group does not have, so its operator rebuilds it.
     """
     group = change.group
-    repointed = change.planner.repointed
+    planner = change.planner
     primary = change.fleet.endpoints.get(group.primary)
     for endpoint in change.members:
         name = endpoint.endpoint
         if endpoint.state is EndpointState.LOST:
-            repointed.pop(name, None)
-            continue
+            planner.lost.add(name)
+        elif name in planner.lost:
+            planner.lost.discard(name)
+            planner.repointed.pop(name, None)
         is_behind = (
             name != group.primary
             and endpoint.role is EndpointRole.REPLICA
             and endpoint.term < group.term
         )
-        if is_behind and repointed.get(name) != group.term:
+        if is_behind and planner.repointed.get(name) != group.term:
             change.repoint(endpoint, primary)
--- /dev/null
+++ b/waxwinglift_bench/process/_commands.py
@@ -0,0 +1,18 @@
+"""Registry of the commands of ``python -m waxwinglift_bench``."""
+
+import click
+
+COMMANDS = {}
+
+
+def bench_command(command):
+    """Add a click command to the group; usable as a decorator."""
+    if command.name in COMMANDS:
+        raise ValueError(f"{command.name} is registered twice")
+    COMMANDS[command.name] = command
+    return command
+
+
+def bench_group():
+    """Return the group of all registered commands."""
+    return click.Group("waxwinglift_bench", commands=dict(COMMANDS))
--- /dev/null
+++ b/waxwinglift_bench/version/_fault_table.py
@@ -0,0 +1,108 @@
+"""Tables of faults: each alone, after each other one, and twice."""
+
+import dataclasses
+import random
+
+from waxwinglift.version._control_core import ControlCore
+from waxwinglift_bench.version._fault_run import FaultRun
+from waxwinglift_bench.version._faults import FAULTS
+from waxwinglift_bench.version._ledger import Violations
+
+GAP_BOUND_MS = 3000.0
+FIRST_MS = 6000.0
+AFTER_MS = 6000.0
+COMMAND = "python -m waxwinglift_bench faults"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """One or two faults and the seed of everything random.
+
+    ``second`` is None for a single fault.
+    """
+
+    first: str
+    second: str | None
+    seed: int
+
+    @property
+    def command(self):
+        """Command line that runs this case alone."""
+        parts = [COMMAND, f"--first '{self.first}'"]
+        parts.append(f"--second '{self.second or 'none'}'")
+        return " ".join([*parts, f"--seed {self.seed}"])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one case showed; times are virtual."""
+
+    case: Case
+    violations: Violations
+    gap_ms: float
+
+    @property
+    def is_kept(self):
+        """Whether every promise was kept."""
+        return not self.violations.count and self.gap_ms < GAP_BOUND_MS
+
+
+def plan_cases(firsts, seconds, seeds):
+    """Return all cases in a fixed order."""
+    return [
+        Case(first, second, seed)
+        for first in firsts
+        for second in seconds
+        for seed in seeds
+    ]
+
+
+def run_case(case, core_type=ControlCore):
+    """Run one case.
+
+    The second fault comes at once, during the change that follows the first
+    one, or after it.
+    """
+    run = FaultRun(case.seed, core_type)
+    rng = random.Random(f"{case.first} {case.second} {case.seed}")
+    during_ms = rng.uniform(0.0, 1500.0)
+    delays_ms = (0.0, during_ms, during_ms, rng.uniform(1500.0, 5000.0))
+    run.world.run_until(FIRST_MS + rng.uniform(0.0, 500.0))
+    FAULTS[case.first].apply(run)
+    if case.second is not None:
+        run.world.run_until(run.now_ms + rng.choice(delays_ms))
+        FAULTS[case.second].apply(run)
+    run.world.run_until(run.now_ms + AFTER_MS)
+    run.finish()
+    return Outcome(case, run.ledger.violations, run.gap_ms)
+
+
+HEADER = (
+    f"{'fault':36} {'promise':50} {'cases':>5} {'lost':>4} {'doubled':>7} "
+    f"{'late':>4} {'stale reads':>11} {'worst gap ms':>12}  command"
+)
+
+
+def format_row(first, outcomes, seeds):
+    """Return the row of one fault over its cases."""
+    totals = Violations()
+    for outcome in outcomes:
+        for field in dataclasses.fields(Violations):
+            value = getattr(outcome.violations, field.name)
+            setattr(totals, field.name, getattr(totals, field.name) + value)
+    worst_ms = max(outcome.gap_ms for outcome in outcomes)
+    options = " ".join(f"--seed {seed}" for seed in seeds)
+    return (
+        f"{first:36} {FAULTS[first].promise:50} {len(outcomes):5d} "
+        f"{totals.lost_count:4d} {totals.doubled_count:7d} "
+        f"{totals.late_count:4d} {totals.stale_reads_count:11d} "
+        f"{worst_ms:12.0f}  {COMMAND} --first '{first}' {options}"
+    )
+
+
+def format_failure(outcome):
+    """Return how to repeat a case that broke a promise."""
+    return (
+        f"  broken: {outcome.violations}, gap {outcome.gap_ms:.0f} ms: "
+        f"{outcome.case.command}"
+    )
--- a/waxwinglift_bench/version/_faults.py
+++ b/waxwinglift_bench/version/_faults.py
@@ -4,6 +4,24 @@
 schedules its own end.
 """
 
+import dataclasses
+from collections.abc import Callable
+
+RESUMES = "writes resume within 3 s; none is lost or doubled"
+GOES_ON = "writes go on; none is lost or doubled"
+FENCED = "a replaced primary confirms nothing"
+LEASED = "a proxy without a lease confirms nothing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault, and the promise that it puts to the test."""
+
+    name: str
+    promise: str
+    apply: Callable
+
+
 FAULTS = {}
 
 # Longer than a lease with margin and a change of primary.
@@ -11,11 +29,11 @@
 SHORT_MS = 1000.0
 
 
-def fault(name):
+def fault(name, promise):
     """Register a fault under the name that the table prints."""
 
     def register(function):
-        FAULTS[name] = function
+        FAULTS[name] = Fault(name, promise, function)
         return function
 
     return register
@@ -41,110 +59,110 @@
     run.after(duration_ms, node.thaw)
 
 
-@fault("primary killed")
+@fault("primary killed", RESUMES)
 def _primary_killed(run):
     _kill(run, run.primary)
 
 
-@fault("old primary returns")
+@fault("old primary returns", FENCED)
 def _old_primary_returns(run):
     """Back before, during or after the change."""
     _kill(run, run.primary, run.world.rng.uniform(300.0, 1500.0))
 
 
-@fault("primary frozen")
+@fault("primary frozen", RESUMES)
 def _primary_frozen(run):
     _freeze(run, run.primary, LONG_MS)
 
 
-@fault("primary frozen briefly")
+@fault("primary frozen briefly", FENCED)
 def _primary_frozen_briefly(run):
     _freeze(run, run.primary, SHORT_MS)
 
 
-@fault("primary cut from replicas")
+@fault("primary cut from replicas", RESUMES)
 def _primary_cut_from_replicas(run):
     _cut(run, [run.primary], run.replicas())
 
 
-@fault("primary cut from control")
+@fault("primary cut from control", GOES_ON)
 def _primary_cut_from_control(run):
     _cut(run, [run.primary], run.members)
 
 
-@fault("primary cut from proxies")
+@fault("primary cut from proxies", RESUMES)
 def _primary_cut_from_proxies(run):
     _cut(run, [run.primary], run.proxies)
 
 
-@fault("primary cut from its owner")
+@fault("primary cut from its owner", RESUMES)
 def _primary_cut_from_owner(run):
     _cut(run, [run.primary], [run.owner])
 
 
-@fault("primary isolated")
+@fault("primary isolated", FENCED)
 def _primary_isolated(run):
     others = [*run.members, *run.proxies, *run.replicas()]
     _cut(run, [run.primary], others)
 
 
-@fault("replica lagging")
+@fault("replica lagging", GOES_ON)
 def _replica_lagging(run):
     replica = run.world.rng.choice(run.replicas())
     replica.replay_delay_ms = 400.0
     run.after(LONG_MS, setattr, replica, "replay_delay_ms", 0.0)
 
 
-@fault("replica killed")
+@fault("replica killed", GOES_ON)
 def _replica_killed(run):
     _kill(run, run.world.rng.choice(run.replicas()))
 
 
-@fault("primary leaves")
+@fault("primary leaves", RESUMES)
 def _primary_leaves(run):
     server = run.primary
     server.is_leaving = True
     run.after(LONG_MS, setattr, server, "is_leaving", False)
 
 
-@fault("owner killed")
+@fault("owner killed", RESUMES)
 def _owner_killed(run):
     _kill(run, run.owner)
 
 
-@fault("owner frozen")
+@fault("owner frozen", LEASED)
 def _owner_frozen(run):
     _freeze(run, run.owner, 2 * SHORT_MS)
 
 
-@fault("owner cut from control")
+@fault("owner cut from control", LEASED)
 def _owner_cut_from_control(run):
     _cut(run, [run.owner], run.members)
 
 
-@fault("control leader killed")
+@fault("control leader killed", GOES_ON)
 def _leader_killed(run):
     _kill(run, run.leader)
 
 
-@fault("control leader frozen")
+@fault("control leader frozen", LEASED)
 def _leader_frozen(run):
     _freeze(run, run.leader, 2 * SHORT_MS)
 
 
-@fault("control leader cut from the others")
+@fault("control leader cut from the others", LEASED)
 def _leader_cut(run):
     others = [m for m in run.members if m is not run.leader]
     _cut(run, [run.leader], others)
 
 
-@fault("control leader loses its disk")
+@fault("control leader loses its disk", GOES_ON)
 def _leader_loses_disk(run):
     """It must not come back under its name: it has forgotten its votes."""
     run.leader.lose_disk()
 
 
-@fault("data centre of the primary lost")
+@fault("data centre of the primary lost", RESUMES)
 def _data_centre_lost(run):
     site = run.primary.site
     for node in [*run.members, *run.proxies, *run.servers]:
@@ -152,7 +170,7 @@
             _kill(run, node)
 
 
-@fault("regions cut from each other")
+@fault("regions cut from each other", RESUMES)
 def _regions_cut(run):
     nodes = [*run.members, *run.proxies, *run.servers]
     south = [n for n in nodes if n.site == "c"]
--- a/waxwinglift_bench/version/_members.py
+++ b/waxwinglift_bench/version/_members.py
@@ -115,7 +115,8 @@
         self.stream(daemon, renewal.applied_index)
         self.relay("relayed_renewal", renewal)
 
-    def on_announcement(self, server, announcement):
+    def on_announcement(self, server, announcement, number):
+        self.send(server, "announced", number)
         self.relay("relayed_announcement", announcement)
 
     def relay(self, name, message):
--- a/waxwinglift_bench/version/_proxies.py
+++ b/waxwinglift_bench/version/_proxies.py
@@ -134,11 +134,15 @@
             for endpoint, answered_ms in self.probed_ms.items()
             if self.now_ms - answered_ms >= DOWN_AFTER_MS
         }
-        since_ms = self.held_since_ms
-        if since_ms is not None and self.now_ms - since_ms >= DOWN_AFTER_MS:
-            down.add(self.group.primary)
         term = self.group.term
-        return tuple(DownEndpoint(e, term) for e in sorted(down))
+        found = [DownEndpoint(e, term) for e in sorted(down)]
+        since_ms = self.held_since_ms
+        is_stalled = (
+            since_ms is not None and self.now_ms - since_ms >= DOWN_AFTER_MS
+        )
+        if is_stalled and self.group.primary not in down:
+            found.append(DownEndpoint(self.group.primary, term, True))
+        return tuple(found)
 
     # Writes: the entry proxy.
 
--- a/waxwinglift_bench/version/_servers.py
+++ b/waxwinglift_bench/version/_servers.py
@@ -44,6 +44,9 @@
 
     def start(self):
         self.flushed = {}
+        self.number = 0
+        self.announced_number = None
+        self.member_number = self.world.rng.randrange(len(self.members))
         self.every(500.0, self.announce)
         self.every(100.0, self.follow)
 
@@ -66,8 +69,24 @@
             in_recovery=self.in_recovery,
             is_leaving=self.is_leaving,
         )
-        member = self.world.rng.choice(self.members)
-        self.send(member, "announcement", announcement)
+        self.number += 1
+        self.deliver(announcement, self.number)
+
+    def deliver(self, announcement, number):
+        """Send an announcement; take the next member without an answer."""
+        if number != self.number or number == self.announced_number:
+            return
+        member = self.members[self.member_number % len(self.members)]
+        self.send(member, "announcement", announcement, number)
+        self.later(100.0, self.rotate, announcement, number)
+
+    def rotate(self, announcement, number):
+        if number != self.announced_number:
+            self.member_number += 1
+            self.deliver(announcement, number)
+
+    def on_announced(self, member, number):
+        self.announced_number = number
 
     def follow(self):
         """Ask the upstream for what this replica does not have."""
