--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import math
 
 import pydantic
 
@@ -42,6 +43,12 @@
     rebalance_delay_ms : int
         Quiet time after the proxies changed before owners are moved to
         their preferred place; restarts take about this long.
+    handover_settle_ms : int
+        Time after an assignment in which a new standby owner finds out
+        whether it reaches the endpoint.
+    handover_pause_ms : int
+        Least time between two moves of an endpoint that only its owner
+        cannot reach.
     undrain_ms : int
         Time without a draining renewal after which a proxy that restarted
         counts as active again.
@@ -57,6 +64,8 @@
     tick_interval_ms: int = 50
     apply_limit_ms: int = 1000
     rebalance_delay_ms: int = 3000
+    handover_settle_ms: int = 1000
+    handover_pause_ms: int = 5000
     undrain_ms: int = 1000
     propose_retry_ms: int = 500
 
@@ -94,6 +103,10 @@
         """Drop what only holds for one leadership."""
         self.live = frozenset()
         self.released = set()
+        self.unreachable = frozenset()
+        self.moved_ms = {}
+        self.assigned_ms = {}
+        self.elected_ms = -math.inf
         self.leaving = set()
         self.drained_ms = {}
         self.proposed_ms = {}
@@ -180,8 +193,13 @@
         if not self.is_owner_repair_due and not may_rebalance:
             return []
         entry = plan_owners(
-            self.fleet, self.live, self.released, may_rebalance
+            self.fleet,
+            self.live,
+            self.released,
+            may_rebalance,
+            self.unreachable,
         )
+        self.unreachable = frozenset()
         if may_rebalance:
             pause_ms = self.settings.propose_retry_ms
             self.rebalance_due_ms = now_ms + pause_ms if entry else None
@@ -195,6 +213,7 @@
 def _on_became_leader(core, event, now_ms):
     core.forget_leadership()
     core.is_leader = True
+    core.elected_ms = now_ms
     core.has_quorum = False
     core.leases.start_leadership(core.fleet.daemons, now_ms)
     core.announcements.start_leadership(core.fleet, now_ms)
@@ -235,9 +254,26 @@
     lost = core.announcements.expired(core.fleet, now_ms)
     actions += [failover.Propose(entry) for entry in lost]
     actions += core.observe_leases(now_ms)
+    _find_unreachable(core, now_ms)
     return actions + core.plan_owners(now_ms)
 
 
+def _find_unreachable(core, now_ms):
+    """Move endpoints that only their owner cannot reach, at most so often.
+
+    An endpoint that comes and goes would otherwise move at each report.
+    """
+    settings = core.settings
+    for endpoint in core.planner.unreachable(core.fleet, now_ms):
+        moved_ms = core.moved_ms.get(endpoint, -math.inf)
+        assigned_ms = core.assigned_ms.get(endpoint, core.elected_ms)
+        is_settled = now_ms - assigned_ms >= settings.handover_settle_ms
+        if is_settled and now_ms - moved_ms >= settings.handover_pause_ms:
+            core.moved_ms[endpoint] = now_ms
+            core.unreachable |= {endpoint}
+            core.is_owner_repair_due = True
+
+
 def _require_old_commits(core, now_ms):
     limit_ms = now_ms - core.settings.apply_limit_ms
     while core.commit_times and core.commit_times[0][0] <= limit_ms:
