--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -25,11 +25,14 @@
     floor_window_ms : float
         Service that a rank below its floor may catch up with, in
         milliseconds of the endpoint's whole capacity.
+    is_floor_expected : bool
+        Whether the expected wait of a rank counts on its floor share.
     """
 
     initial_service_ms: float = pydantic.Field(4.0, gt=0)
     service_weight: float = pydantic.Field(0.05, gt=0, le=1)
     floor_window_ms: float = pydantic.Field(200.0, gt=0)
+    is_floor_expected: bool = True
 
 
 class RoutingSettings(PolicySettings):
@@ -41,11 +44,19 @@
         Name in the registry of routing policies.
     replica_wait_ms : float
         Longest expected wait for a replica to reach a floor.
+    prompt_wait_ms : float
+        Wait that no read goes to the primary for.
+    primary_share : float
+        Part of the reads that may go to the primary to save a wait.
+    primary_burst_count : float
+        Most such reads saved up.
     distance_ms : tuple of float
         Round trip within the data centre, the region, and beyond; used
         until latencies have been measured.
     latency_weight : float
-        Weight of a new sample in the moving averages.
+        Weight of a new sample in the moving averages of latencies.
+    lag_weight : float
+        Weight of a new sample in the moving average of a replica's lag.
     stale_after_ms : float
         Half-life of the influence of a measured latency.
     backoff_ms, backoff_limit_ms : float
@@ -56,9 +67,13 @@
     """
 
     policy: str = "two_choices"
-    replica_wait_ms: float = pydantic.Field(100.0, ge=0)
+    replica_wait_ms: float = pydantic.Field(150.0, ge=0)
+    prompt_wait_ms: float = pydantic.Field(5.0, ge=0)
+    primary_share: float = pydantic.Field(0.09, ge=0, le=1)
+    primary_burst_count: float = pydantic.Field(30.0, ge=1)
     distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
     latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
+    lag_weight: float = pydantic.Field(0.6, gt=0, le=1)
     stale_after_ms: float = pydantic.Field(500.0, gt=0)
     backoff_ms: float = pydantic.Field(200.0, gt=0)
     backoff_limit_ms: float = pydantic.Field(5000.0, gt=0)
@@ -76,6 +91,8 @@
         Most retries saved up while none were needed.
     attempt_limit_count : int
         Most attempts of one request, the first included.
+    rejected_limit_count : int
+        Most attempts of a request that queues refuse.
     backoff_ms : float
         Mean delay before the second attempt; doubled for each later one.
     """
@@ -83,6 +100,7 @@
     budget_ratio: float = pydantic.Field(0.1, ge=0, le=1)
     budget_burst_count: float = pydantic.Field(20.0, ge=1)
     attempt_limit_count: int = pydantic.Field(4, ge=1)
+    rejected_limit_count: int = pydantic.Field(2, ge=1)
     backoff_ms: float = pydantic.Field(5.0, ge=0)
 
 
