--- a/waxwinglift_standin/process/_server.py
+++ b/waxwinglift_standin/process/_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import logging
+import re
 
 import pygwire
 from pygwire import messages as pg
@@ -37,7 +38,7 @@
     "standard_conforming_strings": "on",
     "default_transaction_read_only": "off",
 }
-_DISCONNECTS = (ConnectionError, pygwire.PygwireError)
+_OPTION = re.compile(r"-c\s*([\w.]+)=(\S+)")
 
 
 class StandinServer:
@@ -77,20 +78,29 @@
     async def start(self):
         """Load the log and listen."""
         executor = self._executor
-        database = Database(executor.install, executor.set_statement)
+        database = Database(executor.install, executor.calls)
         store = self._files.enter_context(open_store(self.settings.data_file))
         self.state = ServerState(self.settings, database, store)
-        executor.server = self.state
+        executor.attach(self.state)
         self.state.load()
         address = self.settings.address
         self._listener = await asyncio.start_server(
             self._accept, str(address.host), address.port, backlog=1000
         )
+        for name, value in self.settings.faults.items():
+            self.set_fault(name, value)
         self.start_task(self.state.replay_received())
         self.start_task(ReplicationReceiver(self.state).run())
 
     async def stop(self):
-        """Close the listener and every connection at once."""
+        """Tell the sessions that the server stops, and stop."""
+        if self.state.runs.is_set():
+            for session in self.state.sessions.values():
+                session.terminate()
+        await self.kill()
+
+    async def kill(self):
+        """Close the listener and every connection without a word."""
         self._listener.close()
         tasks = list(self._tasks)
         for task in tasks:
@@ -103,9 +113,14 @@
         """Run a coroutine until it ends or the server stops."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._forget_task)
         return task
 
+    def _forget_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("task failed", exc_info=task.exception())
+
     def _accept(self, reader, writer):
         self.start_task(self._serve(reader, writer))
 
@@ -116,7 +131,10 @@
                 started = await read_startup(reader, writer)
                 await self.state.runs.wait()
                 await self._serve_started(reader, writer, started)
-            except _DISCONNECTS as error:
+            except pygwire.PygwireError as error:
+                failure = SqlError(SqlState.PROTOCOL_VIOLATION, str(error))
+                writer.write(error_message(failure, "FATAL").to_wire())
+            except ConnectionError as error:
                 _LOG.debug("connection ended", extra={"reason": str(error)})
             except Exception:
                 _LOG.exception("connection failed")
@@ -188,8 +206,10 @@
 
 def _session_parameters(params):
     defaults = {name.lower(): value for name, value in _PARAMETERS.items()}
-    given = {name.lower(): value for name, value in params.items()}
-    return defaults | {"application_name": "", "search_path": "public"} | given
+    defaults |= {"application_name": "", "search_path": "public"}
+    options = dict(_OPTION.findall(params.get("options", "")))
+    given = options | params
+    return defaults | {name.lower(): value for name, value in given.items()}
 
 
 @contextlib.asynccontextmanager
