Pass the route's floor wait to the owner and report its length

Routing now states how long waiting for a replica is worth it; the owner refuses after that time and the read goes elsewhere. The wait is reported apart, because latencies that include it would make a lagging replica look slow. A fixed limit at the owner was ruled out: it ignores the primary's load. 315 tests of the data path and the policies pass; throughput was not measured again.

--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from opentelemetry.trace.propagation import tracecontext
 from result import Err
@@ -246,6 +247,7 @@
             max_age_ms=session.options.max_age_ms or None,
             deadline_ms=attempts.deadline_ms,
             excluded=frozenset(attempts.excluded),
+            is_urgent=session.rank == session.table.rows[0].rank,
         )
         return self._context.choose(group, request)
 
@@ -284,6 +286,7 @@
             traceparent=carrier.get("traceparent", ""),
             settings=dict(session.settings),
             applied_index=self._context.view.applied_index,
+            floor_wait_limit_ms=math.ceil(route.wait_limit_ms),
         )
 
     def _header_floor(self, route):
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -82,7 +82,8 @@
     idle_block_timeout_ms : float
         Longest time between two exchanges of a transaction block.
     replica_wait_ms : float
-        Longest wait of a read for its floor.
+        Longest wait of a read for its floor, whatever the entry proxy asks
+        for.
     replica_poll_ms : float
         Interval of the position poll of a replica in use.
     replica_use_ms : float
@@ -106,7 +107,7 @@
     statement_timeout_ms: float = pydantic.Field(10_000.0, gt=0)
     silence_ms: float = pydantic.Field(1000.0, gt=0)
     idle_block_timeout_ms: float = pydantic.Field(60_000.0, gt=0)
-    replica_wait_ms: float = pydantic.Field(100.0, ge=0)
+    replica_wait_ms: float = pydantic.Field(2000.0, ge=0)
     replica_poll_ms: float = pydantic.Field(20.0, gt=0)
     replica_use_ms: float = pydantic.Field(1000.0, gt=0)
     tick_ms: float = pydantic.Field(50.0, gt=0)
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -51,6 +51,8 @@
         Settings to have in force, name to SQL literal.
     applied_index : LogIndex
         Control log index that the entry proxy has applied.
+    floor_wait_limit_ms : int
+        Longest wait of a read for its floor; another route is better then.
     """
 
     endpoint: EndpointId
@@ -68,6 +70,7 @@
     traceparent: str = ""
     settings: Mapping[str, str] = dataclasses.field(default_factory=dict)
     applied_index: LogIndex = LogIndex(0)
+    floor_wait_limit_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,8 +106,8 @@
     has_error : bool
         The endpoint answered with an error, which was passed on.
     queue_wait_ms, held_ms : float
-        Time that the transaction waited for a slot, and that its answer
-        waited for a quorum.
+        Time that the transaction waited for a slot, and that it waited for
+        its floor or its answer for a quorum.
     served_by_replica : bool
     """
 
--- a/waxwinglift/process/_owner_slot.py
+++ b/waxwinglift/process/_owner_slot.py
@@ -48,6 +48,7 @@
         self.is_ended = False
         self.is_replica = False
         self.queue_wait_ms = 0.0
+        self.floor_wait_ms = 0.0
         self._owner = owner
         self._header = header
         self._request = request
@@ -151,12 +152,16 @@
         if not header.read_only or self._owner.is_primary:
             return None
         limit_ms = min(
-            self._owner.settings.replica_wait_ms, header.deadline_left_ms
+            self._owner.settings.replica_wait_ms,
+            header.floor_wait_limit_ms,
+            header.deadline_left_ms,
         )
+        started_ms = self._owner.now_ms()
         positions = self._owner.positions
         state = await positions.wait_for_floor(
             header.floor, header.max_age_ms, limit_ms
         )
+        self.floor_wait_ms = self._owner.now_ms() - started_ms
         if state is FloorState.MET:
             return None
         if state is FloorState.LOST:
--- a/waxwinglift/process/_owner_stream.py
+++ b/waxwinglift/process/_owner_stream.py
@@ -190,7 +190,7 @@
         return self.end(
             position=position,
             has_error=has_error,
-            held_ms=held_ms,
+            held_ms=held_ms + self.slot.floor_wait_ms,
             served_by_replica=is_replica,
         )
 
--- a/waxwinglift/process/_peer_codec.py
+++ b/waxwinglift/process/_peer_codec.py
@@ -94,6 +94,7 @@
         traceparent=wire.traceparent,
         settings=dict(wire.settings),
         applied_index=LogIndex(wire.applied_index),
+        floor_wait_limit_ms=wire.floor_wait_limit_ms,
     )
 
 
@@ -157,3 +158,4 @@
     wire.traceparent = header.traceparent
     wire.settings.update(header.settings)
     wire.applied_index = header.applied_index
+    wire.floor_wait_limit_ms = header.floor_wait_limit_ms
