Test terms, traces, large answers and bound more waits

A change of primary, a floor past the end of its term, the trace context and answers beyond the buffers had no test through the whole path. Connecting to a peer behind a partition could outlast the deadline; it is bounded by it now, and a drain by its settings. Raising the statement limit for the stated-deadline row was ruled out: the row states a shorter deadline, because the owner's queue now reports first that a deadline has passed.

--- a/waxwinglift/process/_data_path.py
+++ b/waxwinglift/process/_data_path.py
@@ -102,13 +102,15 @@
     async def drain(self):
         """Finish what runs, refuse new work, close idle sessions.
 
-        Returns when no session is left.
+        Returns when no session is left, or when the time that the settings
+        allow has passed; ``stop`` then ends the others.
         """
+        until_ms = self._context.now_ms() + self.settings.drain_timeout_ms
         self._is_draining = True
         for session in list(self._sessions.values()):
             if session.is_idle:
                 session.close_for_drain()
-        while self._sessions:
+        while self._sessions and self._context.now_ms() < until_ms:
             await asyncio.sleep(_DRAIN_CHECK_S)
 
     async def stop(self):
--- a/waxwinglift/process/_data_path_route.py
+++ b/waxwinglift/process/_data_path_route.py
@@ -24,6 +24,7 @@
 from waxwinglift.version import GroupName
 from waxwinglift.version import PoolName
 from waxwinglift.version import Position
+from waxwinglift.version import Rank
 
 
 class EntryContext:
@@ -78,6 +79,11 @@
             self._budgets[pool] = RetryBudget(self.settings.retry)
         return self._budgets[pool]
 
+    def note_request(self, rank: Rank, started_ms: float):
+        """Record the time that one exchange took."""
+        elapsed_ms = self.now_ms() - started_ms
+        self.metrics.timing(f"entry.request.{rank}", elapsed_ms)
+
     def group_view(self, group: GroupName) -> GroupView | None:
         """Return the current view of a group; kept between changes."""
         if group not in self._group_views:
--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -35,6 +35,8 @@
 # A newer fleet view usually arrives within this time; the request is tried
 # again then in any case.
 _CHANGE_WAIT_MS = 50.0
+# Lets the owner's queue report first that the deadline has passed.
+_QUEUE_GRACE_MS = 100.0
 _PASSING_CODES = frozenset(
     {FailureCode.UNAVAILABLE, FailureCode.SHUTTING_DOWN}
 )
@@ -99,6 +101,7 @@
         tracer = self._context.tracer
         self._is_running = True
         self._is_cancelled = False
+        started_ms = self._context.now_ms()
         exchange = Exchange(request.messages, request.prepared)
         with tracer.start_as_current_span("caller.request") as span:
             guard = _LeaseGuard(sink, self._context.view.lease_is_live)
@@ -111,6 +114,7 @@
                 self._is_running = False
             end = self._guard(end, guard)
             self._note(plan, end, span)
+        self._context.note_request(self._session.rank, started_ms)
         if end.failure is not None or end.status is TransactionStatus.IDLE:
             await self.close()
         return end
@@ -227,7 +231,8 @@
         if stated_ms is None:
             return await stream.run(exchange, guard.take)
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(stated_ms / 1000, stream.cancel)
+        limit_ms = stated_ms + _QUEUE_GRACE_MS
+        timer = loop.call_later(limit_ms / 1000, stream.cancel)
         try:
             return await stream.run(exchange, guard.take)
         finally:
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -34,6 +34,8 @@
         Time for the start-up messages of a caller.
     write_buffer_bytes : int
         Answer bytes kept for a slow caller before reading more.
+    drain_timeout_ms : float
+        Longest time that a drain waits for open transactions.
     reported_parameters : dict of str to str
         Parameters reported to callers at start-up, as the endpoints have
         them.
@@ -48,6 +50,7 @@
     message_limit_bytes: int = pydantic.Field(16 * 2**20, ge=1024)
     startup_timeout_ms: float = pydantic.Field(10_000.0, gt=0)
     write_buffer_bytes: int = pydantic.Field(2**18, ge=1024)
+    drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
     reported_parameters: dict[str, str] = pydantic.Field(
         default_factory=lambda: {
             "server_version": "16.0",
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -115,8 +115,11 @@
         header = None
         if not self._is_open:
             header = self._header
+            limit_s = self._header.deadline_left_ms / 1000
             try:
-                await self._open()
+                # A peer behind a partition does not even refuse.
+                async with asyncio.timeout(limit_s):
+                    await self._open()
             except _LOST as error:
                 return ExchangeEnd(failure=_unreachable(error))
         try:
--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -130,10 +130,11 @@
     metrics = CountingMetrics()
     view = FleetView(daemon, LOCATION, lambda: lease["is_live"], state)
     owner_settings = OwnerSettings(**options.get("owner", {}))
-    owners = OwnerSet(owner_settings, view, metrics=metrics)
+    shared = {"metrics": metrics, "tracer": options.get("tracer")}
+    owners = OwnerSet(owner_settings, view, **shared)
     peers = PeerClients(view, owners)
     settings = EntrySettings(token_secret=SECRET, **options.get("entry", {}))
-    entry = EntryServer(settings, view, peers, metrics=metrics)
+    entry = EntryServer(settings, view, peers, **shared)
     server = PeerServer([PeerService(owners)])
     # asyncio sets TCP_NODELAY only on sockets that name their protocol.
     with socket.socket(proto=socket.IPPROTO_TCP) as listener:
--- a/waxwinglift/process/tests/test_data_path.py
+++ b/waxwinglift/process/tests/test_data_path.py
@@ -83,6 +83,7 @@
     statement = await caller.prepare("SELECT v FROM t WHERE id = $1")
     for _ in range(4):
         rows = await statement.fetch(1)
+    assert await caller.fetchval("SHOW waxwinglift.token")
     await caller.reset()
     await caller.close()
     return [tuple(row) for row in rows]
--- a/waxwinglift/process/tests/test_data_path_faults.py
+++ b/waxwinglift/process/tests/test_data_path_faults.py
@@ -123,7 +123,7 @@
         "57014",
         "may_have_run",
         SLEEP,
-        options="access=write deadline_ms=200",
+        options="access=write deadline_ms=50",
     ),
     Fault("no replica", _cut_replication, "08007", "may_have_run"),
     Fault("no quorum in time", _delay_replication, "08007", "may_have_run"),
--- /dev/null
+++ b/waxwinglift/process/tests/test_data_path_terms.py
@@ -0,0 +1,176 @@
+"""Guards sessions across a change of primary, traces and large answers."""
+
+import asyncio
+
+import psycopg
+import pytest
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
+    InMemorySpanExporter,
+)
+
+from waxwinglift.connection._token import encode_token
+from waxwinglift.process.tests.data_path_fleet import GROUP
+from waxwinglift.process.tests.data_path_fleet import SECRET
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+from waxwinglift.version import EndpointId
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import Lsn
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+
+async def change_primary(servers, proxies):
+    """Replace the primary by the second server; return the old term's end."""
+    fleet = proxies[0].view.fleet
+    group = fleet.groups[GROUP]
+    old_term = group.term
+
+    def notify():
+        for proxy in proxies:
+            proxy.view.notify()
+
+    group.term = Term(old_term + 1)
+    group.phase = GroupPhase.FENCING
+    notify()
+    servers[0].set_fault("cut_replication", "on")
+    new = servers[1]
+    address = new.address
+    conninfo = f"host={address.host} port={address.port} user=t dbname=group"
+    async with await psycopg.AsyncConnection.connect(
+        conninfo, autocommit=True
+    ) as direct:
+        rows = await fetch(direct, "SELECT pg_last_wal_replay_lsn()")
+        high, _, low = rows[0][0].partition("/")
+        end_lsn = Lsn((int(high, 16) << 32) | int(low, 16))
+        await fetch(direct, "SELECT pg_promote()")
+        host = f"host={address.host} port={address.port}"
+    address = servers[2].address
+    conninfo = f"host={address.host} port={address.port} user=t dbname=group"
+    async with await psycopg.AsyncConnection.connect(
+        conninfo, autocommit=True
+    ) as direct:
+        await direct.execute(f"ALTER SYSTEM SET primary_conninfo = '{host}'")
+        await fetch(direct, "SELECT pg_reload_conf()")
+    group.primary = EndpointId(new.settings.id)
+    group.term_ends[old_term] = end_lsn
+    group.phase = GroupPhase.ACTIVE
+    for server in servers[1:]:
+        fleet.endpoints[EndpointId(server.settings.id)].term = group.term
+    del fleet.endpoints[EndpointId(servers[0].settings.id)]
+    del fleet.owners[EndpointId(servers[0].settings.id)]
+    notify()
+    return Position(old_term, end_lsn)
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+def test_session_keeps_its_writes_across_a_change_of_primary(proxy_count):
+    # An acknowledged write must be readable from the new primary, and the
+    # same session must be able to write again.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+            await caller.execute("INSERT INTO t VALUES (1)")
+            await change_primary(servers, proxies)
+            assert await fetch(caller, "SELECT count(*) FROM t") == [(1,)]
+            await caller.execute("INSERT INTO t VALUES (2)")
+            assert await fetch(caller, "SELECT count(*) FROM t") == [(2,)]
+
+    run(scenario, proxy_count=proxy_count)
+
+
+@pytest.mark.parametrize(
+    ("past_end", "sqlstate"), [(0, None), (1, "WX002"), (2**40, "WX002")]
+)
+def test_floor_past_the_end_of_its_term_is_lost(past_end, sqlstate):
+    # Serving the read would hide that a seen row was discarded.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+        end = await change_primary(servers, proxies)
+        floor = Position(end.term, Lsn(end.lsn + past_end))
+        token = encode_token(SECRET.encode(), GROUP, floor)
+        async with await connect(proxies[0], f"token={token}") as caller:
+            for text in ("SELECT count(*) FROM t", "INSERT INTO t VALUES (1)"):
+                if sqlstate is None:
+                    await caller.execute(text)
+                    continue
+                with pytest.raises(psycopg.Error) as caught:
+                    await caller.execute(text)
+                assert caught.value.sqlstate == sqlstate
+                detail = caught.value.diag.message_detail
+                assert detail == "verdict=not_run"
+
+    run(scenario, proxy_count=1)
+
+
+def test_trace_follows_the_request_to_the_endpoint():
+    # Without the trace context the owner's spans belong to no request.
+    exporter = InMemorySpanExporter()
+    provider = TracerProvider()
+    provider.add_span_processor(SimpleSpanProcessor(exporter))
+
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await fetch(caller, "SELECT 1")
+
+    run(scenario, proxy_count=2, tracer=provider.get_tracer("test"))
+    spans = {span.name: span for span in exporter.get_finished_spans()}
+    names = ["caller.request", "owner.execute", "endpoint.statement"]
+    for parent, child in zip(names, names[1:], strict=False):
+        assert spans[child].parent.span_id == spans[parent].context.span_id
+
+
+@pytest.mark.parametrize("access", ["auto", "write"])
+def test_large_answers_pass_through_two_proxies(access):
+    # A large answer crosses the limits of windows, pieces and buffers.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], f"access={access}") as caller:
+            await caller.execute("CREATE TABLE t (id int, v text)")
+            async with caller.transaction():
+                for number in range(8):
+                    await caller.execute(
+                        "INSERT INTO t VALUES (%s, %s)",
+                        (number, str(number) * 700_000),
+                    )
+            rows = await fetch(caller, "SELECT v FROM t ORDER BY id")
+            assert [row[0][0] for row in rows] == list("01234567")
+            assert {len(row[0]) for row in rows} == {700_000}
+
+    run(scenario, proxy_count=2)
+
+
+def test_answer_too_large_to_hold_is_reported():
+    # Passing it on before a quorum has it would break the promise.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            with pytest.raises(psycopg.Error) as caught:
+                await fetch(caller, "SELECT %s", "x" * 5000)
+            assert caught.value.sqlstate == "08007"
+            assert await fetch(caller, "SELECT 1") == [(1,)]
+
+    run(scenario, size=1, owner={"held_answer_limit_bytes": 2000})
+
+
+def test_standby_owner_probes_but_serves_nothing():
+    # Two serving owners would exceed the endpoint's connection limit.
+    async def scenario(servers, proxies):
+        fleet = proxies[0].view.fleet
+        standby = proxies[0].view.daemon
+        for endpoint, assignment in list(fleet.owners.items()):
+            fleet.owners[endpoint] = type(assignment)(
+                endpoint, assignment.owner, standby, assignment.epoch
+            )
+        for proxy in proxies:
+            proxy.view.notify()
+        await asyncio.sleep(0.1)
+        owners = proxies[0].owners
+        assert {h.value for h in owners.health().values()} == {"up"}
+        assert owners.released() == set(fleet.endpoints)
+        async with await connect(proxies[0]) as caller:
+            assert await fetch(caller, "SELECT 1") == [(1,)]
+
+    run(scenario, proxy_count=2)
