Use gRPC streams between proxies for many transactions

Opening and closing a stream cost more than a small exchange: of a two-proxy query most time went into HTTP/2 headers and stream set-up. A stream now serves one transaction after another; it listens while idle, so that a lost peer is noticed before a byte is sent, and a stream that carried a cancel is not used again, because the cancel may arrive late. Small answers leave in one frame with their end.

--- a/waxwinglift/connection/_backend_packet.py
+++ b/waxwinglift/connection/_backend_packet.py
@@ -1,6 +1,7 @@
 """Packets for an endpoint: a caller's exchange and the proxy's statements."""
 
 import dataclasses
+import functools
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -66,7 +67,7 @@
     def add_query(self, text: str, note: str = "") -> Step:
         """Append a statement of the proxy; its answer is not forwarded."""
         step = Step(StepKind.QUERY, False, note)
-        self.parts.append(Query(query_string=text).to_wire())
+        self.parts.append(_encode_query(text))
         self.steps.append(step)
         return step
 
@@ -112,6 +113,11 @@
         }
 
 
+@functools.lru_cache(maxsize=64)
+def _encode_query(text):
+    return Query(query_string=text).to_wire()
+
+
 def examine(
     messages: bytes, prepared: Sequence[PreparedStatement]
 ) -> ExchangeFacts:
--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 
+from opentelemetry import trace
 from opentelemetry.trace.propagation import tracecontext
 from result import Err
 
@@ -272,7 +273,8 @@
         session = self._session
         is_read = attempts.access is Access.READ
         carrier = {}
-        _propagator.inject(carrier)
+        if trace.get_current_span().is_recording():
+            _propagator.inject(carrier)
         left_ms = attempts.deadline_ms - self._context.now_ms()
         needs_floor = is_read and plan is not None and plan.needs_floor
         return ExecuteHeader(
@@ -386,8 +388,7 @@
 
 
 def _cancelled():
-    message = "the statement was cancelled"
-    return not_run(FailureCode.CANCELLED, message)
+    return not_run(FailureCode.CANCELLED, "the statement was cancelled")
 
 
 def _with_earlier(attempts, end):
--- a/waxwinglift/process/_owner_stream.py
+++ b/waxwinglift/process/_owner_stream.py
@@ -57,8 +57,10 @@
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Run one exchange and return its outcome."""
-        carrier = {"traceparent": self.header.traceparent}
-        context = _propagator.extract(carrier)
+        context = None
+        if self.header.traceparent:
+            carrier = {"traceparent": self.header.traceparent}
+            context = _propagator.extract(carrier)
         span = self.owner.tracer.start_span("owner.execute", context)
         self._stop_idle_timer()
         self._work = asyncio.current_task()
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -12,6 +12,7 @@
 from result import Ok
 from result import Result
 
+from waxwinglift.connection import TransactionStatus
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
@@ -36,6 +37,8 @@
 
 # An isolated peer is noticed by missing answers to keep-alive messages.
 _KEEPALIVE_S = 1.0
+# Streams kept per peer while they have no transaction.
+_IDLE_LIMIT_COUNT = 64
 _POSITION_TIMEOUT_S = 2.0
 _LOST = (
     OSError,
@@ -49,6 +52,9 @@
 class PeerClient:
     """Executor of one other proxy.
 
+    A gRPC stream serves one transaction at a time and is used again for the
+    next one, because opening a stream costs more than a small exchange.
+
     Parameters
     ----------
     address : Address
@@ -66,11 +72,12 @@
             ),
         )
         self._stub = peer_grpc.PeerStub(self._channel)
+        self._idle: list[_PeerCall] = []
         self._closing: set[asyncio.Task] = set()
 
     def open(self, header: ExecuteHeader) -> "PeerStream":
         """Return the stream of a new transaction."""
-        return PeerStream(self, header, self._stub.Execute.open())
+        return PeerStream(self, header)
 
     async def group_position(
         self, group: GroupName, term: Term
@@ -89,42 +96,110 @@
 
     def close(self):
         """Close the connection; open transactions are rolled back."""
+        for call in self._idle:
+            call.drop()
+        self._idle.clear()
         for task in self._closing:
             task.cancel()
         self._channel.close()
 
+    def take(self) -> "_PeerCall":
+        """Return an idle stream that is still open, or a new one."""
+        while self._idle:
+            call = self._idle.pop()
+            if call.is_usable:
+                return call
+            call.drop()
+        return _PeerCall(self._stub.Execute.open())
+
+    def give_back(self, call: "_PeerCall"):
+        """Keep a stream without a transaction for the next one."""
+        if len(self._idle) >= _IDLE_LIMIT_COUNT:
+            self.run_in_background(call.finish())
+            return
+        call.listen()
+        self._idle.append(call)
+
     def run_in_background(self, work):
-        """Finish a stream without delaying the caller."""
+        """Finish something without delaying the caller."""
         task = asyncio.ensure_future(work)
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
 
+class _PeerCall:
+    """One gRPC stream; listens while idle, so that its end is noticed."""
+
+    def __init__(self, call):
+        self.is_open = False
+        self._call = call
+        self._incoming: asyncio.Task | None = None
+
+    @property
+    def is_usable(self) -> bool:
+        return self._incoming is not None and not self._incoming.done()
+
+    async def open(self):
+        await self._call.__aenter__()
+        await self._call.send_request()
+        self.is_open = True
+
+    async def send(self, frame):
+        await self._call.send_message(frame)
+
+    def listen(self):
+        self._incoming = asyncio.ensure_future(self._call.recv_message())
+        self._incoming.add_done_callback(_see_error)
+
+    async def receive(self):
+        incoming, self._incoming = self._incoming, None
+        if incoming is not None:
+            return await incoming
+        return await self._call.recv_message()
+
+    async def finish(self):
+        """End the stream; an open transaction is rolled back."""
+        with contextlib.suppress(*_LOST):
+            if self.is_open:
+                await self._call.end()
+            await self._call.__aexit__(None, None, None)
+
+    def drop(self):
+        """Forget a stream that has ended, or whose connection ends."""
+        self._incoming.cancel()
+
+
+def _see_error(task):
+    """Mark the error of a stream that ended while idle as seen."""
+    if not task.cancelled():
+        task.exception()
+
+
 class PeerStream:
     """One transaction at another proxy."""
 
-    def __init__(self, client: PeerClient, header: ExecuteHeader, call):
+    def __init__(self, client: PeerClient, header: ExecuteHeader):
         self._client = client
         self._header = header
-        self._call = call
-        self._is_open = False
-        self._is_entered = False
+        self._call: _PeerCall | None = None
+        self._is_started = False
+        # Whether the other side may still hold the transaction.
+        self._is_pending = False
+        self._is_cancelled = False
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Run one exchange and return its outcome."""
         header = None
-        if not self._is_open:
+        if not self._is_started:
             header = self._header
-            limit_s = self._header.deadline_left_ms / 1000
+            self._is_started = True
             try:
-                # A peer behind a partition does not even refuse.
-                async with asyncio.timeout(limit_s):
-                    await self._open()
+                await self._open()
             except _LOST as error:
                 return ExchangeEnd(failure=_unreachable(error))
         try:
-            frame = encode_exchange(exchange, header)
-            await self._call.send_message(frame)
+            self._is_pending = True
+            await self._call.send(encode_exchange(exchange, header))
             return await self._receive(sink)
         except _LOST as error:
             message = f"the connection to the endpoint's owner ended: {error}"
@@ -132,40 +207,53 @@
 
     def cancel(self):
         """Give up the exchange that runs."""
-        if self._is_open:
-            self._client.run_in_background(self._send_cancel())
+        if self._call is not None and self._call.is_open:
+            # The cancel may arrive late, so the stream is not used again.
+            self._is_cancelled = True
+            self._client.run_in_background(self._send_cancel(self._call))
 
     async def close(self):
         """End the transaction; an open block is rolled back."""
-        if self._is_entered:
-            self._is_entered = False
-            self._client.run_in_background(self._finish())
+        call, self._call = self._call, None
+        if call is None:
+            return
+        is_reusable = not self._is_pending and not self._is_cancelled
+        if not is_reusable or not call.is_open:
+            self._client.run_in_background(call.finish())
+        else:
+            self._client.give_back(call)
 
     async def _open(self):
-        await self._call.__aenter__()
-        self._is_entered = True
-        await self._call.send_request()
-        self._is_open = True
+        self._call = self._client.take()
+        if self._call.is_open:
+            return
+        limit_s = self._header.deadline_left_ms / 1000
+        # A peer behind a partition does not even refuse.
+        async with asyncio.timeout(limit_s):
+            await self._call.open()
 
     async def _receive(self, sink):
         while True:
-            reply = await self._call.recv_message()
+            reply = await self._call.receive()
             if reply is None:
                 raise ConnectionResetError("the answer is incomplete")
             if reply.messages:
                 await sink(reply.messages)
             if reply.HasField("end"):
-                return decode_end(reply.end)
+                return self._end(decode_end(reply.end))
 
-    async def _send_cancel(self):
-        with contextlib.suppress(*_LOST):
-            await self._call.send_message(peer_pb2.ExecuteFrame(cancel=True))
+    def _end(self, end):
+        is_over = (
+            end.failure is not None
+            or end.needs_primary
+            or end.status is TransactionStatus.IDLE
+        )
+        self._is_pending = self._is_cancelled or not is_over
+        return end
 
-    async def _finish(self):
+    async def _send_cancel(self, call):
         with contextlib.suppress(*_LOST):
-            if self._is_open:
-                await self._call.end()
-            await self._call.__aexit__(None, None, None)
+            await call.send(peer_pb2.ExecuteFrame(cancel=True))
 
 
 class PeerClients:
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -21,6 +21,8 @@
 # A transaction holds its stream while it waits in the owner's queue, so the
 # library's limit of 100 would hold urgent requests back at the entry proxy.
 _STREAM_LIMIT_COUNT = 100_000
+# Part of an answer that is kept back for the next frame.
+_KEPT_LIMIT_BYTES = 2**14
 
 
 class PeerService(peer_grpc.PeerBase):
@@ -36,16 +38,10 @@
         self._executor = executor
 
     async def Execute(self, stream):
-        """Serve one transaction."""
+        """Serve transactions one after another."""
         frame = await stream.recv_message()
-        if frame is None:
-            return
-        transaction = self._executor.open(decode_header(frame.header))
-        served = _ServedTransaction(stream, transaction)
-        try:
-            await served.serve(frame)
-        finally:
-            await transaction.close()
+        if frame is not None:
+            await _PeerCall(stream, self._executor).serve(frame)
 
     async def GroupPosition(self, stream):
         """Answer with a position that holds every acknowledged write."""
@@ -88,18 +84,25 @@
         self.connection.flush()
 
 
-class _ServedTransaction:
-    """Runs exchanges while it listens for a cancel or the end."""
+class _PeerCall:
+    """Runs exchanges while it listens for a cancel or the end.
+
+    A frame with a header starts a new transaction.
+    """
 
-    def __init__(self, stream, transaction):
+    def __init__(self, stream, executor):
         self._stream = stream
-        self._transaction = transaction
+        self._executor = executor
+        self._transaction = None
         self._incoming = None
         self._running = None
+        self._kept = b""
 
     async def serve(self, frame):
         try:
             while frame is not None:
+                if frame.HasField("header"):
+                    await self._start(frame.header)
                 self._running = asyncio.ensure_future(self._run(frame))
                 if not await self._finish_exchange():
                     return
@@ -111,6 +114,13 @@
             for task in (self._running, self._incoming):
                 if task is not None:
                     task.cancel()
+            if self._transaction is not None:
+                await self._transaction.close()
+
+    async def _start(self, header):
+        if self._transaction is not None:
+            await self._transaction.close()
+        self._transaction = self._executor.open(decode_header(header))
 
     async def _finish_exchange(self):
         """Wait for the end of the exchange; False when the peer has gone."""
@@ -143,9 +153,16 @@
 
     async def _run(self, frame):
         end = await self._transaction.run(decode_exchange(frame), self._sink)
-        reply = peer_pb2.ResultFrame()
+        # A small answer leaves in one frame with its end.
+        reply = peer_pb2.ResultFrame(messages=self._kept)
+        self._kept = b""
         encode_end(reply.end, end)
         await self._stream.send_message(reply)
 
     async def _sink(self, data):
-        await self._stream.send_message(peer_pb2.ResultFrame(messages=data))
+        kept, self._kept = self._kept, data
+        if len(data) > _KEPT_LIMIT_BYTES:
+            kept, self._kept = kept + data, b""
+        if kept:
+            reply = peer_pb2.ResultFrame(messages=kept)
+            await self._stream.send_message(reply)
