--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -49,7 +49,7 @@
     primary_share : float
         Part of the reads that may go to the primary to save a wait.
     primary_burst_count : float
-        Most such reads saved up.
+        Most such reads saved up, for urgent reads and for the others each.
     distance_ms : tuple of float
         Round trip within the data centre, the region, and beyond; used
         until latencies have been measured.
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -150,7 +150,7 @@
             )
             return Ok(_route(chosen, group_view, limit_ms))
     if to_primary.is_ok():
-        knowledge.primary_share.spend()
+        knowledge.primary_share.spend(request.is_urgent)
     elif candidates:
         fallback = min(candidates, key=lambda c: (-c.share, c.cost_ms))
         limit_ms = _wait_limit_ms(request, fallback, False, knowledge, now_ms)
