Add the driver that runs a consensus node over its store

Writing before sending was ruled out, since no emitted message depends on the writes of its own step.

--- a/waxwinglift/version/_consensus.py
+++ b/waxwinglift/version/_consensus.py
@@ -1,17 +1,14 @@
 """Replicated control log: one member, without input or output.
 
-``ConsensusNode.step`` takes an event and returns the actions to execute, in
-their order.  A driver keeps this loop:
-
-1. ``state = store.load()``; ``node = ConsensusNode(settings, state, rng)``;
-   the applied state starts from ``state.snapshot``.
-2. Step with ``Tick`` when ``node.deadline_ms`` is reached, with
-   ``MessageReceived`` and ``Propose`` as they arrive.
-3. Execute the actions: write each ``Persist`` to the store and afterwards
-   step with ``Persisted(sequence)``, whose actions are executed the same
-   way; hand each ``Send`` to the network without waiting; apply each
-   ``Commit`` to the fleet state.
-4. Every so many applied entries, step with ``SnapshotTaken``.
+``ConsensusNode.step`` takes an event and returns the actions to execute.
+``_consensus_driver`` runs the loop over a store; another driver must
+
+1. start from ``store.load()`` and the fleet state of its snapshot;
+2. step with ``Tick`` when ``deadline_ms`` is reached, which every step may
+   change, and with ``MessageReceived`` and ``Propose`` as they arrive;
+3. write each ``Persist`` in order and only then step with ``Persisted``;
+   the other actions need not wait for it;
+4. step with ``SnapshotTaken`` every so many applied entries.
 """
 
 from waxwinglift.version import _consensus_follower
--- /dev/null
+++ b/waxwinglift/version/_consensus_driver.py
@@ -0,0 +1,83 @@
+"""Runs a consensus node over a store: the loop that each service needs."""
+
+import collections
+
+from waxwinglift.version._consensus import ConsensusNode
+from waxwinglift.version._consensus_membership import bootstrap_entries
+from waxwinglift.version._consensus_types import Persist
+from waxwinglift.version._consensus_types import Persisted
+from waxwinglift.version._consensus_types import Tick
+
+
+class MemberDriver:
+    """Feeds events to a node and executes what it asks for.
+
+    Actions other than Persist go to ``execute`` first, so that messages are
+    on their way while the disk works; the node never emits one that must
+    wait.  An event handled inside of ``execute`` is queued: its writes must
+    not overtake those of the step in progress.
+
+    Parameters
+    ----------
+    settings : ConsensusSettings
+    store : LogStore
+    rng : random.Random
+    clock : callable
+        Returns the monotonic time in milliseconds.
+    execute : callable
+        Takes one action; it must not wait.
+    initial_members : iterable of (DaemonId, Address)
+        Members of a new group, written to an empty store.  It must be empty
+        for a member that joins a group later or that has lost its disk.
+    """
+
+    def __init__(
+        self, settings, store, rng, clock, execute, initial_members=()
+    ):
+        if store.is_empty and initial_members:
+            store.append(bootstrap_entries(initial_members))
+        self.node = ConsensusNode(settings, store.load(), rng)
+        self._store = store
+        self._clock = clock
+        self._execute = execute
+        self._events = collections.deque()
+        self._is_running = False
+
+    @property
+    def deadline_ms(self):
+        """When the next Tick is due; read it again after each event."""
+        return self.node.deadline_ms(self._clock())
+
+    def tick(self):
+        """Let the node act if its deadline has passed."""
+        self.handle(Tick())
+
+    def handle(self, event):
+        """Step with ``event`` and with the completion of its writes.
+
+        Raises
+        ------
+        OSError, StoreError, ConsensusError
+            The member must stop; what it told others so far is durable.
+        """
+        self._events.append(event)
+        if self._is_running:
+            return
+        self._is_running = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._is_running = False
+
+    def _step(self, event):
+        actions = self.node.step(event, self._clock())
+        writes = [a for a in actions if isinstance(a, Persist)]
+        for action in actions:
+            if not isinstance(action, Persist):
+                self._execute(action)
+        for write in writes:
+            self._store.write(write)
+        if writes:
+            # Before queued events, which may already count on the writes.
+            self._events.appendleft(Persisted(writes[-1].sequence))
