--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import math
 
+from opentelemetry import trace
 from opentelemetry.trace.propagation import tracecontext
 from result import Err
 
@@ -34,6 +36,8 @@
 # A newer fleet view usually arrives within this time; the request is tried
 # again then in any case.
 _CHANGE_WAIT_MS = 50.0
+# Lets the owner's queue report first that the deadline has passed.
+_QUEUE_GRACE_MS = 100.0
 _PASSING_CODES = frozenset(
     {FailureCode.UNAVAILABLE, FailureCode.SHUTTING_DOWN}
 )
@@ -98,6 +102,7 @@
         tracer = self._context.tracer
         self._is_running = True
         self._is_cancelled = False
+        started_ms = self._context.now_ms()
         exchange = Exchange(request.messages, request.prepared)
         with tracer.start_as_current_span("caller.request") as span:
             guard = _LeaseGuard(sink, self._context.view.lease_is_live)
@@ -110,6 +115,7 @@
                 self._is_running = False
             end = self._guard(end, guard)
             self._note(plan, end, span)
+        self._context.note_request(self._session.rank, started_ms)
         if end.failure is not None or end.status is TransactionStatus.IDLE:
             await self.close()
         return end
@@ -226,7 +232,8 @@
         if stated_ms is None:
             return await stream.run(exchange, guard.take)
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(stated_ms / 1000, stream.cancel)
+        limit_ms = stated_ms + _QUEUE_GRACE_MS
+        timer = loop.call_later(limit_ms / 1000, stream.cancel)
         try:
             return await stream.run(exchange, guard.take)
         finally:
@@ -246,6 +253,7 @@
             max_age_ms=session.options.max_age_ms or None,
             deadline_ms=attempts.deadline_ms,
             excluded=frozenset(attempts.excluded),
+            is_urgent=session.rank == session.table.rows[0].rank,
         )
         return self._context.choose(group, request)
 
@@ -265,7 +273,8 @@
         session = self._session
         is_read = attempts.access is Access.READ
         carrier = {}
-        _propagator.inject(carrier)
+        if trace.get_current_span().is_recording():
+            _propagator.inject(carrier)
         left_ms = attempts.deadline_ms - self._context.now_ms()
         needs_floor = is_read and plan is not None and plan.needs_floor
         return ExecuteHeader(
@@ -284,6 +293,7 @@
             traceparent=carrier.get("traceparent", ""),
             settings=dict(session.settings),
             applied_index=self._context.view.applied_index,
+            floor_wait_limit_ms=math.ceil(route.wait_limit_ms),
         )
 
     def _header_floor(self, route):
@@ -378,8 +388,7 @@
 
 
 def _cancelled():
-    message = "the statement was cancelled"
-    return not_run(FailureCode.CANCELLED, message)
+    return not_run(FailureCode.CANCELLED, "the statement was cancelled")
 
 
 def _with_earlier(attempts, end):
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -34,6 +34,8 @@
         Time for the start-up messages of a caller.
     write_buffer_bytes : int
         Answer bytes kept for a slow caller before reading more.
+    drain_timeout_ms : float
+        Longest time that a drain waits for open transactions.
     reported_parameters : dict of str to str
         Parameters reported to callers at start-up, as the endpoints have
         them.
@@ -48,6 +50,7 @@
     message_limit_bytes: int = pydantic.Field(16 * 2**20, ge=1024)
     startup_timeout_ms: float = pydantic.Field(10_000.0, gt=0)
     write_buffer_bytes: int = pydantic.Field(2**18, ge=1024)
+    drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
     reported_parameters: dict[str, str] = pydantic.Field(
         default_factory=lambda: {
             "server_version": "16.0",
@@ -82,7 +85,8 @@
     idle_block_timeout_ms : float
         Longest time between two exchanges of a transaction block.
     replica_wait_ms : float
-        Longest wait of a read for its floor.
+        Longest wait of a read for its floor, whatever the entry proxy asks
+        for.
     replica_poll_ms : float
         Interval of the position poll of a replica in use.
     replica_use_ms : float
@@ -106,7 +110,7 @@
     statement_timeout_ms: float = pydantic.Field(10_000.0, gt=0)
     silence_ms: float = pydantic.Field(1000.0, gt=0)
     idle_block_timeout_ms: float = pydantic.Field(60_000.0, gt=0)
-    replica_wait_ms: float = pydantic.Field(100.0, ge=0)
+    replica_wait_ms: float = pydantic.Field(2000.0, ge=0)
     replica_poll_ms: float = pydantic.Field(20.0, gt=0)
     replica_use_ms: float = pydantic.Field(1000.0, gt=0)
     tick_ms: float = pydantic.Field(50.0, gt=0)
