Keep an idempotency key for the exchange that executes work

Cause: a driver that prepares a statement in an exchange of its own (asyncpg, psycopg after five executions) used the key up with the Parse: the key was committed alone, with an empty tag, and the insert then ran without one. When the insert was lost on a silent connection, the repeat was answered from the key: one acknowledged write was lost. Ruled out: the stand-in's rollback and the quorum wait; the key row was there with an empty tag and the payment on no server.

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -149,15 +149,18 @@
         process.kill()
         process.wait()
 
-    def terminate(self, name):
-        """Ask a process to stop and return its exit code."""
-        process = self._processes.pop(name)
-        process.send_signal(signal.SIGTERM)
-        return process.wait(timeout=STOP_TIMEOUT_S)
-
-    def is_running(self, name):
-        """Whether the process has not ended."""
-        return self._processes[name].poll() is None
+    def signal(self, name, number):
+        """Send a signal to a process that goes on being ours to end."""
+        self._processes[name].send_signal(number)
+
+    def current_servers(self, group):
+        """Return the numbers of the joined servers of the current term."""
+        prefix = "endpoint server-"
+        numbers = []
+        for line in self.operator("status").stdout.splitlines():
+            if line.startswith(prefix) and ", joined," in line:
+                numbers.append(int(line.removeprefix(prefix).split(":")[0]))
+        return numbers
 
     def start_all(self):
         """Start control daemons, stand-in servers and proxies."""
@@ -189,6 +192,7 @@
     def stop_all(self):
         """End every process that this fleet started."""
         for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
             process.send_signal(signal.SIGTERM)
         deadline_s = time.monotonic() + STOP_TIMEOUT_S
         for process in self._processes.values():
--- a/waxwinglift/connection/_session.py
+++ b/waxwinglift/connection/_session.py
@@ -204,6 +204,7 @@
             access=self._access(kinds),
             starts_block=bool(is_block) and not self.is_in_block,
             needs_floor=not kinds <= _FLOORLESS_KINDS,
+            takes_key=any(s.kind not in _FLOORLESS_KINDS for s in executed),
             statements=tuple(executed),
         )
 
--- a/waxwinglift/connection/_session_types.py
+++ b/waxwinglift/connection/_session_types.py
@@ -43,12 +43,16 @@
         A transaction block starts with these statements.
     needs_floor : bool
         False for statements that read no data.
+    takes_key : bool
+        Work is executed, which the idempotency key covers; False for an
+        exchange that only prepares or describes statements.
     statements : sequence of Statement
     """
 
     access: Access
     starts_block: bool
     needs_floor: bool
+    takes_key: bool
     statements: Sequence[Statement]
 
 
--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -161,8 +161,9 @@
 
     async def _run_first(self, plan, exchange, guard):
         # SET and the like leave the key for the transaction that follows.
-        takes_key = plan.needs_floor
-        key = self._session.take_idempotency_key() if takes_key else ""
+        key = ""
+        if plan.takes_key:
+            key = self._session.take_idempotency_key()
         attempts = self._attempts(plan.access, key)
         self._block_key = key if plan.starts_block else ""
         pool = self._session.table.pool
--- /dev/null
+++ b/waxwinglift/process/tests/test_data_path_keys.py
@@ -0,0 +1,60 @@
+"""Guards that an idempotency key covers the work and nothing else."""
+
+import psycopg
+import pytest
+
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+
+TABLE_SQL = "CREATE TABLE payment (id int8 PRIMARY KEY)"
+INSERT_SQL = "INSERT INTO payment VALUES (%s)"
+KEYS_SQL = "SELECT key, tag FROM waxwinglift_idempotency"
+
+
+async def _insert(caller, number, prepare):
+    await caller.execute(f"SET waxwinglift.idempotency_key = 'key-{number}'")
+    await caller.execute(INSERT_SQL, (number,), prepare=prepare)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "inserts_count"),
+    [
+        # Parsed and run in one exchange.
+        (False, 1),
+        # A Parse in an exchange of its own must not use the key up: the
+        # insert would then run without a key, and a repeat would be
+        # answered although the insert had been lost.
+        (True, 1),
+        # psycopg prepares by itself after five executions.
+        (None, 8),
+    ],
+)
+def test_key_is_written_with_the_work(prepare, inserts_count):
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute(TABLE_SQL)
+            for number in range(inserts_count):
+                await _insert(caller, number, prepare)
+            # The repeat of a lost answer must not run again.
+            await _insert(caller, inserts_count - 1, prepare)
+            keys = await fetch(caller, KEYS_SQL)
+            payments = await fetch(caller, "SELECT id FROM payment")
+        expected = {(f"key-{n}", "INSERT 0 1") for n in range(inserts_count)}
+        assert set(keys) == expected
+        assert len(payments) == inserts_count
+
+    run(scenario, proxy_count=2)
+
+
+def test_statement_error_leaves_no_key():
+    # A key that outlives its rolled back work would block the repeat.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute(TABLE_SQL)
+            await caller.execute(INSERT_SQL, (1,))
+            with pytest.raises(psycopg.errors.UniqueViolation):
+                await _insert(caller, 1, False)
+            assert await fetch(caller, KEYS_SQL) == []
+
+    run(scenario)
