Renew leases at a steady pace and ask for names before a fault

Cause: a renewal waited for the answer to the one before, so one call to a dead control daemon could use the lease up; and the live fault runs called the operator's command inside the load's loop, which stopped the load for about 0.8 s. Ruled out: a lost lease in "control leader killed": no proxy logged one. Open: "owner and primary killed" stalled once until the time limit.

--- a/scripts/live_faults.py
+++ b/scripts/live_faults.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import pathlib
 import signal
 import sys
@@ -13,6 +14,7 @@
 import time
 
 import demo
+from demo_fleet import Fleet
 from demo_fleet import running_fleet
 import psycopg
 
@@ -43,24 +45,26 @@
     return register
 
 
-def _status_word(fleet, start):
-    """Return the last word of the first status line that has ``start``."""
-    for line in fleet.operator("status").stdout.splitlines():
-        if line.startswith(start):
-            return line
-    return ""
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """Fleet under test and who held which part before the fault."""
 
+    fleet: Fleet
+    control_leader: str
+    primary_owner: str
 
-def control_leader(fleet):
-    """Return the name of the control leader."""
-    line = _status_word(fleet, "control:")
-    return line.split("leader ")[1].split(",")[0]
 
-
-def primary_owner(fleet):
-    """Return the proxy that owns the first primary."""
-    line = _status_word(fleet, "endpoint server-0")
-    return line.split("owner ")[1].split(" ")[0]
+def find_target(fleet):
+    """Ask for the parts before the load runs, so as not to disturb it."""
+    lines = fleet.operator("status").stdout.splitlines()
+    control = next(line for line in lines if line.startswith("control:"))
+    prefix = "endpoint server-0"
+    primary = next(line for line in lines if line.startswith(prefix))
+    return Target(
+        fleet,
+        control.split("leader ")[1].split(",")[0],
+        primary.split("owner ")[1].split(" ")[0],
+    )
 
 
 def switch_fault(fleet, number, name, value):
@@ -77,88 +81,89 @@
 
 
 @live_fault("none")
-async def no_fault(fleet):
+async def no_fault(target):
     """Run without a fault, for comparison."""
 
 
 @live_fault("primary killed")
-async def primary_killed(fleet):
+async def primary_killed(target):
     """End the primary at once."""
-    fleet.kill("server-0")
+    target.fleet.kill("server-0")
 
 
 @live_fault("primary frozen")
-async def primary_frozen(fleet):
+async def primary_frozen(target):
     """Let the primary answer nothing, on old and new connections."""
-    switch_fault(fleet, 0, "freeze", "on")
+    switch_fault(target.fleet, 0, "freeze", "on")
 
 
 @live_fault("connections silent")
-async def connections_silent(fleet):
+async def connections_silent(target):
     """Let the primary's open connections go silent; new ones work."""
-    switch_fault(fleet, 0, "silence", "on")
+    switch_fault(target.fleet, 0, "silence", "on")
 
 
 @live_fault("replica lagging")
-async def replica_lagging(fleet):
+async def replica_lagging(target):
     """Let one replica fall 500 ms behind."""
-    switch_fault(fleet, 1, "lag", "500/500")
+    switch_fault(target.fleet, 1, "lag", "500/500")
 
 
 @live_fault("owner proxy killed")
-async def owner_killed(fleet):
+async def owner_killed(target):
     """End the proxy that owns the primary."""
-    fleet.kill(primary_owner(fleet))
+    target.fleet.kill(target.primary_owner)
 
 
 @live_fault("owner proxy paused")
-async def owner_paused(fleet):
+async def owner_paused(target):
     """Pause the primary's owner for longer than its lease."""
-    owner = primary_owner(fleet)
-    fleet.signal(owner, signal.SIGSTOP)
+    owner = target.primary_owner
+    target.fleet.signal(owner, signal.SIGSTOP)
     await asyncio.sleep(FREEZE_S)
-    fleet.signal(owner, signal.SIGCONT)
+    target.fleet.signal(owner, signal.SIGCONT)
 
 
 @live_fault("owner proxy drained")
-async def owner_drained(fleet):
+async def owner_drained(target):
     """Shut the primary's owner down gracefully."""
-    fleet.signal(primary_owner(fleet), signal.SIGTERM)
+    target.fleet.signal(target.primary_owner, signal.SIGTERM)
 
 
 @live_fault("control leader killed")
-async def leader_killed(fleet):
+async def leader_killed(target):
     """End the control leader."""
-    fleet.kill(control_leader(fleet))
+    target.fleet.kill(target.control_leader)
 
 
 @live_fault("leader and primary killed")
-async def leader_and_primary_killed(fleet):
+async def leader_and_primary_killed(target):
     """End the control leader and the primary together."""
-    leader = control_leader(fleet)
-    fleet.kill(leader)
-    fleet.kill("server-0")
+    leader = target.control_leader
+    target.fleet.kill(leader)
+    target.fleet.kill("server-0")
 
 
 @live_fault("owner and primary killed")
-async def owner_and_primary_killed(fleet):
+async def owner_and_primary_killed(target):
     """End the primary and its owner together."""
-    owner = primary_owner(fleet)
-    fleet.kill(owner)
-    fleet.kill("server-0")
+    owner = target.primary_owner
+    target.fleet.kill(owner)
+    target.fleet.kill("server-0")
 
 
 @live_fault("primary leaving")
-async def primary_leaving(fleet):
+async def primary_leaving(target):
     """Let the primary announce that it is leaving, then stop."""
-    fleet.signal("server-0", signal.SIGTERM)
+    target.fleet.signal("server-0", signal.SIGTERM)
 
 
 async def run_with_fault(fleet, settings, inject):
     """Run the load and inject the fault while it runs."""
+    target = find_target(fleet)
     load = asyncio.create_task(_load.run_load(settings))
     await asyncio.sleep(FAULT_AFTER_S)
-    await inject(fleet)
+    await inject(target)
     return await load
 
 
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -28,7 +28,10 @@
 
 RECONNECT_DELAY_S = 0.1
 # A relay that is cut off from the leader answers, but only with refusals.
-REFUSALS_COUNT = 3
+# An election takes up to 0.7 s, in which all relays refuse.
+REFUSALS_COUNT = 8
+# While no leader is known the lease is running out: ask more often.
+REFUSED_INTERVAL_MS = 50
 # Control sends at least one message a second; three missed ones mean that
 # the stream has gone silent.
 WATCH_TIMEOUT_S = 3.0
@@ -80,6 +83,7 @@
         self.tracer = tracer
         self.is_draining = False
         self._is_stopped = False
+        self._is_watching = False
         self._sequence = 0
         self._refusals_count = 0
         self._refusal_reason = "no answer"
@@ -107,7 +111,9 @@
                     await self._watch(channel)
             except (*CALL_ERRORS, WatchError) as error:
                 self.metrics.incr("control.watch_failures")
-                logger.info("watch at %s ended: %r", relay, error)
+                if self._is_watching:
+                    logger.warning("watch at %s ended: %r", relay, error)
+                self._is_watching = False
                 self._next_relay(relay)
             await self.sleep(RECONNECT_DELAY_S)
 
@@ -116,6 +122,7 @@
         self._refusals_count = 0
         if self._relays[0] == failed:
             self._relays.append(self._relays.pop(0))
+            self.renew_soon()
 
     async def _watch(self, channel):
         stub = control_grpc.ControlStub(channel)
@@ -141,6 +148,7 @@
             )
             if reply is None:
                 raise WatchError("stream ended")
+            self._is_watching = True
             self._apply(reply)
 
     def _apply(self, reply):
@@ -185,25 +193,40 @@
 
     @mode.Service.task
     async def _renew_forever(self):
-        interval_s = self.settings.timing.renew_interval_ms / 1000
         while not self.should_stop:
             relay = self._relays[0]
             with open_channel(relay) as channel:
-                while self._relays[0] == relay and not self.should_stop:
-                    self._renew_now.clear()
-                    if not await self._renew_once(channel):
-                        self._next_relay(relay)
-                    await self._wait_for_renewal(interval_s)
+                await self._renew_through(relay, channel)
 
-    async def _wait_for_renewal(self, interval_s):
+    async def _renew_through(self, relay, channel):
+        """Renew at a steady pace until another relay is chosen.
+
+        A renewal does not wait for the answer to the one before: one call to
+        a control daemon that has just died would use the lease up.
+        """
+        calls = set()
         try:
-            await asyncio.wait_for(self._renew_now.wait(), interval_s)
-        except asyncio.TimeoutError:
-            pass
+            while self._relays[0] == relay and not self.should_stop:
+                self._renew_now.clear()
+                call = asyncio.ensure_future(self._renew_once(channel))
+                calls.add(call)
+                call.add_done_callback(calls.discard)
+                await self._wait_for_renewal()
+        finally:
+            for call in calls:
+                call.cancel()
+
+    async def _wait_for_renewal(self):
+        interval_ms = self.settings.timing.renew_interval_ms
+        if self._refusals_count:
+            interval_ms = min(interval_ms, REFUSED_INTERVAL_MS)
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self._renew_now.wait(), interval_ms / 1000)
         self._note_lease()
 
     async def _renew_once(self, channel):
-        """Send one renewal; return whether to stay with the relay."""
+        """Send one renewal; move to another relay when it fails."""
+        relay = self._relays[0]
         self._sequence += 1
         renewal = self._make_renewal()
         stub = control_grpc.ControlStub(channel)
@@ -215,10 +238,12 @@
             )
         except CALL_ERRORS:
             self.metrics.incr("control.renewals_lost")
-            return False
+            self._next_relay(relay)
+            return
         self._take_grant(grant)
         self._note_lease()
-        return self._refusals_count < REFUSALS_COUNT
+        if self._refusals_count >= REFUSALS_COUNT:
+            self._next_relay(relay)
 
     def _take_grant(self, grant):
         if grant.granted:
