Restore start-up options on RESET and end peers' connections on close

Pools of callers send RESET ALL before each reuse; it moved urgent callers to the default rank, because start-up options were not kept as the values to restore. A closed peer server left its connections open, so peers waited without an answer; a crash test found it.

--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from pygwire import PygwireError
 from pygwire.messages import BackendKeyData
 from pygwire.messages import CancelRequest
 from pygwire.messages import ErrorResponse
@@ -115,6 +116,10 @@
         with contextlib.suppress(OSError, RuntimeError):
             self._writer.write(Terminate().to_wire())
             self._writer.close()
+            # Bytes that a silent endpoint does not take would keep the
+            # socket open.
+            if self._writer.transport.get_write_buffer_size():
+                self._writer.transport.abort()
         self._reader.feed_eof()
 
     async def _read(self):
@@ -142,7 +147,7 @@
         raise EndpointRefused(str(error)) from error
     try:
         key = await _start(reader, writer, account, limit_bytes)
-    except (OSError, WireError, struct.error) as error:
+    except (OSError, WireError, PygwireError, struct.error) as error:
         writer.close()
         raise EndpointRefused(str(error)) from error
     except BaseException:
--- a/waxwinglift/connection/_session.py
+++ b/waxwinglift/connection/_session.py
@@ -16,7 +16,7 @@
 from waxwinglift.connection._session_options import SessionOptions
 from waxwinglift.connection._session_options import show_option
 from waxwinglift.connection._session_options import with_option
-from waxwinglift.connection._session_options import without_option
+from waxwinglift.connection._session_options import with_value_of
 from waxwinglift.connection._session_types import LocalAnswer
 from waxwinglift.connection._session_types import Plan
 from waxwinglift.connection._session_types import PreparedStatement
@@ -96,6 +96,8 @@
         self.prepared: dict[str, PreparedStatement] = {}
         self.block_is_lost = False
         self.shown_floor: Position | None = None
+        self._initial_options = SessionOptions()
+        self._initial_settings: dict[str, str] = {}
         self._floors: dict[GroupName, Position] = {}
         self._block_settings: dict[str, str] | None = None
         self._token_secret = token_secret
@@ -169,6 +171,11 @@
         self.settings[lowered] = _literal(lowered, text)
         return Ok(None)
 
+    def end_startup(self):
+        """Take the current values as those that RESET restores."""
+        self._initial_options = self.options
+        self._initial_settings = dict(self.settings)
+
     def prepare(self, name: str, query: str, param_types, statement):
         """Record a prepared statement and return it."""
         endpoint_name = ""
@@ -210,7 +217,9 @@
     def take_idempotency_key(self) -> str:
         """Return the key of the transaction that starts, and forget it."""
         key = self.options.idempotency_key
-        self.options = without_option(self.options, "idempotency_key")
+        self.options = with_value_of(
+            self.options, "idempotency_key", SessionOptions()
+        )
         return key
 
     def finish(self, plan: RunPlan, status: TransactionStatus, failed: bool):
@@ -247,7 +256,12 @@
             if statement.kind is StatementKind.SET:
                 settings[statement.name] = statement.value
             elif statement.kind is StatementKind.RESET:
-                settings.pop(statement.name, None)
+                self._reset(settings, statement.name)
+
+    def _reset(self, settings, name):
+        settings.pop(name, None)
+        if name in self._initial_settings:
+            settings[name] = self._initial_settings[name]
 
     def _access(self, kinds):
         if self.options.idempotency_key:
@@ -301,25 +315,28 @@
         if show_option(self.options, name) is None:
             message = f"unknown option {statement.name}"
             return not_run(FailureCode.BAD_PARAMETER, message)
-        self.options = without_option(self.options, name)
+        initial = self._initial_options
+        self.options = with_value_of(self.options, name, initial)
         return LocalAnswer("RESET")
 
     def _reset_all(self):
         if self.is_in_block:
             message = "RESET ALL is supported outside a block only"
             return not_run(FailureCode.NOT_SUPPORTED, message)
-        self.settings.clear()
-        self.options = SessionOptions()
+        self._restore_initial()
         return LocalAnswer("RESET")
 
+    def _restore_initial(self):
+        self.settings = dict(self._initial_settings)
+        self.options = self._initial_options
+
     @_answers(StatementKind.DISCARD_ALL)
     def _answer_discard(self, statement):
         if statement.name != "all" or self.is_in_block:
             message = "DISCARD is supported as DISCARD ALL outside a block"
             return not_run(FailureCode.NOT_SUPPORTED, message)
         self.prepared.clear()
-        self.settings.clear()
-        self.options = SessionOptions()
+        self._restore_initial()
         return LocalAnswer("DISCARD ALL")
 
     @_answers(StatementKind.DEALLOCATE)
--- a/waxwinglift/connection/_session_options.py
+++ b/waxwinglift/connection/_session_options.py
@@ -44,10 +44,11 @@
     )
 
 
-def without_option(options: SessionOptions, name: str) -> SessionOptions:
-    """Return the options with one of them back at its default."""
-    default = getattr(SessionOptions(), name)
-    return dataclasses.replace(options, **{name: default})
+def with_value_of(
+    options: SessionOptions, name: str, other: SessionOptions
+) -> SessionOptions:
+    """Return the options with the value that one of them has in other."""
+    return dataclasses.replace(options, **{name: getattr(other, name)})
 
 
 def show_option(options: SessionOptions, name: str) -> str | None:
--- a/waxwinglift/connection/_wire.py
+++ b/waxwinglift/connection/_wire.py
@@ -10,6 +10,7 @@
 import enum
 import struct
 
+from pygwire import PygwireError
 from pygwire.messages import ErrorResponse
 
 _HEADER = struct.Struct("!cI")
@@ -162,11 +163,18 @@
         return self._next >= len(self._steps)
 
     def feed(self, data: bytes) -> bytes:
-        """Take bytes of the endpoint; return those for the caller."""
-        passed = []
-        for kind, frame in self._splitter.feed(data):
-            if self._take(kind, frame):
-                passed.append(frame)
+        """Take bytes of the endpoint; return those for the caller.
+
+        Raises
+        ------
+        WireError
+            The bytes are no answers to the steps.
+        """
+        try:
+            frames = self._splitter.feed(data)
+            passed = [f for kind, f in frames if self._take(kind, f)]
+        except (struct.error, ValueError, IndexError, PygwireError) as error:
+            raise WireError(f"malformed answer: {error}") from error
         return b"".join(passed)
 
     def _take(self, kind, frame):
--- a/waxwinglift/process/_data_path_session.py
+++ b/waxwinglift/process/_data_path_session.py
@@ -121,7 +121,11 @@
             return not_run(FailureCode.UNKNOWN_POOL, message)
         password = context.settings.passwords.get(request.pool)
         if password is not None:
-            if not await self._caller.check_password(password):
+            is_right = await with_timeout(
+                self._caller.check_password(password),
+                context.settings.startup_timeout_ms,
+            )
+            if not is_right:
                 message = f"wrong password for pool {request.pool!r}"
                 return not_run(FailureCode.BAD_PASSWORD, message)
         secret = context.settings.token_secret.encode()
@@ -130,6 +134,7 @@
             outcome = session.record_startup(name, value)
             if isinstance(outcome, Err):
                 return outcome.err_value
+        session.end_startup()
         self._accept(session, request)
         return None
 
--- a/waxwinglift/process/_fleet_view.py
+++ b/waxwinglift/process/_fleet_view.py
@@ -68,8 +68,9 @@
         self._listeners.append(listener)
 
     def remove_listener(self, listener: Callable[[], None]):
-        """Stop calling ``listener``."""
-        self._listeners.remove(listener)
+        """Stop calling ``listener``; nothing happens when it is unknown."""
+        if listener in self._listeners:
+            self._listeners.remove(listener)
 
     async def wait_for_change(self, timeout_ms: float) -> bool:
         """Wait for a change; return False when the time ran out."""
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -60,6 +60,8 @@
 class PeerServer(Server):
     """gRPC server that accepts many concurrent streams per connection.
 
+    ``close`` ends the open connections too, so that peers notice it at once.
+
     Parameters
     ----------
     handlers : list
@@ -68,20 +70,39 @@
 
     def __init__(self, handlers):
         super().__init__(handlers)
+        self._protocols = set()
+
+    def close(self):
+        """Stop listening and end the open connections."""
+        super().close()
+        for protocol in list(self._protocols):
+            protocol.connection.close()
 
     def _protocol_factory(self):
         protocol = super()._protocol_factory()
-        return _WideProtocol(
-            protocol.handler, protocol.config, protocol.h2_config
+        return _PeerProtocol(
+            self._protocols,
+            protocol.handler,
+            protocol.config,
+            protocol.h2_config,
         )
 
 
-class _WideProtocol(H2Protocol):
+class _PeerProtocol(H2Protocol):
+    def __init__(self, protocols, handler, config, h2_config):
+        super().__init__(handler, config, h2_config)
+        self._protocols = protocols
+
     def connection_made(self, transport):
         super().connection_made(transport)
         limits = {SettingCodes.MAX_CONCURRENT_STREAMS: _STREAM_LIMIT_COUNT}
         self.connection._connection.update_settings(limits)
         self.connection.flush()
+        self._protocols.add(self)
+
+    def connection_lost(self, exc):
+        super().connection_lost(exc)
+        self._protocols.discard(self)
 
 
 class _PeerCall:
--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -77,6 +77,7 @@
     peers: PeerClients
     metrics: CountingMetrics
     lease: dict
+    peer_server: PeerServer
 
     @property
     def conninfo(self):
@@ -147,7 +148,7 @@
     owners.start()
     await entry.start()
     try:
-        yield Proxy(view, owners, entry, peers, metrics, lease)
+        yield Proxy(view, owners, entry, peers, metrics, lease, server)
     finally:
         await entry.stop()
         await owners.stop()
--- a/waxwinglift/process/tests/test_data_path.py
+++ b/waxwinglift/process/tests/test_data_path.py
@@ -249,6 +249,21 @@
     run(scenario)
 
 
+def test_reset_restores_the_values_of_the_start_up():
+    # A caller's pool sends RESET ALL before each reuse of a connection; it
+    # must not move an urgent caller to the least urgent rank.
+    async def scenario(servers, proxies):
+        given = "rank=urgent access=write"
+        async with await connect(proxies[0], given) as caller:
+            for end in ("RESET ALL", "DISCARD ALL", "RESET waxwinglift.rank"):
+                await caller.execute("SET waxwinglift.rank = 'low'")
+                await caller.execute(end)
+                shown = await fetch(caller, "SHOW waxwinglift.rank")
+                assert shown == [("urgent",)]
+
+    run(scenario, size=1)
+
+
 def test_settings_follow_the_session_and_stay_its_own():
     # Endpoint connections are shared: a setting must neither leak to
     # another caller nor get lost.
--- a/waxwinglift/process/tests/test_data_path_callers.py
+++ b/waxwinglift/process/tests/test_data_path_callers.py
@@ -66,6 +66,16 @@
     run(scenario, size=1)
 
 
+def test_right_password_is_accepted():
+    # The comparison must accept what it is given at the prompt.
+    async def scenario(servers, proxies):
+        given = {"password": "right"}
+        async with await connect(proxies[0], **given) as caller:
+            assert await fetch(caller, "SELECT 1") == [(1,)]
+
+    run(scenario, size=1, entry={"passwords": {POOL: "right"}})
+
+
 def _message(kind, payload, length=None):
     size = len(payload) + 4 if length is None else length
     return kind + struct.pack("!I", size) + payload
--- a/waxwinglift/process/tests/test_data_path_faults.py
+++ b/waxwinglift/process/tests/test_data_path_faults.py
@@ -299,6 +299,42 @@
     run(scenario, proxy_count=2, **QUICK)
 
 
+def test_crash_of_the_owner_is_survived():
+    # What was sent may have run; what comes later waits for a new owner.
+    async def scenario(servers, proxies):
+        async with (
+            await connect(proxies[0], "access=write") as sent,
+            await connect(proxies[0], "access=write") as later,
+        ):
+            await sent.execute("CREATE TABLE t (id int)")
+            work = asyncio.ensure_future(sent.execute(SLEEP))
+            await asyncio.sleep(0.05)
+            await proxies[1].owners.stop()
+            proxies[1].peer_server.close()
+            await proxies[1].peer_server.wait_closed()
+            with pytest.raises(psycopg.Error) as caught:
+                await work
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=may_have_run"
+            work = asyncio.ensure_future(later.execute(INSERT))
+            await asyncio.sleep(0.05)
+            move_owners(proxies)
+            await work
+
+    run(scenario, proxy_count=2)
+
+
+def move_owners(proxies):
+    """Assign every endpoint to the first proxy."""
+    fleet = proxies[0].view.fleet
+    for endpoint in fleet.owners:
+        fleet.owners[endpoint] = OwnerAssignment(
+            endpoint, proxies[0].view.daemon, None, Epoch(2)
+        )
+    for proxy in proxies:
+        proxy.view.notify()
+
+
 def test_ownership_moves_without_failed_requests():
     # Open transactions finish at the old owner, new ones go to the next.
     async def scenario(servers, proxies):
@@ -309,14 +345,7 @@
             await block.execute("CREATE TABLE t (id int)")
             await block.execute("BEGIN")
             await block.execute(INSERT)
-            fleet = proxies[0].view.fleet
-            for endpoint in fleet.owners:
-                assignment = OwnerAssignment(
-                    endpoint, proxies[0].view.daemon, None, Epoch(2)
-                )
-                fleet.owners[endpoint] = assignment
-            for proxy in proxies:
-                proxy.view.notify()
+            move_owners(proxies)
             before = await fetch(caller, "SELECT count(*) FROM t")
             await block.execute("COMMIT")
             after = await fetch(caller, "SELECT count(*) FROM t")
--- a/waxwinglift/request/_classify.py
+++ b/waxwinglift/request/_classify.py
@@ -68,6 +68,12 @@
 _CLEAN_UP = frozenset(
     {"select pg_advisory_unlock_all()", "close all", "unlisten *", "reset all"}
 )
+# The proxy's own settings are answered by the proxy, one at a time; an
+# endpoint would accept them without effect.
+_OWN_SETTING = re.compile(
+    r"\b(?:set|show|reset)\s+(?:session\s+|local\s+)?waxwinglift\.",
+    re.IGNORECASE,
+)
 _READ_ONLY = re.compile(r"\bread\s+only\b", re.IGNORECASE)
 _classifiers = {}
 
@@ -99,6 +105,9 @@
     parts = {part.strip().lower() for part in text.split(";")} - {""}
     if parts <= _CLEAN_UP and "reset all" in parts:
         return Statement(StatementKind.RESET, "all")
+    if _OWN_SETTING.search(text):
+        name = "a waxwinglift setting among several statements"
+        return Statement(StatementKind.UNSUPPORTED, name)
     return Statement(StatementKind.WRITE)
 
 
@@ -149,6 +158,9 @@
     assignment = _SET.match(text)
     # SET LOCAL and SET TRANSACTION end with their block.
     if assignment is None:
+        if _OWN_SETTING.match(text):
+            name = "SET LOCAL of a waxwinglift setting"
+            return Statement(StatementKind.UNSUPPORTED, name)
         return Statement(StatementKind.WRITE)
     name = assignment.group(1).lower()
     return Statement(StatementKind.SET, name, assignment.group(2))
--- a/waxwinglift/request/tests/test_classify.py
+++ b/waxwinglift/request/tests/test_classify.py
@@ -5,6 +5,9 @@
 from waxwinglift.request._classify import classify
 from waxwinglift.request._classify import StatementKind
 
+_LOCAL = "SET LOCAL of a waxwinglift setting"
+_AMONG = "a waxwinglift setting among several statements"
+
 
 @pytest.mark.parametrize(
     ("text", "kind", "name", "value"),
@@ -39,6 +42,8 @@
         ("set session TimeZone to 'UTC';", "SET", "timezone", "'UTC'"),
         ("SET TIME ZONE 'UTC'", "SET", "timezone", "'UTC'"),
         ("SET LOCAL a = 1", "WRITE", "", ""),
+        ("SET LOCAL waxwinglift.rank = 'a'", "UNSUPPORTED", _LOCAL, ""),
+        ("SELECT 1; SET waxwinglift.rank = 'a'", "UNSUPPORTED", _AMONG, ""),
         ("SET TRANSACTION READ ONLY", "WRITE", "", ""),
         ("SHOW waxwinglift.token", "SHOW", "waxwinglift.token", ""),
         ("RESET ALL", "RESET", "all", ""),
