Keep the floor of bursty ranks in an urgent flood

Cause: a rank that had used idle capacity entered a flood with a debt of up to 200 ms of its floor share, and a rank whose requests come in bursts lost its share between them. Both made work wait past its deadline although the rank was below its floor on average.

A rank's debt is now one statement at most, and an idle rank earns its floor share while two or more urgent requests wait per slot.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -25,6 +25,12 @@
     floor_window_ms : float
         Service that a rank below its floor may catch up with, in
         milliseconds of the endpoint's whole capacity.
+    debt_window_ms : float
+        Service beyond its floor that a rank has to make up for, likewise;
+        at least one statement.
+    flood_depth : int
+        Urgent requests that wait per slot in a flood; an idle rank earns
+        its floor share then.  0 disables this.
     is_floor_expected : bool
         Whether the expected wait of a rank counts on its floor share.
     """
@@ -32,6 +38,8 @@
     initial_service_ms: float = pydantic.Field(4.0, gt=0)
     service_weight: float = pydantic.Field(0.05, gt=0, le=1)
     floor_window_ms: float = pydantic.Field(200.0, gt=0)
+    debt_window_ms: float = pydantic.Field(0.0, ge=0)
+    flood_depth: int = pydantic.Field(2, ge=0)
     is_floor_expected: bool = True
 
 
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -120,7 +120,7 @@
         self._accrue(now_ms)
         rank = self._ranks[(ticket.pool, ticket.rank)]
         rank.running_count -= 1
-        rank.charge(service_ms - estimate_ms, self._credit_cap_ms(rank))
+        rank.charge(service_ms - estimate_ms, self._debt_cap_ms(rank))
         error_ms = service_ms - self._service_ms
         self._service_ms += self.settings.service_weight * error_ms
         return self._start_next()
@@ -236,7 +236,7 @@
         rank.running_count += 1
         self._virtual_ms = max(self._virtual_ms, rank.virtual_ms)
         self._running[ticket.request] = self._service_ms
-        rank.charge(self._service_ms, self._credit_cap_ms(rank))
+        rank.charge(self._service_ms, self._debt_cap_ms(rank))
         return Start(ticket)
 
     def _choose_rank(self):
@@ -257,17 +257,30 @@
         last_ms = now_ms if self._accrued_ms is None else self._accrued_ms
         self._accrued_ms = max(now_ms, last_ms)
         capacity_ms = (self._accrued_ms - last_ms) * self.slots_count
+        is_flooded = self._is_flooded()
         for rank in self._ranks.values():
-            # Only waiting earns credit: an idle rank that saved it up would
-            # delay the urgent rank when it comes back.
-            if len(rank):
+            # An idle rank earns credit only in a flood of urgent work: saved
+            # up at other times it would delay single urgent requests.
+            if len(rank) or is_flooded:
                 earned_ms = rank.credit_ms + rank.floor_share * capacity_ms
                 rank.credit_ms = min(earned_ms, self._credit_cap_ms(rank))
 
+    def _is_flooded(self):
+        limit_count = self.settings.flood_depth * self.slots_count
+        return limit_count > 0 and any(
+            len(rank) >= limit_count
+            for rank in self._ranks.values()
+            if rank.is_most_urgent
+        )
+
     def _credit_cap_ms(self, rank):
         window_ms = self.settings.floor_window_ms * self.slots_count
         return max(2 * self._service_ms, window_ms * rank.floor_share)
 
+    def _debt_cap_ms(self, rank):
+        window_ms = self.settings.debt_window_ms * self.slots_count
+        return max(self._service_ms, window_ms * rank.floor_share)
+
     def _share_floors(self):
         """Set the floor shares; several pools may ask for more than 100%."""
         ranks = self._ranks.values()
--- a/waxwinglift/request/_rank_queue.py
+++ b/waxwinglift/request/_rank_queue.py
@@ -97,7 +97,7 @@
             for ticket in line.values()
         ]
 
-    def charge(self, used_ms, credit_cap_ms):
+    def charge(self, used_ms, debt_cap_ms):
         """Account for slot time; a negative amount corrects an estimate."""
         self.virtual_ms += used_ms / max(1, self.row.weight)
-        self.credit_ms = max(self.credit_ms - used_ms, -credit_cap_ms)
+        self.credit_ms = max(self.credit_ms - used_ms, -debt_cap_ms)
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -253,3 +253,20 @@
         driver.offer("urgent", deadline_ms=1e9)
     driver.offer("middle", deadline_ms=100.0)
     assert bool(driver.refused) is refused
+
+
+def test_idle_rank_keeps_its_floor_in_a_flood():
+    # Bursts of a lower rank use less than their floor on average; without
+    # saved credit each burst waits as if it were above its floor.
+    driver = Driver(make_queue())
+    for _ in range(400):
+        driver.offer("urgent", deadline_ms=1e9)
+    for _ in range(50):
+        driver.finish()
+    for _ in range(4):
+        driver.offer("middle", deadline_ms=1e9)
+    started_count = len(driver.started)
+    for _ in range(5):
+        driver.finish()
+    ranks = [t.rank for t in driver.started[started_count:]]
+    assert ranks.count("middle") == 4
--- a/waxwinglift_bench/process/measure.py
+++ b/waxwinglift_bench/process/measure.py
@@ -26,7 +26,9 @@
                 prompt_wait_ms=100.0,
                 lag_weight=0.2,
             ),
-            AdmissionSettings(is_floor_expected=False),
+            AdmissionSettings(
+                debt_window_ms=200.0, flood_depth=0, is_floor_expected=False
+            ),
             RetrySettings(rejected_limit_count=4),
         ),
         Variant("now", RoutingSettings(), AdmissionSettings()),
