Classify any text in linear time and bound what connections keep

Patterns with two runs of blanks took quadratic time on texts that a caller chooses, which stops the loop for everyone; long texts were also kept in the cache. A table of such texts guards both. Failures that are the request's own, such as a cancel, no longer count against the endpoint in routing.

--- a/waxwinglift/connection/_wire.py
+++ b/waxwinglift/connection/_wire.py
@@ -242,8 +242,3 @@
     """Return the byte offset of a log position such as ``0/16B3740``."""
     high, _, low = text.partition("/")
     return (int(high, 16) << 32) | int(low, 16)
-
-
-def format_lsn(lsn: int) -> str:
-    """Return a byte offset as PostgreSQL writes it."""
-    return f"{lsn >> 32:X}/{lsn & 0xFFFFFFFF:X}"
--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -12,6 +12,10 @@
 from waxwinglift.connection._frontend_messages import CallerRequest
 from waxwinglift.connection._session import Session
 from waxwinglift.connection._session_types import RunPlan
+from waxwinglift.process._data_path_attempt import Attempts
+from waxwinglift.process._data_path_attempt import endpoint_failure
+from waxwinglift.process._data_path_attempt import LeaseGuard
+from waxwinglift.process._data_path_attempt import with_earlier
 from waxwinglift.process._data_path_route import EntryContext
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
@@ -46,35 +50,6 @@
 _propagator = tracecontext.TraceContextTextMapPropagator()
 
 
-@dataclasses.dataclass(slots=True)
-class _Attempts:
-    """State of the attempts of one transaction's first exchange."""
-
-    access: Access
-    deadline_ms: float
-    key: str
-    excluded: set = dataclasses.field(default_factory=set)
-    count: int = 0
-    may_have_run: bool = False
-
-
-class _LeaseGuard:
-    """Sink that stops once the entry proxy's lease has expired."""
-
-    def __init__(self, sink: Sink, lease_is_live):
-        self.has_passed = False
-        self.has_expired = False
-        self._sink = sink
-        self._lease_is_live = lease_is_live
-
-    async def take(self, data: bytes):
-        if self.has_expired or not self._lease_is_live():
-            self.has_expired = True
-            return
-        self.has_passed = True
-        await self._sink(data)
-
-
 class RequestRunner:
     """Routes exchanges of one session; a block stays on its stream.
 
@@ -105,7 +80,7 @@
         started_ms = self._context.now_ms()
         exchange = Exchange(request.messages, request.prepared)
         with tracer.start_as_current_span("caller.request") as span:
-            guard = _LeaseGuard(sink, self._context.view.lease_is_live)
+            guard = LeaseGuard(sink, self._context.view.lease_is_live)
             try:
                 if self._session.is_in_block:
                     end = await self._run_in_block(exchange, guard)
@@ -152,7 +127,7 @@
         self._context.metrics.incr("entry.look_up")
         await self.close()
         attempts = self._attempts(Access.WRITE, self._block_key)
-        guard = _LeaseGuard(_drop, self._context.view.lease_is_live)
+        guard = LeaseGuard(_drop, self._context.view.lease_is_live)
         found = await self._run_attempts(attempts, Exchange(b""), guard, None)
         if found.failure is None:
             message = "the transaction was lost and did not commit"
@@ -171,7 +146,7 @@
 
     def _attempts(self, access, key):
         deadline_ms = self._context.now_ms() + self._session.deadline_ms
-        return _Attempts(access, deadline_ms, key)
+        return Attempts(access, deadline_ms, key)
 
     async def _run_attempts(self, attempts, exchange, guard, plan):
         while True:
@@ -181,7 +156,7 @@
             if guard.has_passed or self._is_cancelled:
                 return end
             if not await self._may_retry(attempts, end, route):
-                return _with_earlier(attempts, end)
+                return with_earlier(attempts, end)
 
     async def _attempt(self, attempts, exchange, guard, plan):
         if self._is_cancelled:
@@ -218,10 +193,9 @@
                 now_ms,
             )
             return end
-        is_behind = end.failed_position is not None or end.is_stale_owner
         knowledge.observe_refusal(
             route.endpoint,
-            None if is_behind else end.failure,
+            endpoint_failure(end),
             now_ms,
             end.failed_position,
         )
@@ -389,12 +363,3 @@
 
 def _cancelled():
     return not_run(FailureCode.CANCELLED, "the statement was cancelled")
-
-
-def _with_earlier(attempts, end):
-    """Return the outcome, with the verdict of all attempts together."""
-    failure = end.failure
-    if not attempts.may_have_run or failure.verdict is not Verdict.NOT_RUN:
-        return end
-    message = f"an earlier attempt may have run; {failure.message}"
-    return dataclasses.replace(end, failure=may_have_run(message))
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -100,6 +100,8 @@
     replica_buffer_bytes : int
         Answer bytes of a replica kept back, so that a refused write can
         still go to the primary.
+    prepared_limit_count : int
+        Statements prepared on one connection; it is replaced beyond that.
     drain_timeout_ms : float
         Longest time that a drain waits for open transactions.
     """
@@ -117,6 +119,7 @@
     held_answer_limit_bytes: int = pydantic.Field(64 * 2**20, ge=1024)
     answer_limit_bytes: int = pydantic.Field(2**30, ge=1024)
     replica_buffer_bytes: int = pydantic.Field(2**14, ge=0)
+    prepared_limit_count: int = pydantic.Field(1000, ge=1)
     drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
     admission: AdmissionSettings = pydantic.Field(
         default_factory=AdmissionSettings
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -246,9 +246,19 @@
 
     def _on_fleet_change(self):
         self._set_tables()
+        self._follow_endpoint()
         self.positions.on_fleet_change()
         self._check_ownership()
 
+    def _follow_endpoint(self):
+        """Take a new address or number of slots after a restart."""
+        record = self.view.endpoint(self.endpoint)
+        if record is None:
+            return
+        self._address = record.address
+        self.slots.queue.slots_count = record.slots_count
+        self.connections.pool.slots_count = record.slots_count
+
     def _set_tables(self):
         for name, pool in self.view.fleet.pools.items():
             if pool.table is not None and pool.table.group == self.group:
--- a/waxwinglift/process/_owner_slot.py
+++ b/waxwinglift/process/_owner_slot.py
@@ -130,6 +130,10 @@
 
     def release(self):
         """Give back the slot and the connection, which is idle."""
+        limit_count = self._owner.settings.prepared_limit_count
+        if len(self.link.prepared) > limit_count:
+            self.discard()
+            return
         self._leave()
         self._owner.connections.release(self._connection)
         self._connection, self.link = None, None
--- a/waxwinglift/process/tests/test_data_path_callers.py
+++ b/waxwinglift/process/tests/test_data_path_callers.py
@@ -144,6 +144,22 @@
     run(scenario, size=1)
 
 
+def test_function_call_is_refused_in_step():
+    # A refused message still gets its one ReadyForQuery.
+    async def scenario(servers, proxies):
+        address = proxies[0].entry.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        call = _message(b"F", struct.pack("!IHHH", 1, 0, 0, 0))
+        writer.write(_STARTUP + call + _message(b"X", b""))
+        answer = await reader.read()
+        assert answer.count(b"C0A000\0") == 1
+        assert answer.count(b"Z\0\0\0\x05I") == 2
+
+    run(scenario, size=1)
+
+
 @pytest.mark.parametrize("proxy_count", [1, 2])
 def test_drain_interrupts_nothing_in_flight(proxy_count):
     # Shutdown must let statements and blocks finish and refuse new work.
--- a/waxwinglift/request/_classify.py
+++ b/waxwinglift/request/_classify.py
@@ -45,24 +45,25 @@
 
 # Callers repeat few texts; parameters come apart from the text.
 _CACHE_COUNT = 1024
+_CACHED_LIMIT_CHARACTERS = 2000
 _READ_KEYWORDS = frozenset(
     {"select", "with", "values", "table", "explain", "fetch"}
 )
 _SKIPPED = re.compile(r"(?:\s+|--[^\n]*(?:\n|$)|/\*.*?\*/|;)*", re.DOTALL)
 _KEYWORD = re.compile(r"[A-Za-z_]+")
 _LATER_STATEMENT = re.compile(r";\s*[^\s;]")
+# The patterns must take linear time on any text: a caller chooses it.
 _SET = re.compile(
-    r"set\s+(?:session\s+)?([a-z_][a-z0-9_.]*)\s*(?:=|\s+to\s+)\s*(.+?)"
-    r"[\s;]*$",
+    r"set\s+(?:session\s+)?([a-z_][a-z0-9_.]*)(?:\s*=\s*|\s+to\s+)(.+)",
     re.IGNORECASE | re.DOTALL,
 )
 _SET_ZONE = re.compile(
-    r"set\s+(?:session\s+)?time\s+zone\s+(.+?)[\s;]*$",
-    re.IGNORECASE | re.DOTALL,
+    r"set\s+(?:session\s+)?time\s+zone\s+(.+)", re.IGNORECASE | re.DOTALL
 )
 _OBJECT = re.compile(
-    r"[a-z]+\s+(?:prepare\s+)?\"?([a-z_0-9.]+)\"?[\s;]*$", re.IGNORECASE
+    r"[a-z]+\s+(?:prepare\s+)?\"?([a-z_0-9.]+)\"?", re.IGNORECASE
 )
+_END = " \t\r\n\f;"
 # Statements of the clean-up that asyncpg sends when a connection goes back
 # to its caller's pool; all of them together mean RESET ALL.
 _CLEAN_UP = frozenset(
@@ -78,9 +79,14 @@
 _classifiers = {}
 
 
-@functools.lru_cache(maxsize=_CACHE_COUNT)
 def classify(text: str) -> Statement:
     """Return the kind of a simple query's or prepared statement's text."""
+    if len(text) > _CACHED_LIMIT_CHARACTERS:
+        return _classify(text)
+    return _classify_cached(text)
+
+
+def _classify(text):
     start = _SKIPPED.match(text).end()
     keyword = _KEYWORD.match(text, start)
     if keyword is None:
@@ -94,6 +100,9 @@
     return classifier(text[start:])
 
 
+_classify_cached = functools.lru_cache(maxsize=_CACHE_COUNT)(_classify)
+
+
 def _classify_without_keyword(text, start):
     if start >= len(text):
         return Statement(StatementKind.EMPTY)
@@ -152,10 +161,11 @@
 
 @_first_keyword("set")
 def _classify_set(text):
-    zone = _SET_ZONE.match(text)
+    text = text.rstrip(_END)
+    zone = _SET_ZONE.fullmatch(text)
     if zone is not None:
         return Statement(StatementKind.SET, "timezone", zone.group(1))
-    assignment = _SET.match(text)
+    assignment = _SET.fullmatch(text)
     # SET LOCAL and SET TRANSACTION end with their block.
     if assignment is None:
         if _OWN_SETTING.match(text):
@@ -196,7 +206,7 @@
 
 
 def _object_name(text, keeps_case=False):
-    match = _OBJECT.match(text)
+    match = _OBJECT.fullmatch(text.rstrip(_END))
     if match is None:
         return ""
     return match.group(1) if keeps_case else match.group(1).lower()
--- a/waxwinglift/request/tests/test_classify.py
+++ b/waxwinglift/request/tests/test_classify.py
@@ -60,3 +60,21 @@
     found = classify(text)
     assert found.kind is StatementKind[kind]
     assert (found.name, found.value) == (name, value)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "SET a" + " " * 2**20 + "b",
+        "SET a = " + " " * 2**20 + "b" + ";" * 2**20,
+        "SHOW a" + " " * 2**20 + "b",
+        "/*" * 2**19,
+        "; " * 2**19 + "SELECT 1",
+        "set " * 2**18 + ";" + " set" * 2**18,
+    ],
+    ids=range(6),
+)
+def test_long_text_is_classified_in_linear_time(text):
+    # A pattern that backtracks would stop the loop for every caller; a
+    # quadratic one would take hours here.
+    assert classify(text) is not None
