Replace a silent monitoring connection at once

Polls run on that connection and held answers wait for them, so its silence delayed writes by the whole time until the endpoint counts as down; it now opens a new connection after two probe intervals. Probing on the pool's connections instead was ruled out: polls must not wait behind transactions.

--- a/waxwinglift/process/_owner_monitor.py
+++ b/waxwinglift/process/_owner_monitor.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from waxwinglift.connection import ConnectionId
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._backend import EndpointConnection
 from waxwinglift.connection._backend import EndpointConnectionLost
@@ -15,6 +16,8 @@
 from waxwinglift.connection._silence import TryNewConnection
 from waxwinglift.process._policy_settings import HealthSettings
 
+# Id of the monitoring connection, which no pool contains.
+_MONITOR_CONNECTION = ConnectionId(0)
 _performers = {}
 
 
@@ -106,13 +109,15 @@
             connection = self._connection
             if connection is None or not connection.is_usable:
                 raise EndpointConnectionLost("no monitoring connection")
+            limit_ms = 2 * self._settings.probe_interval_ms
             try:
-                async with asyncio.timeout(
-                    self._settings.down_after_ms / 1000
-                ):
+                async with asyncio.timeout(limit_ms / 1000):
                     steps = await connection.query(*texts)
             except TimeoutError as error:
                 connection.close()
+                # Held answers wait for polls, so a new connection is opened
+                # at once.
+                self.note_silence(_MONITOR_CONNECTION)
                 raise EndpointConnectionLost("no answer in time") from error
             except asyncio.CancelledError:
                 connection.close()
