--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -220,16 +220,7 @@
 
     def _usable_slots_count(self, rank):
         limit_count = rank.row.limit_count or self.slots_count
-        slots_count = min(limit_count, self.slots_count)
-        if self.settings.is_floor_expected and rank.is_most_urgent:
-            # Lower ranks take their floors first while they wait.
-            taken_share = sum(
-                other.floor_share
-                for other in self._ranks.values()
-                if len(other) and not other.is_most_urgent
-            )
-            return slots_count * max(0.1, 1 - taken_share)
-        return slots_count
+        return min(limit_count, self.slots_count)
 
     def _start_next(self):
         actions = []
