Revert "Add a routing policy that weights replicas by cost"

Ruled out: keeping it as an option; a policy that no measurement favours is code without a use.

Conclusion: two random choices stay.

--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -181,15 +181,6 @@
     return min(pair, key=lambda candidate: candidate.cost_ms)
 
 
-@routing_policy("weighted")
-def pick_weighted(candidates, rng):
-    """Pick a replica with a probability that falls with its cost."""
-    weights = [
-        1 / max(0.1, candidate.cost_ms) ** 2 for candidate in candidates
-    ]
-    return rng.choices(candidates, weights)[0]
-
-
 def _is_lost(floor, group_view):
     if floor is None:
         return False
