--- a/waxwinglift/process/tests/test_data_path_callers.py
+++ b/waxwinglift/process/tests/test_data_path_callers.py
@@ -66,6 +66,16 @@
     run(scenario, size=1)
 
 
+def test_right_password_is_accepted():
+    # The comparison must accept what it is given at the prompt.
+    async def scenario(servers, proxies):
+        given = {"password": "right"}
+        async with await connect(proxies[0], **given) as caller:
+            assert await fetch(caller, "SELECT 1") == [(1,)]
+
+    run(scenario, size=1, entry={"passwords": {POOL: "right"}})
+
+
 def _message(kind, payload, length=None):
     size = len(payload) + 4 if length is None else length
     return kind + struct.pack("!I", size) + payload
@@ -134,6 +144,22 @@
     run(scenario, size=1)
 
 
+def test_function_call_is_refused_in_step():
+    # A refused message still gets its one ReadyForQuery.
+    async def scenario(servers, proxies):
+        address = proxies[0].entry.address
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        call = _message(b"F", struct.pack("!IHHH", 1, 0, 0, 0))
+        writer.write(_STARTUP + call + _message(b"X", b""))
+        answer = await reader.read()
+        assert answer.count(b"C0A000\0") == 1
+        assert answer.count(b"Z\0\0\0\x05I") == 2
+
+    run(scenario, size=1)
+
+
 @pytest.mark.parametrize("proxy_count", [1, 2])
 def test_drain_interrupts_nothing_in_flight(proxy_count):
     # Shutdown must let statements and blocks finish and refuse new work.
