--- a/waxwinglift_bench/process/measure.py
+++ b/waxwinglift_bench/process/_measure.py
@@ -1,5 +1,6 @@
 """Command `measure`: the policies under load, in virtual time."""
 
+from pathlib import Path
 import time
 
 import click
@@ -78,15 +79,37 @@
     )
 
 
+def save_plots(folder, worlds):
+    """Save the plots of both floods, as far as they were run."""
+    # Only plots need matplotlib, which takes longer to import than to use.
+    from waxwinglift_bench.process import _plots
+
+    folder.mkdir(parents=True, exist_ok=True)
+    low = {
+        (name, f"{policy}, {scenario.replace('_', ' ')}"): world
+        for (scenario, name, policy), world in worlds.items()
+        if scenario == "low_flood" or (scenario, policy) == ("normal", "now")
+    }
+    _plots.plot_low_flood(folder / "low_flood.png", low)
+    urgent = {
+        (name, policy): world
+        for (scenario, name, policy), world in worlds.items()
+        if scenario == "urgent_flood"
+    }
+    _plots.plot_urgent_flood(folder / "urgent_flood.png", urgent)
+
+
 @click.command()
 @click.option("--deployment", "deployments", multiple=True)
 @click.option("--scenario", "scenarios", multiple=True)
 @click.option("--policy", "policies", multiple=True)
 @click.option("--duration-s", default=8.0, show_default=True)
 @click.option("--seed", default=1, show_default=True)
-def measure(deployments, scenarios, policies, duration_s, seed):
+@click.option("--plots", "plot_folder", type=click.Path(path_type=Path))
+def measure(deployments, scenarios, policies, duration_s, seed, plot_folder):
     """Print a table of figures per scenario and policy version."""
     started_s = time.monotonic()
+    worlds = {}
     for name in deployments or DEPLOYMENTS:
         deployment = DEPLOYMENTS[name]
         click.echo(f"\n{name}\n{header(deployment)}")
@@ -95,12 +118,11 @@
                 world = run_world(
                     deployment, VARIANTS[policy], scenario, duration_s, seed
                 )
+                worlds[(scenario, name, policy)] = world
                 click.echo(row(scenario, policy, world))
                 violations = world.statistics.floor_violation_count
                 if violations:
                     click.echo(f"  {violations} reads below their floor")
+    if plot_folder:
+        save_plots(plot_folder, worlds)
     click.echo(f"\n{time.monotonic() - started_s:.0f} s", err=True)
-
-
-if __name__ == "__main__":
-    measure()
--- /dev/null
+++ b/waxwinglift_bench/process/_plots.py
@@ -0,0 +1,73 @@
+"""Plots of the floods for docs/performance.md."""
+
+from matplotlib.figure import Figure
+
+PERCENTILES = [50, 75, 90, 95, 98, 99, 99.5]
+
+
+def plot_low_flood(path, worlds):
+    """Plot urgent latencies in a flood of the lowest rank.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+    worlds : dict of (str, str) to World
+        By deployment and label.
+    """
+    names, figure, axes = _prepare(worlds)
+    for axis, name in zip(axes, names, strict=True):
+        for (deployment, label), world in worlds.items():
+            if deployment != name:
+                continue
+            values = [
+                world.statistics.percentile_ms(world.urgent_rank, percent)
+                for percent in PERCENTILES
+            ]
+            axis.plot(range(len(PERCENTILES)), values, "o-", label=label)
+        axis.set_xticks(range(len(PERCENTILES)), PERCENTILES)
+        axis.set_yscale("log")
+        axis.set_title(name)
+        axis.set_xlabel("percentile")
+        axis.set_ylabel("urgent latency, ms")
+        axis.legend(fontsize=7)
+    _save(figure, path)
+
+
+def plot_urgent_flood(path, worlds):
+    """Plot how much of its floor each lower rank kept in an urgent flood."""
+    names, figure, axes = _prepare(worlds)
+    for axis, name in zip(axes, names, strict=True):
+        labels = [label for owner, label in worlds if owner == name]
+        for index, label in enumerate(labels):
+            world = worlds[(name, label)]
+            rows = [load.row for load in world.deployment.ranks[1:]]
+            kept = [
+                world.statistics.floor_kept_percent(
+                    row, world.deployment.slots_count
+                )
+                for row in rows
+            ]
+            places = [place + index * 0.25 for place in range(len(rows))]
+            axis.bar(places, kept, 0.22, label=label)
+        axis.axhline(100, color="black", linewidth=0.8)
+        axis.set_xticks(
+            [place + 0.25 for place in range(len(rows))],
+            [f"{row.rank} (floor {row.floor_percent}%)" for row in rows],
+        )
+        axis.set_title(name)
+        axis.set_ylabel("least part of the floor kept, %")
+        axis.legend(fontsize=7)
+    _save(figure, path)
+
+
+def _prepare(worlds):
+    names = list(dict.fromkeys(name for name, _ in worlds))
+    figure = Figure(figsize=(4.2 * len(names), 3.2))
+    axes = figure.subplots(1, len(names), squeeze=False)
+    return names, figure, axes[0]
+
+
+def _save(figure, path):
+    figure.tight_layout()
+    # Without the software version the file is the same on each run.
+    figure.savefig(path, dpi=80, metadata={"Software": None})
--- /dev/null
+++ b/waxwinglift_bench/process/_slopes.py
@@ -0,0 +1,181 @@
+"""Command `slopes`: cost of single decisions against their counts."""
+
+import random
+import time
+import tracemalloc
+
+import click
+
+from waxwinglift.process import Address
+from waxwinglift.process import Location
+from waxwinglift.request import Access
+from waxwinglift.request._admission import AdmissionQueue
+from waxwinglift.request._admission import Ticket
+from waxwinglift.request._commit_wait import CommitWait
+from waxwinglift.request._routing import choose_route
+from waxwinglift.request._routing import EndpointKnowledge
+from waxwinglift.request._routing import EndpointView
+from waxwinglift.request._routing import GroupView
+from waxwinglift.request._routing import RouteRequest
+from waxwinglift.request._routing import view_group
+from waxwinglift.version import EndpointRole
+from waxwinglift.version import EndpointState
+from waxwinglift.version import FleetState
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import PoolTable
+from waxwinglift.version import Position
+from waxwinglift.version import RankRow
+from waxwinglift.version._fleet import Endpoint
+from waxwinglift.version._fleet import Group
+
+SLOPES = {}
+RANKS = ("urgent", "middle", "low")
+
+
+def slope(name, *counts):
+    """Register ``prepare(count)``, which returns a function to time."""
+
+    def register(prepare):
+        SLOPES[name] = (prepare, counts)
+        return prepare
+
+    return register
+
+
+def _table(pool):
+    rows = tuple(RankRow(rank, 3, 10, 0, 10**6, 10**6) for rank in RANKS)
+    return PoolTable(pool, "g", rows)
+
+
+@slope("admission: offer and finish, by tickets waiting", 10, 1000, 10000)
+def slope_waiting(count):
+    """Queue of one pool with many tickets waiting."""
+    return _admission(count, 1)
+
+
+@slope("admission: offer and finish, by pools of the group", 1, 10, 100)
+def slope_pools(count):
+    """Queue of many pools with 100 tickets waiting."""
+    return _admission(100, count)
+
+
+def _admission(waiting_count, pool_count):
+    queue = AdmissionQueue(3)
+    for number in range(pool_count):
+        queue.set_table(_table(f"p{number}"))
+    rng = random.Random(1)
+    running = []
+
+    def offer(number):
+        pool = f"p{number % pool_count}"
+        caller = f"c{rng.randrange(100)}"
+        ticket = Ticket(number, pool, rng.choice(RANKS), caller, 0.0, 1e12)
+        running.extend(a.ticket for a in queue.offer(ticket, number * 1.0))
+
+    for number in range(waiting_count + 3):
+        offer(number)
+
+    def step(number):
+        offer(waiting_count + 3 + number)
+        now_ms = waiting_count + 3.0 + number
+        actions = queue.finish(running.pop(0), now_ms, 4.0)
+        running.extend(action.ticket for action in actions)
+
+    return step
+
+
+@slope("routing: choose and observe, by replicas of the group", 2, 8, 32)
+def slope_replicas(count):
+    """Read with a floor in a group of many replicas."""
+    views = [
+        EndpointView(f"e{i}", EndpointRole.REPLICA, i % 2, 3, "p", 1)
+        for i in range(count)
+    ]
+    primary = EndpointView("w", EndpointRole.PRIMARY, 1, 3, "p", 1)
+    view = GroupView("g", GroupPhase.ACTIVE, 1, primary, tuple(views), {})
+    knowledge = EndpointKnowledge()
+    rng = random.Random(1)
+
+    def step(number):
+        now_ms = number * 1.0
+        position = Position(1, number * 100)
+        knowledge.observe_answer("w", position, 5.0, 0.0, now_ms)
+        request = RouteRequest(Access.READ, position, None, now_ms + 500.0)
+        route = choose_route(
+            request, view, knowledge, knowledge.settings, now_ms, rng
+        ).unwrap()
+        knowledge.observe_answer(route.endpoint, position, 5.0, 0.0, now_ms)
+
+    return step
+
+
+@slope("routing: view of one group, by endpoints of the fleet", 9, 261, 2610)
+def slope_fleet(count):
+    """View of a group, built once per entry that changes the fleet."""
+    fleet = FleetState()
+    here = Location("d", "r")
+    for number in range(count):
+        fleet.endpoints[number] = Endpoint(
+            endpoint=number,
+            group=number // 3,
+            address=Address("127.0.0.1", 1),
+            location=here,
+            role=EndpointRole.REPLICA,
+            term=1,
+            slots_count=3,
+            connection_limit_count=25,
+            state=EndpointState.JOINED,
+        )
+    fleet.groups[0] = Group(0, GroupPhase.ACTIVE, 3, 1, 0, 0, {})
+    return lambda number: view_group(fleet, 0, here)
+
+
+@slope("commit wait: hold and release, by answers held", 10, 1000, 10000)
+def slope_held(count):
+    """Answers of one primary that a poll releases one by one."""
+    wait = CommitWait(2)
+    wait.on_lease(True)
+    wait.on_term(1)
+    for number in range(count):
+        wait.hold(number, Position(1, 100 + number), 0.0)
+
+    def step(number):
+        lsn = 100 + count + number
+        wait.hold(count + number, Position(1, lsn), 0.0)
+        wait.on_positions(1, lsn, {"a": 100 + number, "b": 0})
+
+    return step
+
+
+def time_step(step, repeat_count):
+    """Return the mean time of a step in microseconds."""
+    started_s = time.perf_counter()
+    for number in range(repeat_count):
+        step(number)
+    return 1e6 * (time.perf_counter() - started_s) / repeat_count
+
+
+def knowledge_bytes(group_count):
+    """Return the memory of the knowledge of many groups, per group."""
+    tracemalloc.start()
+    kept = []
+    for _ in range(group_count):
+        step = slope_replicas(2)
+        for number in range(300):
+            step(10 * number)
+        kept.append(step)
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used_bytes / group_count
+
+
+@click.command()
+@click.option("--repeat", "repeat_count", default=2000, show_default=True)
+def slopes(repeat_count):
+    """Print the time of single decisions against the size of their input."""
+    for name, (prepare, counts) in SLOPES.items():
+        for count in counts:
+            time_us = time_step(prepare(count), repeat_count)
+            click.echo(f"{name:58} {count:6} {time_us:9.1f} us")
+    size_bytes = knowledge_bytes(50)
+    click.echo(f"{'routing: knowledge of one group':58} {size_bytes:16.0f} B")
