--- a/waxwinglift_bench/process/__init__.py
+++ b/waxwinglift_bench/process/__init__.py
@@ -1,1 +1,7 @@
 """Rig, load tool and report commands."""
+
+from waxwinglift_bench.process._load_command import load
+from waxwinglift_bench.process._measure import measure
+from waxwinglift_bench.process._slopes_command import slopes
+
+__all__ = ["load", "measure", "slopes"]
