Notice each lost rule in the fault tables

Switching off the lease wait or the daemon's own lease did not break any case: the answers that those rules hold back are rare.

--- a/waxwinglift_bench/version/_faults.py
+++ b/waxwinglift_bench/version/_faults.py
@@ -175,3 +175,71 @@
     nodes = [*run.members, *run.proxies, *run.servers]
     south = [n for n in nodes if n.site == "c"]
     _cut(run, south, [n for n in nodes if n.site != "c"])
+
+
+def _freeze_at_answer(run, node, name, is_due, duration_ms, then):
+    """Freeze ``node`` just before it executes a message that is due.
+
+    The message waits; it is executed first when the node thaws.  ``then``
+    is called when the node freezes.
+    """
+    execute = node.execute
+
+    def execute_until_due(action, *arguments):
+        handler = getattr(node, f"on_{name}")
+        if action == handler and is_due(*arguments):
+            del node.execute
+            _freeze(run, node, duration_ms)
+            then()
+        execute(action, *arguments)
+
+    node.execute = execute_until_due
+
+
+@fault("entry proxy frozen with an answer, primary isolated", LEASED)
+def _entry_frozen_with_answer(run):
+    """The answer is confirmed shortly before the lease ends."""
+    entries = [p for p in run.proxies if p.is_usable and p is not run.owner]
+    entry = run.world.rng.choice(entries)
+
+    def is_confirmed(owner, number, verdict, term, position):
+        return verdict == "ok"
+
+    def isolate():
+        _primary_isolated(run)
+
+    # Shorter than what is left of a lease that is renewed every 250 ms.
+    _freeze_at_answer(run, entry, "answer", is_confirmed, 900.0, isolate)
+
+
+@fault("owner frozen with an answer, primary isolated", LEASED)
+def _owner_frozen_with_answer(run):
+    """The poll that confirms an answer is handled after the change.
+
+    Without entries of the log the owner has its lease alone to go by.
+    """
+    owner = run.owner
+
+    def is_confirming(server, timeline, lsn, flushed):
+        numbers = owner.owner_requests.values()
+        has_own = any(entry == owner.name for entry, _, _ in numbers)
+        return has_own and max(flushed.values(), default=0) == lsn
+
+    def isolate():
+        _primary_isolated(run)
+        _cut(run, [owner], run.members)
+
+    duration_ms = 2 * SHORT_MS
+    _freeze_at_answer(
+        run, owner, "polled", is_confirming, duration_ms, isolate
+    )
+
+
+@fault("proxy without log entries, primary killed", RESUMES)
+def _proxy_without_entries(run):
+    """Its renewals pass, so only the leader can end its lease."""
+    proxies = [p for p in run.proxies if p is not run.owner]
+    proxy = run.world.rng.choice(proxies)
+    proxy.on_entries = lambda relay, after_index, entries: None
+    run.after(LONG_MS, proxy.__dict__.pop, "on_entries")
+    _primary_killed(run)
--- /dev/null
+++ b/waxwinglift_bench/version/tests/test_faults.py
@@ -0,0 +1,140 @@
+"""Guards the promises under faults, and that the tables notice a lost rule."""
+
+import click.testing
+import pytest
+
+from waxwinglift.version import _failover_steps as steps
+from waxwinglift.version._failover import FailoverPlanner
+from waxwinglift.version._leases import DaemonLease
+from waxwinglift.version._leases import LeaseTable
+from waxwinglift_bench.process.faults import faults
+from waxwinglift_bench.version import _proxies
+from waxwinglift_bench.version._fault_table import Case
+from waxwinglift_bench.version._fault_table import run_case
+
+ENTRY_FROZEN = "entry proxy frozen with an answer, primary isolated"
+OWNER_FROZEN = "owner frozen with an answer, primary isolated"
+NO_ENTRIES = "proxy without log entries, primary killed"
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "seed"),
+    [
+        ("primary killed", None, 1),
+        ("primary killed", "primary killed", 1),
+        ("old primary returns", "old primary returns", 1),
+        ("primary frozen briefly", "control leader killed", 1),
+        (ENTRY_FROZEN, "control leader killed", 8),
+        (OWNER_FROZEN, None, 1),
+        (NO_ENTRIES, None, 1),
+        # These three once stopped writes for 2.8 to 3.6 s.
+        ("data centre of the primary lost", None, 1),
+        ("primary cut from its owner", "replica killed", 1),
+        ("primary frozen", "primary cut from its owner", 1),
+    ],
+)
+def test_promises_are_kept(first, second, seed):
+    outcome = run_case(Case(first, second, seed))
+    assert outcome.is_kept, outcome
+
+
+def choose_lowest(change, read):
+    positions = change.progress.positions
+    name = min(sorted(read), key=lambda n: positions[n][0])
+    position = positions[name][0]
+    group = change.group
+    entry = steps.PrimaryChosen(
+        group.group, group.term, name, position.term, position.lsn
+    )
+    change.propose(entry)
+
+
+def is_ever_granted(lease, now_ms):
+    return lease.left_ms(0.0) > 0
+
+
+def forget_leases(table, daemons, now_ms):
+    table._leases = {}
+
+
+# Name of the rule that is left out, what replaces it, and a case.
+MUTATIONS = [
+    (
+        "wait for a quorum before acknowledging",
+        (_proxies, "quorum_count", lambda size_count: 1),
+        Case("primary cut from replicas", "primary isolated", 1),
+    ),
+    (
+        "fence a quorum",
+        (steps, "fenced_needed_count", lambda size_count: 1),
+        Case("replica killed", "primary cut from replicas", 1),
+    ),
+    (
+        "choose the highest position",
+        (steps, "_choose", choose_lowest),
+        Case(ENTRY_FROZEN, None, 2),
+    ),
+    (
+        "wait for the leases",
+        (steps.Change, "has_passed", lambda change: True),
+        Case(ENTRY_FROZEN, None, 1),
+    ),
+    (
+        "wait for the leases of an earlier leader",
+        (LeaseTable, "start_leadership", forget_leases),
+        Case(ENTRY_FROZEN, "control leader killed", 8),
+    ),
+    (
+        "acknowledge under a lease only",
+        (DaemonLease, "is_live", is_ever_granted),
+        Case(OWNER_FROZEN, None, 1),
+    ),
+    (
+        "end the leases of proxies behind the raise",
+        (LeaseTable, "require", lambda table, index: None),
+        Case(NO_ENTRIES, None, 1),
+    ),
+    (
+        "compare positions with floors",
+        (_proxies, "check_floor", lambda *_: _proxies.FloorState.MET),
+        Case(NO_ENTRIES, None, 1),
+    ),
+    (
+        "report an unknown outcome as unknown",
+        (_proxies.Proxy, "give_up", lambda p, n: p.finish(n, "not_run")),
+        Case("data centre of the primary lost", None, 1),
+    ),
+    (
+        "repoint the other replicas",
+        (steps, "_repoint_stragglers", lambda change: None),
+        Case("primary killed", None, 1),
+    ),
+    (
+        "move endpoints that only their owner cannot reach",
+        (FailoverPlanner, "unreachable", lambda *_: set()),
+        Case("primary cut from its owner", "replica killed", 1),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("patch", "case"),
+    [(patch, case) for _, patch, case in MUTATIONS],
+    ids=[rule for rule, _, _ in MUTATIONS],
+)
+def test_tables_notice_a_missing_rule(patch, case, monkeypatch):
+    # A table that passes without a rule would not notice its loss.
+    monkeypatch.setattr(*patch)
+    outcome = run_case(case)
+    assert not outcome.is_kept, outcome
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+def test_command_exits_with_the_verdict(is_broken, monkeypatch):
+    if is_broken:
+        monkeypatch.setattr(steps, "_repoint_stragglers", lambda change: None)
+    arguments = ["--first", "primary killed", "--second", "none"]
+    result = click.testing.CliRunner().invoke(faults, arguments)
+    assert result.exit_code == int(is_broken)
+    assert f"1 cases, {int(is_broken)} broken" in result.output
+    assert ("broken: " in result.output) is is_broken
