--- a/waxwinglift/version/_model_failover.py
+++ b/waxwinglift/version/_model_failover.py
@@ -16,8 +16,6 @@
 200,000 states in 15 s for both scenarios and all mutations.
 """
 
-import dataclasses
-
 from minicheck import check_safety
 from minicheck import Protocol
 
@@ -49,7 +47,7 @@
 }
 
 
-FIELDS = tuple(field.name for field in dataclasses.fields(State))
+FIELDS = State._fields
 
 SCENARIOS = {
     "first_change": State(
@@ -103,10 +101,6 @@
 }
 
 
-def _as_tuple(state):
-    return tuple(getattr(state, name) for name in FIELDS)
-
-
 def _protocol(name, initial, mutation):
     violated = []
 
@@ -119,7 +113,7 @@
         if violated:
             return []
         return [
-            (label, _as_tuple(after))
+            (label, after)
             for function in TRANSITIONS
             for label, after in function(state, mutation)
             if after != state
@@ -129,7 +123,7 @@
         name=name,
         candidate=False,
         fields=FIELDS,
-        initial=_as_tuple(initial),
+        initial=initial,
         transitions=transitions,
         invariants=INVARIANTS,
     )
@@ -144,8 +138,7 @@
 def check_mutation(mutation):
     """Check with one rule left out; return the result of the checker."""
     scenario, leader_changes_count, late_actions_count = MUTATIONS[mutation]
-    initial = dataclasses.replace(
-        SCENARIOS[scenario],
+    initial = SCENARIOS[scenario]._replace(
         leader_changes_count=leader_changes_count,
         late_actions_count=late_actions_count,
     )
--- a/waxwinglift/version/_model_failover_transitions.py
+++ b/waxwinglift/version/_model_failover_transitions.py
@@ -1,6 +1,6 @@
 """Transitions of the specification of a change of primary."""
 
-import dataclasses
+from typing import NamedTuple
 
 ACTIVE = 0
 FENCING = 1
@@ -22,9 +22,8 @@
 ACKNOWLEDGED = -2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class State:
-    """One state of the specification.
+class State(NamedTuple):
+    """One state of the specification; the checker needs tuples.
 
     Parameters
     ----------
@@ -99,7 +98,7 @@
         writes = _set(state.writes, proxy, server)
         yield (
             f"write {proxy} on {server}",
-            dataclasses.replace(state, logs=logs, writes=writes),
+            state._replace(logs=logs, writes=writes),
         )
 
 
@@ -114,7 +113,7 @@
         logs = _set(state.logs, server, source[: len(log) + 1])
         yield (
             f"{server} receives from {upstream}",
-            dataclasses.replace(state, logs=logs),
+            state._replace(logs=logs),
         )
 
 
@@ -128,8 +127,7 @@
         is_late = state.step == REPLACED and server == OLD_PRIMARY
         yield (
             f"acknowledge {proxy}",
-            dataclasses.replace(
-                state,
+            state._replace(
                 writes=_set(state.writes, proxy, ACKNOWLEDGED),
                 is_late=state.is_late or is_late,
             ),
@@ -157,7 +155,7 @@
             leased = _with_lease(state, proxy, True)
             views = _set(state.views, proxy, view + 1)
             label = f"proxy {proxy} applies {view + 1}"
-            yield label, dataclasses.replace(leased, views=views)
+            yield label, leased._replace(views=views)
 
 
 @transition
@@ -179,8 +177,7 @@
 
 
 def _with_lease(state, proxy, is_leased):
-    return dataclasses.replace(
-        state,
+    return state._replace(
         has_lease=_set(state.has_lease, proxy, True),
         is_leased=_set(state.is_leased, proxy, is_leased),
     )
@@ -193,19 +190,19 @@
             continue
         if state.has_lease[proxy]:
             has_lease = _set(state.has_lease, proxy, False)
-            ended = dataclasses.replace(state, has_lease=has_lease)
+            ended = state._replace(has_lease=has_lease)
             yield f"lease of {proxy} ends", ended
         is_early = mutation == "leader_ends_lease_before_daemon"
         if state.is_leased[proxy] and (not state.has_lease[proxy] or is_early):
             is_leased = _set(state.is_leased, proxy, False)
-            ended = dataclasses.replace(state, is_leased=is_leased)
+            ended = state._replace(is_leased=is_leased)
             yield f"leader sees lease of {proxy} end", ended
 
 
 @transition
 def _raise_term(state, mutation):
     if state.step == ACTIVE:
-        yield "raise the term", dataclasses.replace(state, step=FENCING)
+        yield "raise the term", state._replace(step=FENCING)
 
 
 @transition
@@ -216,8 +213,7 @@
         if not state.fenced[server]:
             yield (
                 f"fence {server}",
-                dataclasses.replace(
-                    state,
+                state._replace(
                     fenced=_set(state.fenced, server, True),
                     upstreams=_set(state.upstreams, server, None),
                 ),
@@ -261,7 +257,7 @@
         if _may_read(state, mutation, server):
             position = (state.timelines[server], len(state.logs[server]))
             positions = _set(state.positions, server, position)
-            read = dataclasses.replace(state, positions=positions)
+            read = state._replace(positions=positions)
             yield f"read position of {server}", read
 
 
@@ -278,8 +274,7 @@
     chosen = max(read, key=lambda s: state.positions[s][first_key:])
     yield (
         f"choose {chosen}",
-        dataclasses.replace(
-            state,
+        state._replace(
             step=PROMOTING,
             chosen=chosen,
             fenced=(False, False, False),
@@ -295,7 +290,7 @@
         upstreams = _set(state.upstreams, state.chosen, None)
         yield (
             f"promote {state.chosen}",
-            dataclasses.replace(state, step=REPLACED, upstreams=upstreams),
+            state._replace(step=REPLACED, upstreams=upstreams),
         )
 
 
@@ -309,7 +304,7 @@
             continue
         if _is_prefix(state.logs[server], state.logs[state.chosen]):
             upstreams = _set(state.upstreams, server, state.chosen)
-            repointed = dataclasses.replace(state, upstreams=upstreams)
+            repointed = state._replace(upstreams=upstreams)
             yield f"repoint {server}", repointed
 
 
@@ -322,8 +317,7 @@
         if state.upstreams[server] is None:
             yield (
                 f"late repoint of {server}",
-                dataclasses.replace(
-                    state,
+                state._replace(
                     upstreams=_set(state.upstreams, server, OLD_PRIMARY),
                     late_actions_count=state.late_actions_count - 1,
                 ),
@@ -337,8 +331,7 @@
     skips_wait = mutation == "new_leader_skips_lease_wait"
     yield (
         "new control leader",
-        dataclasses.replace(
-            state,
+        state._replace(
             fenced=(False, False, False),
             positions=(None, None, None),
             is_leased=(not skips_wait, not skips_wait),
