Ignore renewals that arrive out of order

A delayed renewal that reports a stopped process could end the lease of its successor at the leader, which would then promote while that proxy still held a lease. Comparing addresses was ruled out, a restarted process has the same one. The sequence now has to rise, over restarts too. Found by review, not by a run; the new test fails without the check.

--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -112,6 +112,7 @@
         self.expire_due_ms = -math.inf
         self.leaving = set()
         self.drained_ms = {}
+        self.sequences = {}
         self.proposed_ms = {}
         self.owners_proposed_ms = None
         self.is_owner_repair_due = True
--- a/waxwinglift/version/_control_core_messages.py
+++ b/waxwinglift/version/_control_core_messages.py
@@ -22,7 +22,8 @@
     applied_index : LogIndex
         Last log entry that the proxy has applied.
     sequence : int
-        Echoed in the answer; the proxy keeps its send time by it.
+        Echoed in the answer; the proxy keeps its send time by it.  It rises
+        over restarts too, for instance from the wall clock at the start.
     is_draining, is_stopped : bool
         Shutting down, and about to exit with all connections closed.
     down : tuple of DownEndpoint
--- a/waxwinglift/version/_control_core_renewals.py
+++ b/waxwinglift/version/_control_core_renewals.py
@@ -15,6 +15,10 @@
     renewal = event.renewal
     if not core.may_act():
         return [_refuse(core, renewal, "no control quorum")]
+    if renewal.sequence <= core.sequences.get(renewal.daemon, -1):
+        # Late: a report that the process stopped may be of an earlier one.
+        return [_refuse(core, renewal, "out of order")]
+    core.sequences[renewal.daemon] = renewal.sequence
     known = core.fleet.daemons.get(renewal.daemon)
     if renewal.is_stopped:
         return _stop_daemon(core, renewal, known, now_ms)
