--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -60,7 +60,7 @@
     """Register the handler of ``event_type``.
 
     It takes ``(planner, fleet, event, now_ms)`` and returns the names of the
-    groups to advance, None for all.
+    groups to advance.
     """
 
     def register(handler):
@@ -104,6 +104,8 @@
         self.progress = {}
         self.repointed = {}
         self.lost = set()
+        self.scanned_index = -1
+        self.scanned_groups = set()
 
     def step(self, fleet, event, now_ms):
         """Return the actions that follow from ``event``.
@@ -123,8 +125,6 @@
             Propose, FenceServer, ReadPosition, PromoteServer, RepointServer.
         """
         names = EVENT_HANDLERS[type(event)](self, fleet, event, now_ms)
-        if names is None:
-            names = sorted(fleet.groups)
         members = _group_members(fleet, frozenset(names))
         actions = []
         for name in names:
@@ -207,7 +207,38 @@
     planner.is_changing = any(
         group.phase is GroupPhase.FENCING for group in fleet.groups.values()
     )
-    return None
+    return sorted(_find_due_groups(planner, fleet))
+
+
+def _find_due_groups(planner, fleet):
+    """Return the groups with something to do; most have nothing.
+
+    Stepping all of 870 groups at each tick took 5 ms, a tenth of a core.
+    """
+    if planner.scanned_index != fleet.index:
+        planner.scanned_index = fleet.index
+        planner.scanned_groups = _scan_groups(planner, fleet)
+    due = set(planner.scanned_groups)
+    due.update(n for n, p in planner.progress.items() if p.status)
+    for down, _ in planner.reports.values():
+        known = [e for e in down if e in fleet.endpoints]
+        due.update(fleet.endpoints[e].group for e in known)
+    return due
+
+
+def _scan_groups(planner, fleet):
+    """Return the groups that the fleet state itself says need a step."""
+    due = {
+        name
+        for name, group in fleet.groups.items()
+        if group.phase is not GroupPhase.ACTIVE
+    }
+    for endpoint in fleet.endpoints.values():
+        is_behind = endpoint.term < fleet.groups[endpoint.group].term
+        is_away = endpoint.state is not EndpointState.JOINED
+        if is_behind or is_away or endpoint.endpoint in planner.lost:
+            due.add(endpoint.group)
+    return due
 
 
 @on_planner_event(messages.HealthReported)
