Go on probing a primary whose announcements have expired

Cause: the set of owned endpoints left out an endpoint marked LOST. When the announcements of a dead primary expired before its new owner had reported it down, no proxy probed it any more and control never started the change of primary. A primary cut off from control only was refused writes for the same reason. Ruled out: the planner (its rule needs a report, and none came) and the lease of the lost owner (it ran out as expected). Conclusion: LOST takes replicas out of use; the primary is judged by its owner's probes alone.

--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -32,11 +32,11 @@
 from waxwinglift.request import RequestId
 from waxwinglift.request._admission import AdmissionQueue
 from waxwinglift.version import EndpointId
-from waxwinglift.version import EndpointState
 from waxwinglift.version import GroupName
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import Position
 from waxwinglift.version import Term
+from waxwinglift.version._fleet import accepts_work
 
 # The monitoring connection, and the one that replaces it.
 _MONITOR_CONNECTIONS_COUNT = 2
@@ -189,7 +189,7 @@
         record = self.view.endpoint(self.endpoint)
         if group is None or group.term != header.term:
             return _refuse("the group's term has changed", stale=True)
-        if record is None or record.state is not EndpointState.JOINED:
+        if record is None or not accepts_work(record, group):
             return _refuse("the endpoint is leaving", stale=True)
         is_replica = group.primary != self.endpoint
         if not is_replica and group.phase is not GroupPhase.ACTIVE:
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -22,7 +22,6 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.version import EndpointId
-from waxwinglift.version import EndpointState
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
 from waxwinglift.version import Term
@@ -144,7 +143,6 @@
             for endpoint, assignment in view.fleet.owners.items()
             if view.daemon in (assignment.owner, assignment.standby)
             and endpoint in view.fleet.endpoints
-            and view.endpoint(endpoint).state is not EndpointState.LOST
         }
 
     def _stop(self, owner):
--- /dev/null
+++ b/waxwinglift/process/tests/test_data_path_states.py
@@ -0,0 +1,85 @@
+"""Guards which endpoints get work when announcements stop."""
+
+import asyncio
+
+import psycopg
+import pytest
+
+from waxwinglift.connection import HealthState
+from waxwinglift.process.tests.data_path_fleet import GROUP
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+from waxwinglift.version import EndpointState
+
+
+def set_state(proxies, endpoints, state):
+    """Record that control has noted the state of ``endpoints``."""
+    fleet = proxies[0].view.fleet
+    for endpoint in endpoints:
+        fleet.endpoints[endpoint].state = state
+    for proxy in proxies:
+        proxy.view.notify()
+
+
+def primary_of(proxies):
+    return proxies[0].view.fleet.groups[GROUP].primary
+
+
+@pytest.mark.parametrize(
+    ("state", "is_served"),
+    [
+        (EndpointState.JOINED, True),
+        # A primary that is cut off from control only must go on.
+        (EndpointState.LOST, True),
+        (EndpointState.LEAVING, False),
+    ],
+)
+def test_primary_serves_until_it_leaves(state, is_served):
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+            await caller.execute("SET waxwinglift.deadline_ms = 300")
+            set_state(proxies, [primary_of(proxies)], state)
+            if is_served:
+                await caller.execute("INSERT INTO t VALUES (1)")
+                assert await fetch(caller, "SELECT id FROM t") == [(1,)]
+                return
+            with pytest.raises(psycopg.Error) as caught:
+                await caller.execute("INSERT INTO t VALUES (1)")
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=not_run"
+
+    run(scenario, proxy_count=2)
+
+
+@pytest.mark.parametrize("state", [EndpointState.LOST, EndpointState.LEAVING])
+def test_replicas_that_are_gone_get_no_reads(state):
+    async def scenario(servers, proxies):
+        fleet = proxies[0].view.fleet
+        replicas = set(fleet.endpoints) - {primary_of(proxies)}
+        set_state(proxies, replicas, state)
+        async with await connect(proxies[0]) as caller:
+            rows = await fetch(caller, "SELECT pg_is_in_recovery()")
+        assert rows == [(False,)]
+
+    run(scenario)
+
+
+def test_lost_primary_is_still_reported_down():
+    # Control replaces a primary on the report of its owner or standby
+    # owner; one that stops probing when the announcements expire would
+    # leave the group without a primary for good.
+    async def scenario(servers, proxies):
+        primary = primary_of(proxies)
+        set_state(proxies, [primary], EndpointState.LOST)
+        await servers[0].kill()
+        states = [proxy.owners.health().get(primary) for proxy in proxies]
+        for _ in range(40):
+            if HealthState.DOWN in states:
+                return
+            await asyncio.sleep(0.05)
+            states = [proxy.owners.health().get(primary) for proxy in proxies]
+        raise AssertionError(f"health of the lost primary: {states}")
+
+    run(scenario)
--- a/waxwinglift/request/_group_view.py
+++ b/waxwinglift/request/_group_view.py
@@ -6,12 +6,12 @@
 from waxwinglift.process import DaemonId
 from waxwinglift.version import EndpointId
 from waxwinglift.version import EndpointRole
-from waxwinglift.version import EndpointState
 from waxwinglift.version import Epoch
 from waxwinglift.version import GroupName
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import Lsn
 from waxwinglift.version import Term
+from waxwinglift.version._fleet import accepts_work
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,7 +101,7 @@
 
 
 def _is_usable(endpoint, group):
-    if endpoint.state is not EndpointState.JOINED:
+    if not accepts_work(endpoint, group):
         return False
     # A replaced primary may hold writes that were discarded.
     is_replaced = endpoint.endpoint != group.primary
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -73,6 +73,17 @@
     term_ends: dict[Term, Lsn]
 
 
+def accepts_work(endpoint, group):
+    """Return whether an endpoint of ``group`` may get new work.
+
+    A primary whose announcements have expired may be cut off from control
+    only: it goes on until its owner finds it down.
+    """
+    if endpoint.state is EndpointState.LOST:
+        return endpoint.endpoint == group.primary
+    return endpoint.state is EndpointState.JOINED
+
+
 @dataclasses.dataclass(slots=True)
 class Daemon:
     """A proxy that holds or held a lease."""
