--- a/waxwinglift/connection/tests/test_endpoint_pool.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool.py
@@ -102,6 +102,13 @@
     assert attempts < 100
 
 
+def test_health_monitor_opens_one_within_the_limit():
+    # The check of an endpoint must not exceed half of its connections.
+    pool = warm_pool(13, 3)
+    assert len(of(OpenConnection, pool.open_one(1.0))) == 1
+    assert pool.open_one(2.0) == []
+
+
 def test_idle_connections_are_probed_and_silent_ones_replaced():
     pool = warm_pool()
     probed = of(ProbeConnection, pool.tick(1000.0))
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -270,3 +270,17 @@
         driver.finish()
     ranks = [t.rank for t in driver.started[started_count:]]
     assert ranks.count("middle") == 4
+
+
+def test_deleted_pool_takes_no_new_tickets():
+    # The work of a deleted pool ends; new work is an error of the caller.
+    driver = Driver(make_queue(pools=("main", "other")))
+    for _ in range(2):
+        driver.offer("low")
+    driver.queue.remove_table("main")
+    driver.offer("low")
+    driver.offer("low", pool="other")
+    assert len(driver.refused) == 1
+    while driver.running:
+        driver.finish()
+    assert len(driver.started) == 3
--- a/waxwinglift/request/tests/test_retry.py
+++ b/waxwinglift/request/tests/test_retry.py
@@ -16,6 +16,7 @@
 from waxwinglift.request._retry import RetryDecision
 
 UNAVAILABLE = not_run(FailureCode.UNAVAILABLE, "no primary")
+REJECTED = not_run(FailureCode.REJECTED, "queue is full")
 UNKNOWN = may_have_run("connection lost")
 RAN = Failure(Verdict.RAN, FailureCode.ALREADY_RAN, "ran")
 
@@ -27,6 +28,9 @@
         (UNAVAILABLE, 1, True, False, 0, RetryDecision.RETRY),
         (UNAVAILABLE, 4, False, False, 0, RetryDecision.GIVE_UP),
         (UNAVAILABLE, 1, False, False, 100, RetryDecision.GIVE_UP),
+        (REJECTED, 1, True, False, 0, RetryDecision.RETRY),
+        # The second queue is full too: more attempts only add load.
+        (REJECTED, 2, True, False, 0, RetryDecision.GIVE_UP),
         # A second run of a payout that may have run pays twice.
         (UNKNOWN, 1, True, False, 0, RetryDecision.GIVE_UP),
         (UNKNOWN, 1, True, True, 0, RetryDecision.LOOK_UP),
