Keep refused reads of a flood off the primary

Cause: with one replica left, or one far behind, a read that the queue of the other refused was tried at the primary without limit. The replica share fell to 78% in a flood of the lowest rank, and flood reads took slots of the primary.

Such a read now needs a token of the common bucket; urgent reads do not. The entry proxy says so with `was_rejected` of the route request.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -58,6 +58,9 @@
         Part of the reads that may go to the primary to save a wait.
     primary_burst_count : float
         Most such reads saved up, for urgent reads and for the others each.
+    is_spill_limited : bool
+        Whether reads that replica queues refuse need a token to go to the
+        primary; urgent reads never do.
     distance_ms : tuple of float
         Round trip within the data centre, the region, and beyond; used
         until latencies have been measured.
@@ -79,6 +82,7 @@
     prompt_wait_ms: float = pydantic.Field(5.0, ge=0)
     primary_share: float = pydantic.Field(0.09, ge=0, le=1)
     primary_burst_count: float = pydantic.Field(30.0, ge=1)
+    is_spill_limited: bool = True
     distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
     latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
     lag_weight: float = pydantic.Field(0.6, gt=0, le=1)
--- a/waxwinglift/request/_primary_share.py
+++ b/waxwinglift/request/_primary_share.py
@@ -57,6 +57,10 @@
         else:
             self._add_common(-1)
 
+    def has_common(self):
+        """Return whether a token is left for reads of any rank."""
+        return self._common_count >= 1
+
     def least_saving_ms(self, is_urgent):
         """Return the time that a read must save to go to the primary."""
         count = self._urgent_count if is_urgent else self._common_count
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -65,6 +65,8 @@
         Endpoints that refused this request before.
     is_urgent : bool
         Whether its rank is the first of the pool's table.
+    was_rejected : bool
+        Whether the queue of an excluded endpoint refused the request.
     """
 
     access: Access
@@ -73,6 +75,7 @@
     deadline_ms: float
     excluded: frozenset[EndpointId] = frozenset()
     is_urgent: bool = False
+    was_rejected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,6 +152,9 @@
                 request, chosen, to_primary.is_ok(), knowledge, now_ms
             )
             return Ok(_route(chosen, group_view, limit_ms))
+    if settings.is_spill_limited and _is_spill(request, knowledge):
+        message = "the queues of the group's replicas are full"
+        return Err(not_run(FailureCode.REJECTED, message))
     if to_primary.is_ok():
         knowledge.primary_share.spend(request.is_urgent)
     elif candidates:
@@ -214,6 +220,13 @@
     return [c for c in candidates if c.catch_up_ms <= limit_ms]
 
 
+def _is_spill(request, knowledge):
+    """Return whether a flood would move its reads to the primary."""
+    if request.is_urgent or not request.was_rejected:
+        return False
+    return not knowledge.primary_share.has_common()
+
+
 def _is_wait_saved(request, chosen, primary, knowledge, now_ms):
     """Return whether the primary is enough faster than the replica."""
     if chosen.catch_up_ms <= 0:
--- a/waxwinglift/request/tests/test_routing.py
+++ b/waxwinglift/request/tests/test_routing.py
@@ -214,3 +214,23 @@
     )
     chosen = route(request).unwrap()
     assert least_ms <= chosen.wait_limit_ms <= most_ms
+
+
+@pytest.mark.parametrize(
+    ("is_urgent", "was_rejected", "code"),
+    [
+        (False, True, FailureCode.REJECTED),
+        (False, False, None),
+        (True, True, None),
+    ],
+)
+def test_flood_does_not_spill_to_the_primary(is_urgent, was_rejected, code):
+    # Refused reads of a flood would take the slots that writes need.
+    request = dataclasses.replace(
+        READ,
+        excluded=frozenset("bc"),
+        is_urgent=is_urgent,
+        was_rejected=was_rejected,
+    )
+    result = route(request)
+    assert (result.unwrap_err().code if result.is_err() else None) is code
--- a/waxwinglift_bench/process/_entry.py
+++ b/waxwinglift_bench/process/_entry.py
@@ -97,6 +97,7 @@
                 request.deadline_ms,
                 request.excluded,
                 request.rank == self._world.urgent_rank,
+                request.was_rejected,
             ),
             self._world.view(request.group, self._location),
             self._knowledge[request.group],
@@ -212,6 +213,7 @@
             request.attempt_count, budget.settings, self._world.rng
         )
         request.attempt_count += 1
+        request.was_rejected = outcome.failure.code is FailureCode.REJECTED
         request.excluded |= {route.endpoint}
         self._simulation.after(delay_ms, self._dispatch, request)
 
--- a/waxwinglift_bench/process/_measure.py
+++ b/waxwinglift_bench/process/_measure.py
@@ -26,6 +26,7 @@
                 replica_wait_ms=100.0,
                 prompt_wait_ms=100.0,
                 lag_weight=0.2,
+                is_spill_limited=False,
             ),
             AdmissionSettings(
                 debt_window_ms=200.0, flood_depth=0, is_floor_expected=False
--- a/waxwinglift_bench/request/_requests.py
+++ b/waxwinglift_bench/request/_requests.py
@@ -31,6 +31,7 @@
     sent_ms: float = 0.0
     wait_limit_ms: float = 0.0
     is_ended: bool = False
+    was_rejected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
