--- a/waxwinglift/version/_consensus_leader.py
+++ b/waxwinglift/version/_consensus_leader.py
@@ -105,11 +105,23 @@
     if response.is_accepted:
         _on_match(node, progress, response.match_index, now_ms)
     else:
-        _on_mismatch(progress, response.match_index)
-    is_behind = progress.next_index <= node.log.last_index
+        _on_mismatch(progress, response, now_ms)
     # advance_commit may have made this member step down.
-    if is_behind and node.role is NodeRole.LEADER:
-        _send_append(node, sender, now_ms)
+    if node.role is NodeRole.LEADER:
+        _send_missing(node, sender, now_ms)
+
+
+def _send_missing(node, member, now_ms):
+    """Send what the member still lacks, but no heartbeat.
+
+    A heartbeat in answer to an answer would be answered in turn: while a
+    snapshot is on its way the two members would never stop.
+    """
+    progress = node.progress[member]
+    if progress.next_index <= node.log.base_index:
+        _send_snapshot(node, member, now_ms)
+    elif progress.next_index <= node.log.last_index:
+        _send_append(node, member, now_ms)
 
 
 def _on_match(node, progress, match_index, now_ms):
@@ -119,8 +131,12 @@
     advance_commit(node, now_ms)
 
 
-def _on_mismatch(progress, hint_index):
-    lower_index = min(progress.next_index, hint_index + 1)
+def _on_mismatch(progress, response, now_ms):
+    """Go back, once for all answers to what was sent before."""
+    if response.sent_ms < progress.retried_ms:
+        return
+    progress.retried_ms = now_ms
+    lower_index = min(progress.next_index, response.match_index + 1)
     progress.next_index = max(progress.match_index + 1, lower_index)
 
 
--- a/waxwinglift/version/_consensus_state.py
+++ b/waxwinglift/version/_consensus_state.py
@@ -40,13 +40,15 @@
 class Progress:
     """What a leader knows about another member.
 
-    ``contact_ms`` is the send time of the latest append that it answered.
+    ``contact_ms`` is the send time of the latest append that it answered,
+    ``retried_ms`` the time of the latest step back after a rejection.
     """
 
     next_index: int
     match_index: int = 0
     contact_ms: float = float("-inf")
     snapshot_sent_ms: float = float("-inf")
+    retried_ms: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwinglift/version/tests/test_consensus.py
+++ b/waxwinglift/version/tests/test_consensus.py
@@ -199,6 +199,18 @@
 PROMOTE_4 = e.MemberPromoted("m4")
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_lagging_member_causes_no_message_storm(seed):
+    # The group bounds the messages in flight at each step.
+    group, _ = started(3, seed)
+    for version in range(20):
+        commit(group, edit(f"i{version}", version), 50)
+    group.duplication, group.disk_delay_ms = 0.5, 3_000.0
+    group.add("m4")
+    commit(group, ADD_4, 5_000)
+    assert group.members["m4"].fleet.pools["p"].version == 20
+
+
 @pytest.mark.parametrize(
     ("changes", "reason"),
     [
--- a/waxwinglift/version/tests/virtual_group.py
+++ b/waxwinglift/version/tests/virtual_group.py
@@ -16,6 +16,7 @@
 
 ADDRESS = Address("127.0.0.1", 7000)
 SNAPSHOT_EVERY_COUNT = 6
+QUEUE_LIMIT_COUNT = 1_500
 
 
 class Disk:
@@ -207,6 +208,8 @@
             event = t.Persisted(event.sequence)
         member.handle(event)
         assert sum(m.leads() for m in self.members.values()) <= 1
+        # Answers that cause answers would fill the network.
+        assert len(self.queue) < QUEUE_LIMIT_COUNT
 
     def isolate(self, names, is_deaf=True, is_mute=True):
         """Cut ``names`` off from the others, in one direction or both."""
