Give up on work that a replaced or silent connection cannot answer

Cause: statements in flight on a frozen primary waited for the 10 s statement limit although a change of primary had started; statements on silent connections did so although a new monitoring connection worked; and entry proxies waited for a proxy whose lease had run out. Ruled out: detection (the endpoint was down after 0.7 s) and promotion (about 0.1 s); all callers were simply in flight.

--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -60,6 +60,8 @@
         self.key = key
         self.settings: dict[str, str] | None = {}
         self.prepared: set[str] = set()
+        # No byte has come back since the last packet was sent.
+        self.is_quiet = False
         self._reader = reader
         self._writer = writer
         self._limit_bytes = limit_bytes
@@ -88,6 +90,7 @@
             The packet was sent, at least in part, but not fully answered.
         """
         replies = ReplyFilter(steps, self._limit_bytes)
+        self.is_quiet = True
         try:
             self._writer.write(packet)
             while not replies.is_done:
@@ -126,6 +129,7 @@
         data = await self._reader.read(_READ_BYTES)
         if not data or self._is_closed:
             raise WireError("the endpoint closed the connection")
+        self.is_quiet = False
         return data
 
 
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -10,6 +10,7 @@
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._backend import EndpointAccount
+from waxwinglift.connection._backend import EndpointConnection
 from waxwinglift.connection._backend import open_connection
 from waxwinglift.connection._backend import send_cancel
 from waxwinglift.connection._endpoint_pool import EndpointPool
@@ -95,6 +96,8 @@
         # Term in which the table of idempotency keys is known to exist.
         self.key_table_term: Term | None = None
         self._next_request = 0
+        self._term = None
+        self._was_primary = False
         self._running: set[TransactionSlot] = set()
         self._cancels: set[asyncio.Task] = set()
         self._ticker: asyncio.Task | None = None
@@ -179,10 +182,21 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
-    def note_silence(self, connection: ConnectionId):
-        """Record that a statement got no answer for a while."""
+    def note_silence(
+        self, connection: ConnectionId, link: EndpointConnection, sent_ms
+    ):
+        """Record that a statement got no answer for a while.
+
+        When the monitoring connection went silent meanwhile and a new one
+        works, the answer is not waited for: the network has lost track of
+        the connections of that time, and the endpoint may still hold locks
+        for the statement until the connection is closed.
+        """
         self.metrics.incr("owner.silent")
         self.monitor.note_silence(connection)
+        if link.is_quiet and self.monitor.was_silent_after(sent_ms):
+            self.metrics.incr("owner.silent_closed")
+            link.close()
 
     def _check_endpoint(self, header):
         group = self.view.group(self.group)
@@ -245,11 +259,26 @@
             self._on_health(self.endpoint, state)
 
     def _on_fleet_change(self):
+        self._follow_term()
         self._set_tables()
         self._follow_endpoint()
         self.positions.on_fleet_change()
         self._check_ownership()
 
+    def _follow_term(self):
+        """Give up what runs on a primary that is being replaced.
+
+        Its answers could not be passed on any more, and a primary that was
+        cut off may never send them.
+        """
+        group = self.view.group(self.group)
+        if group is None:
+            return
+        if self._was_primary and group.term != self._term:
+            self._disable("a change of primary is in progress")
+        self._term = group.term
+        self._was_primary = group.primary == self.endpoint
+
     def _follow_endpoint(self):
         """Take a new address or number of slots after a restart."""
         record = self.view.endpoint(self.endpoint)
--- a/waxwinglift/process/_owner_slot.py
+++ b/waxwinglift/process/_owner_slot.py
@@ -97,6 +97,8 @@
             settings.silence_ms / 1000,
             self._owner.note_silence,
             self._connection,
+            self.link,
+            self._owner.now_ms(),
         )
         limit = loop.call_later(
             settings.statement_timeout_ms / 1000, self.link.close
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -270,6 +270,17 @@
         self._view = view
         self._local = local
         self._clients: dict[DaemonId, PeerClient] = {}
+        view.add_listener(self._drop_departed)
+
+    def _drop_departed(self):
+        """Close the connections to proxies that have left the fleet.
+
+        A proxy that has frozen or is cut off keeps its connections open; its
+        lease has run out, so that no answer of it could be passed on.
+        """
+        departed = self._clients.keys() - self._view.fleet.daemons.keys()
+        for daemon in departed:
+            self._clients.pop(daemon).close()
 
     def executor_for(self, daemon: DaemonId) -> Executor | None:
         """Return the executor of a proxy, None when it is unknown."""
@@ -288,6 +299,7 @@
 
     def close(self):
         """Close all connections."""
+        self._view.remove_listener(self._drop_departed)
         for client in self._clients.values():
             client.close()
         self._clients.clear()
