End the connections of a lost owner when a new one takes over

Cause: a proxy that froze inside a transaction kept its locks at the primary; the standby owner took over after 1.2 s, but writes waited for the frozen proxy's connections. Ruled out: the lease (it ran out in time), the callers' roaming, and the entry proxies, which had already given up on the frozen owner. Change: serving connections carry their epoch as application_name; a new owner without a live former owner ends those of other epochs by pg_terminate_backend. The stand-in got that function and pg_stat_activity. test_ownership_moves now names the live former owner as control does; the default application_name in a test has the epoch.

--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -47,6 +47,7 @@
     user: str
     password: str
     database: str
+    application_name: str = "waxwinglift"
 
 
 class EndpointConnection:
@@ -175,7 +176,7 @@
     parameters = {
         "user": account.user,
         "database": account.database,
-        "application_name": "waxwinglift",
+        "application_name": account.application_name,
         "client_encoding": "UTF8",
     }
     writer.write(StartupMessage(params=parameters).to_wire())
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -11,6 +11,7 @@
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._backend import EndpointAccount
 from waxwinglift.connection._backend import EndpointConnection
+from waxwinglift.connection._backend import EndpointConnectionLost
 from waxwinglift.connection._backend import open_connection
 from waxwinglift.connection._backend import send_cancel
 from waxwinglift.connection._endpoint_pool import EndpointPool
@@ -21,6 +22,9 @@
 from waxwinglift.process._data_path_types import monotonic_ms
 from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._orphans import end_orphans_sql
+from waxwinglift.process._orphans import MONITOR_NAME
+from waxwinglift.process._orphans import serving_name
 from waxwinglift.process._owner_connections import ConnectionKeeper
 from waxwinglift.process._owner_connections import SlotQueue
 from waxwinglift.process._owner_monitor import EndpointMonitor
@@ -96,6 +100,8 @@
         # Term in which the table of idempotency keys is known to exist.
         self.key_table_term: Term | None = None
         self._next_request = 0
+        self._orphans_epoch = None
+        self._orphans_task = None
         self._term = None
         self._was_primary = False
         self._running: set[TransactionSlot] = set()
@@ -225,13 +231,16 @@
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = EndpointMonitor(
             settings.health,
-            self._open_connection,
+            self._open_monitor_connection,
             self.now_ms,
             self._suspect_siblings,
             self._change_health,
         )
         self.connections = ConnectionKeeper(
-            pool, self._open_connection, self.now_ms, self.monitor.note_life
+            pool,
+            self._open_serving_connection,
+            self.now_ms,
+            self.monitor.note_life,
         )
         queue = AdmissionQueue(record.slots_count, settings.admission)
         self.slots = SlotQueue(queue, self.now_ms)
@@ -239,10 +248,20 @@
             self.endpoint, settings, self.view, self.monitor, self.now_ms
         )
 
-    async def _open_connection(self):
+    async def _open_monitor_connection(self):
+        return await self._open_connection(MONITOR_NAME)
+
+    async def _open_serving_connection(self):
+        epoch = self.view.assignment(self.endpoint).epoch
+        return await self._open_connection(serving_name(epoch))
+
+    async def _open_connection(self, application_name):
         settings = self.settings
         account = EndpointAccount(
-            settings.user, settings.password, settings.database or self.group
+            settings.user,
+            settings.password,
+            settings.database or self.group,
+            application_name,
         )
         limit_bytes = settings.answer_limit_bytes
         return await open_connection(self._address, account, limit_bytes)
@@ -310,6 +329,30 @@
         if not self._is_enabled:
             self._is_enabled = True
             self.connections.enable()
+        self._end_orphans()
+
+    def _end_orphans(self):
+        """End the connections of a former owner whose lease has run out.
+
+        A proxy that froze in the middle of a transaction keeps its locks for
+        as long as its connections stay open.
+        """
+        assignment = self.view.assignment(self.endpoint)
+        is_done = self._orphans_epoch == assignment.epoch
+        if is_done or assignment.previous is not None:
+            return
+        if self.health is not HealthState.UP:
+            return
+        self._orphans_epoch = assignment.epoch
+        text = end_orphans_sql(assignment.epoch)
+        self._orphans_task = asyncio.ensure_future(self._query_monitor(text))
+
+    async def _query_monitor(self, text):
+        try:
+            await self.monitor.query(text)
+        except EndpointConnectionLost:
+            # Tried again at the next tick.
+            self._orphans_epoch = None
 
     def _hand_over(self):
         """Finish the open transactions; the next owner has its own half."""
--- a/waxwinglift/process/tests/test_data_path.py
+++ b/waxwinglift/process/tests/test_data_path.py
@@ -276,10 +276,11 @@
             for _ in range(8):
                 mine = await fetch(first, "SHOW application_name")
                 other = await fetch(second, "SHOW application_name")
-                assert (mine, other) == ([("first",)], [("waxwinglift",)])
+                name = "waxwinglift owner 1"
+                assert (mine, other) == ([("first",)], [(name,)])
             await first.execute("RESET ALL")
             reset = await fetch(first, "SHOW application_name")
-            assert reset == [("waxwinglift",)]
+            assert reset == [("waxwinglift owner 1",)]
 
     run(scenario)
 
--- a/waxwinglift/process/tests/test_data_path_faults.py
+++ b/waxwinglift/process/tests/test_data_path_faults.py
@@ -324,12 +324,20 @@
     run(scenario, proxy_count=2)
 
 
-def move_owners(proxies):
-    """Assign every endpoint to the first proxy."""
+def move_owners(proxies, is_former_live=True):
+    """Assign every endpoint to the first proxy.
+
+    Control names a former owner that is live as ``previous``.
+    """
     fleet = proxies[0].view.fleet
     for endpoint in fleet.owners:
+        former = fleet.owners[endpoint].owner
         fleet.owners[endpoint] = OwnerAssignment(
-            endpoint, proxies[0].view.daemon, None, Epoch(2)
+            endpoint,
+            proxies[0].view.daemon,
+            None,
+            Epoch(2),
+            previous=former if is_former_live else None,
         )
     for proxy in proxies:
         proxy.view.notify()
@@ -354,3 +362,22 @@
             assert not proxies[1].owners.health()
 
     run(scenario, proxy_count=2)
+
+
+def test_new_owner_ends_the_orphans_of_a_lost_one():
+    # A frozen proxy would keep its locks until its connections end.
+    async def scenario(servers, proxies):
+        async with (
+            await connect(proxies[0], "access=write") as block,
+            await connect(proxies[0], "access=write") as caller,
+        ):
+            await block.execute("CREATE TABLE t (id int)")
+            await block.execute("BEGIN")
+            await block.execute(INSERT)
+            move_owners(proxies, is_former_live=False)
+            await caller.execute("INSERT INTO t VALUES (7)")
+            with pytest.raises(psycopg.Error):
+                await block.execute("COMMIT")
+            assert await fetch(caller, "SELECT id FROM t") == [(7,)]
+
+    run(scenario, proxy_count=2)
--- a/waxwinglift_standin/connection/_session.py
+++ b/waxwinglift_standin/connection/_session.py
@@ -73,6 +73,16 @@
         self._running = None
         self._cancel_error = None
 
+    @property
+    def application_name(self):
+        """Name that the client gave at its start-up or by SET."""
+        return self.data.parameters.get("application_name", "")
+
+    @property
+    def is_running(self):
+        """Whether a statement runs."""
+        return self._running is not None
+
     def send(self, message):
         """Add a message to the output."""
         self._output += message.to_wire()
@@ -122,6 +132,12 @@
             self._cancel_error = error
             self._running.cancel()
 
+    def disconnect(self):
+        """End the connection; what it has not committed is rolled back."""
+        text = "terminating connection due to administrator command"
+        self.cancel(SqlError(SqlState.SHUTTING_DOWN, text))
+        self._reader.feed_eof()
+
     def terminate(self):
         """Report that the server stops, unless the connection is silent."""
         if not self.is_silent:
--- a/waxwinglift_standin/request/_functions.py
+++ b/waxwinglift_standin/request/_functions.py
@@ -152,6 +152,16 @@
     return context.session.id
 
 
+@sql_function("pg_terminate_backend", PgType.BOOL)
+def pg_terminate_backend(context, pid, *_):
+    """End another session once the statement has been answered."""
+    session = context.server.sessions.get(pid)
+    if session is None:
+        return 0
+    context.session.after_answer.append(session.disconnect)
+    return 1
+
+
 @sql_function("pg_advisory_unlock_all", PgType.VOID)
 def pg_advisory_unlock_all(_):
     """Do nothing; asyncpg calls this when it resets a connection."""
@@ -216,6 +226,24 @@
     ]
 
 
+@system_view(
+    "pg_stat_activity",
+    pid=PgType.INT4,
+    application_name=PgType.TEXT,
+    state=PgType.TEXT,
+)
+def pg_stat_activity(server):
+    """Return a row per session."""
+    return [
+        {
+            "pid": session_id,
+            "application_name": session.application_name,
+            "state": "active" if session.is_running else "idle",
+        }
+        for session_id, session in server.sessions.items()
+    ]
+
+
 @system_view(
     "pg_stat_wal_receiver",
     status=PgType.TEXT,
