Hand endpoints over only to a standby that reported recently

An endpoint that its owner could not reach went to a standby owner that was itself cut off, because its last report still counted. A shorter time to live of all reports was ruled out: a renewal that is lost would delay the change of primary.

--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -29,6 +29,9 @@
         Time for which only the owner finds an endpoint down before it loses
         the endpoint.  Longer than two probes, so that the standby owner
         finds a primary that is really down as well.
+    handover_report_ms : int
+        Age at which a standby owner's report no longer counts for that; two
+        renewals, because it may be cut off itself.
     retry_interval_ms : int
         Time between a failed action and its repetition.
     lost_retry_ms : int
@@ -44,6 +47,7 @@
 
     report_ttl_ms: int = 1000
     handover_after_ms: int = 400
+    handover_report_ms: int = 500
     retry_interval_ms: int = 100
     lost_retry_ms: int = 500
     propose_retry_ms: int = 500
@@ -157,17 +161,22 @@
                 assignment = fleet.owners.get(endpoint)
                 if assignment is None or assignment.owner != daemon:
                     continue
-                other = self._recent_report(assignment.standby, now_ms)
+                other = self._recent_report(
+                    assignment.standby,
+                    now_ms,
+                    self.settings.handover_report_ms,
+                )
                 is_up = other is not None and endpoint not in other
                 is_up = is_up and not report.is_reachable
                 if is_up and report.since_ms <= oldest_ms:
                     found.add(endpoint)
         return found
 
-    def _recent_report(self, daemon, now_ms):
+    def _recent_report(self, daemon, now_ms, ttl_ms=None):
         """Return what ``daemon`` finds down, None without a report."""
         down, received_ms = self.reports.get(daemon, (None, 0.0))
-        is_recent = now_ms - received_ms < self.settings.report_ttl_ms
+        ttl_ms = self.settings.report_ttl_ms if ttl_ms is None else ttl_ms
+        is_recent = now_ms - received_ms < ttl_ms
         return down if is_recent else None
 
     def current_progress(self, group):
--- a/waxwinglift/version/tests/test_failover.py
+++ b/waxwinglift/version/tests/test_failover.py
@@ -260,6 +260,8 @@
         # Without a report the standby may be cut off itself.
         (True, False, False, 400, False),
         (False, True, True, 400, False),
+        # The last report of a standby that has gone silent is old.
+        (True, False, False, 900, False),
     ],
 )
 def test_endpoint_that_only_its_owner_cannot_reach(
--- a/waxwinglift_bench/version/_faults.py
+++ b/waxwinglift_bench/version/_faults.py
@@ -188,7 +188,7 @@
     def execute_until_due(action, *arguments):
         handler = getattr(node, f"on_{name}")
         if action == handler and is_due(*arguments):
-            del node.execute
+            node.__dict__.pop("execute", None)
             _freeze(run, node, duration_ms)
             then()
         execute(action, *arguments)
@@ -254,5 +254,5 @@
     proxies = [p for p in run.proxies if p is not run.owner]
     proxy = run.world.rng.choice(proxies)
     proxy.on_entries = lambda relay, after_index, entries: None
-    run.after(LONG_MS, proxy.__dict__.pop, "on_entries")
+    run.after(LONG_MS, proxy.__dict__.pop, "on_entries", None)
     _primary_killed(run)
