Tell routing when a retry follows a rejection

Cause: routing keeps flood reads off the primary only when it knows that the request was rejected by a replica's queue; the data path never said. Ruled out: leaving it to the retry budget (it also carries requests that should move). The span of a caller's request now names what served it, which the demo counts.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -122,9 +122,9 @@
         line
         for path in fleet.folder.glob("traces-proxy-*.jsonl")
         for line in path.read_text(encoding="utf-8").splitlines()
-        if '"waxwinglift.access": "read"' in line
+        if '"access": "read"' in line
     ]
-    replica_count = sum('"waxwinglift.role": "replica"' in s for s in spans)
+    replica_count = sum('"served_by": "replica"' in span for span in spans)
     if spans:
         share = 100 * replica_count / len(spans)
         print(f"reads served by replicas: {share:.1f}% of {len(spans)}")
--- a/waxwinglift/process/_data_path_attempt.py
+++ b/waxwinglift/process/_data_path_attempt.py
@@ -31,6 +31,7 @@
     excluded: set = dataclasses.field(default_factory=set)
     count: int = 0
     may_have_run: bool = False
+    was_rejected: bool = False
 
 
 class LeaseGuard:
--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -229,6 +229,7 @@
             deadline_ms=attempts.deadline_ms,
             excluded=frozenset(attempts.excluded),
             is_urgent=session.rank == session.table.rows[0].rank,
+            was_rejected=attempts.was_rejected,
         )
         return self._context.choose(group, request)
 
@@ -310,6 +311,7 @@
 
     async def _decide(self, attempts, end, route, now_ms):
         budget = self._context.budget(self._session.table.pool)
+        attempts.was_rejected = end.failure.code is FailureCode.REJECTED
         decision = decide_retry(
             end.failure,
             attempts.count,
@@ -350,6 +352,8 @@
             return
         place = "replica" if end.served_by_replica else "primary"
         self._context.metrics.incr(f"entry.served.{place}")
+        span.set_attribute("served_by", place)
+        span.set_attribute("access", plan.access.value)
         session.observe(session.table.group, end.position)
         session.finish(plan, end.status, end.has_error)
 
