Report a primary whose held answers make no progress

Cause: a primary cut off from its replicas answers probes, so it was never replaced, and no write was acknowledged; and a replica that is marked lost still counted for the quorum of an acknowledgement, although a change of primary no longer fences it. Ruled out: counting lost replicas (their place may be taken by a new server, then fencing and acknowledging quorums need not overlap). Also: renewal numbers rise across restarts, a position is the higher of received and replayed, and status shows role and term of an endpoint.

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -155,12 +155,16 @@
 
     def current_servers(self, group):
         """Return the numbers of the joined servers of the current term."""
+        lines = self.operator("status").stdout.splitlines()
+        heading = f"group {group}:"
+        group_line = next(line for line in lines if line.startswith(heading))
+        term = group_line.split("term ")[1].split(",")[0]
         prefix = "endpoint server-"
-        numbers = []
-        for line in self.operator("status").stdout.splitlines():
-            if line.startswith(prefix) and ", joined," in line:
-                numbers.append(int(line.removeprefix(prefix).split(":")[0]))
-        return numbers
+        return [
+            int(line.removeprefix(prefix).split(":")[0])
+            for line in lines
+            if line.startswith(prefix) and f"term {term}, joined," in line
+        ]
 
     def start_all(self):
         """Start control daemons, stand-in servers and proxies."""
--- a/scripts/live_faults.py
+++ b/scripts/live_faults.py
@@ -97,6 +97,12 @@
     switch_fault(target.fleet, 0, "freeze", "on")
 
 
+@live_fault("primary cut from replicas")
+async def replication_cut(target):
+    """Stop replication from the primary, which still answers."""
+    switch_fault(target.fleet, 0, "cut_replication", "on")
+
+
 @live_fault("connections silent")
 async def connections_silent(target):
     """Let the primary's open connections go silent; new ones work."""
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import time
 
 from grpclib.exceptions import ProtocolError
 import mode
@@ -84,7 +85,9 @@
         self.is_draining = False
         self._is_stopped = False
         self._is_watching = False
-        self._sequence = 0
+        # Control ignores renewals that are older than one it has seen, also
+        # those of a proxy's earlier run.
+        self._sequence = int(time.time() * 1000)
         self._refusals_count = 0
         self._refusal_reason = "no answer"
         self._renew_now = asyncio.Event()
--- a/waxwinglift/process/_control_sql.py
+++ b/waxwinglift/process/_control_sql.py
@@ -22,7 +22,7 @@
 
 TIMELINE_SQL = "SELECT timeline_id FROM pg_control_checkpoint()"
 RECOVERY_SQL = "SELECT pg_is_in_recovery()"
-RECEIVED_SQL = "SELECT pg_last_wal_receive_lsn()"
+RECEIVED_SQL = "SELECT pg_last_wal_receive_lsn(), pg_last_wal_replay_lsn()"
 RECEIVERS_SQL = "SELECT count(*) FROM pg_stat_wal_receiver"
 PROMOTE_SQL = "SELECT pg_promote(false)"
 RELOAD_SQL = "SELECT pg_reload_conf()"
@@ -118,8 +118,13 @@
     if await _query_value(connection, RECOVERY_SQL) == "f":
         raise StepError("the endpoint is not a replica")
     timeline = await _query_value(connection, TIMELINE_SQL)
-    lsn_text = await _query_value(connection, RECEIVED_SQL)
-    position = Position(Term(int(timeline)), Lsn(parse_lsn(lsn_text)))
+    # After a restart, what was received is unknown until streaming begins,
+    # but everything replayed had been received.
+    (row,) = await _query(connection, RECEIVED_SQL)
+    lsns = [parse_lsn(text) for text in row if text is not None]
+    if not lsns:
+        raise StepError("the endpoint reports no log position")
+    position = Position(Term(int(timeline)), Lsn(max(lsns)))
     return failover.PositionRead(
         action.group, action.term, action.endpoint, position
     )
--- a/waxwinglift/process/_owner_positions.py
+++ b/waxwinglift/process/_owner_positions.py
@@ -24,6 +24,7 @@
 from waxwinglift.request._floors import check_floor
 from waxwinglift.request._floors import FloorState
 from waxwinglift.version import EndpointId
+from waxwinglift.version import EndpointState
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
@@ -71,6 +72,8 @@
         self._finished_poll = 0
         self._held: dict[RequestId, asyncio.Future] = {}
         self._next_request = 0
+        self._confirmed = None
+        self._progress_ms = 0.0
         self._task: asyncio.Task | None = None
 
     @property
@@ -291,17 +294,49 @@
         )
         if replicas.error or primary.error:
             return
+        members = self._member_names()
         lsns = {
             name: Lsn(parse_lsn(lsn))
             for name, lsn in replicas.rows
-            if lsn is not None
+            if lsn is not None and name in members
         }
         lsn = Lsn(parse_lsn(primary.rows[0][0]))
         self._check_lease()
         self._perform(self.commit_wait.on_positions(term, lsn, lsns))
         self._finished_poll = poll
+        self._note_progress()
         self._notify()
 
+    def _member_names(self):
+        """Return the servers that may count for a quorum.
+
+        A lost server may have been replaced; a quorum with it need not share
+        a server with the ones that a change of primary fences.
+        """
+        return {
+            endpoint.endpoint
+            for endpoint in self._view.fleet.endpoints.values()
+            if endpoint.group == self._group().group
+            and endpoint.state is not EndpointState.LOST
+        }
+
+    def _note_progress(self):
+        confirmed = self.commit_wait.confirmed_lsn
+        if not self.commit_wait.held_count or confirmed != self._confirmed:
+            self._progress_ms = self._now_ms()
+        self._confirmed = confirmed
+
+    @property
+    def stalled_ms(self) -> float:
+        """Time for which answers are held without any progress.
+
+        A primary that is cut off from its replicas answers probes, but no
+        quorum confirms its writes.
+        """
+        if not self.is_primary or not self.commit_wait.held_count:
+            return 0.0
+        return self._now_ms() - self._progress_ms
+
     async def _poll_replica(self):
         asked_ms = self._now_ms()
         position, age = await self._monitor.query(
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -25,6 +25,8 @@
 
 # Longest wait of a shutdown for the endpoints to move to other proxies.
 HANDOVER_TIMEOUT_S = 5.0
+# As long as an endpoint may be silent before it counts as down.
+STALL_LIMIT_MS = 600.0
 
 
 @contextlib.asynccontextmanager
@@ -47,11 +49,18 @@
 
     def down_endpoints(self):
         """Return the probed endpoints that are down."""
-        return tuple(
-            DownEndpoint(endpoint, self._term_of(endpoint))
-            for endpoint, state in self._owners.health().items()
-            if state is HealthState.DOWN
-        )
+        reports = []
+        for endpoint, state in self._owners.health().items():
+            term = self._term_of(endpoint)
+            if state is HealthState.DOWN:
+                reports.append(DownEndpoint(endpoint, term))
+            elif self._is_stalled(endpoint):
+                reports.append(DownEndpoint(endpoint, term, True))
+        return tuple(reports)
+
+    def _is_stalled(self, endpoint):
+        positions = self._owners.owner(endpoint).positions
+        return positions.stalled_ms >= STALL_LIMIT_MS
 
     def _term_of(self, endpoint):
         record = self._view.endpoint(endpoint)
--- a/waxwinglift/process/cli/_fleet.py
+++ b/waxwinglift/process/cli/_fleet.py
@@ -46,7 +46,9 @@
         owner_text = f"{owner.owner} epoch {owner.epoch}" if owner else "none"
         yield (
             f"endpoint {endpoint.endpoint}: group {endpoint.group}, "
-            f"{endpoint.address}, {endpoint.state.value}, owner {owner_text}"
+            f"{endpoint.address}, {endpoint.role.value}, "
+            f"term {endpoint.term}, {endpoint.state.value}, "
+            f"owner {owner_text}"
         )
     for daemon in fleet.daemons.values():
         yield (
--- a/waxwinglift/process/rpc/_convert.py
+++ b/waxwinglift/process/rpc/_convert.py
@@ -82,8 +82,10 @@
         is_draining=message.draining,
         is_stopped=message.stopped,
         down=tuple(
-            DownEndpoint(EndpointId(health.endpoint), Term(health.term))
-            for health in message.down
+            DownEndpoint(
+                EndpointId(down.endpoint), Term(down.term), down.is_reachable
+            )
+            for down in message.down
         ),
         released=tuple(EndpointId(name) for name in message.released),
     )
@@ -101,7 +103,11 @@
         draining=renewal.is_draining,
         stopped=renewal.is_stopped,
         down=[
-            control_pb2.DownEndpoint(endpoint=down.endpoint, term=down.term)
+            control_pb2.DownEndpoint(
+                endpoint=down.endpoint,
+                term=down.term,
+                is_reachable=down.is_reachable,
+            )
             for down in renewal.down
         ],
         released=list(renewal.released),
