Tick idle endpoints less often and measure idle cost

Cause: at the target a proxy owns about 6 endpoints and stands by for 6 more; each had timers every 50 ms although nothing ran. Ruled out: ticks slower than the lease's drift margin of 120 ms, within which an owner without a lease must close its connections.

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -149,6 +149,10 @@
         process.kill()
         process.wait()
 
+    def pids(self):
+        """Return the process ids by name."""
+        return {name: p.pid for name, p in self._processes.items()}
+
     def signal(self, name, number):
         """Send a signal to a process that goes on being ours to end."""
         self._processes[name].send_signal(number)
--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -172,7 +172,8 @@
         outcome = await self._node.propose(entry, self._timing.rpc_timeout_ms)
         if outcome.is_err():
             return control_pb2.ProposeReply(error=outcome.err_value.message)
-        reply = control_pb2.ProposeReply(accepted=True)
+        index = self._node.fleet.index
+        reply = control_pb2.ProposeReply(accepted=True, index=index)
         if isinstance(outcome.ok_value, EditAnswer):
             reply.answer = encode_answer(outcome.ok_value)
         return reply
--- a/waxwinglift/process/_orphans.py
+++ b/waxwinglift/process/_orphans.py
@@ -4,6 +4,10 @@
 to the endpoint's own time-outs.
 """
 
+import asyncio
+
+from waxwinglift.connection._backend import EndpointConnectionLost
+
 MONITOR_NAME = "waxwinglift monitor"
 _SERVING_PREFIX = "waxwinglift owner "
 
@@ -23,3 +27,43 @@
         f"WHERE application_name LIKE '{_SERVING_PREFIX}%' "
         f"AND application_name <> '{serving_name(epoch)}'"
     )
+
+
+class OrphanEnder:
+    """Ends the connections of a former owner whose lease has run out.
+
+    A proxy that froze in the middle of a transaction keeps its locks for as
+    long as its connections stay open.
+
+    Parameters
+    ----------
+    monitor : EndpointMonitor
+        Its connection carries the statement.
+    """
+
+    def __init__(self, monitor):
+        self._monitor = monitor
+        self._done_epoch = None
+        self._task = None
+
+    def end_if_due(self, assignment):
+        """Run the statement once for each epoch without a live former owner.
+
+        Parameters
+        ----------
+        assignment : OwnerAssignment
+            Names this proxy as the owner.
+        """
+        is_done = self._done_epoch == assignment.epoch
+        if is_done or assignment.previous is not None:
+            return
+        self._done_epoch = assignment.epoch
+        text = end_orphans_sql(assignment.epoch)
+        self._task = asyncio.ensure_future(self._run(text))
+
+    async def _run(self, text):
+        try:
+            await self._monitor.query(text)
+        except EndpointConnectionLost:
+            # Due again at the next tick of the owner.
+            self._done_epoch = None
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -11,7 +11,6 @@
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._backend import EndpointAccount
 from waxwinglift.connection._backend import EndpointConnection
-from waxwinglift.connection._backend import EndpointConnectionLost
 from waxwinglift.connection._backend import open_connection
 from waxwinglift.connection._backend import send_cancel
 from waxwinglift.connection._endpoint_pool import EndpointPool
@@ -22,8 +21,8 @@
 from waxwinglift.process._data_path_types import monotonic_ms
 from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._fleet_view import FleetView
-from waxwinglift.process._orphans import end_orphans_sql
 from waxwinglift.process._orphans import MONITOR_NAME
+from waxwinglift.process._orphans import OrphanEnder
 from waxwinglift.process._orphans import serving_name
 from waxwinglift.process._owner_connections import ConnectionKeeper
 from waxwinglift.process._owner_connections import SlotQueue
@@ -100,8 +99,6 @@
         # Term in which the table of idempotency keys is known to exist.
         self.key_table_term: Term | None = None
         self._next_request = 0
-        self._orphans_epoch = None
-        self._orphans_task = None
         self._term = None
         self._was_primary = False
         self._running: set[TransactionSlot] = set()
@@ -236,6 +233,7 @@
             self._suspect_siblings,
             self._change_health,
         )
+        self._orphans = OrphanEnder(self.monitor)
         self.connections = ConnectionKeeper(
             pool,
             self._open_serving_connection,
@@ -329,30 +327,8 @@
         if not self._is_enabled:
             self._is_enabled = True
             self.connections.enable()
-        self._end_orphans()
-
-    def _end_orphans(self):
-        """End the connections of a former owner whose lease has run out.
-
-        A proxy that froze in the middle of a transaction keeps its locks for
-        as long as its connections stay open.
-        """
-        assignment = self.view.assignment(self.endpoint)
-        is_done = self._orphans_epoch == assignment.epoch
-        if is_done or assignment.previous is not None:
-            return
-        if self.health is not HealthState.UP:
-            return
-        self._orphans_epoch = assignment.epoch
-        text = end_orphans_sql(assignment.epoch)
-        self._orphans_task = asyncio.ensure_future(self._query_monitor(text))
-
-    async def _query_monitor(self, text):
-        try:
-            await self.monitor.query(text)
-        except EndpointConnectionLost:
-            # Tried again at the next tick.
-            self._orphans_epoch = None
+        if self.health is HealthState.UP:
+            self._orphans.end_if_due(self.view.assignment(self.endpoint))
 
     def _hand_over(self):
         """Finish the open transactions; the next owner has its own half."""
@@ -382,9 +358,15 @@
         self.slots.refuse_all(failure)
         self.connections.refuse_waiting()
 
+    def _tick_interval_ms(self):
+        settings = self.settings
+        if self._is_busy() or self.slots.is_waiting:
+            return settings.tick_ms
+        return settings.idle_tick_ms
+
     async def _tick(self):
         while True:
-            await asyncio.sleep(self.settings.tick_ms / 1000)
+            await asyncio.sleep(self._tick_interval_ms() / 1000)
             self._check_ownership()
             self.monitor.tick()
             self.positions.tick()
--- a/waxwinglift/process/_owner_connections.py
+++ b/waxwinglift/process/_owner_connections.py
@@ -194,6 +194,11 @@
         self._now_ms = now_ms
         self._waiters: dict[RequestId, asyncio.Future] = {}
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a transaction waits for a slot."""
+        return bool(self._waiters)
+
     async def enter(self, ticket: Ticket) -> Failure | None:
         """Wait for a slot; return the failure when there is none."""
         waiter = asyncio.get_running_loop().create_future()
