--- a/waxwinglift_bench/process/_slopes_command.py
+++ b/waxwinglift_bench/process/_slopes_command.py
@@ -22,7 +22,7 @@
     callers_count: int = 2_200_000
     control_vms_count: int = 7
     renewals_per_s: float = 4.0
-    ticks_per_s: float = 40.0
+    ticks_per_s: float = 50.0
     relay_batches_per_s: float = 50.0
     announcements_per_s: float = 2.0
     edits_per_day: int = 310
