Test the control daemons over sockets and name start-up errors

Cause: the wiring of the control log had no test of its own, and a daemon that could not start printed a traceback.

--- a/waxwinglift/process/cli/_daemons.py
+++ b/waxwinglift/process/cli/_daemons.py
@@ -7,8 +7,13 @@
 from waxwinglift.process import _runner
 from waxwinglift.process import _settings
 from waxwinglift.process._control import ControlService
+from waxwinglift.process._control_bootstrap import EmptyFolderError
 from waxwinglift.process._proxy import ProxyService
 from waxwinglift.process.cli._check_config import load_or_exit
+from waxwinglift.version._store_records import StoreError
+
+# The daemon cannot start: a data folder or an address is not usable.
+START_ERRORS = (EmptyFolderError, StoreError, OSError)
 
 _path_argument = click.argument("path", type=click.Path(dir_okay=False))
 
@@ -18,9 +23,12 @@
     _observability.configure_logging(observability, process_name)
     metrics = _observability.make_metrics(observability)
     with _observability.open_tracer(observability, process_name) as tracer:
-        code = _runner.run_service(
-            lambda: make_service(settings, metrics, tracer)
-        )
+        try:
+            code = _runner.run_service(
+                lambda: make_service(settings, metrics, tracer)
+            )
+        except START_ERRORS as error:
+            raise click.ClickException(str(error)) from error
     raise click.exceptions.Exit(int(code))
 
 
--- /dev/null
+++ b/waxwinglift/process/tests/test_control.py
@@ -0,0 +1,298 @@
+"""Guards the control daemons over real sockets and data folders."""
+
+import asyncio
+import contextlib
+import socket
+
+from opentelemetry import trace
+import pytest
+
+from waxwinglift.process import _settings
+from waxwinglift.process import Address
+from waxwinglift.process import DaemonId
+from waxwinglift.process import DataCentre
+from waxwinglift.process import Location
+from waxwinglift.process import Region
+from waxwinglift.process._control import ControlService
+from waxwinglift.process._control_bootstrap import EmptyFolderError
+from waxwinglift.process._control_link import ControlLink
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._observability import NullMetrics
+from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process.rpc import control_grpc
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._channels import open_channel
+from waxwinglift.process.rpc._convert import decode_answer
+from waxwinglift.version import PoolTable
+from waxwinglift.version import RankRow
+from waxwinglift.version._entries import MemberAdded
+from waxwinglift.version._entries import NoOperation
+from waxwinglift.version._entries import PoolEdited
+from waxwinglift.version._entry_codec import encode_entry
+from waxwinglift.version._leases import DaemonLease
+
+WAIT_LIMIT_S = 15.0
+PLACE = {"data_centre": "dc-1", "region": "region-1"}
+
+
+def free_addresses(count):
+    with contextlib.ExitStack() as stack:
+        opened = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in opened:
+            one.bind(("127.0.0.1", 0))
+        ports = [one.getsockname()[1] for one in opened]
+    return [Address("127.0.0.1", port) for port in ports]
+
+
+def make_settings(folder, addresses, number, **changes):
+    names = [f"control-{index}" for index in range(len(addresses))]
+    return _settings.ControlSettings(
+        member=names[number],
+        location=PLACE,
+        listen=addresses[number],
+        members=[
+            {"member": name, "address": str(address)}
+            for name, address in zip(names, addresses)
+        ],
+        data_folder=folder / names[number],
+        **changes,
+    )
+
+
+@contextlib.asynccontextmanager
+async def running_member(settings, is_founding=True):
+    service = ControlService(
+        settings, NullMetrics(), trace.NoOpTracer(), is_founding
+    )
+    await service.start()
+    try:
+        yield service
+    finally:
+        await service.stop()
+
+
+@contextlib.asynccontextmanager
+async def running_group(folder, count=3, is_founding=True, **changes):
+    addresses = changes.pop("addresses", None) or free_addresses(count)
+    async with contextlib.AsyncExitStack() as stack:
+        members = []
+        for number in range(count):
+            settings = make_settings(folder, addresses, number, **changes)
+            member = running_member(settings, is_founding)
+            members.append(await stack.enter_async_context(member))
+        await wait_until(lambda: any(m.node.has_quorum for m in members))
+        yield members
+
+
+async def wait_until(check):
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not check():
+            await asyncio.sleep(0.02)
+
+
+def make_edit(edit_id, expected_version, weight=1):
+    rows = (RankRow("urgent", weight, 0, 0, 10, 100),)
+    table = PoolTable("payouts", "ledger", rows)
+    return PoolEdited(edit_id, "payouts", expected_version, table)
+
+
+async def propose(member, entry):
+    with open_channel(member.settings.listen) as channel:
+        stub = control_grpc.ControlStub(channel)
+        request = control_pb2.ProposeRequest(entry=encode_entry(entry))
+        return await stub.Propose(request, timeout=5)
+
+
+def leader_of(members):
+    return next(m for m in members if m.node.has_quorum)
+
+
+def follower_of(members):
+    return next(m for m in members if not m.node.has_quorum)
+
+
+@contextlib.asynccontextmanager
+async def running_link(members):
+    addresses = [member.settings.listen for member in members]
+    settings = _settings.ProxySettings(
+        daemon="proxy-0",
+        location=PLACE,
+        peer_listen="127.0.0.1:1",
+        control=[str(address) for address in addresses],
+        entry={"token_secret": "0123456789"},
+    )
+    lease = DaemonLease()
+    location = Location(DataCentre("dc-1"), Region("region-1"))
+    view = FleetView(
+        DaemonId("proxy-0"), location, lambda: lease.is_live(monotonic_ms())
+    )
+    link = ControlLink(
+        settings, view, lease, NoHealth(), NullMetrics(), trace.NoOpTracer()
+    )
+    await link.start()
+    try:
+        yield link
+    finally:
+        await link.stop()
+
+
+class NoHealth:
+    def down_endpoints(self):
+        return ()
+
+    def released_endpoints(self):
+        return ()
+
+
+def run(work):
+    asyncio.run(work())
+
+
+# Edits after the first one of the pool: edit, whether it is applied, version.
+EDIT_CASES = [
+    # A second operator with the version that the first one also had.
+    (make_edit("b", 0, 2), False, 1),
+    # A resent edit gets the first answer, also with other contents.
+    (make_edit("a", 0, 9), True, 1),
+    (make_edit("c", 1, 3), True, 2),
+]
+
+
+@pytest.mark.parametrize(("edit", "is_applied", "version"), EDIT_CASES)
+@pytest.mark.parametrize("find", [leader_of, follower_of])
+def test_edits_are_compared_and_answered_once(
+    tmp_path, edit, is_applied, version, find
+):
+    async def work():
+        async with running_group(tmp_path) as members:
+            reply = await propose(leader_of(members), make_edit("a", 0))
+            assert decode_answer(reply.answer).version == 1
+            reply = await propose(find(members), edit)
+            answer = decode_answer(reply.answer)
+            assert (answer.is_applied, answer.version) == (is_applied, version)
+
+    run(work)
+
+
+@pytest.mark.parametrize(
+    ("data", "text"),
+    [
+        (b"", "bad entry"),
+        (b'{"kind": "unknown"}', "bad entry"),
+        # Operators must not write the leader's own entries.
+        (encode_entry(NoOperation()), "not for operators"),
+        (encode_entry(make_edit("x", 0, -1)), "invalid_table"),
+    ],
+)
+def test_bad_proposals_are_refused_with_a_reason(tmp_path, data, text):
+    async def work():
+        async with running_group(tmp_path, count=1) as members:
+            with open_channel(members[0].settings.listen) as channel:
+                stub = control_grpc.ControlStub(channel)
+                request = control_pb2.ProposeRequest(entry=data)
+                reply = await stub.Propose(request, timeout=5)
+            assert not reply.accepted
+            assert text in reply.error
+            assert members[0].node.fleet.pools == {}
+
+    run(work)
+
+
+def test_proxy_follows_the_log_and_outlives_its_relay(tmp_path):
+    # A proxy that stays with a lost relay would lose its lease.
+    async def work():
+        async with running_group(tmp_path) as members:
+            async with running_link(members) as link:
+                await wait_until(link.view.lease_is_live)
+                await propose(leader_of(members), make_edit("a", 0))
+                await wait_until(lambda: "payouts" in link.view.fleet.pools)
+                relay = link._relays[0]
+                lost = next(m for m in members if m.settings.listen == relay)
+                await lost.stop()
+                left = [m for m in members if m is not lost]
+                await wait_until(lambda: any(m.node.has_quorum for m in left))
+                await propose(leader_of(left), make_edit("b", 1, 5))
+                await wait_until(
+                    lambda: link.view.fleet.pools["payouts"].version == 2
+                )
+                await wait_until(link.view.lease_is_live)
+
+    run(work)
+
+
+def test_isolated_member_grants_no_lease(tmp_path):
+    # It would make a restarted proxy serve from an old state.
+    async def work():
+        async with running_group(tmp_path) as members:
+            isolated = follower_of(members)
+            for member in members:
+                if member is not isolated:
+                    await member.stop()
+            async with running_link([isolated]) as link:
+                await asyncio.sleep(0.5)
+                assert not link.view.lease_is_live()
+
+    run(work)
+
+
+def test_member_restarts_from_a_snapshot_after_many_edits(tmp_path):
+    # Replaying every edit since the founding would make restarts slower
+    # with each change.
+    async def work():
+        addresses = free_addresses(1)
+        options = {"addresses": addresses, "snapshot_entry_count": 100}
+        async with running_group(tmp_path, 1, **options) as members:
+            for number in range(500):
+                edit = make_edit(f"edit-{number}", number, number + 1)
+                await members[0].node.propose(edit, 2000)
+            index = members[0].node.fleet.index
+        async with running_group(tmp_path, 1, False, **options) as members:
+            node = members[0].node
+            assert node.consensus.snapshot.index > 400
+            assert node.fleet.index >= index
+            assert node.fleet.pools["payouts"].version == 500
+            reply = await propose(members[0], make_edit("edit-7", 0))
+            assert decode_answer(reply.answer).version == 8
+
+    run(work)
+
+
+def test_empty_folder_of_a_member_is_refused(tmp_path):
+    # A member that lost its disk could vote twice in one term.
+    async def work():
+        settings = make_settings(tmp_path, free_addresses(3), 0)
+        service = ControlService(settings, NullMetrics(), trace.NoOpTracer())
+        with pytest.raises(EmptyFolderError, match="--found"):
+            await service.start()
+
+    run(work)
+
+
+def test_replacement_gets_a_vote_after_catching_up(tmp_path):
+    # A learner that counts too early breaks the majority when the next
+    # member is lost.
+    async def work():
+        async with running_group(tmp_path) as members:
+            await propose(leader_of(members), make_edit("a", 0))
+            (address,) = free_addresses(1)
+            settings = _settings.ControlSettings(
+                **dict(leader_of(members).settings)
+                | {
+                    "member": "control-new",
+                    "listen": address,
+                    "data_folder": tmp_path / "new",
+                    "join": True,
+                }
+            )
+            entry = MemberAdded(DaemonId("control-new"), address)
+            await propose(leader_of(members), entry)
+            async with running_member(settings, False) as joined:
+
+                def is_voter():
+                    fleet = leader_of(members).node.fleet
+                    return fleet.members["control-new"].is_voter
+
+                await wait_until(is_voter)
+                assert "payouts" in joined.node.fleet.pools
+
+    run(work)
