Shorten the lease to 1000 ms

Ruled out: a shorter drift margin, and narrowing the check to a single fault. 1000 ms still outlasts an election of at most 600 ms after a renewal interval of 250 ms; live, a killed control leader costs no lease. Tests of lease arithmetic state 1200 ms explicitly; the frozen entry proxy of the fault tables thaws after 800 ms instead of 900, while its lease runs, and both lost-lease rules are noticed again.

--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -95,7 +95,7 @@
         Interval of the timers of an endpoint's queue, pool and health.
     idle_tick_ms : float
         The same while no transaction runs or waits.  It must stay below the
-        drift margin of a lease (120 ms), in which an owner that has lost its
+        drift margin of a lease (100 ms), in which an owner that has lost its
         lease closes its connections.
     held_answer_limit_bytes : int
         Largest answer that is kept until a quorum has its position.
@@ -120,7 +120,7 @@
     replica_poll_ms: float = pydantic.Field(20.0, gt=0)
     replica_use_ms: float = pydantic.Field(1000.0, gt=0)
     tick_ms: float = pydantic.Field(50.0, gt=0)
-    idle_tick_ms: float = pydantic.Field(100.0, gt=0, lt=120)
+    idle_tick_ms: float = pydantic.Field(80.0, gt=0, lt=100)
     held_answer_limit_bytes: int = pydantic.Field(64 * 2**20, ge=1024)
     answer_limit_bytes: int = pydantic.Field(2**30, ge=1024)
     replica_buffer_bytes: int = pydantic.Field(2**14, ge=0)
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -79,7 +79,7 @@
     interrupt service.
     """
 
-    lease_ms: Annotated[int, pydantic.Field(ge=800, le=10_000)] = 1200
+    lease_ms: Annotated[int, pydantic.Field(ge=800, le=10_000)] = 1000
     tick_interval_ms: Annotated[int, pydantic.Field(ge=5, le=100)] = 20
     relay_batch_ms: Annotated[int, pydantic.Field(ge=1, le=200)] = 20
     rpc_timeout_ms: Annotated[int, pydantic.Field(ge=50, le=10_000)] = 1000
--- a/waxwinglift/version/_leases.py
+++ b/waxwinglift/version/_leases.py
@@ -27,7 +27,7 @@
 
     model_config = pydantic.ConfigDict(frozen=True)
 
-    lease_ms: int = 1200
+    lease_ms: int = 1000
     renew_interval_ms: int = 250
     drift_margin_percent: int = 10
 
--- a/waxwinglift/version/tests/test_control_core.py
+++ b/waxwinglift/version/tests/test_control_core.py
@@ -13,6 +13,7 @@
 from waxwinglift.version._failover_messages import DownEndpoint
 from waxwinglift.version._failover_messages import Propose
 from waxwinglift.version._failover_messages import ReadPosition
+from waxwinglift.version._leases import LeaseSettings
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version.tests.fleets import daemon_joined
 from waxwinglift.version.tests.fleets import endpoint_joined
@@ -40,7 +41,9 @@
     """A core that leads; its proposals are committed at once."""
 
     def __init__(self, logged=FORMED):
-        self.core = ControlCore(ControlCoreSettings(), random.Random(1))
+        leases = LeaseSettings(lease_ms=1200)
+        settings = ControlCoreSettings(leases=leases)
+        self.core = ControlCore(settings, random.Random(1))
         self.now_ms = 0.0
         self.proposed = []
         for entry in logged:
--- a/waxwinglift/version/tests/test_leases.py
+++ b/waxwinglift/version/tests/test_leases.py
@@ -6,7 +6,8 @@
 from waxwinglift.version._leases import LeaseSettings
 from waxwinglift.version._leases import LeaseTable
 
-SETTINGS = LeaseSettings()
+# Longer than the default, so that a lost default would not go unnoticed.
+SETTINGS = LeaseSettings(lease_ms=1200)
 
 
 def run_daemon(steps):
--- a/waxwinglift_bench/version/_faults.py
+++ b/waxwinglift_bench/version/_faults.py
@@ -204,8 +204,8 @@
     def is_confirmed(owner, number, verdict, term, position):
         return verdict == "ok"
 
-    # Shorter than what is left of a lease that is renewed every 250 ms.
-    _freeze_at_answer(run, entry, "answer", is_confirmed, 900.0, then)
+    # Most leases of 1000 ms that are renewed every 250 ms still run then.
+    _freeze_at_answer(run, entry, "answer", is_confirmed, 800.0, then)
 
 
 @fault("entry proxy frozen with an answer, primary isolated", LEASED)
