Ask the endpoint whether a quiet session still runs a statement

Cause: a statement on a silent connection waited for the 10 s statement limit whenever the monitoring connection had not gone silent as well: a trace of such a run showed no silent monitoring connection at all. Change: after 1 s without a byte the owner reads the session's state from pg_stat_activity; an idle one has answered or never got the statement, so its connection is closed, with the verdict MAY_HAVE_RUN. An active one is left alone.

--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -53,16 +53,16 @@
 class EndpointConnection:
     """One open connection to an endpoint.
 
-    ``settings`` holds the settings in force, None when a statement changed
-    them; ``prepared`` the names of the statements prepared on it.
+    ``reads_count`` grows with each piece of an answer.  ``settings`` holds the
+    settings in force, None when a statement changed them; ``prepared`` the
+    names of the statements prepared on it.
     """
 
     def __init__(self, reader, writer, key: BackendKeyData, limit_bytes):
         self.key = key
         self.settings: dict[str, str] | None = {}
         self.prepared: set[str] = set()
-        # No byte has come back since the last packet was sent.
-        self.is_quiet = False
+        self.reads_count = 0
         self._reader = reader
         self._writer = writer
         self._limit_bytes = limit_bytes
@@ -91,7 +91,6 @@
             The packet was sent, at least in part, but not fully answered.
         """
         replies = ReplyFilter(steps, self._limit_bytes)
-        self.is_quiet = True
         try:
             self._writer.write(packet)
             while not replies.is_done:
@@ -130,7 +129,7 @@
         data = await self._reader.read(_READ_BYTES)
         if not data or self._is_closed:
             raise WireError("the endpoint closed the connection")
-        self.is_quiet = False
+        self.reads_count += 1
         return data
 
 
--- a/waxwinglift/process/_lost_sessions.py
+++ b/waxwinglift/process/_lost_sessions.py
@@ -1,4 +1,6 @@
-"""Names of endpoint connections, by which a new owner finds old ones.
+"""Sessions at an endpoint that a proxy has lost: orphans and silent ones.
+
+A new owner finds the connections of an old one by their names.
 
 A caller that sets ``application_name`` hides its connection: that one is left
 to the endpoint's own time-outs.
@@ -29,6 +31,21 @@
     )
 
 
+def session_state_sql(process_id):
+    """Return the query for the state of a session at the endpoint."""
+    return f"SELECT state FROM pg_stat_activity WHERE pid = {process_id}"
+
+
+def is_idle(step):
+    """Return whether the answer says that the session runs nothing."""
+    if step.error is not None:
+        return False
+    if not step.rows:
+        return True
+    state = step.rows[0][0]
+    return state is not None and state.startswith("idle")
+
+
 class OrphanEnder:
     """Ends the connections of a former owner whose lease has run out.
 
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -10,7 +10,6 @@
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._backend import EndpointAccount
-from waxwinglift.connection._backend import EndpointConnection
 from waxwinglift.connection._backend import open_connection
 from waxwinglift.connection._backend import send_cancel
 from waxwinglift.connection._endpoint_pool import EndpointPool
@@ -21,9 +20,9 @@
 from waxwinglift.process._data_path_types import monotonic_ms
 from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._fleet_view import FleetView
-from waxwinglift.process._orphans import MONITOR_NAME
-from waxwinglift.process._orphans import OrphanEnder
-from waxwinglift.process._orphans import serving_name
+from waxwinglift.process._lost_sessions import MONITOR_NAME
+from waxwinglift.process._lost_sessions import OrphanEnder
+from waxwinglift.process._lost_sessions import serving_name
 from waxwinglift.process._owner_connections import ConnectionKeeper
 from waxwinglift.process._owner_connections import SlotQueue
 from waxwinglift.process._owner_monitor import EndpointMonitor
@@ -185,21 +184,10 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
-    def note_silence(
-        self, connection: ConnectionId, link: EndpointConnection, sent_ms
-    ):
-        """Record that a statement got no answer for a while.
-
-        When the monitoring connection went silent meanwhile and a new one
-        works, the answer is not waited for: the network has lost track of
-        the connections of that time, and the endpoint may still hold locks
-        for the statement until the connection is closed.
-        """
+    def note_silence(self, connection: ConnectionId):
+        """Record that a statement got no answer for a while."""
         self.metrics.incr("owner.silent")
         self.monitor.note_silence(connection)
-        if link.is_quiet and self.monitor.was_silent_after(sent_ms):
-            self.metrics.incr("owner.silent_closed")
-            link.close()
 
     def _check_endpoint(self, header):
         group = self.view.group(self.group)
@@ -371,6 +359,8 @@
             self.monitor.tick()
             self.positions.tick()
             self.slots.tick()
+            for slot in list(self._running):
+                await slot.close_if_silent()
             if self._is_enabled:
                 self.connections.tick()
 
--- a/waxwinglift/process/_owner_monitor.py
+++ b/waxwinglift/process/_owner_monitor.py
@@ -65,10 +65,6 @@
         self._attempt: asyncio.Task | None = None
         self._attempt_ms = float("-inf")
         self._probe: asyncio.Task | None = None
-        # When the monitoring connection was last found silent, and the same
-        # once a new connection has worked after it.
-        self._silent_ms = float("-inf")
-        self._replaced_ms = float("-inf")
 
     def start(self):
         """Open the connection."""
@@ -93,14 +89,6 @@
         if is_gone and is_due and not self._is_running(self._attempt):
             self._try_new()
 
-    def was_silent_after(self, moment_ms):
-        """Return whether the monitoring connection went silent after that.
-
-        False while no new connection has worked: then it is the endpoint
-        that does not answer.
-        """
-        return self._replaced_ms > moment_ms
-
     def note_life(self):
         """Record bytes from the endpoint on any connection."""
         self.perform(self.health.on_answer(self._now_ms()))
@@ -127,7 +115,6 @@
                     steps = await connection.query(*texts)
             except TimeoutError as error:
                 connection.close()
-                self._silent_ms = self._now_ms()
                 # Held answers wait for polls, so a new connection is opened
                 # at once.
                 self.note_silence(_MONITOR_CONNECTION)
@@ -183,7 +170,6 @@
         if self._connection is not None:
             self._connection.close()
         self._connection = connection
-        self._replaced_ms = self._silent_ms
         self.perform(self.health.on_opened(self._now_ms()))
 
     async def _run_probe(self):
--- a/waxwinglift/process/_owner_slot.py
+++ b/waxwinglift/process/_owner_slot.py
@@ -10,6 +10,8 @@
 from waxwinglift.connection._backend_packet import settings_statements
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._lost_sessions import is_idle
+from waxwinglift.process._lost_sessions import session_state_sql
 from waxwinglift.process._owner_answer import AnswerBuffer
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
@@ -55,6 +57,9 @@
         self._connection: ConnectionId | None = None
         self._ticket: Ticket | None = None
         self._started_ms = 0.0
+        # When the answer waited for last made progress; None while none is.
+        self._alive_ms: float | None = None
+        self._reads_count = 0
 
     async def begin(self, facts: ExchangeFacts) -> ExchangeEnd | None:
         """Check the request, wait for a slot and take a connection.
@@ -97,21 +102,55 @@
             settings.silence_ms / 1000,
             self._owner.note_silence,
             self._connection,
-            self.link,
-            self._owner.now_ms(),
         )
         limit = loop.call_later(
             settings.statement_timeout_ms / 1000, self.link.close
         )
         self.is_sent = True
+        self._alive_ms = self._owner.now_ms()
+        self._reads_count = self.link.reads_count
         try:
             take = None if buffer is None else buffer.take
             await self.link.run(packet.data, packet.steps, take)
         finally:
+            self._alive_ms = None
             silence.cancel()
             limit.cancel()
         self._owner.monitor.note_life()
 
+    async def close_if_silent(self):
+        """Give up on an answer that the network has lost track of.
+
+        The endpoint says by another connection that the session is idle: it
+        has answered, or has never got the statement.  Until the connection
+        is closed, it may hold locks for an open transaction.
+        """
+        if not self._is_check_due():
+            return
+        owner, link, reads_count = self._owner, self.link, self._reads_count
+        # Not asked again before as much time has passed once more.
+        self._alive_ms = owner.now_ms()
+        try:
+            (step,) = await owner.monitor.query(
+                session_state_sql(link.key.process_id)
+            )
+        except EndpointConnectionLost:
+            return
+        is_same = self.link is link and link.reads_count == reads_count
+        if is_same and self._alive_ms is not None and is_idle(step):
+            owner.metrics.incr("owner.silent_closed")
+            link.close()
+
+    def _is_check_due(self):
+        if self._alive_ms is None:
+            return False
+        now_ms = self._owner.now_ms()
+        if self.link.reads_count != self._reads_count:
+            self._reads_count = self.link.reads_count
+            self._alive_ms = now_ms
+        limit_ms = self._owner.settings.silence_ms
+        return now_ms - self._alive_ms >= limit_ms
+
     async def prepare(self, packet: Packet):
         """Send the proxy's own statements that precede the caller's."""
         try:
--- a/waxwinglift/process/tests/test_data_path_faults.py
+++ b/waxwinglift/process/tests/test_data_path_faults.py
@@ -381,3 +381,31 @@
             assert await fetch(caller, "SELECT id FROM t") == [(7,)]
 
     run(scenario, proxy_count=2)
+
+
+def test_silent_connection_is_given_up_before_the_time_limit():
+    # The endpoint holds locks for the lost statement until then.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+            await caller.execute("BEGIN")
+            await caller.execute(INSERT)
+            servers[0].set_fault("silence", "on")
+            async with asyncio.timeout(20):
+                with pytest.raises(psycopg.Error) as caught:
+                    await caller.execute(INSERT)
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=may_have_run"
+
+    owner = {"silence_ms": 100, "statement_timeout_ms": 600_000}
+    run(scenario, owner=owner)
+
+
+def test_long_statement_is_not_given_up():
+    # Its session is active, however long it has been quiet.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            rows = await fetch(caller, "SELECT pg_sleep(1.0), 7")
+            assert rows[0][1] == 7
+
+    run(scenario, owner={"silence_ms": 100})
