--- /dev/null
+++ b/waxwinglift/process/tests/test_data_path_owners.py
@@ -0,0 +1,127 @@
+"""Guards requests when owners move, die or lose connections."""
+
+import asyncio
+
+import psycopg
+import pytest
+
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+from waxwinglift.version import Epoch
+from waxwinglift.version import OwnerAssignment
+
+INSERT = "INSERT INTO t VALUES (1)"
+SLEEP = "SELECT pg_sleep(2)"
+
+
+def test_crash_of_the_owner_is_survived():
+    # What was sent may have run; what comes later waits for a new owner.
+    async def scenario(servers, proxies):
+        async with (
+            await connect(proxies[0], "access=write") as sent,
+            await connect(proxies[0], "access=write") as later,
+        ):
+            await sent.execute("CREATE TABLE t (id int)")
+            work = asyncio.ensure_future(sent.execute(SLEEP))
+            await asyncio.sleep(0.05)
+            await proxies[1].owners.stop()
+            proxies[1].peer_server.close()
+            await proxies[1].peer_server.wait_closed()
+            with pytest.raises(psycopg.Error) as caught:
+                await work
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=may_have_run"
+            work = asyncio.ensure_future(later.execute(INSERT))
+            await asyncio.sleep(0.05)
+            move_owners(proxies)
+            await work
+
+    run(scenario, proxy_count=2)
+
+
+def move_owners(proxies, is_former_live=True):
+    """Assign every endpoint to the first proxy.
+
+    Control names a former owner that is live as ``previous``.
+    """
+    fleet = proxies[0].view.fleet
+    for endpoint in fleet.owners:
+        former = fleet.owners[endpoint].owner
+        fleet.owners[endpoint] = OwnerAssignment(
+            endpoint,
+            proxies[0].view.daemon,
+            None,
+            Epoch(2),
+            previous=former if is_former_live else None,
+        )
+    for proxy in proxies:
+        proxy.view.notify()
+
+
+def test_ownership_moves_without_failed_requests():
+    # Open transactions finish at the old owner, new ones go to the next.
+    async def scenario(servers, proxies):
+        async with (
+            await connect(proxies[0]) as block,
+            await connect(proxies[0], "access=write") as caller,
+        ):
+            await block.execute("CREATE TABLE t (id int)")
+            await block.execute("BEGIN")
+            await block.execute(INSERT)
+            move_owners(proxies)
+            before = await fetch(caller, "SELECT count(*) FROM t")
+            await block.execute("COMMIT")
+            after = await fetch(caller, "SELECT count(*) FROM t")
+            assert (before, after) == ([(0,)], [(1,)])
+            await asyncio.sleep(0.15)
+            assert not proxies[1].owners.health()
+
+    run(scenario, proxy_count=2)
+
+
+def test_new_owner_ends_the_orphans_of_a_lost_one():
+    # A frozen proxy would keep its locks until its connections end.
+    async def scenario(servers, proxies):
+        async with (
+            await connect(proxies[0], "access=write") as block,
+            await connect(proxies[0], "access=write") as caller,
+        ):
+            await block.execute("CREATE TABLE t (id int)")
+            await block.execute("BEGIN")
+            await block.execute(INSERT)
+            move_owners(proxies, is_former_live=False)
+            await caller.execute("INSERT INTO t VALUES (7)")
+            with pytest.raises(psycopg.Error):
+                await block.execute("COMMIT")
+            assert await fetch(caller, "SELECT id FROM t") == [(7,)]
+
+    run(scenario, proxy_count=2)
+
+
+def test_silent_connection_is_given_up_before_the_time_limit():
+    # The endpoint holds locks for the lost statement until then.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+            await caller.execute("BEGIN")
+            await caller.execute(INSERT)
+            servers[0].set_fault("silence", "on")
+            async with asyncio.timeout(20):
+                with pytest.raises(psycopg.Error) as caught:
+                    await caller.execute(INSERT)
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=may_have_run"
+
+    owner = {"silence_ms": 100, "statement_timeout_ms": 600_000}
+    run(scenario, owner=owner)
+
+
+def test_long_statement_is_not_given_up():
+    # Its session is active, however long it has been quiet.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            rows = await fetch(caller, "SELECT pg_sleep(1.0), 7")
+            assert rows[0][1] == 7
+
+    run(scenario, owner={"silence_ms": 100})
