Trace renewals from the proxy through the relay to the leader

Cause: spans ended at the proxies; the hop to control had none although the messages carried a trace context. Ruled out: a span for each consensus message (most are heartbeats).

--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -90,7 +90,9 @@
             self.metrics,
         )
         self._relay = Relay(settings, self._find_leader, channels)
-        rpc = ControlRpc(self.node, self._relay, self._find_leader, channels)
+        rpc = ControlRpc(
+            self.node, self._relay, self._find_leader, channels, self.tracer
+        )
         await self.add_async_context(_serving([rpc], settings.listen))
         logger.info(
             "serving at %s, log index %d",
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process._types import Location
 from waxwinglift.process.rpc import control_grpc
@@ -236,9 +237,9 @@
         self.lease.on_sent(self._sequence, monotonic_ms())
         timeout_s = self.settings.timing.rpc_timeout_ms / 1000
         try:
-            grant = await stub.Renew(
-                renewal_to_wire(renewal), timeout=timeout_s
-            )
+            with self.tracer.start_as_current_span("control.renew"):
+                message = renewal_to_wire(renewal, current_traceparent())
+                grant = await stub.Renew(message, timeout=timeout_s)
         except CALL_ERRORS:
             self.metrics.incr("control.renewals_lost")
             self._next_relay(relay)
--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -7,6 +7,8 @@
 from grpclib.exceptions import GRPCError
 
 from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process._trace_context import context_of
+from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.process.rpc import control_grpc
 from waxwinglift.process.rpc import control_pb2
 from waxwinglift.process.rpc._channels import CALL_ERRORS
@@ -46,13 +48,16 @@
         Returns the leader's address, None while there is none.
     channels : ChannelCache
         Channels to the other members.
+    tracer : opentelemetry.trace.Tracer
+        Source of spans.
     """
 
-    def __init__(self, node, relay, find_leader, channels):
+    def __init__(self, node, relay, find_leader, channels, tracer):
         self._node = node
         self._relay = relay
         self._find_leader = find_leader
         self._channels = channels
+        self._tracer = tracer
         self._timing = node.settings.timing
 
     async def Announce(self, stream):  # noqa: N802
@@ -79,10 +84,19 @@
         if self._node.has_quorum:
             grant = self._renew_here(message)
         else:
-            grant = await self._relay.renew(message)
+            context = context_of(message.traceparent)
+            with self._tracer.start_as_current_span("control.relay", context):
+                if message.traceparent:
+                    message.traceparent = current_traceparent()
+                grant = await self._relay.renew(message)
         await stream.send_message(grant)
 
     def _renew_here(self, message):
+        context = context_of(message.traceparent)
+        with self._tracer.start_as_current_span("control.grant", context):
+            return self._decide_renewal(message)
+
+    def _decide_renewal(self, message):
         answer = self._node.renew(renewal_from_wire(message))
         is_granted = isinstance(answer, core_messages.GrantLease)
         return control_pb2.Grant(
--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/process/_data_path_run.py
@@ -4,8 +4,6 @@
 import dataclasses
 import math
 
-from opentelemetry import trace
-from opentelemetry.trace.propagation import tracecontext
 from result import Err
 
 from waxwinglift.connection import TransactionStatus
@@ -22,6 +20,7 @@
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._data_path_types import TransactionStream
+from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.request import Access
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
@@ -47,7 +46,6 @@
 )
 # No endpoint reaches it: only the age of the data can satisfy the read.
 _UNREACHABLE_LSN = Lsn(2**63 - 1)
-_propagator = tracecontext.TraceContextTextMapPropagator()
 
 
 class RequestRunner:
@@ -248,9 +246,6 @@
     def _header(self, attempts, route: Route, plan):
         session = self._session
         is_read = attempts.access is Access.READ
-        carrier = {}
-        if trace.get_current_span().is_recording():
-            _propagator.inject(carrier)
         left_ms = attempts.deadline_ms - self._context.now_ms()
         needs_floor = is_read and plan is not None and plan.needs_floor
         return ExecuteHeader(
@@ -266,7 +261,7 @@
             deadline_left_ms=max(0, int(left_ms)),
             read_only=is_read,
             idempotency_key=attempts.key,
-            traceparent=carrier.get("traceparent", ""),
+            traceparent=current_traceparent(),
             settings=dict(session.settings),
             applied_index=self._context.view.applied_index,
             floor_wait_limit_ms=math.ceil(route.wait_limit_ms),
--- a/waxwinglift/process/_owner_stream.py
+++ b/waxwinglift/process/_owner_stream.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from opentelemetry import trace
-from opentelemetry.trace.propagation import tracecontext
 
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._backend import EndpointConnectionLost
@@ -23,6 +22,7 @@
 from waxwinglift.process._owner_keyed import run_keyed_request
 from waxwinglift.process._owner_slot import StatementFailed
 from waxwinglift.process._owner_slot import TransactionSlot
+from waxwinglift.process._trace_context import context_of
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import may_have_run
@@ -33,7 +33,6 @@
 from waxwinglift.version import Position
 
 READ_ONLY_SQLSTATE = "25006"
-_propagator = tracecontext.TraceContextTextMapPropagator()
 
 
 class OwnerStream:
@@ -57,10 +56,7 @@
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Run one exchange and return its outcome."""
-        context = None
-        if self.header.traceparent:
-            carrier = {"traceparent": self.header.traceparent}
-            context = _propagator.extract(carrier)
+        context = context_of(self.header.traceparent)
         span = self.owner.tracer.start_span("owner.execute", context)
         self._stop_idle_timer()
         self._work = asyncio.current_task()
