Drive the consensus node by the one shared loop

Cause: the control service had its own loop of steps and writes beside the tested MemberDriver, and its own way to found a fleet beside the bootstrap entries of the log. Ruled out: keeping both; a fix in one would be missed in the other. Before the first event the driver's deadline is the time of the question, so the service reads it before the clock; the other order never ticked.

--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -7,7 +7,7 @@
 import mode
 
 from waxwinglift.connection._backend import EndpointAccount
-from waxwinglift.process import _control_bootstrap
+from waxwinglift.process import _control_settings
 from waxwinglift.process._control_node import ControlNode
 from waxwinglift.process._control_relay import Relay
 from waxwinglift.process._control_rpc import ControlRpc
@@ -70,7 +70,7 @@
         cut_bytes = store.report.cut_bytes_count
         if cut_bytes:
             logger.warning("cut a torn log tail of %d bytes", cut_bytes)
-        state = _control_bootstrap.load_or_found(
+        founders = _control_settings.find_founders(
             settings, store, self.is_founding
         )
         channels = self.add_context(_open_channels())
@@ -80,7 +80,7 @@
         self.node = ControlNode(
             settings,
             store,
-            state,
+            founders,
             self._transport.send,
             EndpointAccount(
                 settings.endpoint_user,
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -6,13 +6,12 @@
 """
 
 import asyncio
-import collections
 import logging
 import random
 
 from result import Err
 
-from waxwinglift.process import _control_bootstrap
+from waxwinglift.process import _control_settings
 from waxwinglift.process._control_proposals import ProposalError
 from waxwinglift.process._control_proposals import ProposalFailure
 from waxwinglift.process._control_proposals import ProposalTable
@@ -21,7 +20,8 @@
 from waxwinglift.version import _consensus_types as consensus
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version import _failover_messages as failover
-from waxwinglift.version._consensus import ConsensusNode
+from waxwinglift.version import FleetState
+from waxwinglift.version._consensus_driver import MemberDriver
 from waxwinglift.version._control_core import ControlCore
 from waxwinglift.version._entries import MemberPromoted
 from waxwinglift.version._entry_codec import decode_entry
@@ -57,8 +57,8 @@
         Settings of the daemon.
     store : LogStore
         Open log store.
-    state : StorageState
-        What the store held.
+    founders : sequence of (DaemonId, Address)
+        Members of a new fleet; empty for an existing one.
     send : callable
         Called with a recipient and a consensus message; must not wait.
     account : EndpointAccount
@@ -67,31 +67,37 @@
         Counters.
     """
 
-    def __init__(self, settings, store, state, send, account, metrics):
+    def __init__(self, settings, store, founders, send, account, metrics):
         self.settings = settings
-        self.store = store
         self.send = send
         self.account = account
         self.metrics = metrics
         self.proposals = ProposalTable()
         self.changed = asyncio.Event()
         seed = f"{settings.member}-{random.SystemRandom().random()}"
-        self.consensus = ConsensusNode(
-            _control_bootstrap.consensus_settings(settings),
-            state,
+        snapshot = store.load().snapshot
+        self.core = ControlCore(
+            _control_settings.core_settings(settings),
             random.Random(seed),
+            decode_fleet(snapshot.data) if snapshot else FleetState(),
         )
-        self.core = ControlCore(
-            _control_bootstrap.core_settings(settings),
+        self._driver = MemberDriver(
+            _control_settings.consensus_settings(settings),
+            store,
             random.Random(seed),
-            _control_bootstrap.fleet_of(state),
+            monotonic_ms,
+            self._execute,
+            founders,
         )
         self.snapshot_index = self.core.fleet.index
         self.lease_answers = []
-        self._queue = collections.deque()
-        self._is_executing = False
         self._tasks = set()
 
+    @property
+    def consensus(self):
+        """Consensus node, for reading."""
+        return self._driver.node
+
     @property
     def member(self):
         """This member's name."""
@@ -109,8 +115,7 @@
 
     def step_consensus(self, event):
         """Step the consensus node and carry out its actions."""
-        actions = self.consensus.step(event, monotonic_ms())
-        self._execute_all(actions)
+        self._driver.handle(event)
 
     def step_core(self, event):
         """Step the control core and carry out its actions."""
@@ -118,9 +123,10 @@
 
     def tick(self):
         """Let time pass for both cores."""
-        now_ms = monotonic_ms()
-        if now_ms >= self.consensus.deadline_ms(now_ms):
-            self.step_consensus(consensus.Tick())
+        # Before the first event the deadline is the time of the question.
+        deadline_ms = self._driver.deadline_ms
+        if monotonic_ms() >= deadline_ms:
+            self._driver.tick()
         self.step_core(core_messages.ControlTick(self.has_quorum))
 
     def renew(self, renewal):
@@ -170,17 +176,11 @@
         self.step_consensus(consensus.Propose(number, encode_entry(entry)))
 
     def _execute_all(self, actions):
-        """Execute actions in order; those of nested steps come after."""
-        self._queue.extend(actions)
-        if self._is_executing:
-            return
-        self._is_executing = True
-        try:
-            while self._queue:
-                action = self._queue.popleft()
-                EXECUTORS[type(action)](self, action)
-        finally:
-            self._is_executing = False
+        for action in actions:
+            self._execute(action)
+
+    def _execute(self, action):
+        EXECUTORS[type(action)](self, action)
 
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
@@ -198,13 +198,6 @@
     node.send(action.recipient, action.message)
 
 
-@executes(consensus.Persist)
-def _persist(node, action):
-    node.store.write(action)
-    node.metrics.incr("control.log_writes")
-    node.step_consensus(consensus.Persisted(action.sequence))
-
-
 @executes(consensus.Commit)
 def _commit(node, action):
     for log_entry in action.entries:
--- a/waxwinglift/process/cli/_daemons.py
+++ b/waxwinglift/process/cli/_daemons.py
@@ -7,7 +7,7 @@
 from waxwinglift.process import _runner
 from waxwinglift.process import _settings
 from waxwinglift.process._control import ControlService
-from waxwinglift.process._control_bootstrap import EmptyFolderError
+from waxwinglift.process._control_settings import EmptyFolderError
 from waxwinglift.process._proxy import ProxyService
 from waxwinglift.process.cli._check_config import load_or_exit
 from waxwinglift.version._store_records import StoreError
--- a/waxwinglift/process/tests/test_control.py
+++ b/waxwinglift/process/tests/test_control.py
@@ -14,7 +14,7 @@
 from waxwinglift.process import Location
 from waxwinglift.process import Region
 from waxwinglift.process._control import ControlService
-from waxwinglift.process._control_bootstrap import EmptyFolderError
+from waxwinglift.process._control_settings import EmptyFolderError
 from waxwinglift.process._control_link import ControlLink
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._observability import NullMetrics
