--- a/waxwinglift_bench/process/_load_command.py
+++ b/waxwinglift_bench/process/_load_command.py
@@ -48,7 +48,11 @@
     help="RANK=CALLERS, for example urgent=4.",
 )
 @click.option(
-    "--statements", "statements_count", type=click.IntRange(1, 10_000_000)
+    "--statements",
+    "statements_count",
+    type=click.IntRange(1, 10_000_000),
+    default=1000,
+    show_default=True,
 )
 @click.option("--write-percent", type=click.IntRange(0, 100), default=40)
 @click.option("--time-limit-s", type=click.FloatRange(1, 3600), default=60)
@@ -67,7 +71,7 @@
         proxies=proxies,
         pool=PoolName(pool),
         rank_callers=rank_callers,
-        statements_count=statements_count or 1000,
+        statements_count=statements_count,
         **limits,
     )
     records = asyncio.run(_load.run_load(settings))
