Move the runs of requests and sessions to their life spans

Cause: process/ held what lives for one transaction (entry run, owner stream, slot) and for one connection (caller session, endpoint connections) beside the services. Ruled out: renaming the modules as well; the move changes import paths only, so that git follows each file.

--- a/waxwinglift/process/_data_path_session.py
+++ b/waxwinglift/connection/_data_path_session.py
@@ -20,10 +20,10 @@
 from waxwinglift.connection._session_types import LocalAnswer
 from waxwinglift.connection._wire import WireError
 from waxwinglift.process._data_path_route import EntryContext
-from waxwinglift.process._data_path_run import RequestRunner
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
+from waxwinglift.request._data_path_run import RequestRunner
 from waxwinglift.version import PoolName
 
 _SECRET_BYTES = 4
--- a/waxwinglift/process/_data_path.py
+++ b/waxwinglift/process/_data_path.py
@@ -7,22 +7,22 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import hmac
 import itertools
 import random
-from collections.abc import Callable
 
 from opentelemetry import trace
 from pygwire.messages import CancelRequest
 
 from waxwinglift.connection import SessionId
+from waxwinglift.connection._data_path_session import EntrySession
+from waxwinglift.connection._data_path_session import protocol_failure
+from waxwinglift.connection._data_path_session import with_timeout
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._wire import WireError
 from waxwinglift.process._data_path_route import EntryContext
-from waxwinglift.process._data_path_session import EntrySession
-from waxwinglift.process._data_path_session import protocol_failure
-from waxwinglift.process._data_path_session import with_timeout
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_types import Executors
 from waxwinglift.process._data_path_types import Metrics
--- a/waxwinglift/process/_owner_positions.py
+++ b/waxwinglift/process/_owner_positions.py
@@ -1,8 +1,8 @@
 """Positions of one endpoint: polls, waits for floors, held answers."""
 
 import asyncio
-import datetime
 from collections.abc import Callable
+import datetime
 
 from result import Err
 from result import Ok
@@ -11,10 +11,10 @@
 from waxwinglift.connection._backend import EndpointConnectionLost
 from waxwinglift.connection._backend_packet import PRIMARY_POSITION_SQL
 from waxwinglift.connection._backend_packet import REPLICA_POSITION_SQL
+from waxwinglift.connection._owner_monitor import EndpointMonitor
 from waxwinglift.connection._wire import parse_lsn
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._fleet_view import FleetView
-from waxwinglift.process._owner_monitor import EndpointMonitor
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
--- a/waxwinglift/process/_data_path_attempt.py
+++ b/waxwinglift/request/_data_path_attempt.py
@@ -1,7 +1,7 @@
 """State of the attempts of one exchange at the entry side."""
 
-import dataclasses
 from collections.abc import Callable
+import dataclasses
 
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import Sink
--- a/waxwinglift/process/_data_path_run.py
+++ b/waxwinglift/request/_data_path_run.py
@@ -10,10 +10,6 @@
 from waxwinglift.connection._frontend_messages import CallerRequest
 from waxwinglift.connection._session import Session
 from waxwinglift.connection._session_types import RunPlan
-from waxwinglift.process._data_path_attempt import Attempts
-from waxwinglift.process._data_path_attempt import endpoint_failure
-from waxwinglift.process._data_path_attempt import LeaseGuard
-from waxwinglift.process._data_path_attempt import with_earlier
 from waxwinglift.process._data_path_route import EntryContext
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
@@ -27,6 +23,10 @@
 from waxwinglift.request import may_have_run
 from waxwinglift.request import not_run
 from waxwinglift.request import Verdict
+from waxwinglift.request._data_path_attempt import Attempts
+from waxwinglift.request._data_path_attempt import endpoint_failure
+from waxwinglift.request._data_path_attempt import LeaseGuard
+from waxwinglift.request._data_path_attempt import with_earlier
 from waxwinglift.request._retry import decide_retry
 from waxwinglift.request._retry import retry_delay_ms
 from waxwinglift.request._retry import RetryDecision
--- a/waxwinglift/process/_owner_keyed.py
+++ b/waxwinglift/request/_owner_keyed.py
@@ -7,7 +7,6 @@
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import Sink
-from waxwinglift.process._owner_slot import StatementFailed
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request._idempotency import CREATE_TABLE_SQL
@@ -17,6 +16,7 @@
 from waxwinglift.request._idempotency import ReportFailure
 from waxwinglift.request._idempotency import ReturnTag
 from waxwinglift.request._idempotency import store_tag_sql
+from waxwinglift.request._owner_slot import StatementFailed
 
 _ROLLBACK = "ROLLBACK"
 
--- a/waxwinglift/process/_owner_slot.py
+++ b/waxwinglift/request/_owner_slot.py
@@ -8,17 +8,17 @@
 from waxwinglift.connection._backend_packet import ExchangeFacts
 from waxwinglift.connection._backend_packet import Packet
 from waxwinglift.connection._backend_packet import settings_statements
+from waxwinglift.connection._lost_sessions import is_idle
+from waxwinglift.connection._lost_sessions import session_state_sql
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
-from waxwinglift.process._lost_sessions import is_idle
-from waxwinglift.process._lost_sessions import session_state_sql
-from waxwinglift.process._owner_answer import AnswerBuffer
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
 from waxwinglift.request._admission import Ticket
 from waxwinglift.request._floors import FloorState
+from waxwinglift.request._owner_answer import AnswerBuffer
 
 
 class StatementFailed(Exception):
--- a/waxwinglift/process/_owner_stream.py
+++ b/waxwinglift/request/_owner_stream.py
@@ -15,13 +15,6 @@
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Sink
-from waxwinglift.process._owner_answer import AnswerBuffer
-from waxwinglift.process._owner_answer import AnswerTooLarge
-from waxwinglift.process._owner_keyed import look_up_key
-from waxwinglift.process._owner_keyed import run_keyed_block
-from waxwinglift.process._owner_keyed import run_keyed_request
-from waxwinglift.process._owner_slot import StatementFailed
-from waxwinglift.process._owner_slot import TransactionSlot
 from waxwinglift.process._trace_context import context_of
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
@@ -29,6 +22,13 @@
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
 from waxwinglift.request import Verdict
+from waxwinglift.request._owner_answer import AnswerBuffer
+from waxwinglift.request._owner_answer import AnswerTooLarge
+from waxwinglift.request._owner_keyed import look_up_key
+from waxwinglift.request._owner_keyed import run_keyed_block
+from waxwinglift.request._owner_keyed import run_keyed_request
+from waxwinglift.request._owner_slot import StatementFailed
+from waxwinglift.request._owner_slot import TransactionSlot
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
 
