Count only answers without an error as an endpoint's health

Cause: a server that accepts connections but answers each statement with an error counted as up, since any bytes were taken as life; its group would never have got a new primary. Found by a test that ended a stand-in while connections to it were being opened. Ruled out: the stand-in's kill(); it closes what is open, and what was accepted in the same moment answers errors, as a failing server may. Change: an answer with an error is no sign of life, and a new monitoring connection must answer one statement before it counts. Before: the new test fails (up for good).

--- a/waxwinglift/connection/_owner_monitor.py
+++ b/waxwinglift/connection/_owner_monitor.py
@@ -122,7 +122,8 @@
             except asyncio.CancelledError:
                 connection.close()
                 raise
-        self.note_life()
+        if all(step.error is None for step in steps):
+            self.note_life()
         return steps
 
     def perform(self, actions):
@@ -157,13 +158,13 @@
         limit_ms = 2 * self._settings.probe_interval_ms
         try:
             async with asyncio.timeout(limit_ms / 1000):
-                connection = await self._open_connection()
+                connection = await self._open_checked()
         except EndpointRefused:
             # Attempts must not follow each other without a pause.
             self._attempt = None
             self.perform(self.health.on_refused(self._now_ms()))
             return
-        except TimeoutError:
+        except (TimeoutError, EndpointConnectionLost):
             self._attempt = None
             self.perform(self.health.on_attempt_failed(self._now_ms()))
             return
@@ -172,6 +173,21 @@
         self._connection = connection
         self.perform(self.health.on_opened(self._now_ms()))
 
+    async def _open_checked(self):
+        """Open a connection that answers a statement without an error.
+
+        A server that only accepts connections serves nobody.
+        """
+        connection = await self._open_connection()
+        try:
+            (step,) = await connection.query("SELECT 1")
+            if step.error is not None:
+                raise EndpointConnectionLost("the endpoint answers errors")
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
     async def _run_probe(self):
         try:
             await self.query("SELECT 1")
--- a/waxwinglift/process/tests/test_data_path_states.py
+++ b/waxwinglift/process/tests/test_data_path_states.py
@@ -132,3 +132,16 @@
             await work
 
     run(scenario)
+
+
+def test_server_that_answers_errors_is_down():
+    # A process that is up but cannot run a statement serves nobody; its
+    # answers must not count as health.
+    async def scenario(servers, proxies):
+        servers[0].state.database.close()
+        primary = primary_of(proxies)
+        async with asyncio.timeout(20):
+            while proxies[0].owners.health()[primary] is not HealthState.DOWN:
+                await asyncio.sleep(0.05)
+
+    run(scenario)
