Keep one clock and one class of dropped metrics

Cause: the read-through found monotonic_ms written twice and two classes that drop metrics, from the data path and from the services; a gauge that nothing sets stood beside them. Ruled out: merging the settings loader of the stand-in, which is a package of its own; and the rows that only share a dataclass's shape.

--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -9,7 +9,7 @@
 import mode
 import xxhash
 
-from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process._types import Location
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -12,11 +12,11 @@
 from result import Err
 
 from waxwinglift.process import _control_settings
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._control_proposals import ProposalError
 from waxwinglift.process._control_proposals import ProposalFailure
 from waxwinglift.process._control_proposals import ProposalTable
 from waxwinglift.process._control_sql import run_server_action
-from waxwinglift.process._runner import monotonic_ms
 from waxwinglift.version import _consensus_types as consensus
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version import _failover_messages as failover
--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -6,7 +6,7 @@
 from grpclib.const import Status as GrpcStatus
 from grpclib.exceptions import GRPCError
 
-from waxwinglift.process._runner import monotonic_ms
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._trace_context import context_of
 from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.process.rpc import control_grpc
--- a/waxwinglift/process/_data_path.py
+++ b/waxwinglift/process/_data_path.py
@@ -22,11 +22,11 @@
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._wire import WireError
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_route import EntryContext
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_types import Executors
 from waxwinglift.process._data_path_types import Metrics
-from waxwinglift.process._data_path_types import monotonic_ms
 from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._types import Address
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -1,10 +1,9 @@
 """Messages between the entry side and the owner side of the data path."""
 
-import dataclasses
-import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 from typing import Protocol
 
 from result import Result
@@ -173,8 +172,3 @@
 
     def timing(self, name, value_ms):
         """Do nothing."""
-
-
-def monotonic_ms() -> float:
-    """Return the monotonic clock in milliseconds."""
-    return time.monotonic() * 1000
--- a/waxwinglift/process/_observability.py
+++ b/waxwinglift/process/_observability.py
@@ -14,20 +14,9 @@
 from pythonjsonlogger import json as json_logger
 import statsd
 
-LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
-
-
-class NullMetrics:
-    """Drops every metric; used without a statsd server."""
-
-    def incr(self, name, count=1):
-        """Count ``count`` events."""
+from waxwinglift.process._data_path_types import NoMetrics
 
-    def timing(self, name, value_ms):
-        """Record a duration in milliseconds."""
-
-    def gauge(self, name, value):
-        """Set a level."""
+LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
 class StatsdMetrics:
@@ -48,15 +37,11 @@
         """Record a duration in milliseconds."""
         self._client.timing(name, value_ms)
 
-    def gauge(self, name, value):
-        """Set a level."""
-        self._client.gauge(name, value)
-
 
 def make_metrics(settings):
     """Return the metrics client that the settings ask for."""
     if settings.statsd is None:
-        return NullMetrics()
+        return NoMetrics()
     return StatsdMetrics(settings)
 
 
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -19,11 +19,11 @@
 from waxwinglift.connection._owner_connections import ConnectionKeeper
 from waxwinglift.connection._owner_connections import SlotQueue
 from waxwinglift.connection._owner_monitor import EndpointMonitor
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Metrics
-from waxwinglift.process._data_path_types import monotonic_ms
 from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._owner_positions import EndpointPositions
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -8,12 +8,12 @@
 from result import Result
 
 from waxwinglift.connection import HealthState
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Metrics
-from waxwinglift.process._data_path_types import monotonic_ms
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._data_path_types import TransactionStream
 from waxwinglift.process._fleet_view import FleetView
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -8,6 +8,7 @@
 
 from waxwinglift.connection import HealthState
 from waxwinglift.process import _readiness
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._control_link import ControlLink
 from waxwinglift.process._data_path import EntryServer
 from waxwinglift.process._fleet_view import FleetView
@@ -15,7 +16,6 @@
 from waxwinglift.process._peer_client import PeerClients
 from waxwinglift.process._peer_service import PeerServer
 from waxwinglift.process._peer_service import PeerService
-from waxwinglift.process._runner import monotonic_ms
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process._types import Location
 from waxwinglift.version._failover_messages import DownEndpoint
--- a/waxwinglift/process/_runner.py
+++ b/waxwinglift/process/_runner.py
@@ -5,7 +5,6 @@
 import enum
 import logging
 import signal
-import time
 
 logger = logging.getLogger(__name__)
 
@@ -18,11 +17,6 @@
     BAD_SETTINGS = 2
 
 
-def monotonic_ms():
-    """Return the monotonic clock in milliseconds."""
-    return time.monotonic() * 1000.0
-
-
 @contextlib.contextmanager
 def _signals_set_event(loop, event):
     handled = (signal.SIGTERM, signal.SIGINT)
--- a/waxwinglift/process/tests/test_control.py
+++ b/waxwinglift/process/tests/test_control.py
@@ -13,12 +13,12 @@
 from waxwinglift.process import DataCentre
 from waxwinglift.process import Location
 from waxwinglift.process import Region
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._control import ControlService
-from waxwinglift.process._control_settings import EmptyFolderError
 from waxwinglift.process._control_link import ControlLink
+from waxwinglift.process._control_settings import EmptyFolderError
+from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._fleet_view import FleetView
-from waxwinglift.process._observability import NullMetrics
-from waxwinglift.process._runner import monotonic_ms
 from waxwinglift.process.rpc import control_grpc
 from waxwinglift.process.rpc import control_pb2
 from waxwinglift.process.rpc._channels import open_channel
@@ -62,7 +62,7 @@
 @contextlib.asynccontextmanager
 async def running_member(settings, is_founding=True):
     service = ControlService(
-        settings, NullMetrics(), trace.NoOpTracer(), is_founding
+        settings, NoMetrics(), trace.NoOpTracer(), is_founding
     )
     await service.start()
     try:
@@ -139,7 +139,7 @@
         DaemonId("proxy-0"), location, lambda: lease.is_live(monotonic_ms())
     )
     link = ControlLink(
-        settings, view, lease, NoHealth(), NullMetrics(), trace.NoOpTracer()
+        settings, view, lease, NoHealth(), NoMetrics(), trace.NoOpTracer()
     )
     await link.start()
     try:
@@ -272,7 +272,7 @@
     # A member that lost its disk could vote twice in one term.
     async def work():
         settings = make_settings(tmp_path, free_addresses(3), 0)
-        service = ControlService(settings, NullMetrics(), trace.NoOpTracer())
+        service = ControlService(settings, NoMetrics(), trace.NoOpTracer())
         with pytest.raises(EmptyFolderError, match="--found"):
             await service.start()
 
