--- a/waxwinglift_bench/version/_faults.py
+++ b/waxwinglift_bench/version/_faults.py
@@ -4,8 +4,8 @@
 schedules its own end.
 """
 
-import dataclasses
 from collections.abc import Callable
+import dataclasses
 
 RESUMES = "writes resume within 3 s; none is lost or doubled"
 GOES_ON = "writes go on; none is lost or doubled"
--- a/waxwinglift/version/_model_config_log.py
+++ b/waxwinglift_bench/version/_model_config_log.py
@@ -31,13 +31,13 @@
 from minicheck import check_safety
 from minicheck import Protocol
 
-from waxwinglift.version._model_edits import EDIT_PROPERTIES
-from waxwinglift.version._model_edits import Edits
-from waxwinglift.version._model_edits import EditsMachine
-from waxwinglift.version._model_group import Group
-from waxwinglift.version._model_group import GROUP_BOUNDS
-from waxwinglift.version._model_group import GROUP_PROPERTIES
-from waxwinglift.version._model_group import GroupMachine
+from waxwinglift_bench.version._model_edits import EDIT_PROPERTIES
+from waxwinglift_bench.version._model_edits import Edits
+from waxwinglift_bench.version._model_edits import EditsMachine
+from waxwinglift_bench.version._model_group import Group
+from waxwinglift_bench.version._model_group import GROUP_BOUNDS
+from waxwinglift_bench.version._model_group import GROUP_PROPERTIES
+from waxwinglift_bench.version._model_group import GroupMachine
 
 STATES_LIMIT_COUNT = 200_000
 
--- a/waxwinglift/version/_model_failover.py
+++ b/waxwinglift_bench/version/_model_failover.py
@@ -19,13 +19,13 @@
 from minicheck import check_safety
 from minicheck import Protocol
 
-from waxwinglift.version._model_failover_transitions import ACKNOWLEDGED
-from waxwinglift.version._model_failover_transitions import ACTIVE
-from waxwinglift.version._model_failover_transitions import OLD_PRIMARY
-from waxwinglift.version._model_failover_transitions import OLD_VIEW
-from waxwinglift.version._model_failover_transitions import REPLACED
-from waxwinglift.version._model_failover_transitions import State
-from waxwinglift.version._model_failover_transitions import TRANSITIONS
+from waxwinglift_bench.version._model_failover_transitions import ACKNOWLEDGED
+from waxwinglift_bench.version._model_failover_transitions import ACTIVE
+from waxwinglift_bench.version._model_failover_transitions import OLD_PRIMARY
+from waxwinglift_bench.version._model_failover_transitions import OLD_VIEW
+from waxwinglift_bench.version._model_failover_transitions import REPLACED
+from waxwinglift_bench.version._model_failover_transitions import State
+from waxwinglift_bench.version._model_failover_transitions import TRANSITIONS
 
 MAX_STATES_COUNT = 80_000
 
--- a/waxwinglift/version/tests/test_model_config_log.py
+++ b/waxwinglift_bench/version/tests/test_model_config_log.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from waxwinglift.version import _model_config_log as model
-from waxwinglift.version._model_rules import Rules
+from waxwinglift_bench.version import _model_config_log as model
+from waxwinglift_bench.version._model_rules import Rules
 
 RULES = Rules()
 # Every violation below is found within this many states.
--- a/waxwinglift/version/tests/test_model_failover.py
+++ b/waxwinglift_bench/version/tests/test_model_failover.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from waxwinglift.version._model_failover import check_mutation
-from waxwinglift.version._model_failover import check_scenario
-from waxwinglift.version._model_failover import MUTATIONS
-from waxwinglift.version._model_failover import SCENARIOS
+from waxwinglift_bench.version._model_failover import check_mutation
+from waxwinglift_bench.version._model_failover import check_scenario
+from waxwinglift_bench.version._model_failover import MUTATIONS
+from waxwinglift_bench.version._model_failover import SCENARIOS
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS)
