Index endpoints and pools of the fleet by group

Cause: each owner scanned all pools of the fleet at each log entry, and removing a table it had never had recomputed the floor shares; each poll of a primary (every 5 ms while answers wait) and each view of a group scanned all endpoints. Found with two new slopes, "proxy: change of the fleet" and "proxy: poll of a primary".

Ruled out: a cache of the scans per applied index, because a data centre that is lost brings hundreds of entries within seconds and clears it each time.

--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -122,15 +122,15 @@
 
     def start(self):
         """Open the connections and start the timers."""
-        self.view.add_listener(self._on_fleet_change)
+        self.view.add_listener(self.on_fleet_change)
         self.monitor.start()
         self.positions.start()
-        self._on_fleet_change()
+        self.on_fleet_change()
         self._ticker = asyncio.ensure_future(self._tick())
 
     async def stop(self):
         """Close everything at once; what runs fails."""
-        self.view.remove_listener(self._on_fleet_change)
+        self.view.remove_listener(self.on_fleet_change)
         if self._ticker is not None:
             self._ticker.cancel()
         self._disable("the owner is stopping")
@@ -170,6 +170,14 @@
             return _refuse("this proxy does not own the endpoint", stale=True)
         return self._check_endpoint(header)
 
+    def on_fleet_change(self):
+        """Take the endpoint's new term, tables, address and owner."""
+        self._follow_term()
+        self._set_tables()
+        self._follow_endpoint()
+        self.positions.on_fleet_change()
+        self._check_ownership()
+
     def enter(self, slot: TransactionSlot):
         """Count a transaction that got a slot."""
         self._running.add(slot)
@@ -263,13 +271,6 @@
         if self._on_health is not None:
             self._on_health(self.endpoint, state)
 
-    def _on_fleet_change(self):
-        self._follow_term()
-        self._set_tables()
-        self._follow_endpoint()
-        self.positions.on_fleet_change()
-        self._check_ownership()
-
     def _follow_term(self):
         """Give up what runs on a primary that is being replaced.
 
@@ -294,11 +295,8 @@
         self.connections.pool.slots_count = record.slots_count
 
     def _set_tables(self):
-        for name, pool in self.view.fleet.pools.items():
-            if pool.table is not None and pool.table.group == self.group:
-                self.slots.queue.set_table(pool.table)
-            else:
-                self.slots.queue.remove_table(name)
+        pools = self.view.fleet.pools_of(self.group)
+        self.slots.queue.set_tables([pool.table for pool in pools])
 
     def _check_ownership(self):
         is_live = self.view.lease_is_live()
--- a/waxwinglift/process/_owner_positions.py
+++ b/waxwinglift/process/_owner_positions.py
@@ -294,7 +294,7 @@
         )
         if replicas.error or primary.error:
             return
-        members = self._member_names()
+        members = self.member_names()
         lsns = {
             name: Lsn(parse_lsn(lsn))
             for name, lsn in replicas.rows
@@ -307,7 +307,7 @@
         self._note_progress()
         self._notify()
 
-    def _member_names(self):
+    def member_names(self):
         """Return the servers that may count for a quorum.
 
         A lost server may have been replaced; a quorum with it need not share
@@ -315,9 +315,8 @@
         """
         return {
             endpoint.endpoint
-            for endpoint in self._view.fleet.endpoints.values()
-            if endpoint.group == self._group().group
-            and endpoint.state is not EndpointState.LOST
+            for endpoint in self._view.fleet.endpoints_of(self._group().group)
+            if endpoint.state is not EndpointState.LOST
         }
 
     def _note_progress(self):
--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -102,22 +102,24 @@
     ids = [EndpointId(server.settings.id) for server in servers]
     term = Term(servers[0].state.log.term)
     state = FleetState(index=LogIndex(1))
-    state.pools[POOL] = Pool(_TABLE, TableVersion(1))
+    state.set_pool(POOL, Pool(_TABLE, TableVersion(1)))
     state.groups[GROUP] = Group(
         GROUP, GroupPhase.ACTIVE, len(ids), term, ids[0], LogIndex(0), {}
     )
     for server, endpoint, owner in zip(servers, ids, owners, strict=True):
         is_primary = endpoint == ids[0]
-        state.endpoints[endpoint] = Endpoint(
-            endpoint,
-            GROUP,
-            server.address,
-            LOCATION,
-            EndpointRole.PRIMARY if is_primary else EndpointRole.REPLICA,
-            term,
-            server.settings.slots_count,
-            server.settings.connection_limit_count,
-            EndpointState.JOINED,
+        state.set_endpoint(
+            Endpoint(
+                endpoint,
+                GROUP,
+                server.address,
+                LOCATION,
+                EndpointRole.PRIMARY if is_primary else EndpointRole.REPLICA,
+                term,
+                server.settings.slots_count,
+                server.settings.connection_limit_count,
+                EndpointState.JOINED,
+            )
         )
         assignment = OwnerAssignment(endpoint, owner, None, Epoch(1))
         state.owners[endpoint] = assignment
--- a/waxwinglift/process/tests/test_data_path_callers.py
+++ b/waxwinglift/process/tests/test_data_path_callers.py
@@ -30,7 +30,7 @@
     async def scenario(servers, proxies):
         proxy = proxies[0]
         state = proxy.view.fleet
-        state.pools["guarded"] = state.pools[POOL]
+        state.set_pool("guarded", state.pools[POOL])
         with pytest.raises(psycopg.OperationalError) as caught:
             await connect(proxy, options, **conninfo)
         assert "verdict=not_run" in str(caught.value)
--- a/waxwinglift/process/tests/test_data_path_terms.py
+++ b/waxwinglift/process/tests/test_data_path_terms.py
@@ -60,8 +60,7 @@
     group.phase = GroupPhase.ACTIVE
     for server in servers[1:]:
         fleet.endpoints[EndpointId(server.settings.id)].term = group.term
-    del fleet.endpoints[EndpointId(servers[0].settings.id)]
-    del fleet.owners[EndpointId(servers[0].settings.id)]
+    fleet.remove_endpoint(EndpointId(servers[0].settings.id))
     notify()
     return Position(old_term, end_lsn)
 
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -48,6 +48,14 @@
         """Tickets without a slot."""
         return sum(len(rank) for rank in self._ranks.values())
 
+    def set_tables(self, pool_tables):
+        """Take the tables of all pools of the endpoint's group."""
+        current = {table.pool for table in pool_tables}
+        for pool in {pool for pool, _ in self._ranks} - current:
+            self.remove_table(pool)
+        for table in pool_tables:
+            self.set_table(table)
+
     def set_table(self, pool_table):
         """Add or replace the table of one pool of the endpoint's group.
 
--- a/waxwinglift/request/_group_view.py
+++ b/waxwinglift/request/_group_view.py
@@ -72,8 +72,8 @@
         return None
     views = [
         _view_endpoint(fleet, state, endpoint, location)
-        for endpoint in fleet.endpoints.values()
-        if endpoint.group == group and _is_usable(endpoint, state)
+        for endpoint in fleet.endpoints_of(group)
+        if _is_usable(endpoint, state)
     ]
     primaries = [v for v in views if v.role is EndpointRole.PRIMARY]
     is_active = state.phase is GroupPhase.ACTIVE
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -23,11 +23,14 @@
 SERVICE_MS = 4.0
 
 
+def make_tables(pools, rows=ROWS):
+    table = tuple(RankRow(*row) for row in rows)
+    return [PoolTable(pool, "g", table) for pool in pools]
+
+
 def make_queue(slots_count=1, rows=ROWS, pools=("main",)):
     queue = AdmissionQueue(slots_count)
-    for pool in pools:
-        table = tuple(RankRow(*row) for row in rows)
-        queue.set_table(PoolTable(pool, "g", table))
+    queue.set_tables(make_tables(pools, rows))
     return queue
 
 
@@ -272,6 +275,25 @@
     assert ranks.count("middle") == 4
 
 
+@pytest.mark.parametrize(
+    ("pools", "accepted"),
+    [
+        (("main", "other"), {"main", "other"}),
+        (("main",), {"main"}),
+        (("other", "third"), {"other", "third"}),
+        ((), set()),
+    ],
+)
+def test_queue_takes_the_pools_of_its_group(pools, accepted):
+    # A pool that moved to another group must not be served here any more.
+    driver = Driver(make_queue(slots_count=3, pools=("main", "other")))
+    driver.queue.set_tables(make_tables(pools))
+    for pool in ("main", "other", "third"):
+        driver.offer("urgent", pool=pool)
+    served = {ticket.pool for ticket in driver.started}
+    assert served == accepted
+
+
 def test_deleted_pool_takes_no_new_tickets():
     # The work of a deleted pool ends; new work is an error of the caller.
     driver = Driver(make_queue(pools=("main", "other")))
--- a/waxwinglift/request/tests/test_routing.py
+++ b/waxwinglift/request/tests/test_routing.py
@@ -35,16 +35,18 @@
     fleet = FleetState()
     for name, data_centre in (("a", "d1"), ("b", "d1"), ("c", "d2")):
         role = EndpointRole.PRIMARY if name == "a" else EndpointRole.REPLICA
-        fleet.endpoints[name] = Endpoint(
-            name,
-            "g",
-            Address("127.0.0.1", 1),
-            Location(data_centre, "r1"),
-            role,
-            term,
-            3,
-            25,
-            EndpointState.JOINED,
+        fleet.set_endpoint(
+            Endpoint(
+                name,
+                "g",
+                Address("127.0.0.1", 1),
+                Location(data_centre, "r1"),
+                role,
+                term,
+                3,
+                25,
+                EndpointState.JOINED,
+            )
         )
         fleet.owners[name] = OwnerAssignment(name, f"p{name}", None, 4)
     fleet.groups["g"] = Group("g", phase, 3, term, primary, 0, ends or {})
@@ -197,7 +199,7 @@
         READ, floor=Position(1, 880), excluded=frozenset(), is_urgent=is_urgent
     )
     fleet = make_fleet()
-    del fleet.endpoints["b"]
+    fleet.remove_endpoint("b")
     knowledge = make_knowledge()
     counts = choices(request, fleet=fleet, knowledge=knowledge, now_ms=1010.0)
     assert least <= counts["a"] / 400 <= most
--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -32,7 +32,7 @@
     if refusal is not None:
         return refusal
     _update_group_size(state, entry)
-    state.endpoints[entry.endpoint] = Endpoint(
+    endpoint = Endpoint(
         endpoint=entry.endpoint,
         group=entry.group,
         address=entry.address,
@@ -43,6 +43,7 @@
         connection_limit_count=entry.connection_limit_count,
         state=EndpointState.JOINED,
     )
+    state.set_endpoint(endpoint)
     return Ok(Applied(index))
 
 
@@ -81,8 +82,8 @@
 def _present_endpoints(state, group):
     return {
         endpoint.endpoint
-        for endpoint in state.endpoints.values()
-        if endpoint.group == group and endpoint.state is not EndpointState.LOST
+        for endpoint in state.endpoints_of(group)
+        if endpoint.state is not EndpointState.LOST
     }
 
 
--- a/waxwinglift/version/_edits.py
+++ b/waxwinglift/version/_edits.py
@@ -107,7 +107,7 @@
         if known.table is not None:
             history += (PastTable(known.version, known.table),)
     kept = history[-PAST_TABLES_COUNT:]
-    state.pools[pool] = Pool(table=table, version=version, history=kept)
+    state.set_pool(pool, Pool(table, version, kept))
 
 
 def _keep_answer(state, edit_id, answer):
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -1,5 +1,7 @@
 """State that the control log describes, as held by control and daemons."""
 
+import collections
+from collections.abc import Collection
 import dataclasses
 
 from waxwinglift.process import Address
@@ -112,9 +114,14 @@
     version: TableVersion
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass
 class FleetState:
-    """Everything that the control log describes."""
+    """Everything that the control log describes.
+
+    Endpoints and pools are set through methods, which keep an index by
+    group: a proxy asks for those of one group at each poll of a primary, and
+    a fleet has thousands.
+    """
 
     index: LogIndex = LogIndex(0)
     pools: dict[PoolName, Pool] = dataclasses.field(default_factory=dict)
@@ -130,3 +137,41 @@
     edit_answers: dict[EditId, EditAnswer] = dataclasses.field(
         default_factory=dict
     )
+
+    def __post_init__(self):
+        # Not fields: snapshots and comparisons leave the indexes out.
+        self._group_endpoints = collections.defaultdict(dict)
+        self._group_pools = collections.defaultdict(dict)
+        for endpoint in self.endpoints.values():
+            self.set_endpoint(endpoint)
+        for name, pool in self.pools.items():
+            self.set_pool(name, pool)
+
+    def set_endpoint(self, endpoint: Endpoint):
+        """Add or replace an endpoint; its group never changes."""
+        self.endpoints[endpoint.endpoint] = endpoint
+        members = self._group_endpoints[endpoint.group]
+        members[endpoint.endpoint] = endpoint
+
+    def remove_endpoint(self, endpoint: EndpointId):
+        """Remove a known endpoint and its owners."""
+        removed = self.endpoints.pop(endpoint)
+        del self._group_endpoints[removed.group][endpoint]
+        self.owners.pop(endpoint, None)
+
+    def set_pool(self, name: PoolName, pool: Pool):
+        """Add or replace a pool; its table may name another group."""
+        known = self.pools.get(name)
+        if known is not None and known.table is not None:
+            self._group_pools[known.table.group].pop(name, None)
+        self.pools[name] = pool
+        if pool.table is not None:
+            self._group_pools[pool.table.group][name] = pool
+
+    def endpoints_of(self, group: GroupName) -> Collection[Endpoint]:
+        """Return the endpoints of a group, also those that are lost."""
+        return self._group_endpoints.get(group, {}).values()
+
+    def pools_of(self, group: GroupName) -> Collection[Pool]:
+        """Return the pools whose table names a group."""
+        return self._group_pools.get(group, {}).values()
--- a/waxwinglift_bench/process/_deployment.py
+++ b/waxwinglift_bench/process/_deployment.py
@@ -164,16 +164,18 @@
 def _add_endpoint(fleet, deployment, group, name, number):
     is_primary = name.endswith("s0")
     location = _location(deployment, number)
-    fleet.endpoints[name] = Endpoint(
-        endpoint=name,
-        group=group,
-        address=Address("127.0.0.1", 1),
-        location=location,
-        role=EndpointRole.PRIMARY if is_primary else EndpointRole.REPLICA,
-        term=Term(1),
-        slots_count=deployment.slots_count,
-        connection_limit_count=deployment.connection_limit_count,
-        state=EndpointState.JOINED,
+    fleet.set_endpoint(
+        Endpoint(
+            endpoint=name,
+            group=group,
+            address=Address("127.0.0.1", 1),
+            location=location,
+            role=EndpointRole.PRIMARY if is_primary else EndpointRole.REPLICA,
+            term=Term(1),
+            slots_count=deployment.slots_count,
+            connection_limit_count=deployment.connection_limit_count,
+            state=EndpointState.JOINED,
+        )
     )
     local = [
         daemon.daemon
--- /dev/null
+++ b/waxwinglift_bench/process/_slopes_proxy.py
@@ -0,0 +1,46 @@
+"""Processor time of a proxy for each change of the fleet."""
+
+from waxwinglift.process._data_path_settings import OwnerSettings
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._owner import EndpointOwner
+from waxwinglift_bench.process import _slopes_fleet
+from waxwinglift_bench.process._slopes_requests import step_measurement
+
+DAEMONS_COUNT = 50
+# Owned and standby endpoints of one proxy at the target.
+ENDPOINTS_COUNT = 12
+
+
+def _owners(groups_count):
+    fleet = _slopes_fleet.build_fleet(DAEMONS_COUNT, groups_count)
+    view = FleetView(
+        _slopes_fleet.daemon_name(0),
+        _slopes_fleet.location(0),
+        lambda: False,
+        fleet,
+    )
+    endpoints = list(fleet.endpoints)[:: _slopes_fleet.GROUP_SIZE_COUNT]
+    settings = OwnerSettings()
+    return [
+        EndpointOwner(endpoint, settings, view)
+        for endpoint in endpoints[:ENDPOINTS_COUNT]
+    ]
+
+
+@step_measurement("proxy: change of the fleet", "database", 100, 300, 870)
+def slope_change(groups_count):
+    """One applied log entry at a proxy with 12 endpoints."""
+    owners = _owners(groups_count)
+
+    def step(number):
+        for owner in owners:
+            owner.on_fleet_change()
+
+    return step
+
+
+@step_measurement("proxy: poll of a primary", "database", 100, 300, 870)
+def slope_poll(groups_count):
+    """Servers whose positions may count for a quorum."""
+    owner = _owners(groups_count)[0]
+    return lambda number: owner.positions.member_names()
--- a/waxwinglift_bench/process/_slopes_requests.py
+++ b/waxwinglift_bench/process/_slopes_requests.py
@@ -117,16 +117,18 @@
     fleet = FleetState()
     here = Location("d", "r")
     for number in range(count):
-        fleet.endpoints[number] = Endpoint(
-            endpoint=number,
-            group=number // 3,
-            address=Address("127.0.0.1", 1),
-            location=here,
-            role=EndpointRole.REPLICA,
-            term=1,
-            slots_count=3,
-            connection_limit_count=25,
-            state=EndpointState.JOINED,
+        fleet.set_endpoint(
+            Endpoint(
+                endpoint=number,
+                group=number // 3,
+                address=Address("127.0.0.1", 1),
+                location=here,
+                role=EndpointRole.REPLICA,
+                term=1,
+                slots_count=3,
+                connection_limit_count=25,
+                state=EndpointState.JOINED,
+            )
         )
     fleet.groups[0] = Group(0, GroupPhase.ACTIVE, 3, 1, 0, 0, {})
     return lambda number: view_group(fleet, 0, here)
