Fill all registries through one class

Cause: some twenty registries each had their own decorator with an inner function of the same shape; only three of them refused a key that was already taken, so a second handler silently replaced the first.

Ruled out: a decorator factory without a class; the dictionaries are also read by key in many places, so a dict with one method changes no reader. Registries whose decorator builds a record (measurements, faults, SQL functions) keep their own.

Conclusion: no key was registered twice so far; from now on that fails at import.

--- a/waxwinglift/connection/_frontend_local.py
+++ b/waxwinglift/connection/_frontend_local.py
@@ -13,9 +13,12 @@
 from pygwire.messages import RowDescription
 
 from waxwinglift.connection._session_types import LocalAnswer
+from waxwinglift.process import Registry
 
 _TEXT_OID = 25
-_encoders = {}
+# Encoders of the answer to one message type.
+_encoders = Registry()
+_answers = _encoders.register
 
 
 def encode_local_answer(answer: LocalAnswer, kinds: Sequence[bytes]) -> bytes:
@@ -23,16 +26,6 @@
     return b"".join(_encoders[kind](answer) for kind in kinds)
 
 
-def _answers(kind):
-    """Register the encoder of the answer to one message type."""
-
-    def register(encoder):
-        _encoders[kind] = encoder
-        return encoder
-
-    return register
-
-
 @_answers(b"Q")
 def _answer_query(answer):
     return _describe_rows(answer, b"") + _answer_execute(answer)
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -13,23 +13,16 @@
 from waxwinglift.connection._endpoint_pool import OpenConnection
 from waxwinglift.connection._endpoint_pool import ProbeConnection
 from waxwinglift.connection._endpoint_pool import UseConnection
+from waxwinglift.process import Registry
 from waxwinglift.request import Failure
 from waxwinglift.request import RequestId
 from waxwinglift.request._admission import AdmissionQueue
 from waxwinglift.request._admission import Start
 from waxwinglift.request._admission import Ticket
 
-_performers = {}
-
-
-def _performs(action_type):
-    """Register the method that performs one type of pool action."""
-
-    def register(method):
-        _performers[action_type] = method
-        return method
-
-    return register
+# Methods that perform one type of action on a connection.
+_performers = Registry()
+_performs = _performers.register
 
 
 class ConnectionKeeper:
--- a/waxwinglift/connection/_owner_monitor.py
+++ b/waxwinglift/connection/_owner_monitor.py
@@ -14,21 +14,14 @@
 from waxwinglift.connection._silence import SendProbe
 from waxwinglift.connection._silence import SuspectSiblings
 from waxwinglift.connection._silence import TryNewConnection
+from waxwinglift.process import Registry
 from waxwinglift.process._policy_settings import HealthSettings
 
 # Id of the monitoring connection, which no pool contains.
 _MONITOR_CONNECTION = ConnectionId(0)
-_performers = {}
-
-
-def _performs(action_type):
-    """Register the method that performs one type of health action."""
-
-    def register(method):
-        _performers[action_type] = method
-        return method
-
-    return register
+# Methods that perform one type of health action.
+_performers = Registry()
+_performs = _performers.register
 
 
 class EndpointMonitor:
--- a/waxwinglift/connection/_session.py
+++ b/waxwinglift/connection/_session.py
@@ -25,6 +25,7 @@
 from waxwinglift.connection._token import encode_token
 from waxwinglift.connection._types import SessionId
 from waxwinglift.connection._types import TransactionStatus
+from waxwinglift.process import Registry
 from waxwinglift.request import Access
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
@@ -60,17 +61,9 @@
 _FLOORLESS_KINDS = frozenset(
     {StatementKind.SET, StatementKind.RESET, StatementKind.EMPTY}
 )
-_local_answers = {}
-
-
-def _answers(kind):
-    """Register the method that answers one kind without an endpoint."""
-
-    def register(method):
-        _local_answers[kind] = method
-        return method
-
-    return register
+# Methods that answer a statement of one kind without an endpoint.
+_local_answers = Registry()
+_answers = _local_answers.register
 
 
 class Session:
--- a/waxwinglift/connection/_session_options.py
+++ b/waxwinglift/connection/_session_options.py
@@ -6,6 +6,7 @@
 from result import Ok
 from result import Result
 
+from waxwinglift.process import Registry
 from waxwinglift.request import Access
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
@@ -17,7 +18,9 @@
 IDEMPOTENCY_KEY_LIMIT_CHARACTERS = 200
 # The header carries milliseconds as 32 bits.
 _LIMIT_MS = 2**31
-_parsers = {}
+# Parsers of the options.
+_parsers = Registry()
+_option = _parsers.register
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,16 +64,6 @@
     return "" if value is None else str(value)
 
 
-def _option(name):
-    """Register the parser of one option."""
-
-    def register(parser):
-        _parsers[name] = parser
-        return parser
-
-    return register
-
-
 @_option("rank")
 def _parse_rank(text, table):
     if any(row.rank == text for row in table.rows):
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from waxwinglift.process import _control_settings
+from waxwinglift.process import Registry
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._control_proposals import ProposalError
 from waxwinglift.process._control_proposals import ProposalFailure
@@ -31,23 +32,14 @@
 
 logger = logging.getLogger(__name__)
 
-EXECUTORS = {}
+# An executor takes ``(node, action)``.
+EXECUTORS = Registry()
+executes = EXECUTORS.register
 
 # A renewal that is decided within one step is answered by one of these.
 LEASE_ANSWERS = (core_messages.GrantLease, core_messages.RefuseLease)
 
 
-def executes(*action_types):
-    """Register the executor of ``action_types``; it takes (node, action)."""
-
-    def register(function):
-        for action_type in action_types:
-            EXECUTORS[action_type] = function
-        return function
-
-    return register
-
-
 class ControlNode:
     """One control member without its sockets.
 
--- a/waxwinglift/process/_control_sql.py
+++ b/waxwinglift/process/_control_sql.py
@@ -12,6 +12,7 @@
 from waxwinglift.connection._backend import EndpointRefused
 from waxwinglift.connection._backend import open_connection
 from waxwinglift.connection._wire import parse_lsn
+from waxwinglift.process import Registry
 from waxwinglift.version import _failover_messages as failover
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
@@ -27,23 +28,15 @@
 PROMOTE_SQL = "SELECT pg_promote(false)"
 RELOAD_SQL = "SELECT pg_reload_conf()"
 
-SERVER_STEPS = {}
+# A step is a coroutine for one type of action.
+SERVER_STEPS = Registry()
+server_step = SERVER_STEPS.register
 
 
 class StepError(Exception):
     """The endpoint answered with an error or an unexpected value."""
 
 
-def server_step(action_type):
-    """Register the decorated coroutine for actions of ``action_type``."""
-
-    def register(function):
-        SERVER_STEPS[action_type] = function
-        return function
-
-    return register
-
-
 async def run_server_action(action, account):
     """Carry out an action and return its outcome event.
 
--- a/waxwinglift/request/_classify.py
+++ b/waxwinglift/request/_classify.py
@@ -10,6 +10,8 @@
 import functools
 import re
 
+from waxwinglift.process import Registry
+
 
 class StatementKind(enum.Enum):
     """Kinds that the data path treats differently."""
@@ -76,7 +78,9 @@
     re.IGNORECASE,
 )
 _READ_ONLY = re.compile(r"\bread\s+only\b", re.IGNORECASE)
-_classifiers = {}
+# Classifiers of statements by their first keyword.
+_classifiers = Registry()
+_first_keyword = _classifiers.register
 
 
 def classify(text: str) -> Statement:
@@ -126,17 +130,6 @@
     return StatementKind.WRITE
 
 
-def _first_keyword(*words):
-    """Register a classifier for statements that start with ``words``."""
-
-    def register(classifier):
-        for word in words:
-            _classifiers[word] = classifier
-        return classifier
-
-    return register
-
-
 @_first_keyword("begin", "start")
 def _classify_begin(text):
     if _READ_ONLY.search(text):
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -6,6 +6,7 @@
 from result import Ok
 
 from waxwinglift.process import DaemonId
+from waxwinglift.process import Registry
 from waxwinglift.request._floors import is_floor_lost
 from waxwinglift.request._group_view import EndpointView
 from waxwinglift.request._group_view import GroupView
@@ -31,21 +32,10 @@
     "view_group",
 ]
 
-ROUTING_POLICIES = {}
-
-
-def routing_policy(name):
-    """Register a function that picks one of several replicas.
-
-    It is called as ``policy(candidates, rng)`` with at least one
-    `Candidate` and returns one of them.
-    """
-
-    def register(function):
-        ROUTING_POLICIES[name] = function
-        return function
-
-    return register
+# A policy picks one of several replicas: it is called as
+# ``policy(candidates, rng)`` with at least one `Candidate`.
+ROUTING_POLICIES = Registry()
+routing_policy = ROUTING_POLICIES.register
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_apply_registry.py
+++ b/waxwinglift/version/_apply_registry.py
@@ -5,6 +5,7 @@
 
 from result import Err
 
+from waxwinglift.process import Registry
 from waxwinglift.version._fleet import EditAnswer
 from waxwinglift.version._types import LogIndex
 
@@ -47,24 +48,10 @@
 
 Answer = EditAnswer | Applied
 
-APPLY_FUNCTIONS = {}
-
-
-def applies(kind):
-    """Register the decorated function for entries of ``kind``.
-
-    The function takes ``(state, index, entry)`` and returns
-    ``Result[Answer, Refusal]``; it must leave ``state`` unchanged when it
-    refuses.
-    """
-
-    def register(function):
-        if kind in APPLY_FUNCTIONS:
-            raise ValueError(f"{kind} is registered twice")
-        APPLY_FUNCTIONS[kind] = function
-        return function
-
-    return register
+# An apply function takes ``(state, index, entry)`` and returns
+# ``Result[Answer, Refusal]``; it leaves ``state`` unchanged when it refuses.
+APPLY_FUNCTIONS = Registry()
+applies = APPLY_FUNCTIONS.register
 
 
 def refuse(code, message):
--- a/waxwinglift/version/_consensus_membership.py
+++ b/waxwinglift/version/_consensus_membership.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from waxwinglift.process import Registry
 from waxwinglift.version._consensus_messages import LogEntry
 from waxwinglift.version._consensus_messages import MemberRole
 from waxwinglift.version._entries import EntryKind
@@ -104,15 +105,8 @@
         return Configuration(index, members)
 
 
-_CHANGES = {}
-
-
-def _changes(kind):
-    def register(function):
-        _CHANGES[kind] = function
-        return function
-
-    return register
+_CHANGES = Registry()
+_changes = _CHANGES.register
 
 
 @_changes(EntryKind.MEMBER_ADDED)
--- a/waxwinglift/version/_consensus_state.py
+++ b/waxwinglift/version/_consensus_state.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from waxwinglift.process import Registry
 from waxwinglift.version._consensus_log import MemoryLog
 from waxwinglift.version._consensus_membership import MembershipHistory
 from waxwinglift.version._consensus_types import Commit
@@ -12,28 +13,12 @@
 from waxwinglift.version._consensus_types import StepDown
 from waxwinglift.version._consensus_types import Vote
 
-EVENT_HANDLERS = {}
-MESSAGE_HANDLERS = {}
-
-
-def on_event(event_class):
-    """Register ``function(node, event, now_ms)`` for an event."""
-    return _registrar(EVENT_HANDLERS, event_class)
-
-
-def on_message(message_class):
-    """Register ``function(node, sender, message, now_ms)``."""
-    return _registrar(MESSAGE_HANDLERS, message_class)
-
-
-def _registrar(registry, key):
-    def register(function):
-        if key in registry:
-            raise ValueError(f"{key.__name__} is registered twice")
-        registry[key] = function
-        return function
-
-    return register
+EVENT_HANDLERS = Registry()
+MESSAGE_HANDLERS = Registry()
+# A handler takes ``(node, event, now_ms)``.
+on_event = EVENT_HANDLERS.register
+# A handler takes ``(node, sender, message, now_ms)``.
+on_message = MESSAGE_HANDLERS.register
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -10,6 +10,7 @@
 
 import pydantic
 
+from waxwinglift.process import Registry
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._failover_progress import Progress
 from waxwinglift.version._failover_steps import advance_group
@@ -57,21 +58,10 @@
     repoint_limit_ms: int = 400
 
 
-EVENT_HANDLERS = {}
-
-
-def on_planner_event(event_type):
-    """Register the handler of ``event_type``.
-
-    It takes ``(planner, fleet, event, now_ms)`` and returns the names of the
-    groups to advance.
-    """
-
-    def register(handler):
-        EVENT_HANDLERS[event_type] = handler
-        return handler
-
-    return register
+# A handler takes ``(planner, fleet, event, now_ms)`` and returns the names of
+# the groups to advance.
+EVENT_HANDLERS = Registry()
+on_planner_event = EVENT_HANDLERS.register
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_failover_steps.py
+++ b/waxwinglift/version/_failover_steps.py
@@ -1,5 +1,6 @@
 """Steps of a change of primary, one function for each phase of a group."""
 
+from waxwinglift.process import Registry
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._entries import PrimaryActive
 from waxwinglift.version._entries import PrimaryChosen
@@ -12,20 +13,9 @@
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import Term
 
-PHASE_STEPS = {}
-
-
-def on_phase(phase):
-    """Register the step of a group that is in ``phase``.
-
-    It takes a Change, adds actions to it and returns a status or None.
-    """
-
-    def register(step):
-        PHASE_STEPS[phase] = step
-        return step
-
-    return register
+# A step takes a Change, adds actions to it and returns a status or None.
+PHASE_STEPS = Registry()
+on_phase = PHASE_STEPS.register
 
 
 def advance_group(planner, fleet, group, members, now_ms):
--- a/waxwinglift_bench/process/_scenarios.py
+++ b/waxwinglift_bench/process/_scenarios.py
@@ -1,8 +1,11 @@
 """Load and faults of the measuring rig, by name."""
 
+from waxwinglift.process import Registry
 from waxwinglift_bench.process._world import WARM_UP_MS
 
-SCENARIOS = {}
+# A scenario prepares a world before it runs.
+SCENARIOS = Registry()
+scenario = SCENARIOS.register
 FLOOD_FACTOR = 10.0
 # A fault starts this long after the warm-up.
 FAULT_MS = 2000.0
@@ -13,16 +16,6 @@
 LAGGING_MS = 2000.0
 
 
-def scenario(name):
-    """Register a function that prepares a world before it runs."""
-
-    def register(function):
-        SCENARIOS[name] = function
-        return function
-
-    return register
-
-
 @scenario("normal")
 def normal(world):
     """Usual load without faults."""
--- a/waxwinglift_bench/version/_members.py
+++ b/waxwinglift_bench/version/_members.py
@@ -5,6 +5,7 @@
 import random
 
 from waxwinglift.process import Address
+from waxwinglift.process import Registry
 from waxwinglift.version import _consensus_types as consensus
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version import _failover_messages as failover
@@ -20,18 +21,9 @@
 RELAY_BATCH_MS = 20.0
 ADDRESS = Address("127.0.0.1", 7000)
 
-EXECUTORS = {}
-
-
-def executes(*action_types):
-    """Register how a member executes actions of these types."""
-
-    def register(function):
-        for action_type in action_types:
-            EXECUTORS[action_type] = function
-        return function
-
-    return register
+# An executor takes ``(member, action)``.
+EXECUTORS = Registry()
+executes = EXECUTORS.register
 
 
 class Member(Node):
--- a/waxwinglift_bench/version/_servers.py
+++ b/waxwinglift_bench/version/_servers.py
@@ -2,25 +2,16 @@
 
 from waxwinglift.process import Address
 from waxwinglift.process import Location
+from waxwinglift.process import Registry
 from waxwinglift.version import _announcements
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._types import Position
 from waxwinglift_bench.version._virtual import Node
 
-SQL_ACTIONS = {}
-
-
-def on_sql(action_type):
-    """Register what a server does for an action of the planner.
-
-    It takes ``(server, action)`` and returns the outcome.
-    """
-
-    def register(function):
-        SQL_ACTIONS[action_type] = function
-        return function
-
-    return register
+# What a server does for an action of the planner: takes ``(server, action)``
+# and returns the outcome.
+SQL_ACTIONS = Registry()
+on_sql = SQL_ACTIONS.register
 
 
 class Server(Node):
--- a/waxwinglift_standin/request/_registries.py
+++ b/waxwinglift_standin/request/_registries.py
@@ -1,9 +1,10 @@
 """Registries of what the server adds to SQLite."""
 
-import dataclasses
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 
+from waxwinglift.process import Registry
 from waxwinglift_standin.connection import PgType
 from waxwinglift_standin.connection import SqlError
 from waxwinglift_standin.connection import SqlState
@@ -48,7 +49,10 @@
 
 SQL_FUNCTIONS = {}
 SYSTEM_VIEWS = {}
-SQL_COMMANDS = {}
+# A command that does not reach SQLite takes the context and the statement's
+# tokens and returns an Answer.
+SQL_COMMANDS = Registry()
+sql_command = SQL_COMMANDS.register
 FAULTS = {}
 
 
@@ -72,19 +76,6 @@
     return decorator
 
 
-def sql_command(*names):
-    """Register a command that does not reach SQLite under `names`.
-
-    It receives the context and the statement's tokens and returns an Answer.
-    """
-
-    def decorator(run):
-        SQL_COMMANDS.update({name: run for name in names})
-        return run
-
-    return decorator
-
-
 def fault(name):
     """Register the function that prepares the fault `name`.
 
