Measure the loss of a data centre in virtual time

The command `outage` drives the real ControlCore, planner and entry codec at 450 proxies and 870 databases; processor time of the leader counts against virtual time.

--- a/waxwinglift_bench/__main__.py
+++ b/waxwinglift_bench/__main__.py
@@ -2,6 +2,7 @@
 
 from waxwinglift_bench.process import faults
 from waxwinglift_bench.process import measure
+from waxwinglift_bench.process import outage
 from waxwinglift_bench.process import slopes
 from waxwinglift_bench.process._commands import bench_command
 from waxwinglift_bench.process._commands import bench_group
@@ -10,6 +11,7 @@
 COMMAND_MODULES = (faults,)
 
 bench_command(measure)
+bench_command(outage)
 bench_command(slopes)
 
 if __name__ == "__main__":
--- /dev/null
+++ b/waxwinglift_bench/process/_outage.py
@@ -0,0 +1,199 @@
+"""Loss of a data centre against one control core, in virtual time.
+
+The core, the failover planner and the entry codec are the real ones.  Their
+processor time counts against virtual time: the leader takes one event after
+the other, and what arrives meanwhile waits.  Proxies, relays and servers are
+small fakes at the core's interface.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+import time
+
+from waxwinglift.version import _control_core_messages as messages
+from waxwinglift.version import _failover_messages as failover
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import LogIndex
+from waxwinglift.version._control_core import ControlCore
+from waxwinglift.version._control_core import ControlCoreSettings
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import encode_entry
+from waxwinglift_bench.process import _slopes_fleet
+from waxwinglift_bench.process._outage_proxies import Proxies
+from waxwinglift_bench.process._outage_servers import Servers
+
+EXECUTORS = {}
+LOST_SITE = _slopes_fleet.LOCATIONS[0].data_centre
+# Steady time before the loss: each proxy has renewed, each endpoint has
+# announced itself.
+WARM_UP_MS = 600.0
+
+
+def executes(*action_types):
+    """Register the function that carries out actions of these types."""
+
+    def register(function):
+        EXECUTORS.update(dict.fromkeys(action_types, function))
+        return function
+
+    return register
+
+
+class Outage:
+    """One run; `run` returns when the virtual time is over.
+
+    Parameters
+    ----------
+    settings : OutageSettings
+        Sizes, delays and charged costs.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        fleet = _slopes_fleet.build_assigned_fleet(
+            settings.daemons_count, settings.groups_count
+        )
+        self.core = ControlCore(ControlCoreSettings(), random.Random(1), fleet)
+        self.now_ms = 0.0
+        self.busy_until_ms = 0.0
+        self.lost_ms = WARM_UP_MS
+        self._events = []
+        self._order = itertools.count()
+        self.proposals = []
+        self._is_append_due = False
+        self.appends_count = 0
+        self.proxies = Proxies(self)
+        self.servers = Servers(self)
+        self.cpu_ms = collections.Counter()
+        self.cpu_by_event_ms = collections.Counter()
+        self.entries = collections.Counter()
+        self.log_bytes = 0
+        self.longest_wait_ms = 0.0
+        self.longest_step_ms = 0.0
+        self.active_ms = {}
+
+    def at(self, time_ms, function, *arguments):
+        """Call ``function`` at a virtual time."""
+        event = (time_ms, next(self._order), function, arguments)
+        heapq.heappush(self._events, event)
+
+    def run(self):
+        """Let the data centre fail and run until the time is over."""
+        self.core.step(messages.BecameLeader(), 0.0)
+        self.proxies.start()
+        self.servers.start()
+        self.at(0.0, self._tick)
+        end_ms = self.lost_ms + self.settings.run_ms
+        while max(self._events[0][0], self.busy_until_ms) <= end_ms:
+            self.now_ms, _, function, arguments = heapq.heappop(self._events)
+            function(*arguments)
+        self.proxies.finish(end_ms)
+        return self
+
+    def is_lost(self, location):
+        """Return whether what stands at ``location`` has failed by now."""
+        is_after = self.now_ms >= self.lost_ms
+        return is_after and location.data_centre == LOST_SITE
+
+    def _tick(self):
+        self.step_leader([messages.ControlTick(True)], 0.0)
+        tick_ms = self.core.settings.tick_interval_ms
+        self.at(self.busy_until_ms + tick_ms, self._tick)
+
+    def step_leader(self, events, charged_ms):
+        """Let the leader take events when it is free; return the answers."""
+        start_ms = max(self.now_ms, self.busy_until_ms)
+        wait_ms = start_ms - self.now_ms
+        self.longest_wait_ms = max(self.longest_wait_ms, wait_ms)
+        self.busy_until_ms = start_ms
+        self.charge(charged_ms, "calls")
+        answers = []
+        for event in events:
+            started = time.perf_counter()
+            actions = self.core.step(event, self.busy_until_ms)
+            elapsed_ms = (time.perf_counter() - started) * 1e3
+            self.longest_step_ms = max(self.longest_step_ms, elapsed_ms)
+            self.charge(elapsed_ms, type(event).__name__)
+            for action in actions:
+                EXECUTORS[type(action)](self, action, answers)
+        self._send_proposals()
+        return answers
+
+    def charge(self, cpu_ms, what):
+        """Let the leader be busy for some processor time."""
+        second = int((self.busy_until_ms - self.lost_ms) // 1000)
+        self.busy_until_ms += cpu_ms
+        self.cpu_ms[second] += cpu_ms
+        if self.busy_until_ms >= self.lost_ms:
+            self.cpu_by_event_ms[what] += cpu_ms
+
+    def _send_proposals(self):
+        if not self.settings.propose_batch_ms:
+            while self.proposals:
+                self._append([self.proposals.pop(0)])
+        elif self.proposals and not self._is_append_due:
+            self._is_append_due = True
+            due_ms = self.busy_until_ms + self.settings.propose_batch_ms
+            self.at(due_ms, self._append_batch)
+
+    def _append_batch(self):
+        self._is_append_due = False
+        self.busy_until_ms = max(self.now_ms, self.busy_until_ms)
+        entries, self.proposals = self.proposals, []
+        self._append(entries)
+
+    def _append(self, entries):
+        """Write entries to the log and send them to the followers."""
+        settings = self.settings
+        followers_count = settings.members_count - 1
+        sends_ms = 2 * followers_count * settings.append_cpu_ms
+        self.charge(sends_ms + settings.write_ms, "log")
+        self.appends_count += 1
+        commit_ms = self.busy_until_ms + settings.commit_ms
+        self.at(commit_ms, self._commit, entries)
+
+    def _commit(self, entries):
+        """Apply committed entries and send them to the watch streams."""
+        started = time.perf_counter()
+        payloads = [encode_entry(entry) for entry in entries]
+        decoded = [decode_entry(payload) for payload in payloads]
+        codec_ms = (time.perf_counter() - started) * 1e3
+        for entry in decoded:
+            index = LogIndex(self.core.fleet.index + 1)
+            event = messages.EntryCommitted(index, entry)
+            self.step_leader([event], codec_ms / len(decoded))
+            self.entries[type(entry).__name__] += 1
+            self._note_active(entry)
+            self.proxies.on_entry(entry)
+        self.log_bytes += sum(map(len, payloads))
+        self.proxies.deliver(self.core.fleet.index)
+
+    def _note_active(self, entry):
+        group = self.core.fleet.groups.get(getattr(entry, "group", None))
+        is_new = group is not None and group.term > 1
+        if is_new and group.phase is GroupPhase.ACTIVE:
+            after_ms = self.busy_until_ms - self.lost_ms
+            delay_ms = self.settings.hop_ms
+            self.active_ms.setdefault(group.group, after_ms + delay_ms)
+
+
+@executes(failover.Propose)
+def _propose(outage, action, answers):
+    outage.proposals.append(action.entry)
+
+
+@executes(messages.GrantLease, messages.RefuseLease)
+def _answer(outage, action, answers):
+    answers.append(action)
+
+
+@executes(
+    failover.FenceServer,
+    failover.ReadPosition,
+    failover.PromoteServer,
+    failover.RepointServer,
+)
+def _run_on_server(outage, action, answers):
+    outage.servers.carry_out(action)
--- /dev/null
+++ b/waxwinglift_bench/process/_outage_command.py
@@ -0,0 +1,82 @@
+"""The outage command: loss of a data centre at the target size."""
+
+import statistics
+
+import click
+
+from waxwinglift_bench.process._outage import Outage
+from waxwinglift_bench.process._outage_costs import OutageSettings
+from waxwinglift_bench.process._outage_proxies import counts_by_kind
+from waxwinglift_bench.process._outage_proxies import relay_core_percent
+
+WRITES_BOUND_MS = 10_000
+LINE = "{:44} {}"
+
+
+def report(outage):
+    """Yield (name, text) of what a finished run measured."""
+    settings = outage.settings
+    run_s = settings.run_ms / 1000
+    changed = sorted(outage.active_ms.values()) or [float("inf")]
+    median_ms = statistics.median(changed)
+    yield "groups that changed their primary", len(outage.active_ms)
+    yield (
+        "writes accepted again, median and last",
+        f"{median_ms:.0f} and {changed[-1]:.0f} ms",
+    )
+    seconds = [outage.cpu_ms[n] / 10 for n in range(int(run_s))]
+    yield (
+        "leader, % of a core in each second",
+        " ".join(f"{value:.0f}" for value in seconds),
+    )
+    for what, cpu_ms in outage.cpu_by_event_ms.most_common(8):
+        yield f"  of that, {what}", f"{cpu_ms:.0f} ms"
+    yield "longest step", f"{outage.longest_step_ms:.1f} ms"
+    yield (
+        "longest wait for the leader",
+        f"{outage.longest_wait_ms:.0f} ms",
+    )
+    proxies = outage.proxies
+    yield "leases lost by proxies that stand", proxies.losses_count()
+    yield "least lease left at a renewal", f"{proxies.least_left_ms:.0f} ms"
+    yield "renewals", proxies.renewals_count
+    yield "entries", counts_by_kind(outage.entries)
+    yield "appends to the log", outage.appends_count
+    yield "log bytes per watch stream", outage.log_bytes
+    yield "watch replies to all proxies", proxies.replies_count
+    replies_per_s = proxies.replies_count / run_s / settings.members_count
+    relay = relay_core_percent(
+        proxies.relays[-1], replies_per_s, run_s, settings
+    )
+    yield "relay, mean % of a core", f"{relay:.0f}"
+    servers = outage.servers
+    yield (
+        "SQL sessions, in all and most at once",
+        f"{servers.sessions_total_count}, {servers.sessions_most_count}",
+    )
+
+
+@click.command()
+@click.option("--daemons", default=450, help="proxies")
+@click.option("--groups", default=870, help="databases")
+@click.option("--run-ms", default=10_000, help="virtual time")
+@click.option("--early-ms", default=0.0, help="least renewal distance")
+@click.option("--propose-ms", default=0.0, help="collect proposals so long")
+@click.option("--sessions", default=0, help="SQL sessions at once, 0: all")
+def outage(daemons, groups, run_ms, early_ms, propose_ms, sessions):
+    """Lose a data centre in virtual time; print times and costs."""
+    settings = OutageSettings(
+        daemons_count=daemons,
+        groups_count=groups,
+        run_ms=run_ms,
+        early_interval_ms=early_ms,
+        propose_batch_ms=propose_ms,
+        sessions_limit_count=sessions,
+    )
+    finished = Outage(settings).run()
+    for name, text in report(finished):
+        click.echo(LINE.format(name, text))
+    is_met = max(finished.active_ms.values(), default=0) <= WRITES_BOUND_MS
+    is_met &= len(finished.active_ms) == (groups + 3) // 4
+    if not is_met or finished.proxies.losses_count():
+        raise click.exceptions.Exit(1)
--- a/waxwinglift_bench/process/_slopes_command.py
+++ b/waxwinglift_bench/process/_slopes_command.py
@@ -5,12 +5,18 @@
 import click
 
 from waxwinglift_bench.process import _slopes
+from waxwinglift_bench.process import _slopes_control
 from waxwinglift_bench.process import _slopes_requests
 from waxwinglift_bench.process import _slopes_sessions
 from waxwinglift_bench.process import _slopes_transport
 
 # Modules whose import fills the registry.
-MEASUREMENT_MODULES = (_slopes_requests, _slopes_sessions, _slopes_transport)
+MEASUREMENT_MODULES = (
+    _slopes_control,
+    _slopes_requests,
+    _slopes_sessions,
+    _slopes_transport,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift_bench/process/_slopes_fleet.py
+++ b/waxwinglift_bench/process/_slopes_fleet.py
@@ -111,6 +111,15 @@
     return fleet
 
 
+def build_assigned_fleet(daemons_count, groups_count):
+    """Return a fleet in which each endpoint has its preferred owner."""
+    fleet = build_fleet(daemons_count, groups_count)
+    live = frozenset(fleet.daemons)
+    while (assigned := plan_owners(fleet, live)) is not None:
+        _apply(fleet, assigned)
+    return fleet
+
+
 def _apply(fleet, entry):
     outcome = apply_entry(fleet, LogIndex(fleet.index + 1), entry)
     if outcome.is_err():
