Step only the group that an applied entry changed

Each committed entry stepped every group with anything to do, scanned all endpoints and sorted them: quadratic in the number of groups that change. After the loss of a data centre 693 commits took 11.0 s under the profiler.

An applied entry now steps its own group and brings the scan of that group up to date; the others go on at the next tick. A renewal that reports a higher applied index goes on only with groups that wait for leases. A replica that is reported down no longer counts as work, and neither does one that is lost and has been seen to.

--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -174,6 +174,20 @@
         )
         return self.planner.step(self.fleet, observed, now_ms)
 
+    def observe_passed(self, now_ms):
+        """Let groups go on that wait for all leases to pass an index."""
+        passed = failover.LeasesPassed(self.leases.passed_index(now_ms))
+        return self.planner.step(self.fleet, passed, now_ms)
+
+    def note_applied(self, event, now_ms):
+        """Let the planner go on with the group that an entry changed."""
+        group = getattr(event.entry, "group", None)
+        endpoint = getattr(event.entry, "endpoint", None)
+        if group is None and endpoint is not None:
+            group = self.fleet.endpoints[endpoint].group
+        applied = failover.EntryApplied(event.index, group)
+        return self.planner.step(self.fleet, applied, now_ms)
+
     def update_live(self, now_ms):
         """Recompute the proxies with leases; note when they changed."""
         live = self.leases.live(now_ms) & self.fleet.daemons.keys()
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -38,7 +38,7 @@
     core.proposed_ms.pop(event.entry, None)
     if not core.may_act():
         return []
-    return core.observe_leases(now_ms) + core.plan_owners(now_ms)
+    return core.note_applied(event, now_ms) + core.plan_owners(now_ms)
 
 
 @on_commit(EntryKind.TERM_RAISED)
--- a/waxwinglift/version/_control_core_renewals.py
+++ b/waxwinglift/version/_control_core_renewals.py
@@ -31,7 +31,7 @@
     actions.append(_renew(core, renewal, now_ms))
     _note_released(core, renewal)
     if core.planner.is_changing and renewal.applied_index > applied_index:
-        actions.extend(core.observe_leases(now_ms))
+        actions.extend(core.observe_passed(now_ms))
     report = failover.HealthReported(renewal.daemon, renewal.down)
     actions.extend(core.planner.step(core.fleet, report, now_ms))
     return actions
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -5,13 +5,13 @@
 by repeating the step.
 """
 
-import collections
 import dataclasses
 
 import pydantic
 
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._failover_progress import Progress
+from waxwinglift.version._failover_scan import FleetScan
 from waxwinglift.version._failover_steps import advance_group
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
@@ -108,8 +108,7 @@
         self.progress = {}
         self.repointed = {}
         self.lost = set()
-        self.scanned_index = -1
-        self.scanned_groups = set()
+        self.scan = FleetScan(self)
 
     def step(self, fleet, event, now_ms):
         """Return the actions that follow from ``event``.
@@ -129,13 +128,11 @@
             Propose, FenceServer, ReadPosition, PromoteServer, RepointServer.
         """
         names = EVENT_HANDLERS[type(event)](self, fleet, event, now_ms)
-        members = _group_members(fleet, frozenset(names))
         actions = []
         for name in names:
             group = fleet.groups[name]
-            actions.extend(
-                advance_group(self, fleet, group, members[name], now_ms)
-            )
+            members = self.scan.members(fleet, name)
+            actions.extend(advance_group(self, fleet, group, members, now_ms))
         return actions
 
     def statuses(self):
@@ -188,18 +185,6 @@
         return progress
 
 
-def _group_members(fleet, names):
-    """Return the endpoints of the groups ``names``, in order of their ids."""
-    members = collections.defaultdict(list)
-    if not names:
-        return members
-    for name in sorted(fleet.endpoints):
-        endpoint = fleet.endpoints[name]
-        if endpoint.group in names:
-            members[endpoint.group].append(endpoint)
-    return members
-
-
 @on_planner_event(messages.LeadershipStarted)
 def _on_leadership(planner, fleet, event, now_ms):
     planner.reset()
@@ -224,30 +209,49 @@
 
     Stepping all of 870 groups at each tick took 5 ms, a tenth of a core.
     """
-    if planner.scanned_index != fleet.index:
-        planner.scanned_index = fleet.index
-        planner.scanned_groups = _scan_groups(planner, fleet)
-    due = set(planner.scanned_groups)
+    due = set(planner.scan.due_groups(fleet))
     due.update(n for n, p in planner.progress.items() if p.status)
     for down, _ in planner.reports.values():
-        known = [e for e in down if e in fleet.endpoints]
-        due.update(fleet.endpoints[e].group for e in known)
+        due.update(_groups_without_primary(fleet, down))
     return due
 
 
-def _scan_groups(planner, fleet):
-    """Return the groups that the fleet state itself says need a step."""
-    due = {
+def _groups_without_primary(fleet, down):
+    """Yield the groups whose primary is among the reported endpoints.
+
+    A replica that is down takes no step: with a data centre, 650 servers
+    are reported of which 220 are primaries.
+    """
+    for name in down:
+        endpoint = fleet.endpoints.get(name)
+        if endpoint is None:
+            continue
+        group = fleet.groups[endpoint.group]
+        if group.primary == name:
+            yield group.group
+
+
+@on_planner_event(messages.EntryApplied)
+def _on_applied(planner, fleet, event, now_ms):
+    planner.scan.on_applied(fleet, event)
+    if event.group is None:
+        return ()
+    if fleet.groups[event.group].phase is GroupPhase.FENCING:
+        planner.is_changing = True
+    return (event.group,)
+
+
+@on_planner_event(messages.LeasesPassed)
+def _on_passed(planner, fleet, event, now_ms):
+    if event.passed_index == planner.passed_index:
+        return ()
+    planner.passed_index = event.passed_index
+    planner.observed_index = fleet.index
+    return sorted(
         name
-        for name, group in fleet.groups.items()
-        if group.phase is not GroupPhase.ACTIVE
-    }
-    for endpoint in fleet.endpoints.values():
-        is_behind = endpoint.term < fleet.groups[endpoint.group].term
-        is_away = endpoint.state is not EndpointState.JOINED
-        if is_behind or is_away or endpoint.endpoint in planner.lost:
-            due.add(endpoint.group)
-    return due
+        for name in planner.scan.due_groups(fleet)
+        if fleet.groups[name].phase is GroupPhase.FENCING
+    )
 
 
 @on_planner_event(messages.HealthReported)
@@ -262,8 +266,8 @@
             report.term, report.is_reachable, since_ms
         )
     planner.reports[event.daemon] = (down, now_ms)
-    changed = [e for e in down if e not in known and e in fleet.endpoints]
-    return sorted({fleet.endpoints[e].group for e in changed})
+    changed = [e for e in down if e not in known]
+    return sorted(_groups_without_primary(fleet, changed))
 
 
 @on_planner_event(messages.ServerFenced)
--- a/waxwinglift/version/_failover_messages.py
+++ b/waxwinglift/version/_failover_messages.py
@@ -74,6 +74,24 @@
     passed_index: LogIndex | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryApplied:
+    """The next entry was applied; ``group`` is the one that it changed."""
+
+    index: LogIndex
+    group: GroupName | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeasesPassed:
+    """All leases have reached ``passed_index``; None when there are none.
+
+    Other than LeasesObserved it goes on with waiting groups only.
+    """
+
+    passed_index: LogIndex | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DownEndpoint:
     """An endpoint that a proxy finds down.
--- /dev/null
+++ b/waxwinglift/version/_failover_scan.py
@@ -0,0 +1,88 @@
+"""Which groups the fleet state itself says need a step.
+
+A scan of 2,610 endpoints takes 2.5 ms.  With 1,900 entries after the loss of
+a data centre a scan for each entry kept the leader busy, so an applied entry
+only brings the scan of its own group up to date.
+"""
+
+import collections
+
+from waxwinglift.version._types import EndpointRole
+from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import GroupPhase
+
+
+class FleetScan:
+    """Members of the groups and the groups that are due.
+
+    Parameters
+    ----------
+    planner : FailoverPlanner
+        Its ``lost`` and ``repointed`` say what has been seen to.
+    """
+
+    def __init__(self, planner):
+        self._planner = planner
+        self._fleet = None
+        self._index = -1
+        self._due = set()
+        self._names = {}
+        self._named = (None, 0)
+
+    def members(self, fleet, group):
+        """Return the endpoints of ``group`` in order of their ids."""
+        self._update_names(fleet)
+        return [fleet.endpoints[name] for name in self._names.get(group, ())]
+
+    def due_groups(self, fleet):
+        """Return the groups that need a step in this state."""
+        if self._fleet is not fleet or self._index != fleet.index:
+            self._due = {g for g in fleet.groups if self._is_due(fleet, g)}
+            self._fleet = fleet
+            self._index = fleet.index
+        return self._due
+
+    def on_applied(self, fleet, event):
+        """Take an entry into account, unless a full scan is due anyway."""
+        if self._fleet is not fleet or self._index != event.index - 1:
+            return
+        self._index = event.index
+        if event.group is None:
+            return
+        if self._is_due(fleet, event.group):
+            self._due.add(event.group)
+        else:
+            self._due.discard(event.group)
+
+    def _update_names(self, fleet):
+        """Endpoints are never removed and never change their group."""
+        named_fleet, count = self._named
+        if named_fleet is fleet and count == len(fleet.endpoints):
+            return
+        names = collections.defaultdict(list)
+        for name in sorted(fleet.endpoints):
+            names[fleet.endpoints[name].group].append(name)
+        self._names = names
+        self._named = (fleet, len(fleet.endpoints))
+
+    def _is_due(self, fleet, name):
+        group = fleet.groups[name]
+        if group.phase is not GroupPhase.ACTIVE:
+            return True
+        return any(
+            self._needs_step(group, endpoint)
+            for endpoint in self.members(fleet, name)
+        )
+
+    def _needs_step(self, group, endpoint):
+        is_primary = endpoint.endpoint == group.primary
+        if is_primary and endpoint.state is EndpointState.LEAVING:
+            return True
+        is_lost = endpoint.state is EndpointState.LOST
+        if is_lost is not (endpoint.endpoint in self._planner.lost):
+            return True
+        if is_primary or endpoint.role is not EndpointRole.REPLICA:
+            return False
+        is_behind = endpoint.term < group.term
+        repointed = self._planner.repointed.get(endpoint.endpoint)
+        return is_behind and repointed != group.term
--- a/waxwinglift/version/tests/test_failover.py
+++ b/waxwinglift/version/tests/test_failover.py
@@ -277,3 +277,33 @@
             rig.report("b", *["g-c"] * standby_down)
     found = rig.planner.unreachable(rig.fleet, rig.now_ms)
     assert found == ({"g-c"} if is_found else set())
+
+
+@pytest.mark.parametrize("is_told", [True, False])
+def test_applied_entries_keep_the_scan_of_the_groups_right(is_told):
+    # The scan follows single entries; a group that it misses would wait for
+    # its change of primary until the next full scan.
+    rig = Rig(groups=("g", "h"))
+    rig.observe()
+    extend(rig.fleet, entries.TermRaised("g", 2))
+    if is_told:
+        rig.handle(messages.EntryApplied(rig.fleet.index, "g"))
+        assert rig.sent(messages.FenceServer)
+    else:
+        rig.run(2)
+    rig.run(10)
+    assert rig.fleet.groups["g"].phase is GroupPhase.ACTIVE
+    assert rig.fleet.groups["g"].term == 2
+    assert rig.planner.scan.due_groups(rig.fleet) <= {"g"}
+
+
+def test_group_goes_on_when_all_leases_pass():
+    # Otherwise each change of primary waits for the next tick.
+    rig = Rig()
+    rig.passed_index = rig.fleet.index
+    rig.observe()
+    extend(rig.fleet, entries.TermRaised("g", 2))
+    rig.handle(messages.EntryApplied(rig.fleet.index, "g"))
+    assert not rig.sent(messages.ReadPosition, 2)
+    rig.handle(messages.LeasesPassed(rig.fleet.index))
+    assert rig.sent(messages.ReadPosition, 2)
