Plan the repair of owners without the settled endpoints

A repair after the loss of a quarter of the proxies ran the full rules for each of 2,610 endpoints, looked proxies up in a tuple of 337 and collected the possible standby owners anew for each endpoint.

--- a/waxwinglift/version/_ownership.py
+++ b/waxwinglift/version/_ownership.py
@@ -51,6 +51,8 @@
     by_data_centre: dict
     by_region: dict
     everywhere: tuple
+    names: frozenset
+    elsewhere: dict = dataclasses.field(default_factory=dict)
 
     def nearest(self, location):
         return (
@@ -75,6 +77,7 @@
         {key: tuple(names) for key, names in by_data_centre.items()},
         {key: tuple(names) for key, names in by_region.items()},
         tuple(everywhere),
+        frozenset(everywhere),
     )
 
 
@@ -116,20 +119,40 @@
     if owner not in fleet.daemons:
         return None
     region = fleet.endpoints[endpoint].location.region
+    site = fleet.daemons[owner].location.data_centre
+    choices = candidates.elsewhere.get((region, site))
+    if choices is None:
+        choices = _find_elsewhere(fleet, candidates, region, site)
+        candidates.elsewhere[region, site] = choices
+    key = endpoint.encode()
+    _, standby = max(
+        (
+            (xxhash.xxh64_intdigest(key, seed), daemon)
+            for seed, daemon in choices
+            if daemon != owner
+        ),
+        default=(None, None),
+    )
+    return standby
+
+
+def _find_elsewhere(fleet, candidates, region, site):
+    """Return seeds and names of the proxies that may stand by.
+
+    They are the same for all endpoints of a region with an owner at a site:
+    finding them for each endpoint took longer than the choice.
+    """
     choices = (
-        _elsewhere(fleet, candidates.by_region.get(region, ()), owner)
-        or _elsewhere(fleet, candidates.everywhere, owner)
-        or [d for d in candidates.everywhere if d != owner]
+        _leave_out(fleet, candidates.by_region.get(region, ()), site)
+        or _leave_out(fleet, candidates.everywhere, site)
+        or candidates.everywhere
     )
-    return max(choices, key=lambda d: (score(endpoint, d), d), default=None)
+    return [(_seed(daemon), daemon) for daemon in choices]
 
 
-def _elsewhere(fleet, daemons, owner):
-    owner_site = fleet.daemons[owner].location.data_centre
+def _leave_out(fleet, daemons, site):
     return [
-        d
-        for d in daemons
-        if fleet.daemons[d].location.data_centre != owner_site
+        d for d in daemons if fleet.daemons[d].location.data_centre != site
     ]
 
 
@@ -183,6 +206,8 @@
         current = fleet.owners.get(endpoint) or OwnerAssignment(
             endpoint, None, None, Epoch(0)
         )
+        if plan.is_settled(current):
+            continue
         planned = plan.assignment(current)
         if planned != current:
             changes.append(planned)
@@ -202,6 +227,24 @@
     released: Collection
     unreachable: Collection
 
+    def is_settled(self, current):
+        """Return whether it is plain that `assignment` changes nothing.
+
+        Most endpoints are settled in each plan; the full rules for each of
+        2,610 took 13 ms.
+        """
+        endpoint, owner = current.endpoint, current.owner
+        if current.previous is not None or endpoint in self.unreachable:
+            return False
+        if owner not in self.candidates.names:
+            return False
+        if self.preferred is not None:
+            if self.preferred.get(endpoint, owner) != owner:
+                return False
+        return _is_good_standby(
+            self.fleet, self.candidates, owner, current.standby
+        )
+
     def assignment(self, current):
         """Return what replaces ``current``; equal when nothing changes."""
         endpoint = current.endpoint
@@ -234,7 +277,7 @@
     def wanted_owner(self, current):
         """Return the owner that the endpoint ought to have."""
         endpoint = current.endpoint
-        eligible = self.candidates.everywhere
+        eligible = self.candidates.names
         if current.owner in eligible and endpoint not in self.unreachable:
             if self.preferred is None or current.previous is not None:
                 return current.owner
@@ -251,7 +294,7 @@
 
 
 def _is_good_standby(fleet, candidates, owner, standby):
-    if standby == owner or standby not in candidates.everywhere:
+    if standby == owner or standby not in candidates.names:
         return False
     if owner not in fleet.daemons:
         return True
