Grant leases to proxies a round trip behind a raised term

A committed TermRaised at once refused each renewal with a lower applied index. A renewal arrives with an index that is a round trip old, so while 220 terms were raised within seconds no renewal was granted and the leases of the whole fleet ran out. The rule only serves progress: the promotion itself waits until all live leases have passed the entry. It now begins 250 ms after the commit; a proxy whose entries hang while its renewals pass delays a change of primary by that much more.

--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -43,6 +43,10 @@
         A proxy that has not applied an entry this long after its commit gets
         no further lease: together with the lease an accepted edit is in force
         everywhere within 3 s.
+    raise_limit_ms : int
+        The same for a raised term.  Not zero: a renewal arrives with an
+        index that is a round trip old, and while 220 terms were raised
+        within seconds no renewal was ever up to date.
     rebalance_delay_ms : int
         Quiet time after the proxies changed before owners are moved to
         their preferred place; restarts take about this long.
@@ -67,6 +71,7 @@
     tick_interval_ms: int = 20
     expire_interval_ms: int = 250
     apply_limit_ms: int = 1000
+    raise_limit_ms: int = 250
     rebalance_delay_ms: int = 3000
     handover_settle_ms: int = 1000
     handover_pause_ms: int = 5000
@@ -99,6 +104,7 @@
         self.is_leader = False
         self.has_quorum = False
         self.commit_times = collections.deque()
+        self.raised_times = collections.deque()
         self.assigned_index = {}
         self.start_index = self.fleet.index
         self.forget_leadership()
@@ -122,6 +128,7 @@
         self.is_owner_repair_due = True
         self.rebalance_due_ms = None
         self.commit_times.clear()
+        self.raised_times.clear()
 
     def step(self, event, now_ms):
         """Return the actions that follow from ``event``.
@@ -299,9 +306,14 @@
 
 
 def _require_old_commits(core, now_ms):
-    limit_ms = now_ms - core.settings.apply_limit_ms
-    while core.commit_times and core.commit_times[0][0] <= limit_ms:
-        _, index = core.commit_times.popleft()
+    settings = core.settings
+    _require_until(core, core.commit_times, now_ms - settings.apply_limit_ms)
+    _require_until(core, core.raised_times, now_ms - settings.raise_limit_ms)
+
+
+def _require_until(core, times, limit_ms):
+    while times and times[0][0] <= limit_ms:
+        _, index = times.popleft()
         core.leases.require(index)
 
 
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -43,7 +43,8 @@
 
 @on_commit(EntryKind.TERM_RAISED)
 def _after_term_raised(core, event, now_ms):
-    core.leases.require(event.index)
+    if core.is_leader:
+        core.raised_times.append((now_ms, event.index))
 
 
 @on_commit(EntryKind.ENDPOINT_JOINED, EntryKind.DAEMON_DRAINING)
--- a/waxwinglift/version/tests/test_control_core.py
+++ b/waxwinglift/version/tests/test_control_core.py
@@ -21,6 +21,7 @@
 from waxwinglift.version.tests.test_announcements import announce
 
 SEQUENCES = itertools.count(1)
+LEASE_ANSWERS = (messages.GrantLease, messages.RefuseLease)
 FORMED = [*map(daemon_joined, "abc"), *group_entries()]
 
 
@@ -253,3 +254,22 @@
     leader.run()
     leader.renew("d", behind_count=99)
     assert leader.proposals(entries.DaemonJoined) == []
+
+
+@pytest.mark.parametrize(
+    ("behind_count", "is_granted"), [(3, True), (9, False)]
+)
+def test_renewal_a_round_trip_behind_raised_terms_is_granted(
+    behind_count, is_granted
+):
+    # While many terms are raised in a row no renewal is up to date when it
+    # arrives; refusing all of them ended the leases of the whole fleet.
+    names = [f"g{number}" for number in range(30)]
+    formed = [e for name in names for e in group_entries(name)]
+    leader = Leader([*map(daemon_joined, "abc"), *formed])
+    leader.run()
+    for name in names:
+        leader.commit(entries.TermRaised(name, 2))
+        answers = leader.run("abc", 1, behind_count=behind_count)
+    last = [a for a in answers if isinstance(a, LEASE_ANSWERS)][-1]
+    assert isinstance(last, messages.GrantLease) is is_granted
