Bound the SQL sessions of the control leader and start each once

The leader opened a session for each action at once and repeated an action whose time limit had passed while the leader was busy, so the sessions of 220 changes of primary crowded out the renewals.

--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -21,6 +21,7 @@
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version import _failover_messages as failover
 from waxwinglift.version import FleetState
+from waxwinglift.version._action_queue import ActionQueue
 from waxwinglift.version._consensus_driver import MemberDriver
 from waxwinglift.version._control_core import ControlCore
 from waxwinglift.version._entries import MemberPromoted
@@ -73,6 +74,7 @@
         self.account = account
         self.metrics = metrics
         self.proposals = ProposalTable()
+        self.sessions = ActionQueue()
         self.changed = asyncio.Event()
         seed = f"{settings.member}-{random.SystemRandom().random()}"
         snapshot = store.load().snapshot
@@ -168,6 +170,7 @@
 
     def stop(self):
         """Cancel the SQL steps that run."""
+        self.sessions.drop_waiting()
         for task in self._tasks:
             task.cancel()
 
@@ -241,6 +244,7 @@
 def _step_down(node, action):
     logger.info("no longer control leader of term %d", action.term)
     node.proposals.fail_all()
+    node.sessions.drop_waiting()
     node.step_core(core_messages.SteppedDown())
 
 
@@ -272,12 +276,22 @@
     failover.RepointServer,
 )
 def _run_server_action(node, action):
-    node.metrics.incr(f"control.{type(action).__name__}")
-    node._spawn(_report_outcome(node, action))
+    node.sessions.offer(action)
+    _start_sessions(node)
+
+
+def _start_sessions(node):
+    for action in node.sessions.start():
+        node.metrics.incr(f"control.{type(action).__name__}")
+        node._spawn(_report_outcome(node, action))
 
 
 async def _report_outcome(node, action):
-    outcome = await run_server_action(action, node.account)
+    try:
+        outcome = await run_server_action(action, node.account)
+    finally:
+        node.sessions.finish(action)
+        _start_sessions(node)
     if isinstance(outcome, failover.ActionFailed):
         logger.warning(
             "%s of %s failed: %s",
--- a/waxwinglift_bench/process/_outage_command.py
+++ b/waxwinglift_bench/process/_outage_command.py
@@ -8,6 +8,7 @@
 from waxwinglift_bench.process._outage_costs import OutageSettings
 from waxwinglift_bench.process._outage_proxies import counts_by_kind
 from waxwinglift_bench.process._outage_proxies import relay_core_percent
+from waxwinglift.version._action_queue import SESSIONS_LIMIT_COUNT
 
 WRITES_BOUND_MS = 10_000
 LINE = "{:44} {}"
@@ -62,7 +63,9 @@
 @click.option("--run-ms", default=10_000, help="virtual time")
 @click.option("--early-ms", default=0.0, help="least renewal distance")
 @click.option("--propose-ms", default=0.0, help="collect proposals so long")
-@click.option("--sessions", default=0, help="SQL sessions at once, 0: all")
+@click.option(
+    "--sessions", default=SESSIONS_LIMIT_COUNT, help="SQL sessions at once"
+)
 def outage(daemons, groups, run_ms, early_ms, propose_ms, sessions):
     """Lose a data centre in virtual time; print times and costs."""
     settings = OutageSettings(
--- a/waxwinglift_bench/process/_outage_costs.py
+++ b/waxwinglift_bench/process/_outage_costs.py
@@ -6,6 +6,8 @@
 
 import pydantic
 
+from waxwinglift.version._action_queue import SESSIONS_LIMIT_COUNT
+
 
 class OutageSettings(pydantic.BaseModel):
     """Sizes, delays and charged processor times of one run.
@@ -23,7 +25,7 @@
     early_interval_ms : float
         Least time between a renewal and an early one of the same proxy.
     sessions_limit_count : int
-        SQL sessions that the leader runs at once; 0 for no limit.
+        SQL sessions that the leader runs at once.
     call_cpu_ms, batch_cpu_ms, item_cpu_ms, watch_cpu_ms : float
         Processor time of one end for a call of a proxy or endpoint, for a
         batch to the leader, for each of its items, and for a watch reply.
@@ -49,7 +51,7 @@
     sql_ms: float = 60.0
     down_after_ms: float = 750.0
     early_interval_ms: float = 0.0
-    sessions_limit_count: int = 0
+    sessions_limit_count: int = SESSIONS_LIMIT_COUNT
     propose_batch_ms: float = 0.0
     relay_batch_ms: float = 20.0
     renew_interval_ms: float = 250.0
--- a/waxwinglift_bench/process/_outage_servers.py
+++ b/waxwinglift_bench/process/_outage_servers.py
@@ -1,6 +1,5 @@
 """Servers of the groups as the control leader meets them."""
 
-import collections
 import dataclasses
 
 from waxwinglift.version import _control_core_messages as messages
@@ -9,6 +8,7 @@
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
 from waxwinglift.version import Term
+from waxwinglift.version._action_queue import ActionQueue
 from waxwinglift.version._announcements import Announcement
 
 OUTCOMES = {}
@@ -34,8 +34,7 @@
             name: _announce(endpoint, outage.core.fleet)
             for name, endpoint in outage.core.fleet.endpoints.items()
         }
-        self._waiting = collections.deque()
-        self._sessions_count = 0
+        self._queue = ActionQueue(outage.settings.sessions_limit_count)
         self.sessions_most_count = 0
         self.sessions_total_count = 0
 
@@ -58,22 +57,18 @@
 
     def carry_out(self, action):
         """Open a session for an action, or queue it at the limit."""
-        self._waiting.append(action)
+        self._queue.offer(action)
         self._open_sessions()
 
     def _open_sessions(self):
-        limit_count = self._settings.sessions_limit_count
-        while self._waiting:
-            if limit_count and self._sessions_count >= limit_count:
-                return
-            self._open_session(self._waiting.popleft())
+        for action in self._queue.start():
+            self._open_session(action)
 
     def _open_session(self, action):
         outage = self._outage
-        self._sessions_count += 1
         self.sessions_total_count += 1
         self.sessions_most_count = max(
-            self.sessions_most_count, self._sessions_count
+            self.sessions_most_count, self._queue.running_count
         )
         outage.charge(self._settings.session_cpu_ms, "SQL sessions")
         location = self._announcements[action.endpoint].location
@@ -84,7 +79,7 @@
         outage.at(end_ms, self._end_session, action, location)
 
     def _end_session(self, action, location):
-        self._sessions_count -= 1
+        self._queue.finish(action)
         if self._outage.is_lost(location):
             outcome = failover.ActionFailed(action, "time limit exceeded")
         else:
