Choose again when a chosen server is lost

Cause: in the phase PROMOTING the planner repeated pg_promote for ever. A group of five that lost its primary and then the chosen server stopped all writes although three servers were left.

The term is now raised again once the chosen server's owner reports it down or control has not reached it for 1500 ms, and only when enough other servers answer. The lost server does not count as fenced, whether or not its promotion ran. Nothing is written under its term, because writes resume only with PrimaryActive. An action that fails says whether the server was reached: a slow promotion is waited for, since the next server may be as slow.

Before: test_another_server_is_chosen_when_the_chosen_one_is_lost failed in both cases (the group stayed PROMOTING in term 2). After: both pass, as do the cases for three servers, which wait and say so, and for a chosen server that returns (python -m pytest waxwinglift/version).

--- a/waxwinglift/process/_control_sql.py
+++ b/waxwinglift/process/_control_sql.py
@@ -58,14 +58,20 @@
     -------
     ServerFenced, PositionRead, ServerPromoted, ServerRepointed or ActionFailed
     """
+    is_reached = False
     try:
         async with asyncio.timeout(action.time_limit_ms / 1000):
             async with _open_session(action.address, account) as connection:
+                is_reached = True
                 return await SERVER_STEPS[type(action)](connection, action)
     except TimeoutError:
-        return failover.ActionFailed(action, "time limit exceeded")
-    except (EndpointRefused, EndpointConnectionLost, StepError) as error:
-        return failover.ActionFailed(action, str(error))
+        message = "time limit exceeded"
+    except StepError as error:
+        message = str(error)
+    except (EndpointRefused, EndpointConnectionLost) as error:
+        is_reached = False
+        message = str(error)
+    return failover.ActionFailed(action, message, is_reached)
 
 
 @contextlib.asynccontextmanager
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -36,6 +36,10 @@
         Time between a failed action and its repetition.
     lost_retry_ms : int
         The same for a server whose announcements have stopped.
+    rechoose_after_ms : int
+        Time for which control cannot reach a chosen server, from the first
+        failed action, before another one is chosen.  Longer than the limit
+        of a promotion, so that one lost connection does not decide.
     propose_retry_ms : int
         Time after which an entry that was not committed is proposed again.
     fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
@@ -50,6 +54,7 @@
     handover_report_ms: int = 500
     retry_interval_ms: int = 100
     lost_retry_ms: int = 500
+    rechoose_after_ms: int = 1500
     propose_retry_ms: int = 500
     fence_limit_ms: int = 400
     read_limit_ms: int = 250
@@ -317,6 +322,7 @@
     if endpoint is None or endpoint.state is EndpointState.LOST:
         due_ms = now_ms + planner.settings.lost_retry_ms
     progress.retry_at(type(action), action.endpoint, due_ms, event.message)
+    progress.note_reached(action.endpoint, event.is_reached, now_ms)
     return (action.group,)
 
 
--- a/waxwinglift/version/_failover_messages.py
+++ b/waxwinglift/version/_failover_messages.py
@@ -139,7 +139,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ActionFailed:
-    """The action failed or ran into its time limit."""
+    """The action failed or ran into its time limit.
+
+    ``is_reached`` says that the server answered.
+    """
 
     action: ServerAction
     message: str
+    is_reached: bool = False
--- a/waxwinglift/version/_failover_progress.py
+++ b/waxwinglift/version/_failover_progress.py
@@ -52,6 +52,7 @@
     due_ms: dict = dataclasses.field(default_factory=dict)
     under_way: set = dataclasses.field(default_factory=set)
     failures: dict = dataclasses.field(default_factory=dict)
+    unreached_ms: dict = dataclasses.field(default_factory=dict)
     proposed: object = None
     proposed_ms: float = 0.0
 
@@ -70,6 +71,7 @@
         key = (action_type, endpoint)
         self.due_ms.pop(key, None)
         self.failures.pop(key, None)
+        self.unreached_ms.pop(endpoint, None)
         was_under_way = key in self.under_way
         self.under_way.discard(key)
         return was_under_way
@@ -81,6 +83,18 @@
         self.due_ms[key] = due_ms
         self.failures[key] = message
 
+    def note_reached(self, endpoint, is_reached, now_ms):
+        """Record whether a server answered, for its first silence."""
+        if is_reached:
+            self.unreached_ms.pop(endpoint, None)
+        else:
+            self.unreached_ms.setdefault(endpoint, now_ms)
+
+    def is_unreached(self, endpoint, since_ms):
+        """Return whether no action reached the server after ``since_ms``."""
+        first_ms = self.unreached_ms.get(endpoint)
+        return first_ms is not None and first_ms <= since_ms
+
     def failure(self, action_type, endpoint):
         """Return the last failure of the action as a suffix of a text."""
         message = self.failures.get((action_type, endpoint))
--- a/waxwinglift/version/_failover_steps.py
+++ b/waxwinglift/version/_failover_steps.py
@@ -99,6 +99,12 @@
             return None
         if primary.state is EndpointState.LEAVING:
             return "primary is leaving"
+        return self.why_down()
+
+    def why_down(self):
+        """Return which report says that the primary is down, or None."""
+        if self.planner.live_daemons is None:
+            return None
         assignment = self.fleet.owners.get(self.group.primary)
         if assignment is None:
             return None
@@ -109,6 +115,17 @@
             return "owner lost and standby owner reports the primary down"
         return None
 
+    def why_chosen_lost(self):
+        """Return why the chosen server must be replaced, None to wait.
+
+        A slow promotion is no reason: the next server may be as slow.
+        """
+        name = self.group.primary
+        since_ms = self.now_ms - self.settings.rechoose_after_ms
+        if self.progress.is_unreached(name, since_ms):
+            return f"control cannot reach {name}"
+        return self.why_down()
+
     def is_down(self, daemon):
         return self.planner.is_down(
             daemon, self.group.primary, self.group.term, self.now_ms
@@ -138,8 +155,14 @@
     if reason is None:
         change.progress.positions.clear()
         return None
-    # The term is raised only when enough servers answer now: a primary that
-    # comes back can go on, but not once its term is over.
+    return _raise_term(change, reason)
+
+
+def _raise_term(change, reason):
+    """Propose the next term once enough servers answer now.
+
+    A primary that comes back can go on, but not once its term is over.
+    """
     reachable = change.progress.recent_positions(
         change.now_ms - change.settings.report_ttl_ms
     )
@@ -214,16 +237,32 @@
     name = change.group.primary
     primary = change.fleet.endpoints[name]
     if not change.progress.is_promoted:
-        limit_ms = change.settings.promote_limit_ms
-        change.send(messages.PromoteServer, primary, limit_ms)
-        failure = change.progress.failure(messages.PromoteServer, name)
-        return f"waiting for {name} to be promoted{failure}"
+        return _promote_chosen(change, primary)
     _repoint_stragglers(change)
     entry = PrimaryActive(change.group.group, change.group.term)
     change.propose(entry)
     return f"{name} is promoted; resuming writes"
 
 
+def _promote_chosen(change, primary):
+    """Promote the chosen server, or replace it when it is lost.
+
+    Its promotion may have run.  Nothing was written under its term, because
+    writes resume only with PrimaryActive; like an old primary it does not
+    count as fenced in the next choice.
+    """
+    name = primary.endpoint
+    limit_ms = change.settings.promote_limit_ms
+    change.send(messages.PromoteServer, primary, limit_ms)
+    failure = change.progress.failure(messages.PromoteServer, name)
+    status = f"waiting for {name} to be promoted{failure}"
+    reason = change.why_chosen_lost()
+    if reason is None:
+        change.progress.positions.clear()
+        return status
+    return f"{status}; {_raise_term(change, reason)}"
+
+
 def _repoint_stragglers(change):
     """Repoint the replicas of an older term, also those that come back.
 
--- a/waxwinglift/version/tests/failover_rig.py
+++ b/waxwinglift/version/tests/failover_rig.py
@@ -17,14 +17,26 @@
     messages.PromoteServer: messages.ServerPromoted,
     messages.RepointServer: messages.ServerRepointed,
 }
+REPLICA_ACTIONS = (messages.FenceServer, messages.ReadPosition)
 
 
 @dataclasses.dataclass
 class Server:
-    """Reachable or not, and the position that it reports."""
+    """Reachable or not, and the position that it reports.
+
+    A promoted server is on the next timeline, as in PostgreSQL; it neither
+    can be fenced nor reports a replica's position.
+    """
 
     position: Position = Position(1, 100)
     is_reachable: bool = True
+    is_promoted: bool = False
+
+    def promote(self):
+        if not self.is_promoted:
+            position = self.position
+            self.position = Position(position.term + 1, position.lsn + 1)
+            self.is_promoted = True
 
 
 class Rig:
@@ -43,6 +55,10 @@
         self.passed_index = None
         self.now_ms = 0.0
         self.actions = []
+        # Terms whose chosen server is lost before or after its promotion.
+        self.lost_unpromoted = set()
+        self.lost_promoted = set()
+        self.is_reached = False
         self.take_over()
 
     def take_over(self):
@@ -50,6 +66,15 @@
         self.planner = FailoverPlanner(FailoverSettings())
         self.handle(messages.LeadershipStarted())
 
+    def change_primary(self, steps_count=10):
+        """Lose the primary, report it and let the change run."""
+        group = self.fleet.groups["g"]
+        old_primary, old_term = group.primary, group.term
+        self.servers[old_primary].is_reachable = False
+        for _ in range(steps_count):
+            self.report("a", old_primary, term=old_term)
+            self.run(2)
+
     def report(self, daemon, *endpoints, term=1):
         """Let ``daemon`` report exactly ``endpoints`` as down."""
         down = tuple(messages.DownEndpoint(e, term) for e in endpoints)
@@ -80,15 +105,31 @@
         """Return the outcome of ``action``, None when it has none."""
         if isinstance(action, messages.Propose):
             extend(self.fleet, action.entry)
+            if isinstance(action.entry, entries.PrimaryChosen):
+                self.lose_chosen(action.entry)
             return messages.LeasesObserved(self.live, self.passed_index)
         server = self.servers[action.endpoint]
         if not server.is_reachable:
-            return messages.ActionFailed(action, "no answer")
+            return messages.ActionFailed(action, "no answer", self.is_reached)
         name = (action.group, action.term, action.endpoint)
+        if server.is_promoted and type(action) in REPLICA_ACTIONS:
+            return messages.ActionFailed(action, "not a replica")
         if isinstance(action, messages.ReadPosition):
             return messages.PositionRead(*name, server.position)
+        if isinstance(action, messages.RepointServer):
+            server.position = self.servers[action.primary].position
+        if isinstance(action, messages.PromoteServer):
+            server.promote()
         return OUTCOMES[type(action)](*name)
 
+    def lose_chosen(self, entry):
+        """Lose a chosen server if the test says so."""
+        server = self.servers[entry.primary]
+        if entry.term in self.lost_promoted:
+            server.promote()
+        if entry.term in self.lost_promoted | self.lost_unpromoted:
+            server.is_reachable = False
+
     def proposed(self, entry_type):
         """Return the proposed entries of a type."""
         return [
