Compare floors and positions in the group's term only

Once a chosen server was replaced before its promotion the two differ: owners gave the primary's floors the term, replicas reported the timeline, and PrimaryChosen recorded ends by timeline.

GroupFormed and PrimaryActive now record which timeline a term is; control and owners translate a server's timeline with that map. PrimaryChosen drops what is not in the chosen server's history and ends skipped terms where they left it. Replicas follow a new primary only once its timeline is in the log, and a choice that leaves out the last active timeline needs every replica's position, since the next promotion may use the same number again. Control reads the new timeline from pg_walfile_name: the control file of a real server has it only after a checkpoint.

Ruled out: floors by timeline. Owners and the callers' tokens know the term first, and two servers may give different histories the same timeline.

A replica of the new term meets its floors (test_data_path_terms.py, term two ahead of timeline).

Changed tests: the stand-ins of the fault tables and of the planner's tests took the term as timeline and let a promoted server be fenced, which hid the fault. TERM_2_LOST expected no end for a term that the chosen server never saw; it now expects the end up to which the floors of that term are kept.

--- a/waxwinglift/process/_control_sql.py
+++ b/waxwinglift/process/_control_sql.py
@@ -14,13 +14,16 @@
 from waxwinglift.connection._wire import parse_lsn
 from waxwinglift.version import _failover_messages as failover
 from waxwinglift.version import Lsn
-from waxwinglift.version import Position
-from waxwinglift.version import Term
+from waxwinglift.version import Timeline
+from waxwinglift.version._types import ServerPosition
 
 POLL_INTERVAL_S = 0.01
 ANSWER_LIMIT_BYTES = 1 << 20
 
 TIMELINE_SQL = "SELECT timeline_id FROM pg_control_checkpoint()"
+# The control file of a new primary has its timeline only after a checkpoint.
+WAL_FILE_SQL = "SELECT pg_walfile_name(pg_current_wal_lsn())"
+TIMELINE_DIGITS_COUNT = 8
 RECOVERY_SQL = "SELECT pg_is_in_recovery()"
 RECEIVED_SQL = "SELECT pg_last_wal_receive_lsn(), pg_last_wal_replay_lsn()"
 RECEIVERS_SQL = "SELECT count(*) FROM pg_stat_wal_receiver"
@@ -130,7 +133,7 @@
     lsns = [parse_lsn(text) for text in row if text is not None]
     if not lsns:
         raise StepError("the endpoint reports no log position")
-    position = Position(Term(int(timeline)), Lsn(max(lsns)))
+    position = ServerPosition(Timeline(int(timeline)), Lsn(max(lsns)))
     return failover.PositionRead(
         action.group, action.term, action.endpoint, position
     )
@@ -141,7 +144,11 @@
     if await _query_value(connection, RECOVERY_SQL) == "t":
         await _query(connection, PROMOTE_SQL)
         await _wait_for_value(connection, RECOVERY_SQL, "f")
-    return failover.ServerPromoted(action.group, action.term, action.endpoint)
+    wal_file = await _query_value(connection, WAL_FILE_SQL)
+    timeline = Timeline(int(wal_file[:TIMELINE_DIGITS_COUNT], 16))
+    return failover.ServerPromoted(
+        action.group, action.term, action.endpoint, timeline
+    )
 
 
 @server_step(failover.RepointServer)
--- a/waxwinglift/process/_owner_positions.py
+++ b/waxwinglift/process/_owner_positions.py
@@ -29,6 +29,7 @@
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
 from waxwinglift.version import Term
+from waxwinglift.version._fleet import find_term
 
 _REPLICAS_SQL = "SELECT application_name, flush_lsn FROM pg_stat_replication"
 _AGE_SQL = "SELECT pg_last_xact_replay_timestamp(), now()"
@@ -207,7 +208,9 @@
         if group.primary == self._endpoint:
             return group.term
         # A replica counts as part of a term once it announced the timeline.
-        return min(group.term, self._view.endpoint(self._endpoint).term)
+        timeline = self._view.endpoint(self._endpoint).term
+        term = find_term(group, timeline)
+        return Term(0) if term is None else term
 
     def _check(self, floor, max_age_ms):
         if max_age_ms and self._age_now_ms() <= max_age_ms:
--- a/waxwinglift/process/cli/_fleet.py
+++ b/waxwinglift/process/cli/_fleet.py
@@ -47,7 +47,7 @@
         yield (
             f"endpoint {endpoint.endpoint}: group {endpoint.group}, "
             f"{endpoint.address}, {endpoint.role.value}, "
-            f"term {endpoint.term}, {endpoint.state.value}, "
+            f"timeline {endpoint.term}, {endpoint.state.value}, "
             f"owner {owner_text}"
         )
     for daemon in fleet.daemons.values():
--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -33,6 +33,7 @@
 from waxwinglift.version import RankRow
 from waxwinglift.version import TableVersion
 from waxwinglift.version import Term
+from waxwinglift.version import Timeline
 from waxwinglift.version._fleet import Daemon
 from waxwinglift.version._fleet import Endpoint
 from waxwinglift.version._fleet import Group
@@ -104,7 +105,14 @@
     state = FleetState(index=LogIndex(1))
     state.pools[POOL] = Pool(_TABLE, TableVersion(1))
     state.groups[GROUP] = Group(
-        GROUP, GroupPhase.ACTIVE, len(ids), term, ids[0], LogIndex(0), {}
+        GROUP,
+        GroupPhase.ACTIVE,
+        len(ids),
+        term,
+        ids[0],
+        LogIndex(0),
+        {},
+        {Timeline(term): term},
     )
     for server, endpoint, owner in zip(servers, ids, owners, strict=True):
         is_primary = endpoint == ids[0]
--- /dev/null
+++ b/waxwinglift/process/tests/test_control_sql.py
@@ -0,0 +1,53 @@
+"""Guards what control reads from servers during a change of primary."""
+
+import asyncio
+import socket
+
+import pytest
+
+from waxwinglift.connection._backend import EndpointAccount
+from waxwinglift.process import Address
+from waxwinglift.process._control_sql import run_server_action
+from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version._types import ServerPosition
+from waxwinglift_standin.process import running_group
+
+ACCOUNT = EndpointAccount("t", "", "group", "control")
+
+
+async def act(action_type, address, limit_ms=2000):
+    action = action_type("g", 7, "e", address, limit_ms)
+    return await run_server_action(action, ACCOUNT)
+
+
+def test_server_reports_its_own_timeline():
+    # The group's term is another number: a position in it would be compared
+    # with the wrong end.
+    async def scenario():
+        async with running_group(2) as (primary, replica):
+            await act(messages.FenceServer, replica.address)
+            end_lsn = replica.state.log.end_lsn
+            read = await act(messages.ReadPosition, replica.address)
+            assert read.position == ServerPosition(1, end_lsn)
+            for _ in range(2):
+                # A repeated promotion must report the same timeline.
+                promoted = await act(messages.PromoteServer, replica.address)
+                assert (promoted.term, promoted.timeline) == (7, 2)
+            fenced = await act(messages.FenceServer, replica.address)
+            assert isinstance(fenced, messages.ActionFailed)
+            assert fenced.is_reached
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+@pytest.mark.parametrize("is_listening", [False, True])
+def test_silent_server_counts_as_not_reached(is_listening):
+    # Only a chosen server that cannot be reached is replaced.
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        if is_listening:
+            listener.listen()
+        address = Address(*listener.getsockname())
+        failed = asyncio.run(act(messages.PromoteServer, address, 200))
+    assert isinstance(failed, messages.ActionFailed)
+    assert not failed.is_reached
--- a/waxwinglift/process/tests/test_data_path_terms.py
+++ b/waxwinglift/process/tests/test_data_path_terms.py
@@ -16,15 +16,20 @@
 from waxwinglift.process.tests.test_data_path import connect
 from waxwinglift.process.tests.test_data_path import fetch
 from waxwinglift.process.tests.test_data_path import run
+from waxwinglift.request._floors import FloorState
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
 from waxwinglift.version import Term
+from waxwinglift.version import Timeline
 
 
-async def change_primary(servers, proxies):
-    """Replace the primary by the second server; return the old term's end."""
+async def change_primary(servers, proxies, skipped_count=0):
+    """Replace the primary by the second server; return the old term's end.
+
+    ``skipped_count`` terms end before their chosen server is promoted.
+    """
     fleet = proxies[0].view.fleet
     group = fleet.groups[GROUP]
     old_term = group.term
@@ -33,7 +38,7 @@
         for proxy in proxies:
             proxy.view.notify()
 
-    group.term = Term(old_term + 1)
+    group.term = Term(old_term + 1 + skipped_count)
     group.phase = GroupPhase.FENCING
     notify()
     servers[0].set_fault("cut_replication", "on")
@@ -58,14 +63,36 @@
     group.primary = EndpointId(new.settings.id)
     group.term_ends[old_term] = end_lsn
     group.phase = GroupPhase.ACTIVE
+    timeline = Timeline(new.state.log.term)
+    group.timelines[timeline] = group.term
     for server in servers[1:]:
-        fleet.endpoints[EndpointId(server.settings.id)].term = group.term
+        fleet.endpoints[EndpointId(server.settings.id)].term = timeline
     del fleet.endpoints[EndpointId(servers[0].settings.id)]
     del fleet.owners[EndpointId(servers[0].settings.id)]
     notify()
     return Position(old_term, end_lsn)
 
 
+@pytest.mark.parametrize("skipped_count", [0, 1])
+def test_replica_serves_floors_of_the_new_term(skipped_count):
+    # A replica whose timeline is taken for the term would stay behind for
+    # ever once a chosen server has been replaced before its promotion.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+            await change_primary(servers, proxies, skipped_count)
+            await caller.execute("INSERT INTO t VALUES (1)")
+        fleet = proxies[0].view.fleet
+        term = fleet.groups[GROUP].term
+        replica = EndpointId(servers[2].settings.id)
+        positions = proxies[0].owners.owner(replica).positions
+        floor = Position(term, Lsn(servers[1].state.log.end_lsn))
+        state = await positions.wait_for_floor(floor, 0, 3000.0)
+        assert state is FloorState.MET
+
+    run(scenario, proxy_count=1)
+
+
 @pytest.mark.parametrize("proxy_count", [1, 2])
 def test_session_keeps_its_writes_across_a_change_of_primary(proxy_count):
     # An acknowledged write must be readable from the new primary, and the
--- a/waxwinglift/request/tests/test_routing.py
+++ b/waxwinglift/request/tests/test_routing.py
@@ -47,7 +47,9 @@
             EndpointState.JOINED,
         )
         fleet.owners[name] = OwnerAssignment(name, f"p{name}", None, 4)
-    fleet.groups["g"] = Group("g", phase, 3, term, primary, 0, ends or {})
+    fleet.groups["g"] = Group(
+        "g", phase, 3, term, primary, 0, ends or {}, {term: term}
+    )
     return fleet
 
 
--- a/waxwinglift/version/__init__.py
+++ b/waxwinglift/version/__init__.py
@@ -20,6 +20,7 @@
 from waxwinglift.version._types import Rank
 from waxwinglift.version._types import TableVersion
 from waxwinglift.version._types import Term
+from waxwinglift.version._types import Timeline
 from waxwinglift.version._types import ZERO_POSITION
 
 __all__ = [
@@ -44,4 +45,5 @@
     "RankRow",
     "TableVersion",
     "Term",
+    "Timeline",
 ]
--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -15,6 +15,7 @@
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import LogIndex
 from waxwinglift.version._types import Term
+from waxwinglift.version._types import Timeline
 
 
 @applies(EntryKind.POOL_EDITED)
@@ -99,6 +100,7 @@
         primary=None,
         raised_index=LogIndex(0),
         term_ends={},
+        timelines={},
     )
 
 
@@ -170,6 +172,8 @@
         message = f"{present_count} of {group.size_count} servers known"
         return refuse(RefusalCode.GROUP_SIZE_MISMATCH, message)
     group.term = entry.term
+    # The first term is the timeline that the primary announced.
+    group.timelines = {Timeline(entry.term): entry.term}
     group.primary = entry.primary
     group.phase = GroupPhase.ACTIVE
     return Ok(Applied(index))
@@ -208,12 +212,21 @@
 def _record_term_end(group, entry):
     """Record the history of the chosen server.
 
-    Terms after ``old_term`` are not part of that history; without a recorded
-    end their floors count as lost.
+    Terms after ``old_term`` are not part of that history.  What they share
+    with it ends where they left it, or where ``old_term`` ends now: a floor
+    up to there is kept, a later one is lost.
     """
-    for term in [t for t in group.term_ends if t > entry.old_term]:
-        del group.term_ends[term]
-    group.term_ends[entry.old_term] = entry.old_term_end_lsn
+    end_lsn = entry.old_term_end_lsn
+    left_lsn = min(group.term_ends.get(entry.old_term, end_lsn), end_lsn)
+    for term in map(Term, range(entry.old_term + 1, entry.term)):
+        known_lsn = group.term_ends.get(term, left_lsn)
+        group.term_ends[term] = min(known_lsn, left_lsn)
+    group.term_ends[entry.old_term] = end_lsn
+    group.timelines = {
+        timeline: term
+        for timeline, term in group.timelines.items()
+        if term <= entry.old_term
+    }
 
 
 @applies(EntryKind.PRIMARY_ACTIVE)
@@ -221,5 +234,11 @@
     refusal = _check_step(state, entry, {GroupPhase.PROMOTING}, 0)
     if refusal is not None:
         return refusal
-    state.groups[entry.group].phase = GroupPhase.ACTIVE
+    group = state.groups[entry.group]
+    latest = max(group.timelines, default=Timeline(0))
+    if entry.timeline <= latest:
+        message = f"timeline {entry.timeline} does not follow {latest}"
+        return refuse(RefusalCode.WRONG_TERM, message)
+    group.timelines[entry.timeline] = entry.term
+    group.phase = GroupPhase.ACTIVE
     return Ok(Applied(index))
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -20,6 +20,7 @@
 from waxwinglift.version._types import Rank
 from waxwinglift.version._types import TableVersion
 from waxwinglift.version._types import Term
+from waxwinglift.version._types import Timeline
 
 
 class EntryKind(enum.Enum):
@@ -154,7 +155,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrimaryChosen:
-    """Names the new primary; ``old_term_end_lsn`` ends the previous term."""
+    """Names the new primary.
+
+    ``old_term`` is the group's term of its last write, which ends at
+    ``old_term_end_lsn``.
+    """
 
     group: GroupName
     term: Term
@@ -166,10 +171,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrimaryActive:
-    """The new primary is promoted: writes resume."""
+    """The new primary is promoted: writes resume.
+
+    ``timeline`` is the server's own number of the term.
+    """
 
     group: GroupName
     term: Term
+    timeline: Timeline
     kind: EntryKind = EntryKind.PRIMARY_ACTIVE
 
 
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -13,6 +13,7 @@
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._failover_progress import Progress
 from waxwinglift.version._failover_steps import advance_group
+from waxwinglift.version._fleet import find_term
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import Term
@@ -248,7 +249,8 @@
         if group.phase is not GroupPhase.ACTIVE
     }
     for endpoint in fleet.endpoints.values():
-        is_behind = endpoint.term < fleet.groups[endpoint.group].term
+        group = fleet.groups[endpoint.group]
+        is_behind = find_term(group, endpoint.term) != group.term
         is_away = endpoint.state is not EndpointState.JOINED
         if is_behind or is_away or endpoint.endpoint in planner.lost:
             due.add(endpoint.group)
@@ -298,7 +300,7 @@
         return ()
     progress.done(messages.PromoteServer, event.endpoint)
     if event.endpoint == fleet.groups[event.group].primary:
-        progress.is_promoted = True
+        progress.timeline = event.timeline
     return (event.group,)
 
 
--- a/waxwinglift/version/_failover_messages.py
+++ b/waxwinglift/version/_failover_messages.py
@@ -8,8 +8,9 @@
 from waxwinglift.version._types import EndpointId
 from waxwinglift.version._types import GroupName
 from waxwinglift.version._types import LogIndex
-from waxwinglift.version._types import Position
+from waxwinglift.version._types import ServerPosition
 from waxwinglift.version._types import Term
+from waxwinglift.version._types import Timeline
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadPosition(ServerAction):
-    """Read the term and the last offset that the server has received."""
+    """Read the timeline and the last offset that the server received."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,7 +117,7 @@
     group: GroupName
     term: Term
     endpoint: EndpointId
-    position: Position
+    position: ServerPosition
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +127,7 @@
     group: GroupName
     term: Term
     endpoint: EndpointId
+    timeline: Timeline
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_failover_progress.py
+++ b/waxwinglift/version/_failover_progress.py
@@ -4,6 +4,7 @@
 
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import Timeline
 
 
 def quorum_count(size_count):
@@ -47,7 +48,8 @@
     key: tuple
     fenced: set = dataclasses.field(default_factory=set)
     positions: dict = dataclasses.field(default_factory=dict)
-    is_promoted: bool = False
+    # Timeline of the chosen server once it is promoted.
+    timeline: Timeline | None = None
     status: str = ""
     due_ms: dict = dataclasses.field(default_factory=dict)
     under_way: set = dataclasses.field(default_factory=set)
--- a/waxwinglift/version/_failover_steps.py
+++ b/waxwinglift/version/_failover_steps.py
@@ -7,6 +7,7 @@
 from waxwinglift.version._failover_progress import fenced_needed_count
 from waxwinglift.version._failover_progress import find_fenceable
 from waxwinglift.version._failover_progress import waiting_text
+from waxwinglift.version._fleet import find_term
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
@@ -203,18 +204,52 @@
         name = endpoint.endpoint
         if name in fenced and name not in progress.positions:
             change.read(endpoint)
-    read = fenced & set(progress.positions)
+    read = fenced & _placed(change)
     if len(read) < change.needed_count():
         return _waiting(change, read, "positions of fenced servers")
+    followers = _unread_followers(change, read)
+    if followers:
+        names = ", ".join(followers)
+        return f"waiting for servers that may have a later term: {names}"
     _choose(change, read)
     return "choosing the new primary"
 
 
+def _placed(change):
+    """Return the servers whose position is in the group's history."""
+    return {
+        name
+        for name, (position, _) in change.progress.positions.items()
+        if find_term(change.group, position.timeline) is not None
+    }
+
+
+def _unread_followers(change, read):
+    """Return the servers that may have followed the last primary.
+
+    None when its timeline was read.  Otherwise no write of its term was
+    acknowledged, but the next promotion may give its timeline's number to
+    another history: a server that followed it must not be left out now,
+    because its log could not be told from the new one later.
+    """
+    latest = max(change.group.timelines)
+    positions = change.progress.positions
+    if any(positions[name][0].timeline == latest for name in read):
+        return []
+    return [
+        endpoint.endpoint
+        for endpoint in change.members
+        if endpoint.role is EndpointRole.REPLICA
+        and endpoint.endpoint != change.group.primary
+        and endpoint.endpoint not in read
+    ]
+
+
 def _choose(change, read):
     """Propose the server with the highest position as primary.
 
-    Terms go before offsets: a longer log of an older term lacks writes of the
-    newer one.  Among equals a server that is not leaving is preferred.
+    Timelines go before offsets: a longer log of an older term lacks writes of
+    the newer one.  Among equals a server that is not leaving is preferred.
     """
     positions = change.progress.positions
     joined = {
@@ -227,7 +262,11 @@
     group = change.group
     change.propose(
         PrimaryChosen(
-            group.group, group.term, best, position.term, position.lsn
+            group.group,
+            group.term,
+            best,
+            find_term(group, position.timeline),
+            position.lsn,
         )
     )
 
@@ -236,10 +275,12 @@
 def _step_promoting(change):
     name = change.group.primary
     primary = change.fleet.endpoints[name]
-    if not change.progress.is_promoted:
+    timeline = change.progress.timeline
+    if timeline is None:
         return _promote_chosen(change, primary)
-    _repoint_stragglers(change)
-    entry = PrimaryActive(change.group.group, change.group.term)
+    # The others follow it once its timeline is in the log: what they receive
+    # could not be placed in the group's history before.
+    entry = PrimaryActive(change.group.group, change.group.term, timeline)
     change.propose(entry)
     return f"{name} is promoted; resuming writes"
 
@@ -283,7 +324,7 @@
         is_behind = (
             name != group.primary
             and endpoint.role is EndpointRole.REPLICA
-            and endpoint.term < group.term
+            and find_term(group, endpoint.term) != group.term
         )
         if is_behind and planner.repointed.get(name) != group.term:
             change.repoint(endpoint, primary)
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -19,6 +19,7 @@
 from waxwinglift.version._types import PoolName
 from waxwinglift.version._types import TableVersion
 from waxwinglift.version._types import Term
+from waxwinglift.version._types import Timeline
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +44,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Endpoint:
-    """One announced database server."""
+    """One announced database server; ``term`` is its own timeline."""
 
     endpoint: EndpointId
     group: GroupName
@@ -61,7 +62,8 @@
     """A database, its current primary and the ends of its past terms.
 
     ``raised_index`` is the log index of the last TermRaised; every daemon
-    with a lease must have applied it before a promotion.
+    with a lease must have applied it before a promotion.  ``timelines`` gives
+    the term of each timeline in the history of the current primary.
     """
 
     group: GroupName
@@ -71,6 +73,25 @@
     primary: EndpointId | None
     raised_index: LogIndex
     term_ends: dict[Term, Lsn]
+    timelines: dict[Timeline, Term]
+
+
+def find_term(group, timeline):
+    """Return the group's term of a server's timeline.
+
+    Servers count only the promotions in their own history, the group also
+    the terms that ended before their promotion.
+
+    Returns
+    -------
+    Term or None
+        0 for a timeline from before the group was formed, None for one that
+        is not in the history of the group's current primary.
+    """
+    if timeline in group.timelines:
+        return group.timelines[timeline]
+    is_earlier = timeline < min(group.timelines, default=0)
+    return Term(0) if is_earlier else None
 
 
 def accepts_work(endpoint, group):
--- a/waxwinglift/version/_types.py
+++ b/waxwinglift/version/_types.py
@@ -11,6 +11,7 @@
 EditId = NewType("EditId", str)
 
 Term = NewType("Term", int)
+Timeline = NewType("Timeline", int)
 Lsn = NewType("Lsn", int)
 LogIndex = NewType("LogIndex", int)
 TableVersion = NewType("TableVersion", int)
@@ -24,7 +25,7 @@
     Parameters
     ----------
     term : Term
-        PostgreSQL timeline.
+        Counter of the group's changes of primary.
     lsn : Lsn
         Log offset in bytes.
     """
@@ -33,6 +34,22 @@
     lsn: Lsn
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class ServerPosition:
+    """End of a server's log; ordered by timeline, then by log offset.
+
+    Parameters
+    ----------
+    timeline : Timeline
+        PostgreSQL timeline, as the server counts it.
+    lsn : Lsn
+        Log offset in bytes.
+    """
+
+    timeline: Timeline
+    lsn: Lsn
+
+
 ZERO_POSITION = Position(Term(0), Lsn(0))
 
 
--- a/waxwinglift/version/tests/failover_rig.py
+++ b/waxwinglift/version/tests/failover_rig.py
@@ -6,7 +6,7 @@
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._failover import FailoverPlanner
 from waxwinglift.version._failover import FailoverSettings
-from waxwinglift.version._types import Position
+from waxwinglift.version._types import ServerPosition
 from waxwinglift.version.tests.fleets import daemon_joined
 from waxwinglift.version.tests.fleets import extend
 from waxwinglift.version.tests.fleets import group_entries
@@ -28,14 +28,14 @@
     can be fenced nor reports a replica's position.
     """
 
-    position: Position = Position(1, 100)
+    position: ServerPosition = ServerPosition(1, 100)
     is_reachable: bool = True
     is_promoted: bool = False
 
     def promote(self):
         if not self.is_promoted:
-            position = self.position
-            self.position = Position(position.term + 1, position.lsn + 1)
+            timeline = self.position.timeline + 1
+            self.position = ServerPosition(timeline, self.position.lsn + 1)
             self.is_promoted = True
 
 
@@ -120,6 +120,7 @@
             server.position = self.servers[action.primary].position
         if isinstance(action, messages.PromoteServer):
             server.promote()
+            name = (*name, server.position.timeline)
         return OUTCOMES[type(action)](*name)
 
     def lose_chosen(self, entry):
--- a/waxwinglift/version/tests/test_apply.py
+++ b/waxwinglift/version/tests/test_apply.py
@@ -74,8 +74,8 @@
 HALF = [row("a", floor=60), row("b", floor=41)]
 
 
-def chosen(term, primary="b", old_term=1):
-    return e.PrimaryChosen("g", term, primary, old_term, 5)
+def chosen(term, primary="b", old_term=1, end_lsn=5):
+    return e.PrimaryChosen("g", term, primary, old_term, end_lsn)
 
 
 @pytest.mark.parametrize(
@@ -108,8 +108,10 @@
         ([*FENCING, chosen(1, old_term=0)], "wrong_term"),
         ([*FENCING, chosen(2, old_term=2)], "wrong_term"),
         ([*FENCING, join("x", 1, "h"), chosen(2, "x")], "group_mismatch"),
-        ([*FENCING, e.PrimaryActive("g", 2)], "wrong_phase"),
-        ([*PROMOTING, e.PrimaryActive("g", 1)], "wrong_term"),
+        ([*FENCING, e.PrimaryActive("g", 2, 2)], "wrong_phase"),
+        ([*PROMOTING, e.PrimaryActive("g", 1, 2)], "wrong_term"),
+        # Two terms with one timeline could not be told apart.
+        ([*PROMOTING, e.PrimaryActive("g", 2, 1)], "wrong_term"),
         ([e.DaemonDraining("d1")], "unknown_daemon"),
         ([daemon("d1"), *[e.DaemonDraining("d1")] * 2], "wrong_state"),
         ([e.DaemonLeft("d1")], "unknown_daemon"),
@@ -134,13 +136,17 @@
     assert after == expected
 
 
-# A chosen server that never saw term 2 leaves no end for it.
+ACTIVE_AGAIN = [*PROMOTING, e.PrimaryActive("g", 2, 2)]
+# A chosen server that never saw terms 2 and 3 keeps what they have in common
+# with term 1: without an end their floors would be waited for for ever.
 TERM_2_LOST = [
-    *PROMOTING,
+    *FENCING,
+    chosen(2, "b", 1, 60),
+    e.PrimaryActive("g", 2, 2),
     e.TermRaised("g", 3),
-    chosen(3, "a", 2),
+    chosen(3, "a", 2, 80),
     e.TermRaised("g", 4),
-    chosen(4, "b", 1),
+    chosen(4, "b", 1, 90),
 ]
 JOINED_AGAIN = [join("a"), e.EndpointLeaving("a"), join("a")]
 
@@ -155,8 +161,15 @@
         (FENCING, "groups.g.phase", types.GroupPhase.FENCING),
         (PROMOTING, "groups.g.phase", types.GroupPhase.PROMOTING),
         (PROMOTING, "groups.g.term_ends", {1: 700}),
-        ([*PROMOTING, e.PrimaryActive("g", 2)], "groups.g.primary", "b"),
-        (TERM_2_LOST, "groups.g.term_ends", {1: 5}),
+        (ACTIVE_AGAIN, "groups.g.primary", "b"),
+        (ACTIVE_AGAIN, "groups.g.timelines", {1: 1, 2: 2}),
+        (TERM_2_LOST, "groups.g.term_ends", {1: 90, 2: 60, 3: 60}),
+        (TERM_2_LOST, "groups.g.timelines", {1: 1}),
+        (
+            [*TERM_2_LOST, e.PrimaryActive("g", 4, 2)],
+            "groups.g.timelines",
+            {1: 1, 2: 4},
+        ),
         (JOINED_AGAIN, "endpoints.a.state", types.EndpointState.JOINED),
         (
             [*LOST_A, join("a")],
@@ -228,7 +241,7 @@
 
 
 @pytest.mark.parametrize(
-    "entry", [*PROMOTING, *OWNED, *VOTER, edit("i", 0), delete("j", 1)]
+    "entry", [*ACTIVE_AGAIN, *OWNED, *VOTER, edit("i", 0), delete("j", 1)]
 )
 def test_entry_round_trip_is_stable(entry):
     payload = encode_entry(entry)
--- a/waxwinglift/version/tests/test_failover.py
+++ b/waxwinglift/version/tests/test_failover.py
@@ -7,7 +7,7 @@
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
-from waxwinglift.version._types import Position
+from waxwinglift.version._types import ServerPosition
 from waxwinglift.version.tests.failover_rig import Rig
 from waxwinglift.version.tests.fleets import endpoint_joined
 from waxwinglift.version.tests.fleets import extend
@@ -181,11 +181,13 @@
     rig = Rig()
     extend(rig.fleet, entries.TermRaised("g", 2))
     extend(rig.fleet, entries.PrimaryChosen("g", 2, "g-a", 1, 50))
+    extend(rig.fleet, entries.PrimaryActive("g", 2, 2))
     extend(rig.fleet, entries.TermRaised("g", 3))
     extend(rig.fleet, entries.PrimaryChosen("g", 3, "g-a", 2, 70))
+    extend(rig.fleet, entries.PrimaryActive("g", 3, 3))
     extend(rig.fleet, entries.TermRaised("g", 4))
-    rig.servers["g-b"].position = Position(*b)
-    rig.servers["g-c"].position = Position(*c)
+    rig.servers["g-b"].position = ServerPosition(*b)
+    rig.servers["g-c"].position = ServerPosition(*c)
     rig.run(2)
     group = rig.fleet.groups["g"]
     assert group.primary == primary
@@ -236,7 +238,7 @@
     rig.run(3)
     rig.handle(messages.ServerFenced("g", 1, "g-b"))
     rig.handle(messages.ServerFenced("g", 1, "g-c"))
-    rig.handle(messages.PositionRead("g", 2, "g-b", Position(1, 5)))
+    rig.handle(messages.PositionRead("g", 2, "g-b", ServerPosition(1, 5)))
     rig.run(3)
     assert "2 of 2 servers to be fenced" in rig.planner.statuses()["g"]
 
--- a/waxwinglift/version/tests/test_failover_chains.py
+++ b/waxwinglift/version/tests/test_failover_chains.py
@@ -2,8 +2,16 @@
 
 import pytest
 
+from waxwinglift.request._floors import check_floor
+from waxwinglift.request._floors import FloorState
+from waxwinglift.version import _entries as entries
+from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version import Position
 from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import ServerPosition
 from waxwinglift.version.tests.failover_rig import Rig
+from waxwinglift.version.tests.fleets import endpoint_joined
+from waxwinglift.version.tests.fleets import extend
 
 
 @pytest.mark.parametrize("lost", ["lost_unpromoted", "lost_promoted"])
@@ -22,6 +30,34 @@
     assert group.primary not in ("g-a", first)
 
 
+@pytest.mark.parametrize(
+    ("floor", "state"),
+    [
+        ((3, 101), FloorState.MET),
+        # Acknowledged by nobody and discarded with term 3.
+        ((3, 201), FloorState.LOST),
+        ((1, 100), FloorState.MET),
+        ((1, 101), FloorState.LOST),
+    ],
+)
+def test_floor_of_a_term_whose_number_differs_from_its_timeline(floor, state):
+    # Term 3 is timeline 2: compared with the end of another term, a floor
+    # waits for ever or a discarded write counts as kept.
+    rig = Rig(sites="abcde")
+    rig.lost_unpromoted = {2}
+    rig.change_primary()
+    chosen = rig.fleet.groups["g"].primary
+    rig.report("a", chosen, term=2)
+    rig.run(2)
+    rig.servers[chosen].is_reachable = True
+    rig.run(20)
+    rig.change_primary()
+    group = rig.fleet.groups["g"]
+    assert (group.phase, group.term) == (GroupPhase.ACTIVE, 4)
+    position = Position(group.term, 300)
+    assert check_floor(Position(*floor), position, group.term_ends) is state
+
+
 @pytest.mark.parametrize(
     ("sites", "is_reached", "reports", "phase", "term"),
     [
@@ -64,3 +100,84 @@
     rig.servers[group.primary].is_reachable = True
     rig.run(20)
     assert (group.phase, group.term) == (GroupPhase.ACTIVE, 2)
+
+
+@pytest.mark.parametrize(
+    ("positions", "primary"),
+    [
+        # Server d followed the primary of term 2 and cannot be reached: its
+        # log could not be told from that of the next timeline 2.
+        ({"c": (1, 100), "d": None, "e": (1, 90)}, None),
+        ({"c": (1, 100), "d": (1, 90), "e": (1, 90)}, "g-c"),
+        ({"c": (1, 100), "d": None, "e": (2, 90)}, "g-e"),
+        # A timeline that no term of the group had.
+        ({"c": (1, 100), "d": None, "e": (7, 900)}, None),
+    ],
+)
+def test_later_term_is_not_left_out(positions, primary):
+    rig = Rig(sites="abcde")
+    extend(
+        rig.fleet,
+        endpoint_joined("g-a", "a", size=5),
+        entries.TermRaised("g", 2),
+        entries.PrimaryChosen("g", 2, "g-b", 1, 100),
+        entries.PrimaryActive("g", 2, 2),
+        entries.TermRaised("g", 3),
+    )
+    for site, position in positions.items():
+        server = rig.servers[f"g-{site}"]
+        server.is_reachable = position is not None
+        server.position = ServerPosition(*(position or (2, 120)))
+    rig.servers["g-a"].position = ServerPosition(1, 80)
+    rig.run(4)
+    group = rig.fleet.groups["g"]
+    if primary is None:
+        assert group.phase is GroupPhase.FENCING
+        assert rig.planner.statuses()["g"].startswith("waiting for")
+        assert "g-d" in rig.planner.statuses()["g"]
+    else:
+        assert (group.phase, group.primary) == (GroupPhase.ACTIVE, primary)
+
+
+def test_replicas_follow_once_the_timeline_is_in_the_log(monkeypatch):
+    # A replica on a timeline that the log does not know has no place in the
+    # group's history when the new primary is lost at once.
+    rig = Rig()
+    execute = rig.execute
+
+    def drop_active(action):
+        entry = getattr(action, "entry", None)
+        is_active = isinstance(entry, entries.PrimaryActive)
+        return None if is_active else execute(action)
+
+    monkeypatch.setattr(rig, "execute", drop_active)
+    rig.change_primary()
+    assert rig.proposed(entries.PrimaryActive)
+    assert rig.sent(messages.RepointServer, 2) == set()
+    monkeypatch.undo()
+    rig.run(20)
+    assert rig.fleet.groups["g"].phase is GroupPhase.ACTIVE
+    assert rig.sent(messages.RepointServer, 2) == {"g-c"}
+
+
+def test_stray_promotion_is_never_chosen():
+    # Its log may be longer than that of the servers with the acknowledged
+    # writes, on a timeline of the same number.
+    rig = Rig(sites="abcde")
+    rig.lost_promoted = {2}
+    rig.change_primary()
+    group = rig.fleet.groups["g"]
+    stray = group.primary
+    rig.report("a", stray, term=2)
+    rig.run(2)
+    rig.servers[stray].is_reachable = True
+    rig.servers[stray].position = ServerPosition(2, 9000)
+    rig.run(20)
+    # The old primary was rebuilt from the new one.
+    extend(rig.fleet, endpoint_joined("g-a", "a", term=2, size=5))
+    rig.servers["g-a"].position = rig.servers[group.primary].position
+    rig.servers["g-a"].is_reachable = True
+    rig.change_primary()
+    assert (group.phase, group.term) == (GroupPhase.ACTIVE, 4)
+    assert group.primary != stray
+    assert group.term_ends[3] == 101
--- a/waxwinglift_bench/process/_deployment.py
+++ b/waxwinglift_bench/process/_deployment.py
@@ -20,6 +20,7 @@
 from waxwinglift.version import PoolTable
 from waxwinglift.version import RankRow
 from waxwinglift.version import Term
+from waxwinglift.version import Timeline
 from waxwinglift.version._fleet import Daemon
 from waxwinglift.version._fleet import Endpoint
 from waxwinglift.version._fleet import Group
@@ -158,6 +159,7 @@
         primary=names[0],
         raised_index=LogIndex(0),
         term_ends={},
+        timelines={Timeline(1): Term(1)},
     )
 
 
--- a/waxwinglift_bench/process/_slopes_requests.py
+++ b/waxwinglift_bench/process/_slopes_requests.py
@@ -128,7 +128,7 @@
             connection_limit_count=25,
             state=EndpointState.JOINED,
         )
-    fleet.groups[0] = Group(0, GroupPhase.ACTIVE, 3, 1, 0, 0, {})
+    fleet.groups[0] = Group(0, GroupPhase.ACTIVE, 3, 1, 0, 0, {}, {})
     return lambda number: view_group(fleet, 0, here)
 
 
--- a/waxwinglift_bench/version/_proxies.py
+++ b/waxwinglift_bench/version/_proxies.py
@@ -13,9 +13,12 @@
 from waxwinglift.version._control_core_messages import Renewal
 from waxwinglift.version._failover_messages import DownEndpoint
 from waxwinglift.version._failover_progress import quorum_count
+from waxwinglift.version._fleet import find_term
 from waxwinglift.version._leases import DaemonLease
 from waxwinglift.version._leases import LeaseSettings
 from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import Position
+from waxwinglift.version._types import Term
 from waxwinglift_bench.version._virtual import Node
 
 PROBE_INTERVAL_MS = 150.0
@@ -226,6 +229,8 @@
         if position is None:
             self.answer(request, "not_run")
             return
+        _, _, term = self.owner_requests[request]
+        position = Position(term, position.lsn)
         self.positions[request] = position
         self.follow_term()
         self.act(self.waits.hold(request, position, self.now_ms))
@@ -262,7 +267,8 @@
         if self.group is None or server != self.group.primary:
             return
         self.follow_term()
-        released = self.waits.on_positions(timeline, lsn, flushed)
+        term = find_term(self.group, timeline)
+        released = self.waits.on_positions(term, lsn, flushed)
         if released:
             self.held_since_ms = self.now_ms
         self.act(released)
@@ -295,6 +301,8 @@
         floor, finish = self.reads.pop(request, (None, None))
         if finish is None or not self.has_lease():
             return
+        term = find_term(self.group, position.timeline) or Term(0)
+        position = Position(term, position.lsn)
         state = check_floor(floor, position, self.group.term_ends)
         if state is FloorState.MET:
             finish(data)
--- a/waxwinglift_bench/version/_servers.py
+++ b/waxwinglift_bench/version/_servers.py
@@ -4,7 +4,7 @@
 from waxwinglift.process import Location
 from waxwinglift.version import _announcements
 from waxwinglift.version import _failover_messages as messages
-from waxwinglift.version._types import Position
+from waxwinglift.version._types import ServerPosition
 from waxwinglift_bench.version._virtual import Node
 
 SQL_ACTIONS = {}
@@ -52,7 +52,7 @@
 
     @property
     def position(self):
-        return Position(self.timeline, len(self.log))
+        return ServerPosition(self.timeline, len(self.log))
 
     def announce(self):
         """Tell a control daemon about this server, as the platform does."""
@@ -172,15 +172,22 @@
     return outcome_type(action.group, action.term, action.endpoint, *fields)
 
 
+def _not_a_replica(action):
+    return messages.ActionFailed(action, "not a replica", is_reached=True)
+
+
 @on_sql(messages.FenceServer)
 def _fence(server, action):
-    if server.in_recovery:
-        server.upstream = None
+    if not server.in_recovery:
+        return _not_a_replica(action)
+    server.upstream = None
     return _named(messages.ServerFenced, action)
 
 
 @on_sql(messages.ReadPosition)
 def _read_position(server, action):
+    if not server.in_recovery:
+        return _not_a_replica(action)
     return _named(messages.PositionRead, action, server.position)
 
 
@@ -189,9 +196,9 @@
     if server.in_recovery:
         server.in_recovery = False
         server.upstream = None
-        server.timeline = action.term
+        server.timeline += 1
         server.flushed.clear()
-    return _named(messages.ServerPromoted, action)
+    return _named(messages.ServerPromoted, action, server.timeline)
 
 
 @on_sql(messages.RepointServer)
--- a/waxwinglift_bench/version/tests/test_faults.py
+++ b/waxwinglift_bench/version/tests/test_faults.py
@@ -46,8 +46,9 @@
     name = min(sorted(read), key=lambda n: positions[n][0])
     position = positions[name][0]
     group = change.group
+    old_term = steps.find_term(group, position.timeline)
     entry = steps.PrimaryChosen(
-        group.group, group.term, name, position.term, position.lsn
+        group.group, group.term, name, old_term, position.lsn
     )
     change.propose(entry)
 
--- a/waxwinglift_standin/request/_functions.py
+++ b/waxwinglift_standin/request/_functions.py
@@ -16,6 +16,7 @@
 from waxwinglift_standin.version import parse_lsn
 
 SERVER_VERSION = "15.0"
+WAL_SEGMENT_BYTES = 1 << 24
 
 
 def _format_us(moment_us):
@@ -40,6 +41,16 @@
     return format_lsn(context.server.log.end_lsn)
 
 
+@sql_function("pg_walfile_name", PgType.TEXT)
+def pg_walfile_name(context, lsn):
+    """Return the name of the WAL file that ends at or holds a position."""
+    if context.server.in_recovery:
+        raise SqlError(SqlState.WRONG_STATE, "recovery is in progress")
+    segment = (parse_lsn(lsn) - 1) // WAL_SEGMENT_BYTES
+    high, low = divmod(segment, 2**32 // WAL_SEGMENT_BYTES)
+    return f"{context.server.log.term:08X}{high:08X}{low:08X}"
+
+
 @sql_function("pg_last_wal_replay_lsn", PgType.PG_LSN)
 def pg_last_wal_replay_lsn(context):
     """Return the end of what a replica has replayed."""
