--- a/waxwinglift/version/_failover_scan.py
+++ b/waxwinglift/version/_failover_scan.py
@@ -5,6 +5,7 @@
 only brings the scan of its own group up to date.
 """
 
+from waxwinglift.version._fleet import find_term
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
@@ -68,6 +69,6 @@
             return True
         if is_primary or endpoint.role is not EndpointRole.REPLICA:
             return False
-        is_behind = endpoint.term < group.term
+        is_behind = find_term(group, endpoint.term) != group.term
         repointed = self._planner.repointed.get(endpoint.endpoint)
         return is_behind and repointed != group.term
--- a/waxwinglift/version/_failover_steps.py
+++ b/waxwinglift/version/_failover_steps.py
@@ -8,6 +8,7 @@
 from waxwinglift.version._failover_progress import fenced_needed_count
 from waxwinglift.version._failover_progress import find_fenceable
 from waxwinglift.version._failover_progress import waiting_text
+from waxwinglift.version._fleet import find_term
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
@@ -89,6 +90,12 @@
             return None
         if primary.state is EndpointState.LEAVING:
             return "primary is leaving"
+        return self.why_down()
+
+    def why_down(self):
+        """Return which report says that the primary is down, or None."""
+        if self.planner.live_daemons is None:
+            return None
         assignment = self.fleet.owners.get(self.group.primary)
         if assignment is None:
             return None
@@ -99,6 +106,17 @@
             return "owner lost and standby owner reports the primary down"
         return None
 
+    def why_chosen_lost(self):
+        """Return why the chosen server must be replaced, None to wait.
+
+        A slow promotion is no reason: the next server may be as slow.
+        """
+        name = self.group.primary
+        since_ms = self.now_ms - self.settings.rechoose_after_ms
+        if self.progress.is_unreached(name, since_ms):
+            return f"control cannot reach {name}"
+        return self.why_down()
+
     def is_down(self, daemon):
         return self.planner.is_down(
             daemon, self.group.primary, self.group.term, self.now_ms
@@ -128,8 +146,14 @@
     if reason is None:
         change.progress.positions.clear()
         return None
-    # The term is raised only when enough servers answer now: a primary that
-    # comes back can go on, but not once its term is over.
+    return _raise_term(change, reason)
+
+
+def _raise_term(change, reason):
+    """Propose the next term once enough servers answer now.
+
+    A primary that comes back can go on, but not once its term is over.
+    """
     reachable = change.progress.recent_positions(
         change.now_ms - change.settings.report_ttl_ms
     )
@@ -170,18 +194,52 @@
         name = endpoint.endpoint
         if name in fenced and name not in progress.positions:
             change.read(endpoint)
-    read = fenced & set(progress.positions)
+    read = fenced & _placed(change)
     if len(read) < change.needed_count():
         return _waiting(change, read, "positions of fenced servers")
+    followers = _unread_followers(change, read)
+    if followers:
+        names = ", ".join(followers)
+        return f"waiting for servers that may have a later term: {names}"
     _choose(change, read)
     return "choosing the new primary"
 
 
+def _placed(change):
+    """Return the servers whose position is in the group's history."""
+    return {
+        name
+        for name, (position, _) in change.progress.positions.items()
+        if find_term(change.group, position.timeline) is not None
+    }
+
+
+def _unread_followers(change, read):
+    """Return the servers that may have followed the last primary.
+
+    None when its timeline was read.  Otherwise no write of its term was
+    acknowledged, but the next promotion may give its timeline's number to
+    another history: a server that followed it must not be left out now,
+    because its log could not be told from the new one later.
+    """
+    latest = max(change.group.timelines)
+    positions = change.progress.positions
+    if any(positions[name][0].timeline == latest for name in read):
+        return []
+    return [
+        endpoint.endpoint
+        for endpoint in change.members
+        if endpoint.role is EndpointRole.REPLICA
+        and endpoint.endpoint != change.group.primary
+        and endpoint.endpoint not in read
+    ]
+
+
 def _choose(change, read):
     """Propose the server with the highest position as primary.
 
-    Terms go before offsets: a longer log of an older term lacks writes of the
-    newer one.  Among equals a server that is not leaving is preferred.
+    Timelines go before offsets: a longer log of an older term lacks writes of
+    the newer one.  Among equals a server that is not leaving is preferred.
     """
     positions = change.progress.positions
     joined = {
@@ -194,7 +252,11 @@
     group = change.group
     change.propose(
         PrimaryChosen(
-            group.group, group.term, best, position.term, position.lsn
+            group.group,
+            group.term,
+            best,
+            find_term(group, position.timeline),
+            position.lsn,
         )
     )
 
@@ -203,17 +265,35 @@
 def _step_promoting(change):
     name = change.group.primary
     primary = change.fleet.endpoints[name]
-    if not change.progress.is_promoted:
-        limit_ms = change.settings.promote_limit_ms
-        change.send(messages.PromoteServer, primary, limit_ms)
-        failure = change.progress.failure(messages.PromoteServer, name)
-        return f"waiting for {name} to be promoted{failure}"
-    _repoint_stragglers(change)
-    entry = PrimaryActive(change.group.group, change.group.term)
+    timeline = change.progress.timeline
+    if timeline is None:
+        return _promote_chosen(change, primary)
+    # The others follow it once its timeline is in the log: what they receive
+    # could not be placed in the group's history before.
+    entry = PrimaryActive(change.group.group, change.group.term, timeline)
     change.propose(entry)
     return f"{name} is promoted; resuming writes"
 
 
+def _promote_chosen(change, primary):
+    """Promote the chosen server, or replace it when it is lost.
+
+    Its promotion may have run.  Nothing was written under its term, because
+    writes resume only with PrimaryActive; like an old primary it does not
+    count as fenced in the next choice.
+    """
+    name = primary.endpoint
+    limit_ms = change.settings.promote_limit_ms
+    change.send(messages.PromoteServer, primary, limit_ms)
+    failure = change.progress.failure(messages.PromoteServer, name)
+    status = f"waiting for {name} to be promoted{failure}"
+    reason = change.why_chosen_lost()
+    if reason is None:
+        change.progress.positions.clear()
+        return status
+    return f"{status}; {_raise_term(change, reason)}"
+
+
 def _repoint_stragglers(change):
     """Repoint the replicas of an older term, also those that come back.
 
@@ -234,7 +314,7 @@
         is_behind = (
             name != group.primary
             and endpoint.role is EndpointRole.REPLICA
-            and endpoint.term < group.term
+            and find_term(group, endpoint.term) != group.term
         )
         if is_behind and planner.repointed.get(name) != group.term:
             change.repoint(endpoint, primary)
--- a/waxwinglift_bench/process/_outage_servers.py
+++ b/waxwinglift_bench/process/_outage_servers.py
@@ -2,26 +2,19 @@
 
 import dataclasses
 
+from waxwinglift.process import Registry
 from waxwinglift.version import _control_core_messages as messages
 from waxwinglift.version import _failover_messages as failover
 from waxwinglift.version import EndpointRole
 from waxwinglift.version import Lsn
-from waxwinglift.version import Position
-from waxwinglift.version import Term
+from waxwinglift.version import Timeline
 from waxwinglift.version._action_queue import ActionQueue
 from waxwinglift.version._announcements import Announcement
+from waxwinglift.version._types import ServerPosition
 
-OUTCOMES = {}
-
-
-def outcome_of(action_type):
-    """Register what a server that answers makes of an action."""
-
-    def register(function):
-        OUTCOMES[action_type] = function
-        return function
-
-    return register
+# What a server that answers makes of an action: takes ``(servers, action)``.
+OUTCOMES = Registry()
+outcome_of = OUTCOMES.register
 
 
 class Servers:
@@ -93,9 +86,17 @@
             self._announcements[endpoint], **fields
         )
 
+    def primary(self, group):
+        """Return the primary that control has chosen."""
+        return self._outage.core.fleet.groups[group].primary
+
     def position(self, endpoint):
         """Return the position that a server reports."""
-        return Position(self._announcements[endpoint].term, Lsn(1000))
+        return ServerPosition(self.timeline(endpoint), Lsn(1000))
+
+    def timeline(self, endpoint):
+        """Return the timeline that a server announces."""
+        return Timeline(self._announcements[endpoint].term)
 
 
 def _announce(endpoint, fleet):
@@ -127,12 +128,15 @@
 
 @outcome_of(failover.PromoteServer)
 def _promote(servers, action):
-    term = Term(action.term)
-    servers.change(action.endpoint, term=term, in_recovery=False)
-    return failover.ServerPromoted(action.group, action.term, action.endpoint)
+    timeline = Timeline(servers.timeline(action.endpoint) + 1)
+    servers.change(action.endpoint, term=timeline, in_recovery=False)
+    return failover.ServerPromoted(
+        action.group, action.term, action.endpoint, timeline
+    )
 
 
 @outcome_of(failover.RepointServer)
 def _repoint(servers, action):
-    servers.change(action.endpoint, term=Term(action.term))
+    timeline = servers.timeline(servers.primary(action.group))
+    servers.change(action.endpoint, term=timeline)
     return failover.ServerRepointed(action.group, action.term, action.endpoint)
