Measure idle endpoints in the target's number per proxy

Cause: scripts/live_costs.py knew one group of three servers and read processor time in ticks of 10 ms, so that a slope over 11.6 endpoints had to be extrapolated from three, with an error of 0.1% of a core. Change: it takes a number of endpoints, each three of them a group, reads /proc/<pid>/schedstat in nanoseconds over 20 s, and takes settings of the proxies' owner side, to measure other probe intervals.

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -16,6 +16,7 @@
 BIN = pathlib.Path(sys.executable).parent
 STOP_TIMEOUT_S = 10.0
 GROUP = "ledger"
+GROUP_SIZE = 3
 DATA_CENTRES = ("ulaanbaatar", "darkhan", "erdenet")
 REGION = "mongolia"
 
@@ -84,7 +85,7 @@
     )
 
 
-def proxy_settings(plan, number, folder):
+def proxy_settings(plan, number, folder, owner_text=""):
     """Return the TOML text of a proxy's settings."""
     return (
         f'daemon = "proxy-{number}"\n'
@@ -96,6 +97,7 @@
         f"[location]\n{_location(number)}"
         f"[observability]\n"
         f'trace_file = "{folder}/traces-proxy-{number}.jsonl"\n'
+        f"[owner]\n{owner_text}\n"
     )
 
 
@@ -104,12 +106,17 @@
 
 
 def endpoint_settings(plan, number, folder):
-    """Return the TOML text of a stand-in server's settings."""
+    """Return the TOML text of a stand-in server's settings.
+
+    Each three servers are a group; the demo uses the first group.
+    """
     control = ", ".join(_inline_address(port) for port in plan.control_ports)
-    role = "replica" if number else "primary"
+    first = number - number % GROUP_SIZE
+    group = f"{GROUP}-{first // GROUP_SIZE}" if first else GROUP
+    role = "primary" if number == first else "replica"
     text = (
         f'id = "server-{number}"\n'
-        f'group = "{GROUP}"\n'
+        f'group = "{group}"\n'
         f"address = {_inline_address(plan.endpoint_ports[number])}\n"
         f"control_addresses = [{control}]\n"
         f'initial_role = "{role}"\n'
@@ -117,18 +124,22 @@
         f"connection_limit_count = 25\n"
         f"{_location(number)}"
     )
-    if number:
-        primary = _inline_address(plan.endpoint_ports[0])
+    if number != first:
+        primary = _inline_address(plan.endpoint_ports[first])
         text += f"primary_address = {primary}\nreplay_lag_ms = 5\n"
     return text
 
 
 class Fleet:
-    """Running processes of the demo."""
+    """Running processes of the demo.
+
+    ``owner_text`` holds TOML lines of the proxies' ``owner`` settings.
+    """
 
-    def __init__(self, plan, folder):
+    def __init__(self, plan, folder, owner_text=""):
         self.plan = plan
         self.folder = folder
+        self._owner_text = owner_text
         self._processes = {}
 
     def start(self, name, program, settings_text, *options):
@@ -182,7 +193,7 @@
             text = endpoint_settings(plan, number, folder)
             self.start(f"server-{number}", "waxwinglift-standin", text)
         for number in range(len(plan.caller_ports)):
-            text = proxy_settings(plan, number, folder)
+            text = proxy_settings(plan, number, folder, self._owner_text)
             self.start(f"proxy-{number}", "waxwinglift-proxy", text)
 
     def operator(self, *arguments):
@@ -213,9 +224,9 @@
 
 
 @contextlib.contextmanager
-def running_fleet(folder, **sizes):
+def running_fleet(folder, owner_text="", **sizes):
     """Yield a started fleet; all its processes are ended afterwards."""
-    fleet = Fleet(plan_fleet(**sizes), folder)
+    fleet = Fleet(plan_fleet(**sizes), folder, owner_text)
     try:
         fleet.start_all()
         yield fleet
--- a/scripts/live_costs.py
+++ b/scripts/live_costs.py
@@ -1,11 +1,13 @@
 """Measures idle cost and the spread of an edit on real processes.
 
 Starts three control daemons, eight proxies (or as many as the first argument
-says) and one group of three stand-in
-servers on loopback; prints processor time and resident memory by role and
-the time until an accepted edit is in force at every proxy.
+says) and one group of stand-in servers on loopback; prints processor time and
+resident memory by role and the time until an accepted edit is in force at
+every proxy.  Two proxies with 12 endpoints hold as many endpoints each as a
+proxy does at the target: about six as the owner and six as the standby.
 """
 
+import argparse
 import asyncio
 import dataclasses
 import os
@@ -26,20 +28,18 @@
 from waxwinglift.version._entry_codec import encode_entry
 
 DEFAULT_PROXIES_COUNT = 8
-IDLE_S = 10.0
+DEFAULT_ENDPOINTS_COUNT = 3
+IDLE_S = 20.0
 EDITS_COUNT = 30
 POLL_S = 0.002
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-FIRST_TIME_FIELD = 11
 
 
 def processor_s(pid):
     """Return the processor time that a process has used, in seconds."""
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rpartition(")")[2].split()
-    user, system = fields[FIRST_TIME_FIELD : FIRST_TIME_FIELD + 2]
-    return (int(user) + int(system)) / TICKS_PER_S
+    # /proc/<pid>/stat counts whole ticks of 10 ms, too coarse for idling.
+    text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+    return int(text.split()[0]) / 1e9
 
 
 def resident_mb(pid):
@@ -88,12 +88,33 @@
         await asyncio.sleep(POLL_S)
 
 
+def read_arguments(arguments):
+    """Return the sizes and intervals to measure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "proxies", type=int, nargs="?", default=DEFAULT_PROXIES_COUNT
+    )
+    parser.add_argument(
+        "endpoints", type=int, nargs="?", default=DEFAULT_ENDPOINTS_COUNT
+    )
+    parser.add_argument(
+        "--owner",
+        default="",
+        help="TOML lines of the [owner] settings of each proxy",
+    )
+    return parser.parse_args(arguments)
+
+
 def main(arguments):
-    """Run the measurement with the given number of proxies."""
-    proxies_count = int(arguments[0]) if arguments else DEFAULT_PROXIES_COUNT
+    """Run the measurement."""
+    given = read_arguments(arguments)
+    sizes = {
+        "proxies_count": given.proxies,
+        "endpoints_count": given.endpoints,
+    }
     with tempfile.TemporaryDirectory(prefix="waxwinglift-") as name:
         folder = pathlib.Path(name)
-        with running_fleet(folder, proxies_count=proxies_count) as fleet:
+        with running_fleet(folder, given.owner, **sizes) as fleet:
             demo.create_pool(fleet)
             ports = fleet.plan.caller_ports
             proxies = tuple(Address("127.0.0.1", port) for port in ports)
@@ -101,10 +122,11 @@
             time.sleep(2.0)
             print_idle_costs(fleet.pids())
             control = Address("127.0.0.1", fleet.plan.control_ports[0])
-            times_ms = sorted(asyncio.run(time_edits(control, proxies_count)))
+            edits = time_edits(control, given.proxies)
+            times_ms = sorted(asyncio.run(edits))
     middle_ms = times_ms[len(times_ms) // 2]
     print(
-        f"edit in force at {proxies_count} proxies: median "
+        f"edit in force at {given.proxies} proxies: median "
         f"{middle_ms:.0f} ms, worst {times_ms[-1]:.0f} ms of {EDITS_COUNT}"
     )
     return 0
