Forward cancel requests to the session's proxy

Cause: a caller's cancel request is a new connection, which the balancer may send to any proxy; a proxy ignored it when the session was another one's, so with 6 to 8 proxies most cancels had no effect.

The process id holds a hash of the proxy's name (11 bits) and a sequence number (20 bits). A forwarded cancel takes two steps, so that a delayed message cancels only the exchange that ran when it was asked for. The cancel of one exchange could also overtake the next one of the same transaction on the way to the owner; it is now sent first.

--- a/waxwinglift/connection/_data_path_session.py
+++ b/waxwinglift/connection/_data_path_session.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from waxwinglift.connection import SessionId
+from waxwinglift.connection._cancel_key import SECRET_BYTES
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._frontend import encode_parameter
@@ -24,9 +25,9 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request._data_path_run import RequestRunner
+from waxwinglift.request._data_path_run import RunningExchange
 from waxwinglift.version import PoolName
 
-_SECRET_BYTES = 4
 _TOKEN_PARAMETER = "waxwinglift.token"
 _SHUTTING_DOWN = not_run(
     FailureCode.SHUTTING_DOWN, "the proxy is shutting down"
@@ -55,7 +56,7 @@
         peer_host: str,
         is_draining,
     ):
-        self.secret_key = secrets.token_bytes(_SECRET_BYTES)
+        self.secret_key = secrets.token_bytes(SECRET_BYTES)
         self._context = context
         self._caller = caller
         self._id = session
@@ -97,10 +98,9 @@
         finally:
             await self._runner.close()
 
-    def cancel(self):
-        """Give up the statement that runs."""
-        if self._runner is not None:
-            self._runner.cancel()
+    def running_statement(self) -> RunningExchange | None:
+        """Return the exchange that runs, None when none does."""
+        return None if self._runner is None else self._runner.running()
 
     def close_with(self, failure: Failure):
         """Report a failure that ends the session, and close."""
--- /dev/null
+++ b/waxwinglift/connection/tests/test_cancel_key.py
@@ -0,0 +1,64 @@
+"""Guards the process ids that tell any proxy whose session they name."""
+
+import random
+
+import pytest
+
+from waxwinglift.connection import SessionId
+from waxwinglift.connection._cancel_key import CancelKey
+from waxwinglift.connection._cancel_key import proxies_of
+from waxwinglift.connection._cancel_key import proxy_code
+from waxwinglift.connection._cancel_key import SessionNumbers
+from waxwinglift.process import DaemonId
+
+FLEET = [DaemonId(f"proxy-{number}") for number in range(450)]
+SECRET = b"1234"
+
+
+def test_numbers_name_their_proxy():
+    # Another proxy would forward the cancel to the wrong one, and the
+    # statement would run on.
+    for daemon in FLEET:
+        numbers = SessionNumbers(daemon, random.Random(1))
+        number = numbers.take(())
+        assert 0 < number < 2**31
+        assert daemon in proxies_of(CancelKey(number, SECRET), FLEET)
+
+
+def test_few_proxies_share_a_code():
+    # A forged key must not make one proxy ask the whole fleet.
+    codes = [proxy_code(daemon) for daemon in FLEET]
+    assert max(codes.count(code) for code in codes) <= 5
+
+
+@pytest.mark.parametrize(
+    ("process_id", "secret"),
+    [
+        (0, b""),
+        (1, b"123"),
+        (1, b"12345"),
+        (-1, b""),
+    ],
+)
+def test_malformed_keys_name_no_proxy(process_id, secret):
+    # They must not cost a message to another proxy.
+    assert proxies_of(CancelKey(process_id, secret), FLEET) == []
+
+
+def test_numbers_in_use_are_skipped():
+    # A second session of the same number would take the first one's cancels.
+    numbers = SessionNumbers(FLEET[0], random.Random(2))
+    first = numbers.take(())
+    again = SessionNumbers(FLEET[0], random.Random(2))
+    assert again.take({first, SessionId(first + 1)}) == first + 2
+
+
+def test_sequence_wraps_around_within_its_proxy():
+    # An overflow into the code would name another proxy.
+    class LastPlace(random.Random):
+        def randrange(self, stop):
+            return stop - 1
+
+    numbers = SessionNumbers(FLEET[0], LastPlace())
+    key = CancelKey(numbers.take(()), SECRET)
+    assert FLEET[0] in proxies_of(key, FLEET)
--- a/waxwinglift/process/_data_path.py
+++ b/waxwinglift/process/_data_path.py
@@ -8,26 +8,28 @@
 
 import asyncio
 from collections.abc import Callable
-import hmac
-import itertools
 import random
 
 from opentelemetry import trace
 from pygwire.messages import CancelRequest
 
 from waxwinglift.connection import SessionId
+from waxwinglift.connection._cancel_key import CancelKey
+from waxwinglift.connection._cancel_key import SessionNumbers
 from waxwinglift.connection._data_path_session import EntrySession
 from waxwinglift.connection._data_path_session import protocol_failure
 from waxwinglift.connection._data_path_session import with_timeout
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._wire import WireError
+from waxwinglift.process._cancel_router import CancelRouter
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_route import EntryContext
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_types import Executors
 from waxwinglift.process._data_path_types import Metrics
 from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process._data_path_types import RunningStatement
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._types import Address
 
@@ -76,7 +78,10 @@
         self._server: asyncio.Server | None = None
         self._sessions: dict[SessionId, EntrySession] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._ids = itertools.count(1)
+        self._numbers = SessionNumbers(view.daemon, self._context.rng)
+        self._cancels = CancelRouter(
+            view, executors, self._sessions.get, self._context.metrics
+        )
         self._is_draining = False
 
     @property
@@ -90,6 +95,10 @@
         """Open sessions."""
         return len(self._sessions)
 
+    def find_statement(self, key: CancelKey) -> RunningStatement | None:
+        """Return what the session of a key runs here, None for nothing."""
+        return self._cancels.find_statement(key)
+
     async def start(self):
         """Listen for callers."""
         self._server = await asyncio.start_server(
@@ -152,7 +161,7 @@
                 caller.read_startup(), settings.startup_timeout_ms
             )
             if isinstance(startup, CancelRequest):
-                self._cancel(startup)
+                await self._cancel(startup)
             elif startup is not None:
                 peer_host = writer.get_extra_info("peername")[0]
                 await self._serve_session(caller, startup, peer_host)
@@ -162,7 +171,7 @@
             caller.flush(encode_failure(failure, "FATAL"))
 
     async def _serve_session(self, caller, startup, peer_host):
-        number = SessionId(next(self._ids) & 0x7FFFFFFF)
+        number = self._numbers.take(self._sessions)
         session = EntrySession(
             self._context, caller, number, peer_host, lambda: self._is_draining
         )
@@ -173,10 +182,8 @@
         finally:
             del self._sessions[number]
 
-    def _cancel(self, request):
-        session = self._sessions.get(SessionId(request.process_id))
-        if session is None:
-            return
-        if hmac.compare_digest(session.secret_key, request.secret_key):
-            self._context.metrics.incr("entry.cancel")
-            session.cancel()
+    async def _cancel(self, request):
+        # The caller takes the end of its connection as the answer, so it is
+        # closed only when the cancel can no longer reach a later statement.
+        key = CancelKey(request.process_id, request.secret_key)
+        await self._cancels.cancel(key)
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._cancel_key import CancelKey
 from waxwinglift.connection._session_types import PreparedStatement
 from waxwinglift.process._types import DaemonId
 from waxwinglift.request import Failure
@@ -147,12 +148,22 @@
         """Return a position that holds every acknowledged write."""
 
 
+class RunningStatement(Protocol):
+    """One exchange of a session of this proxy, while it runs."""
+
+    def cancel(self):
+        """Give it up; nothing happens once it has ended."""
+
+
 class Executors(Protocol):
     """Finds the executor of each proxy."""
 
     def executor_for(self, daemon: DaemonId) -> Executor | None:
         """Return the executor, None for an unknown proxy."""
 
+    async def cancel(self, daemon: DaemonId, key: CancelKey):
+        """Have another proxy cancel what a session of it runs."""
+
 
 class Metrics(Protocol):
     """Counters and timings; a statsd client has this shape."""
--- /dev/null
+++ b/waxwinglift/process/_peer_cancel.py
@@ -0,0 +1,71 @@
+"""Cancel requests between proxies.
+
+They use the frames of a transaction's stream in two steps, because a message
+may be delayed for as long as a proxy is frozen.  The first frame names the
+session; its proxy keeps the statement that runs at that time.  The second
+frame, which the sender leaves out once its time has run out, cancels exactly
+this statement.  A late message therefore cancels nothing.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from waxwinglift.connection._cancel_key import CancelKey
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import RunningStatement
+from waxwinglift.process._peer_codec import decode_cancel_key
+from waxwinglift.process._peer_codec import encode_cancel_key
+from waxwinglift.process._peer_codec import encode_end
+from waxwinglift.process.rpc import peer_pb2
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+
+# The caller's cancel connection stays open for this time at most.
+CANCEL_TIMEOUT_S = 1.0
+_NOTHING_RUNS = not_run(FailureCode.CANCELLED, "the session runs nothing")
+
+StatementFinder = Callable[[CancelKey], RunningStatement | None]
+
+
+def is_cancel_request(frame) -> bool:
+    """Return whether the first frame of a stream is a cancel request."""
+    return frame.cancel and bool(frame.messages)
+
+
+async def serve_cancel(stream, frame, find_statement: StatementFinder):
+    """Serve a stream whose first frame is a cancel request."""
+    key = decode_cancel_key(frame)
+    statement = None if key is None else find_statement(key)
+    if statement is None:
+        await _reply(stream, ExchangeEnd(failure=_NOTHING_RUNS))
+        return
+    await _reply(stream, ExchangeEnd())
+    confirmation = await stream.recv_message()
+    if confirmation is not None and confirmation.cancel:
+        statement.cancel()
+        await _reply(stream, ExchangeEnd())
+
+
+async def send_cancel_request(call, key: CancelKey):
+    """Have the proxy behind a new stream cancel what the session runs.
+
+    Raises
+    ------
+    TimeoutError
+        The proxy did not answer in time; nothing is cancelled later unless
+        the second frame has been sent, which names one statement.
+    """
+    async with asyncio.timeout(CANCEL_TIMEOUT_S):
+        await call.open()
+        await call.send(encode_cancel_key(key))
+        reply = await call.receive()
+        if reply is None or reply.end.HasField("failure"):
+            return
+        await call.send(peer_pb2.ExecuteFrame(cancel=True))
+        await call.receive()
+
+
+async def _reply(stream, end):
+    reply = peer_pb2.ResultFrame()
+    encode_end(reply.end, end)
+    await stream.send_message(reply)
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -13,12 +13,14 @@
 from result import Result
 
 from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._cancel_key import CancelKey
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Executor
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._peer_cancel import send_cancel_request
 from waxwinglift.process._peer_codec import decode_end
 from waxwinglift.process._peer_codec import decode_failure
 from waxwinglift.process._peer_codec import decode_position
@@ -94,6 +96,15 @@
             return Err(decode_failure(reply.failure))
         return Ok(decode_position(reply.position))
 
+    async def cancel(self, key: CancelKey):
+        """Cancel what a session of the proxy runs; errors are ignored."""
+        call = _PeerCall(self._stub.Execute.open())
+        try:
+            with contextlib.suppress(*_LOST):
+                await send_cancel_request(call, key)
+        finally:
+            self.run_in_background(call.finish())
+
     def close(self):
         """Close the connection; open transactions are rolled back."""
         for call in self._idle:
@@ -125,6 +136,7 @@
         task = asyncio.ensure_future(work)
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
+        return task
 
 
 class _PeerCall:
@@ -186,6 +198,7 @@
         # Whether the other side may still hold the transaction.
         self._is_pending = False
         self._is_cancelled = False
+        self._cancelling: asyncio.Task | None = None
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Run one exchange and return its outcome."""
@@ -197,6 +210,13 @@
                 await self._open()
             except _LOST as error:
                 return ExchangeEnd(failure=_unreachable(error))
+            if self._is_cancelled:
+                message = "the statement was cancelled"
+                failure = not_run(FailureCode.CANCELLED, message)
+                return ExchangeEnd(failure=failure)
+        if self._cancelling is not None:
+            # Behind this exchange's frame it would cancel this exchange.
+            await asyncio.wait([self._cancelling])
         try:
             self._is_pending = True
             await self._call.send(encode_exchange(exchange, header))
@@ -207,10 +227,11 @@
 
     def cancel(self):
         """Give up the exchange that runs."""
+        # The cancel may arrive late, so the stream is not used again.
+        self._is_cancelled = True
         if self._call is not None and self._call.is_open:
-            # The cancel may arrive late, so the stream is not used again.
-            self._is_cancelled = True
-            self._client.run_in_background(self._send_cancel(self._call))
+            work = self._send_cancel(self._call)
+            self._cancelling = self._client.run_in_background(work)
 
     async def close(self):
         """End the transaction; an open block is rolled back."""
@@ -297,6 +318,12 @@
             self._clients[daemon] = client
         return client
 
+    async def cancel(self, daemon: DaemonId, key: CancelKey):
+        """Have another proxy cancel what a session of it runs."""
+        executor = self.executor_for(daemon)
+        if executor is not None:
+            await executor.cancel(key)
+
     def close(self):
         """Close all connections."""
         self._view.remove_listener(self._drop_departed)
--- a/waxwinglift/process/_peer_codec.py
+++ b/waxwinglift/process/_peer_codec.py
@@ -1,6 +1,11 @@
 """Conversion between the data path's messages and protobuf."""
 
+import struct
+
+from pygwire.messages import CancelRequest
+
 from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._cancel_key import CancelKey
 from waxwinglift.connection._session_types import PreparedStatement
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
@@ -21,6 +26,7 @@
 from waxwinglift.version import Term
 
 _US_PER_MS = 1000
+_LENGTH_BYTES = 4
 
 
 def encode_position(wire, position: Position):
@@ -48,6 +54,24 @@
     )
 
 
+def encode_cancel_key(key: CancelKey) -> peer_pb2.ExecuteFrame:
+    """Return the frame of a cancel request; it holds PostgreSQL's message."""
+    request = CancelRequest(
+        process_id=key.process_id, secret_key=key.secret_key
+    )
+    return peer_pb2.ExecuteFrame(cancel=True, messages=request.to_wire())
+
+
+def decode_cancel_key(frame) -> CancelKey | None:
+    """Return the key of a cancel request, None when it is malformed."""
+    payload = memoryview(frame.messages)[_LENGTH_BYTES:]
+    try:
+        request = CancelRequest.decode(payload)
+    except struct.error:
+        return None
+    return CancelKey(request.process_id, request.secret_key)
+
+
 def encode_exchange(
     exchange: Exchange, header: ExecuteHeader | None
 ) -> peer_pb2.ExecuteFrame:
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -8,6 +8,9 @@
 from result import Ok
 
 from waxwinglift.process._data_path_types import Executor
+from waxwinglift.process._peer_cancel import is_cancel_request
+from waxwinglift.process._peer_cancel import serve_cancel
+from waxwinglift.process._peer_cancel import StatementFinder
 from waxwinglift.process._peer_codec import decode_exchange
 from waxwinglift.process._peer_codec import decode_header
 from waxwinglift.process._peer_codec import encode_end
@@ -32,15 +35,20 @@
     ----------
     executor : Executor
         Owners of this process.
+    find_statement : callable
+        Returns what the session of a CancelKey runs here.
     """
 
-    def __init__(self, executor: Executor):
+    def __init__(self, executor: Executor, find_statement: StatementFinder):
         self._executor = executor
+        self._find_statement = find_statement
 
     async def Execute(self, stream):
-        """Serve transactions one after another."""
+        """Serve transactions one after another, or a cancel request."""
         frame = await stream.recv_message()
-        if frame is not None:
+        if frame is not None and is_cancel_request(frame):
+            await serve_cancel(stream, frame, self._find_statement)
+        elif frame is not None:
             await _PeerCall(stream, self._executor).serve(frame)
 
     async def GroupPosition(self, stream):
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -125,7 +125,7 @@
     async def on_start(self):
         """Serve peers and callers, then follow control."""
         settings = self.settings
-        service = PeerService(self.owners)
+        service = PeerService(self.owners, self.entry.find_statement)
         await self.add_async_context(
             _serving_peers(service, settings.peer_listen)
         )
--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -136,7 +136,7 @@
     peers = PeerClients(view, owners)
     settings = EntrySettings(token_secret=SECRET, **options.get("entry", {}))
     entry = EntryServer(settings, view, peers, **shared)
-    server = PeerServer([PeerService(owners)])
+    server = PeerServer([PeerService(owners, entry.find_statement)])
     # asyncio sets TCP_NODELAY only on sockets that name their protocol.
     with socket.socket(proto=socket.IPPROTO_TCP) as listener:
         listener.bind(("127.0.0.1", 0))
--- /dev/null
+++ b/waxwinglift/process/tests/test_cancel.py
@@ -0,0 +1,298 @@
+"""Guards cancel requests that the balancer sends to another proxy."""
+
+import asyncio
+import contextlib
+
+import psycopg
+from pygwire.messages import CancelRequest
+import pytest
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._cancel_key import CancelKey
+from waxwinglift.process import _peer_cancel
+from waxwinglift.process import Address
+from waxwinglift.process._data_path_types import Exchange
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._peer_client import PeerClient
+from waxwinglift.process._peer_service import PeerServer
+from waxwinglift.process._peer_service import PeerService
+from waxwinglift.process.tests.data_path_fleet import GROUP
+from waxwinglift.process.tests.data_path_fleet import POOL
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+from waxwinglift.version import EndpointId
+from waxwinglift.version import Epoch
+from waxwinglift.version import Rank
+from waxwinglift.version import Term
+
+SLEEP = "SELECT pg_sleep(0.6), 'done'"
+DONE = [("", "done")]
+
+
+def key_of(proxy):
+    """Return the key that the proxy's only caller was told."""
+    ((number, session),) = proxy.entry._sessions.items()
+    return CancelKey(number, session.secret_key)
+
+
+async def send_cancel(proxy, key):
+    """Send a cancel request and wait until the proxy closes."""
+    address = proxy.entry.address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    request = CancelRequest(
+        process_id=key.process_id, secret_key=key.secret_key
+    )
+    writer.write(request.to_wire())
+    # The protocol has no answer to a cancel request but the end.
+    assert await reader.read() == b""
+    writer.close()
+
+
+def _same(key):
+    return key
+
+
+def _wrong_secret(key):
+    secret = bytes(byte ^ 1 for byte in key.secret_key)
+    return CancelKey(key.process_id, secret)
+
+
+def _short_secret(key):
+    return CancelKey(key.process_id, b"")
+
+
+def _other_session(key):
+    return CancelKey(key.process_id ^ 1, key.secret_key)
+
+
+def _other_proxy(key):
+    return CancelKey(key.process_id ^ (1 << 20), key.secret_key)
+
+
+def _nothing(proxies):
+    pass
+
+
+def _leave(proxies):
+    del proxies[0].view.fleet.daemons[proxies[0].view.daemon]
+
+
+def _break(proxies):
+    proxies[0].peer_server.close()
+
+
+async def outcome_of(work):
+    """Return the rows of a statement, or its SQLSTATE."""
+    try:
+        return await work
+    except psycopg.Error as error:
+        return error.sqlstate
+
+
+@pytest.mark.parametrize("owner", [0, 1])
+@pytest.mark.parametrize(
+    ("entry", "alter_key", "change", "expected"),
+    [
+        (0, _same, _nothing, "57014"),
+        (1, _same, _nothing, "57014"),
+        (0, _wrong_secret, _nothing, DONE),
+        (1, _wrong_secret, _nothing, DONE),
+        (1, _short_secret, _nothing, DONE),
+        (1, _other_session, _nothing, DONE),
+        (1, _other_proxy, _nothing, DONE),
+        (1, _same, _leave, DONE),
+        (1, _same, _break, DONE),
+    ],
+)
+def test_cancel_through_a_proxy(owner, entry, alter_key, change, expected):
+    # The balancer sends a cancel anywhere; only the right key may work.
+    async def scenario(servers, proxies):
+        # The caller's proxy is the owner of the endpoints, or is not.
+        pair = proxies if owner else proxies[::-1]
+        async with await connect(pair[0], "access=write") as caller:
+            key = alter_key(key_of(pair[0]))
+            work = asyncio.ensure_future(outcome_of(fetch(caller, SLEEP)))
+            await asyncio.sleep(0.1)
+            change(pair)
+            await send_cancel(pair[entry], key)
+            assert await work == expected
+
+    run(scenario, proxy_count=2)
+
+
+@contextlib.asynccontextmanager
+async def balancer(targets):
+    """Yield the port of a balancer that goes through its targets."""
+    order = iter(targets)
+
+    async def copy(reader, writer):
+        while data := await reader.read(65536):
+            writer.write(data)
+        writer.close()
+
+    async def accept(reader, writer):
+        address = next(order).entry.address
+        there = await asyncio.open_connection(address.host, address.port)
+        await asyncio.gather(copy(reader, there[1]), copy(there[0], writer))
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize("is_block", [False, True])
+def test_driver_cancels_behind_a_balancer(is_block):
+    # psycopg connects anew to cancel, and must get an orderly end.
+    async def scenario(servers, proxies):
+        async with balancer(proxies) as port:
+            options = {"host": "127.0.0.1", "port": port}
+            async with await connect(
+                proxies[0], "access=write", **options
+            ) as caller:
+                if is_block:
+                    await caller.execute("BEGIN")
+                work = asyncio.ensure_future(outcome_of(fetch(caller, SLEEP)))
+                await asyncio.sleep(0.1)
+                await caller.cancel_safe(timeout=5)
+                assert await work == "57014"
+                await caller.execute("ROLLBACK")
+                assert await fetch(caller, "SELECT 1") == [(1,)]
+
+    run(scenario, proxy_count=2)
+
+
+def test_cancel_after_the_end_hits_no_later_statement():
+    # A late cancel must not stop a payout that was sent afterwards.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            key = key_of(proxies[0])
+            assert await fetch(caller, "SELECT 1") == [(1,)]
+            await send_cancel(proxies[1], key)
+            assert await fetch(caller, SLEEP) == DONE
+            work = asyncio.ensure_future(fetch(caller, SLEEP))
+            await asyncio.sleep(0.1)
+            late = proxies[0].entry.find_statement(key)
+            assert await work == DONE
+            work = asyncio.ensure_future(fetch(caller, SLEEP))
+            await asyncio.sleep(0.1)
+            late.cancel()
+            assert await work == DONE
+
+    run(scenario, proxy_count=2)
+
+
+def test_key_of_an_earlier_session_cancels_nothing():
+    # Process ids are used again; their secrets are not.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write"):
+            stale = key_of(proxies[0])
+        entry = proxies[0].entry
+        entry._numbers._last = (stale.process_id - 1) % (1 << 20)
+        async with await connect(proxies[0], "access=write") as caller:
+            assert key_of(proxies[0]).process_id == stale.process_id
+            work = asyncio.ensure_future(fetch(caller, SLEEP))
+            await asyncio.sleep(0.1)
+            await send_cancel(proxies[1], stale)
+            assert await work == DONE
+
+    run(scenario, proxy_count=2)
+
+
+class _Transaction:
+    """Stands for an owner's transaction and records cancelled exchanges."""
+
+    def __init__(self):
+        self.runs = []
+        self.cancelled = []
+
+    def open(self, header):
+        return self
+
+    async def run(self, exchange, sink):
+        self.runs.append(exchange.messages)
+        await asyncio.sleep(0.1)
+        return ExchangeEnd(status=TransactionStatus.IN_TRANSACTION)
+
+    def cancel(self):
+        self.cancelled.append(self.runs[-1])
+
+    async def close(self):
+        pass
+
+
+@contextlib.asynccontextmanager
+async def connected_peer(service):
+    """Yield a client of a peer service."""
+    server = PeerServer([service])
+    await server.start("127.0.0.1", 0)
+    port = server._server.sockets[0].getsockname()[1]
+    client = PeerClient(Address("127.0.0.1", port))
+    try:
+        yield client
+    finally:
+        client.close()
+        server.close()
+
+
+def test_cancel_does_not_overtake_the_next_exchange():
+    # A caller that pipelines has sent its next statement already when the
+    # cancel of the one before goes to the owner.
+    transaction = _Transaction()
+    header = ExecuteHeader(
+        EndpointId("e"),
+        GROUP,
+        Epoch(1),
+        Term(1),
+        POOL,
+        Rank("low"),
+        "caller",
+        deadline_left_ms=1000,
+    )
+
+    async def scenario():
+        service = PeerService(transaction, lambda key: None)
+        async with connected_peer(service) as client:
+            stream = client.open(header)
+            await stream.run(Exchange(b"first"), None)
+            stream.cancel()
+            await stream.run(Exchange(b"second"), None)
+            await stream.close()
+
+    asyncio.run(scenario())
+    assert (transaction.runs, transaction.cancelled) == (
+        [b"first", b"second"],
+        [],
+    )
+
+
+class _Statement:
+    def __init__(self):
+        self.is_cancelled = False
+
+    def cancel(self):
+        self.is_cancelled = True
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.2])
+def test_answer_of_a_frozen_proxy_comes_too_late(monkeypatch, delay_s):
+    # The caller was told that its cancel is over, and may have gone on.
+    monkeypatch.setattr(_peer_cancel, "CANCEL_TIMEOUT_S", 0.1)
+    statement = _Statement()
+
+    class FrozenService(PeerService):
+        async def Execute(self, stream):
+            await asyncio.sleep(delay_s)
+            await super().Execute(stream)
+
+    async def scenario():
+        service = FrozenService(None, lambda key: statement)
+        async with connected_peer(service) as client:
+            await client.cancel(CancelKey(1, b"1234"))
+            await asyncio.sleep(2 * delay_s)
+
+    asyncio.run(scenario())
+    assert statement.is_cancelled is (delay_s == 0.0)
--- a/waxwinglift/request/_data_path_run.py
+++ b/waxwinglift/request/_data_path_run.py
@@ -65,6 +65,8 @@
         self._caller = caller
         self._stream: TransactionStream | None = None
         self._block_key = ""
+        # Exchanges that have started, the one that runs included.
+        self._started_count = 0
         self._is_running = False
         self._is_cancelled = False
 
@@ -73,6 +75,7 @@
     ) -> ExchangeEnd:
         """Run one exchange and record its outcome in the session."""
         tracer = self._context.tracer
+        self._started_count += 1
         self._is_running = True
         self._is_cancelled = False
         started_ms = self._context.now_ms()
@@ -93,9 +96,15 @@
             await self.close()
         return end
 
-    def cancel(self):
-        """Give up the exchange that runs."""
+    def running(self) -> "RunningExchange | None":
+        """Return the exchange that runs, None when none does."""
         if not self._is_running:
+            return None
+        return RunningExchange(self, self._started_count)
+
+    def cancel(self, number: int):
+        """Give up the exchange with this number if it still runs."""
+        if not self._is_running or number != self._started_count:
             return
         self._is_cancelled = True
         if self._stream is not None:
@@ -353,6 +362,18 @@
         session.finish(plan, end.status, end.has_error)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunningExchange:
+    """One exchange of a session; a late cancel reaches no other one."""
+
+    runner: RequestRunner
+    number: int
+
+    def cancel(self):
+        """Give it up; nothing happens once it has ended."""
+        self.runner.cancel(self.number)
+
+
 async def _drop(data):
     """Sink of an exchange without an answer."""
 
