Find orphaned connections without their names

Cause: a new owner found the connections of a lost one by the epoch in application_name. A caller that sets this name, at start-up or by SET, hid its connection, so that its locks lasted. The statement also ended the owner's own connections after a change of the standby owner, which raises the epoch too: open transactions of a healthy owner were lost.

The new owner now ends the sessions of the proxies' account that are not its own connections by process id. Names count outside of transaction blocks only, to spare monitoring connections, steps of control and connections that are being opened. Ruled out: a mark kept beside the caller's name (SET LOCAL and set_config change it past the proxy), advisory locks (callers can unlock all), process ids recorded for the successor (a message before the first statement of each connection).

The stand-in's pg_stat_activity has the columns that this needs, and current_user is the user of the start-up message.

--- a/waxwinglift/connection/_lost_sessions.py
+++ b/waxwinglift/connection/_lost_sessions.py
@@ -1,33 +1,90 @@
 """Sessions at an endpoint that a proxy has lost: orphans and silent ones.
 
-A new owner finds the connections of an old one by their names.
-
-A caller that sets ``application_name`` hides its connection: that one is left
-to the endpoint's own time-outs.
+The proxies' account at an endpoint is theirs alone.  A session of this
+account that the owner has not opened itself is an orphan of a former owner,
+whatever ``application_name`` a caller has set on it.
 """
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Set
+import dataclasses
 
 from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.version import Epoch
 
 MONITOR_NAME = "waxwinglift monitor"
-_SERVING_PREFIX = "waxwinglift owner "
+CONTROL_NAME = "waxwinglift control"
+_RESERVED_NAMES = frozenset({MONITOR_NAME, CONTROL_NAME})
+# Walsenders and parallel workers have other types.
+SESSIONS_SQL = (
+    "SELECT pid, application_name, state, backend_start "
+    "FROM pg_stat_activity WHERE usename = current_user "
+    "AND datname = current_database() AND backend_type = 'client backend'"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSession:
+    """A row of ``pg_stat_activity``, as texts."""
+
+    process_id: str
+    name: str | None
+    state: str | None
+    started: str
 
+    @property
+    def is_in_block(self) -> bool:
+        """Whether an open transaction block waits for its next statement."""
+        return (self.state or "").startswith("idle in transaction")
 
-def serving_name(epoch):
+
+def serving_name(epoch: Epoch) -> str:
     """Return the application name of an owner's serving connections."""
-    return f"{_SERVING_PREFIX}{epoch}"
+    return f"waxwinglift owner {epoch}"
+
+
+def find_orphans(
+    sessions: Iterable[EndpointSession],
+    process_ids: Set[int],
+    names: Set[str],
+) -> list[EndpointSession]:
+    """Return the sessions that a former owner has left.
+
+    Parameters
+    ----------
+    sessions : iterable of EndpointSession
+        Those of the proxies' account.
+    process_ids : set of int
+        Sessions of the owner, read after ``sessions``.
+    names : set of str
+        Names under which the owner opens connections.  Until it knows a new
+        one's process id, no caller has set another name on it.
+    """
+    trusted = _RESERVED_NAMES | names
+    return [
+        session
+        for session in sessions
+        if int(session.process_id) not in process_ids
+        # A caller may have set a trusted name, but what these names stand
+        # for never has an open block.
+        and (session.name not in trusted or session.is_in_block)
+    ]
 
 
-def end_orphans_sql(epoch):
-    """Return the statement that ends serving connections of other epochs.
+def end_sessions_sql(sessions: Iterable[EndpointSession]) -> str:
+    """Return the statement that ends sessions.
 
-    Monitoring connections have another name and stay.
+    The start of a session tells it from a later one with its process id.
     """
+    conditions = " OR ".join(
+        f"(pid = {one.process_id} AND backend_start = '{one.started}')"
+        for one in sessions
+    )
     return (
         "SELECT pg_terminate_backend(pid) FROM pg_stat_activity "
-        f"WHERE application_name LIKE '{_SERVING_PREFIX}%' "
-        f"AND application_name <> '{serving_name(epoch)}'"
+        f"WHERE {conditions}"
     )
 
 
@@ -55,16 +112,26 @@
     Parameters
     ----------
     monitor : EndpointMonitor
-        Its connection carries the statement.
+        Its connection carries the statements.
+    process_ids : callable
+        Returns the process ids of the owner's serving connections.
     """
 
-    def __init__(self, monitor):
+    def __init__(self, monitor, process_ids: Callable[[], Set[int]]):
         self._monitor = monitor
+        self._process_ids = process_ids
+        self._names: set[str] = set()
         self._done_epoch = None
         self._task = None
 
+    def name_for(self, epoch: Epoch) -> str:
+        """Return the name of a serving connection that is opened now."""
+        name = serving_name(epoch)
+        self._names.add(name)
+        return name
+
     def end_if_due(self, assignment):
-        """Run the statement once for each epoch without a live former owner.
+        """Look for orphans once for each epoch without a live former owner.
 
         Parameters
         ----------
@@ -75,12 +142,18 @@
         if is_done or assignment.previous is not None:
             return
         self._done_epoch = assignment.epoch
-        text = end_orphans_sql(assignment.epoch)
-        self._task = asyncio.ensure_future(self._run(text))
+        self._task = asyncio.ensure_future(self._run())
 
-    async def _run(self, text):
+    async def _run(self):
         try:
-            await self._monitor.query(text)
+            await self._end_orphans()
         except EndpointConnectionLost:
             # Due again at the next tick of the owner.
             self._done_epoch = None
+
+    async def _end_orphans(self):
+        (step,) = await self._monitor.query(SESSIONS_SQL)
+        sessions = [EndpointSession(*row) for row in step.rows]
+        orphans = find_orphans(sessions, self._process_ids(), self._names)
+        if orphans:
+            await self._monitor.query(end_sessions_sql(orphans))
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -60,6 +60,10 @@
         self._tasks: dict[ConnectionId, asyncio.Task] = {}
         self._waiters: dict[RequestId, asyncio.Future] = {}
 
+    def process_ids(self) -> set[int]:
+        """Return the process ids of the open connections."""
+        return {link.key.process_id for link in self._connections.values()}
+
     def enable(self):
         """Open connections ahead of demand."""
         self.perform(self.pool.enable(self._now_ms()))
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -7,6 +7,7 @@
 import mode
 
 from waxwinglift.connection._backend import EndpointAccount
+from waxwinglift.connection._lost_sessions import CONTROL_NAME
 from waxwinglift.process import _control_settings
 from waxwinglift.process._control_node import ControlNode
 from waxwinglift.process._control_relay import Relay
@@ -86,6 +87,7 @@
                 settings.endpoint_user,
                 settings.endpoint_password.get_secret_value(),
                 settings.endpoint_database,
+                CONTROL_NAME,
             ),
             self.metrics,
         )
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -15,7 +15,6 @@
 from waxwinglift.connection._endpoint_pool import EndpointPool
 from waxwinglift.connection._lost_sessions import MONITOR_NAME
 from waxwinglift.connection._lost_sessions import OrphanEnder
-from waxwinglift.connection._lost_sessions import serving_name
 from waxwinglift.connection._owner_connections import ConnectionKeeper
 from waxwinglift.connection._owner_connections import SlotQueue
 from waxwinglift.connection._owner_monitor import EndpointMonitor
@@ -221,7 +220,9 @@
             self._suspect_siblings,
             self._change_health,
         )
-        self._orphans = OrphanEnder(self.monitor)
+        self._orphans = OrphanEnder(
+            self.monitor, lambda: self.connections.process_ids()
+        )
         self.connections = ConnectionKeeper(
             pool,
             self._open_serving_connection,
@@ -239,7 +240,7 @@
 
     async def _open_serving_connection(self):
         epoch = self.view.assignment(self.endpoint).epoch
-        return await self._open_connection(serving_name(epoch))
+        return await self._open_connection(self._orphans.name_for(epoch))
 
     async def _open_connection(self, application_name):
         settings = self.settings
--- a/waxwinglift/process/tests/test_data_path_owners.py
+++ b/waxwinglift/process/tests/test_data_path_owners.py
@@ -80,15 +80,43 @@
     run(scenario, proxy_count=2)
 
 
-def test_new_owner_ends_the_orphans_of_a_lost_one():
-    # A frozen proxy would keep its locks until its connections end.
+def _given_at_start(name):
+    return {"application_name": name}, None
+
+
+def _set_later(name):
+    return {}, f"SET application_name = '{name}'"
+
+
+def _set_in_block(name):
+    return {}, f"SET LOCAL application_name = '{name}'"
+
+
+@pytest.mark.parametrize(
+    ("parameters", "statement"),
+    [
+        ({}, None),
+        _given_at_start("payroll"),
+        _given_at_start(""),
+        _set_later("payroll"),
+        _set_in_block("payroll"),
+        # Names that the proxies use themselves.
+        _set_later("waxwinglift owner 2"),
+        _set_later("waxwinglift monitor"),
+    ],
+)
+def test_new_owner_ends_the_orphans_of_a_lost_one(parameters, statement):
+    # A frozen proxy would keep its locks until its connections end, however
+    # its callers have named them.
     async def scenario(servers, proxies):
         async with (
-            await connect(proxies[0], "access=write") as block,
+            await connect(proxies[0], "access=write", **parameters) as block,
             await connect(proxies[0], "access=write") as caller,
         ):
             await block.execute("CREATE TABLE t (id int)")
             await block.execute("BEGIN")
+            if statement is not None:
+                await block.execute(statement)
             await block.execute(INSERT)
             move_owners(proxies, is_former_live=False)
             await caller.execute("INSERT INTO t VALUES (7)")
@@ -99,6 +127,42 @@
     run(scenario, proxy_count=2)
 
 
+@pytest.mark.parametrize("name", ["", "payroll"])
+def test_new_epoch_keeps_the_owners_own_transactions(name):
+    # A change of the standby owner raises the epoch too; the owner must not
+    # take its own open transactions for orphans.
+    async def scenario(servers, proxies):
+        async with await connect(
+            proxies[0], "access=write", application_name=name
+        ) as block:
+            await block.execute("CREATE TABLE t (id int)")
+            await block.execute("BEGIN")
+            await block.execute(INSERT)
+            move_owners(proxies, is_former_live=False)
+            await asyncio.sleep(0.3)
+            await block.execute("COMMIT")
+            assert await fetch(block, "SELECT id FROM t") == [(1,)]
+
+    run(scenario)
+
+
+def test_sessions_of_other_accounts_are_no_orphans():
+    # The database's operator may have sessions of their own.
+    async def scenario(servers, proxies):
+        address = servers[0].address
+        direct = await psycopg.AsyncConnection.connect(
+            f"host={address.host} port={address.port} "
+            "user=operator dbname=group"
+        )
+        async with direct:
+            await direct.execute("SELECT 1")
+            move_owners(proxies, is_former_live=False)
+            await asyncio.sleep(0.3)
+            assert await fetch(direct, "SELECT 1") == [(1,)]
+
+    run(scenario, proxy_count=2)
+
+
 def test_silent_connection_is_given_up_before_the_time_limit():
     # The endpoint holds locks for the lost statement until then.
     async def scenario(servers, proxies):
--- a/waxwinglift_standin/connection/_types.py
+++ b/waxwinglift_standin/connection/_types.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import time
 from typing import Any
 
 from waxwinglift.connection import SessionId
@@ -171,6 +172,14 @@
     portals: dict[str, Portal] = dataclasses.field(default_factory=dict)
     changed_parameters: list[str] = dataclasses.field(default_factory=list)
     after_answer: list = dataclasses.field(default_factory=list)
+    started_us: int = dataclasses.field(
+        default_factory=lambda: time.time_ns() // 1000
+    )
+
+    @property
+    def user(self):
+        """User name of the start-up message."""
+        return self.start_parameters.get("user", "")
 
     @property
     def status(self):
--- a/waxwinglift_standin/process/tests/test_callers.py
+++ b/waxwinglift_standin/process/tests/test_callers.py
@@ -212,6 +212,11 @@
         ("set application_name = 'b'; reset all; show application_name",
          ("a",)),
         ("select current_database()", ("pool",)),
+        ("select current_user", ("caller",)),
+        ("begin; select 1; select state, usename = current_user, datname, "
+         "backend_type, backend_start < clock_timestamp() "
+         "from pg_stat_activity",
+         ("active", True, "pool", "client backend", True)),
         ("select pg_current_wal_lsn() >= '0/1000000'::pg_lsn", (True,)),
         ("select pg_wal_lsn_diff('1/0', '0/FFFFFFFF')", (1,)),
         ("select extract(epoch from now() - '2026-01-01'::timestamptz) > 0",
--- a/waxwinglift_standin/request/_functions.py
+++ b/waxwinglift_standin/request/_functions.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 
+from waxwinglift.connection import TransactionStatus
 from waxwinglift_standin.connection import PgType
 from waxwinglift_standin.connection import SqlError
 from waxwinglift_standin.connection import SqlState
@@ -16,6 +17,12 @@
 from waxwinglift_standin.version import parse_lsn
 
 SERVER_VERSION = "15.0"
+# Texts of pg_stat_activity by whether a statement runs.
+_STATES = {(True, status): "active" for status in TransactionStatus} | {
+    (False, TransactionStatus.IDLE): "idle",
+    (False, TransactionStatus.IN_TRANSACTION): "idle in transaction",
+    (False, TransactionStatus.FAILED): "idle in transaction (aborted)",
+}
 
 
 def _format_us(moment_us):
@@ -140,6 +147,12 @@
     return context.session.start_parameters.get("database", "standin")
 
 
+@sql_function("standin_user")
+def current_user(context):
+    """Return the user name that the session was opened with."""
+    return context.session.user
+
+
 @sql_function("current_setting")
 def current_setting(context, name, *_):
     """Return a session parameter."""
@@ -229,16 +242,24 @@
 @system_view(
     "pg_stat_activity",
     pid=PgType.INT4,
+    datname=PgType.TEXT,
+    usename=PgType.TEXT,
     application_name=PgType.TEXT,
+    backend_start=PgType.TIMESTAMPTZ,
     state=PgType.TEXT,
+    backend_type=PgType.TEXT,
 )
 def pg_stat_activity(server):
     """Return a row per session."""
     return [
         {
             "pid": session_id,
+            "datname": session.data.start_parameters.get("database", ""),
+            "usename": session.data.user,
             "application_name": session.application_name,
-            "state": "active" if session.is_running else "idle",
+            "backend_start": _format_us(session.data.started_us),
+            "state": _STATES[session.is_running, session.data.status],
+            "backend_type": "client backend",
         }
         for session_id, session in server.sessions.items()
     ]
--- a/waxwinglift_standin/request/_rewrite.py
+++ b/waxwinglift_standin/request/_rewrite.py
@@ -15,7 +15,9 @@
 
 _SCHEMAS = {"PUBLIC", "PG_CATALOG"}
 _SERIALS = {"SERIAL", "BIGSERIAL", "SMALLSERIAL"}
-_WORDS = {"ILIKE": "LIKE", "CURRENT_USER": "'standin'"}
+_WORDS = {"ILIKE": "LIKE"}
+# Words that are functions in SQLite.
+_CALLS = {"CURRENT_TIMESTAMP": "now()", "CURRENT_USER": "standin_user()"}
 # SQL type (first word) -> form of the cast, with the operand as {}.
 _CASTS = {
     "BOOL": "standin_bool({})",
@@ -118,12 +120,15 @@
 
 
 @rewriting
-def call_now(tokens):
-    """Replace CURRENT_TIMESTAMP, whose precision SQLite limits to 1 s."""
+def call_words(tokens):
+    """Replace words that stand for a call.
+
+    SQLite knows CURRENT_TIMESTAMP with a precision of 1 s only.
+    """
     result = []
     for token in tokens:
-        if token.upper == "CURRENT_TIMESTAMP":
-            result.extend(tokenize("now()"))
+        if token.upper in _CALLS:
+            result.extend(tokenize(_CALLS[token.upper]))
         else:
             result.append(token)
     return result
