Keep fatal errors of an endpoint from callers

Cause: errors of an endpoint carry no verdict, and callers had no rule for them. An error that ends the endpoint's connection (FATAL 57P01, as at each restart) passed through as if it were the answer, before or instead of the verdict of the lost connection; on an idle connection the unread error became the answer of the next statement, which had not run.

Ruled out: a verdict on each error. not_run asks for a repetition, which a duplicate key fails for ever, and is false for CALL with COMMIT, VACUUM and the like; ran and may_have_run are false for the rest. FATAL and PANIC count as a lost connection, and the end of an idle connection is noticed before it is used. The stand-in sends FATAL without ReadyForQuery, as PostgreSQL does.

Measured with pytest waxwinglift/process/tests/test_endpoint_errors.py: 7 cases fail with the former connection/_wire.py and _backend.py, none now. pytest waxwinglift/process waxwinglift/connection: all passed.

--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -50,6 +50,23 @@
     application_name: str = "waxwinglift"
 
 
+class EndpointReader(asyncio.StreamReader):
+    """Reader that knows of the end before it has been read.
+
+    An endpoint that shuts down sends an error first, which stays unread on
+    an idle connection.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.has_ended = False
+
+    def feed_eof(self):
+        """Take the end of the stream."""
+        self.has_ended = True
+        super().feed_eof()
+
+
 class EndpointConnection:
     """One open connection to an endpoint.
 
@@ -74,7 +91,7 @@
         return not (
             self._is_closed
             or self._writer.is_closing()
-            or self._reader.at_eof()
+            or self._reader.has_ended
         )
 
     async def run(
@@ -144,9 +161,7 @@
         The endpoint refused it or broke the protocol.
     """
     try:
-        reader, writer = await asyncio.open_connection(
-            address.host, address.port
-        )
+        reader, writer = await _connect(address)
     except OSError as error:
         raise EndpointRefused(str(error)) from error
     try:
@@ -171,6 +186,16 @@
         writer.close()
 
 
+async def _connect(address):
+    loop = asyncio.get_running_loop()
+    reader = EndpointReader()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    transport, _ = await loop.create_connection(
+        lambda: protocol, address.host, address.port
+    )
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 async def _start(reader, writer, account, limit_bytes):
     parameters = {
         "user": account.user,
--- a/waxwinglift/connection/_wire.py
+++ b/waxwinglift/connection/_wire.py
@@ -20,6 +20,8 @@
 # Messages that a server may send at any time.
 _ASYNCHRONOUS = frozenset({b"N", b"S", b"A"})
 _COPY = frozenset({b"G", b"H", b"W"})
+# Errors of these severities end the endpoint's connection.
+_ENDING_SEVERITIES = frozenset({"FATAL", "PANIC"})
 
 
 class WireError(Exception):
@@ -199,10 +201,8 @@
         return step.is_forwarded and kind != b"Z"
 
     def _note(self, step, kind, frame):
-        if kind == b"E" and step.error is None:
-            step.error = ErrorResponse.decode(
-                memoryview(frame)[_HEADER_BYTES:]
-            )
+        if kind == b"E":
+            self._note_error(step, frame)
         elif kind == b"C":
             step.tag = frame[_HEADER_BYTES:-1].decode("utf-8", "replace")
         elif kind == b"Z":
@@ -210,6 +210,14 @@
         elif kind == b"D" and not step.is_forwarded:
             step.rows.append(read_row(frame))
 
+    def _note_error(self, step, frame):
+        error = ErrorResponse.decode(memoryview(frame)[_HEADER_BYTES:])
+        # It ends the endpoint's connection, not the caller's, and leaves the
+        # outcome open, so it must not pass for an answer.
+        if error.fields.get("V", error.severity) in _ENDING_SEVERITIES:
+            raise WireError(error.message)
+        step.error = step.error or error
+
     def _finish(self, step):
         step.is_done = True
         self._next += 1
--- /dev/null
+++ b/waxwinglift/process/tests/test_endpoint_errors.py
@@ -0,0 +1,123 @@
+"""Guards the rules for errors that an endpoint itself returns."""
+
+import asyncio
+
+import psycopg
+import pytest
+
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+
+INSERT = "INSERT INTO t VALUES (2)"
+REPEATED = "INSERT INTO t VALUES (1)"
+
+
+@pytest.mark.parametrize(
+    ("statements", "sqlstate", "kept"),
+    [
+        # The rows that are kept besides row 1.
+        ([REPEATED], "23505", []),
+        ([f"{INSERT}; {REPEATED}"], "23505", []),
+        ([INSERT, REPEATED], "23505", [2]),
+        ([f"BEGIN; {INSERT}; COMMIT; {REPEATED}"], "23505", [2]),
+        (["BEGIN", INSERT, REPEATED], "23505", []),
+        (["BEGIN", INSERT, REPEATED, INSERT], "23505", []),
+        (["SET statement_timeout = 50", "SELECT pg_sleep(1)"], "57014", []),
+    ],
+)
+@pytest.mark.parametrize("key", ["", "k"])
+def test_error_of_the_endpoint(statements, sqlstate, kept, key):
+    # Callers tell from the missing verdict that the endpoint answered, and
+    # from the rules of docs/operations.md what took effect.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            await caller.execute("CREATE TABLE t (id int PRIMARY KEY)")
+            await caller.execute(REPEATED)
+            await caller.execute(f"SET waxwinglift.idempotency_key = '{key}'")
+            with pytest.raises(psycopg.Error) as caught:
+                for statement in statements:
+                    await caller.execute(statement)
+            assert caught.value.sqlstate == sqlstate
+            assert caught.value.diag.message_detail is None
+            cursor = await caller.execute("ROLLBACK")
+            assert cursor.statusmessage == "ROLLBACK"
+            rows = await fetch(caller, "SELECT id FROM t ORDER BY id")
+            assert rows == [(number,) for number in [1, *kept]]
+
+    run(scenario, proxy_count=2)
+
+
+async def _end_serving_sessions(server):
+    address = server.address
+    direct = await psycopg.AsyncConnection.connect(
+        f"host={address.host} port={address.port} user=t dbname=group",
+        autocommit=True,
+    )
+    async with direct:
+        await direct.execute(
+            "SELECT pg_terminate_backend(pid) FROM pg_stat_activity "
+            "WHERE application_name LIKE 'waxwinglift owner %'"
+        )
+
+
+@pytest.mark.parametrize("is_block", [False, True])
+@pytest.mark.parametrize("parameters", [None, (0.6,)])
+@pytest.mark.parametrize("proxy_count", [1, 2])
+def test_end_of_the_endpoints_session_is_no_answer(
+    is_block, parameters, proxy_count
+):
+    # FATAL would tell the caller that its own connection ends, and leaves
+    # open whether the statement ran.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            if is_block:
+                await caller.execute("BEGIN")
+            text = "SELECT pg_sleep(0.6)" if parameters is None else ""
+            text = text or "SELECT pg_sleep(%s::float8)"
+            work = asyncio.ensure_future(caller.execute(text, parameters))
+            await asyncio.sleep(0.1)
+            await _end_serving_sessions(servers[0])
+            with pytest.raises(psycopg.Error) as caught:
+                await work
+            diagnosis = caught.value.diag
+            assert (diagnosis.severity, diagnosis.sqlstate) == (
+                "ERROR",
+                "08007",
+            )
+            assert diagnosis.message_detail == "verdict=may_have_run"
+            await caller.execute("ROLLBACK")
+            assert await fetch(caller, "SELECT 1") == [(1,)]
+
+    run(scenario, proxy_count=proxy_count)
+
+
+def test_restart_of_the_endpoint_is_hidden_from_idle_callers():
+    # The unread FATAL of an idle connection became the next answer.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0], "access=write") as caller:
+            await caller.execute("CREATE TABLE t (id int PRIMARY KEY)")
+            await _end_serving_sessions(servers[0])
+            await asyncio.sleep(0.02)
+            await caller.execute(INSERT)
+            assert await fetch(caller, "SELECT id FROM t") == [(2,)]
+
+    run(scenario)
+
+
+def test_key_of_a_failed_request_is_free_again():
+    # A caller repeats a transaction that failed under the same key.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute("CREATE TABLE t (id int PRIMARY KEY)")
+            await caller.execute(REPEATED)
+            for statement in (REPEATED, INSERT):
+                await caller.execute("SET waxwinglift.idempotency_key = 'k'")
+                try:
+                    await caller.execute(statement)
+                except psycopg.errors.UniqueViolation:
+                    continue
+            rows = await fetch(caller, "SELECT id FROM t ORDER BY id")
+            assert rows == [(1,), (2,)]
+
+    run(scenario)
--- a/waxwinglift_standin/connection/_session.py
+++ b/waxwinglift_standin/connection/_session.py
@@ -101,8 +101,17 @@
     def send_error(self, error):
         """Add an ErrorResponse and note the failure."""
         self.executor.fail(self.data)
+        if error.state is SqlState.SHUTTING_DOWN:
+            self._end_with(error)
         self.send(error_message(error))
 
+    def _end_with(self, error):
+        # PostgreSQL ends the connection without ReadyForQuery.
+        self.send(error_message(error, "FATAL"))
+        self._writer.write(bytes(self._output))
+        self._output.clear()
+        raise ConnectionResetError(error.message)
+
     async def flush(self):
         """Send the output and put faults that waited for it in force."""
         await self._wait_open()
@@ -135,6 +144,8 @@
     def disconnect(self):
         """End the connection; what it has not committed is rolled back."""
         text = "terminating connection due to administrator command"
+        if not self.is_running:
+            self.terminate()
         self.cancel(SqlError(SqlState.SHUTTING_DOWN, text))
         self._reader.feed_eof()
 
