--- a/waxwinglift/connection/_backend_probe.py
+++ b/waxwinglift/connection/_backend_probe.py
@@ -21,7 +21,9 @@
 class EndpointReader(asyncio.StreamReader):
     """Stream whose bytes go to ``take`` while that is set.
 
-    ``on_end`` is called when the connection ends, by either side.
+    ``is_ended`` and ``on_end`` tell of the connection's end before what came
+    last is read: an endpoint that shuts down sends an error first, which
+    stays unread on an idle connection.
     """
 
     def __init__(self):
