Replace a control leader that reaches no server

Cause: a leader keeps its leadership as long as a majority of the members answers it. One that reached them but no endpoint held every change of primary up, and no other member could take over.

A leader that has tried servers in vain for 1000 ms, at least two of which their owners find up and whose announcements still arrive by way of the other members, now resigns. For 30 s it stands for election only after the others, and it resigns at most once in 30 s, so that the group keeps a leader when no member reaches a server.

Ruled out: not standing at all for a while. If all members have resigned, nobody renews the leases and all traffic stops.

--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -244,6 +244,13 @@
     node.step_core(core_messages.SteppedDown())
 
 
+@executes(core_messages.GiveUpLeadership)
+def _give_up_leadership(node, action):
+    logger.warning("no server can be reached: giving up leadership")
+    node.metrics.incr("control.leadership_given_up")
+    node.step_consensus(consensus.Resign())
+
+
 @executes(consensus.Accepted)
 def _accepted(node, action):
     node.proposals.accept(action)
--- a/waxwinglift/version/_consensus_election.py
+++ b/waxwinglift/version/_consensus_election.py
@@ -5,8 +5,10 @@
 from waxwinglift.version._consensus_messages import PreVoteResponse
 from waxwinglift.version._consensus_messages import VoteRequest
 from waxwinglift.version._consensus_messages import VoteResponse
+from waxwinglift.version._consensus_state import on_event
 from waxwinglift.version._consensus_state import on_message
 from waxwinglift.version._consensus_types import NodeRole
+from waxwinglift.version._consensus_types import Resign
 from waxwinglift.version._consensus_types import Send
 
 
@@ -37,6 +39,14 @@
     _count_pre_vote(node, node.member, now_ms)
 
 
+@on_event(Resign)
+def _on_resign(node, event, now_ms):
+    """Step down and stand only when no other member does."""
+    if node.role is NodeRole.LEADER:
+        node.resigned_until_ms = now_ms + node.settings.resign_ms
+        node.become_follower(node.term, None, now_ms)
+
+
 def _count_pre_vote(node, member, now_ms):
     node.votes.add(member)
     if node.configuration.is_majority(node.votes):
--- a/waxwinglift/version/_consensus_state.py
+++ b/waxwinglift/version/_consensus_state.py
@@ -89,6 +89,7 @@
         # have answered a leader before, so it counts as a contact.
         self.leader_contact_ms = None
         self.election_deadline_ms = 0.0
+        self.resigned_until_ms = float("-inf")
         self.votes = set()
         # As a follower: agreement with the leader of this term.
         self.verified_index = 0
@@ -118,6 +119,8 @@
     def reset_election_deadline(self, now_ms):
         low = self.settings.election_timeout_min_ms
         high = self.settings.election_timeout_max_ms
+        if now_ms < self.resigned_until_ms:
+            low, high = high, high + low / 2
         self.election_deadline_ms = now_ms + self.rng.uniform(low, high)
 
     def persist(self, sends=(), counts_vote=False, last_index=0, **parts):
--- a/waxwinglift/version/_consensus_types.py
+++ b/waxwinglift/version/_consensus_types.py
@@ -19,6 +19,9 @@
     Parameters
     ----------
     member : DaemonId
+    resign_ms : float
+        Time for which a member that has resigned stands after the others,
+        but still before the leases of the proxies end.
     election_timeout_min_ms, election_timeout_max_ms : float
         Range of the random time without a leader before a pre-vote.
     heartbeat_ms : float
@@ -40,6 +43,7 @@
     member: DaemonId
     election_timeout_min_ms: float = 300.0
     election_timeout_max_ms: float = 600.0
+    resign_ms: float = 30_000.0
     heartbeat_ms: float = pydantic.Field(default=75.0, gt=0)
     check_quorum_ms: float = 250.0
     batch_limit_bytes: int = pydantic.Field(default=262_144, gt=0)
@@ -138,7 +142,12 @@
     data: bytes
 
 
-Event = Tick | MessageReceived | Propose | Persisted | SnapshotTaken
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resign:
+    """Asks a leader to let another member lead."""
+
+
+Event = Tick | MessageReceived | Propose | Persisted | SnapshotTaken | Resign
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -55,6 +55,10 @@
     undrain_ms : int
         Time without a draining renewal after which a proxy that restarted
         counts as active again.
+    give_up_pause_ms : int
+        Least time between two times that this member gives up leadership
+        because it reaches no server; when no member reaches one, the
+        elections would otherwise never end.
     propose_retry_ms : int
         Time after which an entry that was not committed is proposed again.
     """
@@ -71,6 +75,7 @@
     handover_settle_ms: int = 1000
     handover_pause_ms: int = 5000
     undrain_ms: int = 1000
+    give_up_pause_ms: int = 30_000
     propose_retry_ms: int = 500
 
 
@@ -101,6 +106,7 @@
         self.commit_times = collections.deque()
         self.assigned_index = {}
         self.start_index = self.fleet.index
+        self.gave_up_ms = -math.inf
         self.forget_leadership()
 
     def forget_leadership(self):
@@ -258,6 +264,9 @@
         return []
     _require_old_commits(core, now_ms)
     core.update_live(now_ms)
+    if _is_to_give_up(core, now_ms):
+        core.gave_up_ms = now_ms
+        return [messages.GiveUpLeadership()]
     actions = _remove_expired_daemons(core, now_ms)
     if now_ms >= core.expire_due_ms:
         core.expire_due_ms = now_ms + core.settings.expire_interval_ms
@@ -268,6 +277,12 @@
     return actions + core.plan_owners(now_ms)
 
 
+def _is_to_give_up(core, now_ms):
+    if now_ms - core.gave_up_ms < core.settings.give_up_pause_ms:
+        return False
+    return core.planner.is_cut_off(core.fleet, now_ms)
+
+
 def _find_unreachable(core, now_ms):
     """Move endpoints that only their owner cannot reach, at most so often.
 
--- a/waxwinglift/version/_control_core_messages.py
+++ b/waxwinglift/version/_control_core_messages.py
@@ -91,6 +91,11 @@
     has_quorum: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUpLeadership:
+    """Let another member lead, which may reach the servers."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantLease:
     """Answer a renewal with a lease."""
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -12,6 +12,7 @@
 
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._failover_progress import Progress
+from waxwinglift.version._failover_reach import ReachTable
 from waxwinglift.version._failover_steps import advance_group
 from waxwinglift.version._fleet import find_term
 from waxwinglift.version._types import EndpointState
@@ -41,6 +42,12 @@
         Time for which control cannot reach a chosen server, from the first
         failed action, before another one is chosen.  Longer than the limit
         of a promotion, so that one lost connection does not decide.
+    cut_off_after_ms : int
+        Time for which a leader that needs servers reaches none of them
+        before it may count as cut off; three attempts of a read.
+    cut_off_count : int
+        Servers that must be silent and found up by their owners; a single
+        one may be cut off itself.
     propose_retry_ms : int
         Time after which an entry that was not committed is proposed again.
     fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
@@ -56,6 +63,8 @@
     retry_interval_ms: int = 100
     lost_retry_ms: int = 500
     rechoose_after_ms: int = 1500
+    cut_off_after_ms: int = 1000
+    cut_off_count: int = 2
     propose_retry_ms: int = 500
     fence_limit_ms: int = 400
     read_limit_ms: int = 250
@@ -114,6 +123,7 @@
         self.progress = {}
         self.repointed = {}
         self.lost = set()
+        self.reach = ReachTable(self.settings.cut_off_after_ms)
         self.scanned_index = -1
         self.scanned_groups = set()
 
@@ -134,6 +144,7 @@
         list
             Propose, FenceServer, ReadPosition, PromoteServer, RepointServer.
         """
+        self.reach.note(event, now_ms)
         names = EVENT_HANDLERS[type(event)](self, fleet, event, now_ms)
         members = _group_members(fleet, frozenset(names))
         actions = []
@@ -178,6 +189,26 @@
                     found.add(endpoint)
         return found
 
+    def is_cut_off(self, fleet, now_ms):
+        """Return whether only this leader cannot reach the servers.
+
+        Their owners find them up and their announcements, which arrive by
+        way of the other members, have not expired.
+        """
+        silent = self.reach.silent(now_ms)
+        found = [e for e in silent if self._is_found_up(fleet, e, now_ms)]
+        return len(found) >= self.settings.cut_off_count
+
+    def _is_found_up(self, fleet, name, now_ms):
+        endpoint = fleet.endpoints.get(name)
+        assignment = fleet.owners.get(name)
+        if endpoint is None or assignment is None:
+            return False
+        if endpoint.state is not EndpointState.JOINED:
+            return False
+        down = self._recent_report(assignment.owner, now_ms)
+        return down is not None and name not in down
+
     def _recent_report(self, daemon, now_ms, ttl_ms=None):
         """Return what ``daemon`` finds down, None without a report."""
         down, received_ms = self.reports.get(daemon, (None, 0.0))
--- a/waxwinglift/version/tests/test_consensus.py
+++ b/waxwinglift/version/tests/test_consensus.py
@@ -287,3 +287,26 @@
 def test_malformed_message_is_an_error(payload):
     with pytest.raises(ValueError):
         decode_message(payload)
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+@pytest.mark.parametrize("is_alone", [False, True])
+def test_leader_that_resigns_leads_again_only_for_want_of_others(
+    seed, is_alone
+):
+    # A leader that resigned because it reaches no server must not win the
+    # next election, nor leave the group without a leader.
+    group, leader = started(3, seed)
+    others = [name for name in group.members if name != leader.name]
+    if is_alone:
+        group.crash(others[0])
+    leader.handle(t.Resign())
+    assert not leader.leads()
+    group.run(1_500)
+    assert group.leader() is not None
+    assert group.leader().name in others
+    if is_alone:
+        # The other member resigns as well.
+        group.leader().handle(t.Resign())
+        group.run(3_000)
+        assert group.leader() is not None
--- /dev/null
+++ b/waxwinglift/version/tests/test_failover_reach.py
@@ -0,0 +1,70 @@
+"""Guards a leader that is cut off from the servers but not from members."""
+
+import pytest
+
+from waxwinglift.version import _control_core_messages as core_messages
+from waxwinglift.version import _entries as entries
+from waxwinglift.version._failover_messages import ActionFailed
+from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._failover_messages import ServerAction
+from waxwinglift.version.tests.failover_rig import Rig
+from waxwinglift.version.tests.fleets import extend
+from waxwinglift.version.tests.test_control_core import Leader
+
+DOWN = (DownEndpoint("g-a", 1),)
+
+
+@pytest.mark.parametrize(
+    ("reached", "found_down", "lost", "duration_ms", "is_cut_off"),
+    [
+        ((), (), (), 2000, True),
+        ((), (), (), 500, False),
+        # It reaches one replica: the other one is cut off, not the leader.
+        (("g-b",), (), (), 2000, False),
+        # Nobody else reaches the replica either.
+        ((), ("g-b",), (), 2000, False),
+        ((), (), ("g-b",), 2000, False),
+    ],
+)
+def test_who_is_cut_off(reached, found_down, lost, duration_ms, is_cut_off):
+    rig = Rig()
+    for name in lost:
+        extend(rig.fleet, entries.EndpointLost(name))
+    for name, server in rig.servers.items():
+        server.is_reachable = name in reached
+    for _ in range(duration_ms // 50):
+        rig.report("a", "g-a", *found_down)
+        rig.run(1)
+    assert rig.planner.is_cut_off(rig.fleet, rig.now_ms) is is_cut_off
+
+
+def test_leader_gives_up_once_in_a_while():
+    # When no member reaches a server, the elections would never end.
+    leader = Leader()
+    leader.commit(
+        entries.OwnersAssigned(
+            tuple(
+                entries.OwnerAssignment(e, "a", "b", 1)
+                for e in leader.fleet.endpoints
+            )
+        )
+    )
+
+    def run(steps_count):
+        given_up = 0
+        for _ in range(steps_count):
+            leader.core.announcements.start_leadership(
+                leader.fleet, leader.now_ms
+            )
+            for action in leader.run(steps_count=1, down=DOWN):
+                if isinstance(action, ServerAction):
+                    leader.step(ActionFailed(action, "no answer"))
+                if isinstance(action, core_messages.GiveUpLeadership):
+                    given_up += 1
+                    leader.step(core_messages.SteppedDown())
+                    leader.step(core_messages.BecameLeader())
+        return given_up
+
+    assert run(60) == 1
+    assert run(300) == 0
+    assert run(400) == 1
--- a/waxwinglift_bench/version/_members.py
+++ b/waxwinglift_bench/version/_members.py
@@ -194,6 +194,11 @@
     member.step_core(core_messages.SteppedDown())
 
 
+@executes(core_messages.GiveUpLeadership)
+def _give_up_leadership(member, action):
+    member.step_node(consensus.Resign())
+
+
 @executes(consensus.Accepted, consensus.Refused)
 def _ignore(member, action):
     """The core proposes again what was not committed."""
--- a/waxwinglift_bench/version/tests/test_faults.py
+++ b/waxwinglift_bench/version/tests/test_faults.py
@@ -11,8 +11,11 @@
 from waxwinglift.version._leases import LeaseTable
 from waxwinglift_bench.process.faults import faults
 from waxwinglift_bench.version import _proxies
+from waxwinglift_bench.version._fault_run import FaultRun
 from waxwinglift_bench.version._fault_table import Case
+from waxwinglift_bench.version._fault_table import GAP_BOUND_MS
 from waxwinglift_bench.version._fault_table import run_case
+from waxwinglift_bench.version._faults import FAULTS
 
 ENTRY_FROZEN = "entry proxy frozen with an answer, primary isolated"
 LEADER_LOST = "entry proxy frozen with an answer, primary and leader lost"
@@ -140,6 +143,22 @@
     assert not all(run_case(c).is_kept for c in cases)
 
 
+@pytest.mark.parametrize("has_rule", [True, False])
+def test_leader_cut_from_all_servers_is_replaced(has_rule, monkeypatch):
+    # It keeps the leadership of the log, because it reaches the members, and
+    # no other member may replace the primary.
+    if not has_rule:
+        monkeypatch.setattr(FailoverPlanner, "is_cut_off", lambda *_: False)
+    run = FaultRun(1)
+    run.world.run_until(6200.0)
+    run.world.cut([run.leader.name], [s.name for s in run.servers])
+    run.apply(FAULTS["primary killed"])
+    run.world.run_until(run.now_ms + 6000.0)
+    run.finish()
+    assert run.ledger.violations.count == 0
+    assert (run.gap_ms < GAP_BOUND_MS) is has_rule
+
+
 @pytest.mark.parametrize("is_broken", [False, True])
 def test_command_exits_with_the_verdict(is_broken, monkeypatch):
     if is_broken:
