Keep a place in the history for logs from before the first term

Cause: when a group lost its first primary before any replica had followed it, PrimaryChosen with old term 0 dropped every timeline. When the chosen server was lost too, no server had a place in the history any more and the next choice waited for ever.

GroupFormed now records the timeline before the first one as term 0.

Before: test_group_whose_replicas_never_saw_its_first_term_goes_on failed (the group stayed FENCING in term 7); after: passes, with the floor past the end of the first term lost.

--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -172,8 +172,12 @@
         message = f"{present_count} of {group.size_count} servers known"
         return refuse(RefusalCode.GROUP_SIZE_MISMATCH, message)
     group.term = entry.term
-    # The first term is the timeline that the primary announced.
-    group.timelines = {Timeline(entry.term): entry.term}
+    # The first term is the timeline that the primary announced.  A replica
+    # that has not followed it yet is on one from before the first term.
+    group.timelines = {
+        Timeline(entry.term - 1): Term(0),
+        Timeline(entry.term): entry.term,
+    }
     group.primary = entry.primary
     group.phase = GroupPhase.ACTIVE
     return Ok(Applied(index))
--- a/waxwinglift/version/tests/test_failover_chains.py
+++ b/waxwinglift/version/tests/test_failover_chains.py
@@ -225,3 +225,22 @@
     rig.report("a", group.primary, term=2)
     rig.run(10)
     assert (group.phase, group.term) == (GroupPhase.PROMOTING, 2)
+
+
+def test_group_whose_replicas_never_saw_its_first_term_goes_on():
+    # The first primary may be lost before any replica has followed it, and
+    # the chosen server too: no server would have a place in an empty history.
+    rig = Rig(first_term=5)
+    for server in rig.servers.values():
+        server.position = ServerPosition(4, 50)
+    rig.lost_unpromoted = {6}
+    rig.change_primary()
+    group = rig.fleet.groups["g"]
+    extend(rig.fleet, entries.TermRaised("g", 7))
+    rig.servers[group.primary].is_reachable = True
+    rig.run(20)
+    assert (group.phase, group.term) == (GroupPhase.ACTIVE, 7)
+    assert group.timelines == {4: 0, 5: 7}
+    floor = Position(5, 51)
+    found = check_floor(floor, Position(7, 300), group.term_ends)
+    assert found is FloorState.LOST
