Send endpoints from the control leader on to a follower

The leader took the announcements of its share of the endpoints one call at a time, 270 us each; those that come in a follower's batch cost it 1.75 us. It still takes what it gets but no longer accepts the endpoint, which then stays with the next control daemon that does.

--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -67,10 +67,22 @@
         if problem:
             raise GRPCError(GrpcStatus.INVALID_ARGUMENT, problem)
         self._accept_announcement(message)
-        has_leader = self._node.consensus.leader_hint is not None
-        reply = control_pb2.AnnounceReply(accepted=has_leader)
+        reply = control_pb2.AnnounceReply(accepted=self._is_good_relay())
         await stream.send_message(reply)
 
+    def _is_good_relay(self):
+        """Return whether the endpoint should stay with this member.
+
+        The leader takes an announcement but sends the endpoint on to a
+        follower: one by one they cost it a fifth of a core at 2,610
+        endpoints, in batches a thirtieth.
+        """
+        node = self._node
+        is_alone = len(node.consensus.members) == 1
+        if node.has_quorum and not is_alone:
+            return False
+        return node.consensus.leader_hint is not None
+
     def _accept_announcement(self, message):
         if not self._node.has_quorum:
             self._relay.announce(message)
--- a/waxwinglift/process/tests/test_control.py
+++ b/waxwinglift/process/tests/test_control.py
@@ -33,6 +33,17 @@
 
 WAIT_LIMIT_S = 15.0
 PLACE = {"data_centre": "dc-1", "region": "region-1"}
+ANNOUNCEMENT = control_pb2.Announcement(
+    endpoint="g-a",
+    group="g",
+    host="127.0.0.1",
+    port=5432,
+    slots_count=3,
+    connection_limit_count=25,
+    group_size_count=3,
+    term=1,
+    **PLACE,
+)
 
 
 def free_addresses(count):
@@ -307,3 +318,28 @@
                 assert "payouts" in joined.node.fleet.pools
 
     run(work)
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_leader_takes_announcements_but_sends_endpoints_on(tmp_path, count):
+    # Endpoints that stay with the leader cost it a fifth of a core at the
+    # target; one that it does not take would be lost while it moves.
+    async def work():
+        async with running_group(tmp_path, count) as members:
+            leader = await leader_of(members)
+            accepted = {}
+            for member in [leader, *members]:
+                with open_channel(member.settings.listen) as channel:
+                    stub = control_grpc.ControlStub(channel)
+                    reply = await stub.Announce(ANNOUNCEMENT, timeout=5)
+                    accepted[member] = reply.accepted
+                    # Before its first tick a leader takes nothing; the
+                    # endpoint repeats itself.
+                    async with asyncio.timeout(WAIT_LIMIT_S):
+                        while not leader.node.fleet.endpoints:
+                            await asyncio.sleep(0.05)
+                            await stub.Announce(ANNOUNCEMENT, timeout=5)
+            assert accepted.pop(leader) is (count == 1)
+            assert all(accepted.values())
+
+    run(work)
--- a/waxwinglift_bench/process/_outage_proxies.py
+++ b/waxwinglift_bench/process/_outage_proxies.py
@@ -98,9 +98,14 @@
             self._note_assignment(assignment)
 
     def relay_of(self, number):
-        """Return the relay of the proxy or endpoint of this number."""
+        """Return the relay of the proxy of this number."""
         return self.relays[number % len(self.relays)]
 
+    def follower_of(self, number):
+        """Return the relay of the endpoint of this number."""
+        followers = self.relays[1:]
+        return followers[number % len(followers)]
+
     def start(self):
         """Spread the renewals over their interval."""
         interval_ms = self._outage.settings.renew_interval_ms
--- a/waxwinglift_bench/process/_outage_servers.py
+++ b/waxwinglift_bench/process/_outage_servers.py
@@ -51,7 +51,7 @@
         if self._outage.is_lost(announcement.location):
             return
         event = messages.AnnouncementReceived(announcement)
-        self._outage.proxies.relay_of(number).pass_on(name, event, None)
+        self._outage.proxies.follower_of(number).pass_on(name, event, None)
         next_ms = self._outage.now_ms + self._settings.announce_interval_ms
         self._outage.at(next_ms, self._announce, name, number)
 
