Space the renewals that report applied entries

A proxy renewed at once after each watch reply. The first such renewal still goes at once when the last one is 100 ms old; the others wait until then.

The new test counts renewals in a burst of 40 edits; it fails with no spacing.

--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import time
 
 from grpclib.exceptions import ProtocolError
@@ -32,6 +33,10 @@
 # A relay that is cut off from the leader answers, but only with refusals.
 # An election takes up to 0.7 s, in which all relays refuse.
 REFUSALS_COUNT = 8
+# Time between renewals for applied entries.  A change of primary waits for
+# the slowest one; one for each watch reply of 220 changes took a relay more
+# than a core.
+ENTRIES_INTERVAL_MS = 100
 # While no leader is known the lease is running out: ask more often.
 REFUSED_INTERVAL_MS = 50
 # Control sends at least one message a second; three missed ones mean that
@@ -92,6 +97,8 @@
         self._refusals_count = 0
         self._refusal_reason = "no answer"
         self._renew_now = asyncio.Event()
+        self._renewed_ms = -math.inf
+        self._entries_timer = None
         self._relays = order_relays(settings.daemon, settings.control)
         self._has_lease = False
         self._was_active = False
@@ -99,6 +106,8 @@
     async def on_stop(self):
         """Tell control that this proxy has stopped, once."""
         self._is_stopped = True
+        if self._entries_timer is not None:
+            self._entries_timer.cancel()
         with open_channel(self._relays[0]) as channel:
             await self._renew_once(channel)
 
@@ -164,6 +173,24 @@
             self._apply_entry(reply.first_index + offset, payload)
         self.view.notify()
         self._note_own_state()
+        self._renew_for_entries()
+
+    def _renew_for_entries(self):
+        """Report the applied index, at once after a quiet time."""
+        if self._entries_timer is not None:
+            return
+        due_ms = self._renewed_ms + ENTRIES_INTERVAL_MS
+        delay_ms = due_ms - monotonic_ms()
+        if delay_ms <= 0:
+            self.renew_soon()
+            return
+        loop = asyncio.get_running_loop()
+        self._entries_timer = loop.call_later(
+            delay_ms / 1000, self._end_entries_wait
+        )
+
+    def _end_entries_wait(self):
+        self._entries_timer = None
         self.renew_soon()
 
     def _apply_snapshot(self, reply):
@@ -234,7 +261,8 @@
         self._sequence += 1
         renewal = self._make_renewal()
         stub = control_grpc.ControlStub(channel)
-        self.lease.on_sent(self._sequence, monotonic_ms())
+        self._renewed_ms = monotonic_ms()
+        self.lease.on_sent(self._sequence, self._renewed_ms)
         timeout_s = self.settings.timing.rpc_timeout_ms / 1000
         try:
             with self.tracer.start_as_current_span("control.renew"):
--- a/waxwinglift/process/tests/test_control.py
+++ b/waxwinglift/process/tests/test_control.py
@@ -343,3 +343,24 @@
             assert all(accepted.values())
 
     run(work)
+
+
+def test_proxy_spaces_the_renewals_for_applied_entries(tmp_path):
+    # A renewal for each watch reply of a burst overloads relay and leader.
+    async def work():
+        async with running_group(tmp_path, 1) as members:
+            async with running_link(members) as link:
+                await wait_until(link.view.lease_is_live)
+                before, started_ms = link._sequence, monotonic_ms()
+                for version in range(40):
+                    edit = make_edit(f"e{version}", version, version + 1)
+                    await propose(members, edit)
+                await wait_until(
+                    lambda: link.view.fleet.pools["payouts"].version == 40
+                )
+                elapsed_ms = monotonic_ms() - started_ms
+                # One per 250 ms and one per 100 ms, and one at either end.
+                limit_count = elapsed_ms / 250 + elapsed_ms / 100 + 3
+                assert link._sequence - before <= limit_count
+
+    run(work)
--- a/waxwinglift_bench/process/_outage_command.py
+++ b/waxwinglift_bench/process/_outage_command.py
@@ -4,11 +4,13 @@
 
 import click
 
+from waxwinglift.process._control_link import ENTRIES_INTERVAL_MS
+from waxwinglift.process._control_node import APPEND_INTERVAL_MS
+from waxwinglift.version._action_queue import SESSIONS_LIMIT_COUNT
 from waxwinglift_bench.process._outage import Outage
 from waxwinglift_bench.process._outage_costs import OutageSettings
 from waxwinglift_bench.process._outage_proxies import counts_by_kind
 from waxwinglift_bench.process._outage_proxies import relay_core_percent
-from waxwinglift.version._action_queue import SESSIONS_LIMIT_COUNT
 
 WRITES_BOUND_MS = 10_000
 LINE = "{:44} {}"
@@ -61,8 +63,16 @@
 @click.option("--daemons", default=450, help="proxies")
 @click.option("--groups", default=870, help="databases")
 @click.option("--run-ms", default=10_000, help="virtual time")
-@click.option("--early-ms", default=0.0, help="least renewal distance")
-@click.option("--propose-ms", default=5.0, help="collect proposals so long")
+@click.option(
+    "--early-ms",
+    default=float(ENTRIES_INTERVAL_MS),
+    help="least renewal distance",
+)
+@click.option(
+    "--propose-ms",
+    default=float(APPEND_INTERVAL_MS),
+    help="collect proposals so long",
+)
 @click.option(
     "--sessions", default=SESSIONS_LIMIT_COUNT, help="SQL sessions at once"
 )
--- a/waxwinglift_bench/process/_outage_costs.py
+++ b/waxwinglift_bench/process/_outage_costs.py
@@ -6,6 +6,8 @@
 
 import pydantic
 
+from waxwinglift.process._control_link import ENTRIES_INTERVAL_MS
+from waxwinglift.process._control_node import APPEND_INTERVAL_MS
 from waxwinglift.version._action_queue import SESSIONS_LIMIT_COUNT
 
 
@@ -50,9 +52,9 @@
     commit_ms: float = 30.0
     sql_ms: float = 60.0
     down_after_ms: float = 750.0
-    early_interval_ms: float = 0.0
+    early_interval_ms: float = ENTRIES_INTERVAL_MS
     sessions_limit_count: int = SESSIONS_LIMIT_COUNT
-    propose_batch_ms: float = 5.0
+    propose_batch_ms: float = APPEND_INTERVAL_MS
     relay_batch_ms: float = 20.0
     renew_interval_ms: float = 250.0
     announce_interval_ms: float = 500.0
