--- a/waxwinglift_bench/process/_slopes_command.py
+++ b/waxwinglift_bench/process/_slopes_command.py
@@ -9,6 +9,7 @@
 from waxwinglift_bench.process import _slopes_requests
 from waxwinglift_bench.process import _slopes_sessions
 from waxwinglift_bench.process import _slopes_transport
+from waxwinglift_bench.process import _slopes_watch
 
 # Modules whose import fills the registry.
 MEASUREMENT_MODULES = (
@@ -16,6 +17,7 @@
     _slopes_requests,
     _slopes_sessions,
     _slopes_transport,
+    _slopes_watch,
 )
 
 
@@ -92,7 +94,8 @@
 
 
 @click.command()
-def slopes():
+@click.option("--only", default="", help="measure names with this prefix")
+def slopes(only):
     """Print measured slopes and the cost at the target size.
 
     Processor times of calls are those of both ends together, an upper bound
@@ -100,12 +103,16 @@
     """
     measured = {}
     for name in _slopes.MEASUREMENTS:
+        if not name.startswith(only):
+            continue
         slope = _slopes.measure_slope(name)
         measured[name] = slope
         click.echo(
             f"{name:36} {slope.fixed:14.1f} + {slope.per_unit:10.3f} "
             f"{slope.unit} per {slope.per}"
         )
+    if only:
+        return
     target = Target()
     click.echo(f"\nat {target.daemons_count} daemons, control per proxy:")
     is_within = True
--- /dev/null
+++ b/waxwinglift_bench/process/_slopes_watch.py
@@ -0,0 +1,205 @@
+"""Watch streams of one relay: edits and snapshots over loopback.
+
+A control member with its log, its core and its gRPC front runs in the same
+process as the proxies' ends of the streams, which receive but do not apply.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import socket
+import tempfile
+import time
+
+from opentelemetry import trace
+
+from waxwinglift.process import _settings
+from waxwinglift.process import Address
+from waxwinglift.process._control import ControlService
+from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process.rpc import control_grpc
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._channels import open_channel
+from waxwinglift.version._consensus_types import Propose
+from waxwinglift.version._consensus_types import ProposeBatch
+from waxwinglift.version._entry_codec import encode_entry
+from waxwinglift_bench.process import _slopes_fleet
+from waxwinglift_bench.process._slopes import measurement
+
+DAEMONS_COUNT = 450
+GROUPS_COUNT = 870
+WAIT_LIMIT_S = 30.0
+# The log of the fleet's entries is compacted within this many.
+SNAPSHOT_ENTRY_COUNT = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Cost:
+    """What it took until each stream had what it waited for."""
+
+    elapsed_ms: float
+    cpu_ms: float
+    received_bytes: int
+
+
+@contextlib.asynccontextmanager
+async def _running_relay():
+    """Yield a control member that has applied a fleet of the target size."""
+    with tempfile.TemporaryDirectory() as folder:
+        settings = _settings.ControlSettings(
+            member="control-0",
+            location={"data_centre": "dc-0", "region": "region-0"},
+            listen=Address("127.0.0.1", _free_port()),
+            members=[{"member": "control-0", "address": "127.0.0.1:1"}],
+            data_folder=pathlib.Path(folder),
+            snapshot_entry_count=SNAPSHOT_ENTRY_COUNT,
+        )
+        service = ControlService(
+            settings, NoMetrics(), trace.NoOpTracer(), True
+        )
+        await service.start()
+        try:
+            await _wait_until(lambda: service.node.has_quorum)
+            # No proxy renews and no endpoint announces itself here: the core
+            # only applies what the measurement proposes.
+            service.node.core.may_act = lambda: False
+            await _fill(service.node)
+            yield service
+        finally:
+            await service.stop()
+
+
+def _free_port():
+    with socket.socket() as opened:
+        opened.bind(("127.0.0.1", 0))
+        return opened.getsockname()[1]
+
+
+async def _wait_until(check):
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not check():
+            await asyncio.sleep(0.005)
+
+
+async def _fill(node):
+    entries = list(_slopes_fleet.fleet_entries(DAEMONS_COUNT, GROUPS_COUNT))
+    for start in range(0, len(entries), 500):
+        _propose(node, entries[start : start + 500])
+        await asyncio.sleep(0)
+    await _wait_until(lambda: len(node.fleet.pools) == GROUPS_COUNT)
+
+
+def _propose(node, entries):
+    proposals = [
+        Propose(node.proposals.open()[0], encode_entry(entry))
+        for entry in entries
+    ]
+    node.step_consensus(ProposeBatch(tuple(proposals)))
+
+
+class _Watcher:
+    """The proxy's end of one stream."""
+
+    def __init__(self, address, applied_index):
+        self._address = address
+        self.index = applied_index
+        self.received_bytes = 0
+
+    async def follow(self):
+        with open_channel(self._address) as channel:
+            stub = control_grpc.ControlStub(channel)
+            async with stub.Watch.open() as stream:
+                request = control_pb2.WatchRequest(applied_index=self.index)
+                await stream.send_message(request, end=True)
+                async for reply in stream:
+                    self._take(reply)
+
+    def _take(self, reply):
+        self.received_bytes += reply.ByteSize()
+        last_index = reply.first_index + len(reply.entries) - 1
+        self.index = max(self.index, reply.snapshot_index, last_index)
+
+
+@contextlib.asynccontextmanager
+async def _following(address, count, applied_index):
+    watchers = [_Watcher(address, applied_index) for _ in range(count)]
+    tasks = [asyncio.ensure_future(w.follow()) for w in watchers]
+    try:
+        yield watchers
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _measure(node, watchers, index):
+    started, started_cpu = time.monotonic(), time.process_time()
+    target = index()
+    await _wait_until(lambda: all(w.index >= target() for w in watchers))
+    return Cost(
+        (time.monotonic() - started) * 1e3,
+        (time.process_time() - started_cpu) * 1e3,
+        sum(w.received_bytes for w in watchers),
+    )
+
+
+async def measure_edits(streams_count, edits_count):
+    """Return the cost of a burst of edits for the streams of a relay."""
+    async with _running_relay() as service:
+        node = service.node
+        address = service.settings.listen
+        applied = node.fleet.index
+        async with _following(address, streams_count, applied) as watchers:
+            # The streams are open once each has had its keep-alive.
+            await asyncio.sleep(1.5)
+
+            applied = node.fleet.index
+
+            def propose_all():
+                for number in range(edits_count):
+                    _propose(node, [_slopes_fleet.pool_edit(number, 1)])
+                return lambda: applied + edits_count
+
+            return await _measure(node, watchers, propose_all)
+
+
+async def measure_snapshots(streams_count):
+    """Return the cost of proxies that come back at once from index 1."""
+    async with _running_relay() as service:
+        node = service.node
+        address = service.settings.listen
+        async with _following(address, streams_count, 1) as watchers:
+            return await _measure(
+                node, watchers, lambda: lambda: node.fleet.index
+            )
+
+
+@measurement("watch: one edit, processor", "us", "stream", (8, 64))
+def edit_us(streams_count):
+    """Processor time of all ends until an edit is at each stream."""
+    return asyncio.run(measure_edits(streams_count, 1)).cpu_ms * 1e3
+
+
+@measurement("watch: one edit, time", "us", "stream", (8, 64))
+def edit_time_us(streams_count):
+    """Time from the proposal until an edit is at the last stream."""
+    return asyncio.run(measure_edits(streams_count, 1)).elapsed_ms * 1e3
+
+
+@measurement("watch: 20 edits, time", "us", "stream", (8, 64))
+def edits_time_us(streams_count):
+    """Time until a burst of 20 edits is at the last stream."""
+    return asyncio.run(measure_edits(streams_count, 20)).elapsed_ms * 1e3
+
+
+@measurement("watch: rejoin, processor", "us", "proxy", (4, 32))
+def rejoin_us(streams_count):
+    """Processor time of all ends for snapshots of proxies coming back."""
+    return asyncio.run(measure_snapshots(streams_count)).cpu_ms * 1e3
+
+
+@measurement("watch: rejoin, time", "us", "proxy", (4, 32))
+def rejoin_time_us(streams_count):
+    """Time until the last of the proxies coming back has its snapshot."""
+    return asyncio.run(measure_snapshots(streams_count)).elapsed_ms * 1e3
