Judge kept floors while the rank has demand

Cause: the figure "floor kept" compared the work of the whole window with the floor's part of the whole window. A rank with bursts above its floor was owed the floor in the pauses between them, and a refusal at a slow replica counted as a statement of normal length.

The reference is now that reserved part, judged for each period in which it has work and for each wait up to the deadline. Requests that a lost endpoint fails are no longer floor losses: it has no slots to share.

--- a/waxwinglift_bench/process/_owner.py
+++ b/waxwinglift_bench/process/_owner.py
@@ -165,6 +165,7 @@
         )
         self._jobs[request.number] = (request, reply, floor_wait_ms, ticket)
         self._simulation.at(request.deadline_ms, self._expire)
+        self._world.statistics.record_offer(self.endpoint, request, now_ms)
         actions = self._queue.offer(ticket, now_ms)
         refused_count = sum(not isinstance(a, Start) for a in actions)
         self._world.statistics.record_refusals(refused_count, now_ms)
@@ -181,7 +182,9 @@
                 self._apply_pool(self._pool.acquire(number, now_ms))
             elif number in self._jobs:
                 request, reply, _, _ = self._jobs.pop(number)
-                self._world.record_loss(self.endpoint, request)
+                # A lost endpoint has no slots of which a floor is a share.
+                if action.failure.code is FailureCode.REJECTED:
+                    self._world.record_loss(self.endpoint, request)
                 reply(Outcome(action.failure))
 
     def _apply_pool(self, actions):
--- a/waxwinglift_bench/process/_split.py
+++ b/waxwinglift_bench/process/_split.py
@@ -60,6 +60,8 @@
         return group.primary if is_stale else replica
 
     def _enqueue(self, request, target):
+        now_ms = self._simulation.now_ms
+        self._world.statistics.record_offer(target, request, now_ms)
         self._queues[target].append(request)
         self._start_next(target)
 
--- a/waxwinglift_bench/process/_world.py
+++ b/waxwinglift_bench/process/_world.py
@@ -61,7 +61,12 @@
             for endpoint in self.fleet.endpoints
         }
         self.until_ms = WARM_UP_MS + duration_ms
-        self.statistics = RunStatistics(WARM_UP_MS, self.until_ms)
+        self.statistics = RunStatistics(
+            WARM_UP_MS,
+            self.until_ms,
+            2 * deployment.local_delay_ms,
+            TAIL_MS,
+        )
         self._views = {}
         self.owners = {}
         entry_class = SplitEntry if variant.is_split else EntrySide
@@ -112,8 +117,9 @@
     def record_loss(self, endpoint, request):
         """Record work that the queue of an endpoint refused."""
         service_ms = self.deployment.service_ms * request.service_factor
+        service_ms *= self.servers[endpoint].slow_factor
         self.statistics.record_loss(
-            endpoint, request.rank, service_ms, self.simulation.now_ms
+            endpoint, request, service_ms, self.simulation.now_ms
         )
 
     def cut_proxy(self, proxy, takeover_ms):
@@ -183,5 +189,5 @@
 
     def _record_run(self, endpoint, request, service_ms):
         self.statistics.record_run(
-            endpoint, request.rank, service_ms, self.simulation.now_ms
+            endpoint, request, service_ms, self.simulation.now_ms
         )
