Start requests that would miss their deadline in turn first

Cause: within a rank, callers take turns, so requests that arrive later can start before one that the queue has accepted. Routing, the retry and the limit cost nothing: the rank got its whole floor while it waited.

A request that would miss its deadline in its turn now starts first, the earliest deadline before others; its caller skips a later turn. A caller gets at most 4 turns in advance, so that a greedy one cannot lock out others.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -33,6 +33,9 @@
         its floor share then.  0 disables this.
     is_floor_expected : bool
         Whether the expected wait of a rank counts on its floor share.
+    advance_limit_count : int
+        Most turns that a caller may be ahead of the others of its rank,
+        for requests that would miss their deadline in turn.
     """
 
     initial_service_ms: float = pydantic.Field(4.0, gt=0)
@@ -41,6 +44,7 @@
     debt_window_ms: float = pydantic.Field(0.0, ge=0)
     flood_depth: int = pydantic.Field(2, ge=0)
     is_floor_expected: bool = True
+    advance_limit_count: int = pydantic.Field(4, ge=0)
 
 
 class RoutingSettings(PolicySettings):
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -98,7 +98,7 @@
         rank.push(ticket)
         expiry = (ticket.deadline_ms, ticket.request, ticket)
         heapq.heappush(self._expiries, expiry)
-        return self._start_next()
+        return self._start_next(now_ms)
 
     def finish(self, ticket, now_ms, service_ms):
         """Free the slot of a started ticket and start the next one.
@@ -123,7 +123,7 @@
         rank.charge(service_ms - estimate_ms, self._debt_cap_ms(rank))
         error_ms = service_ms - self._service_ms
         self._service_ms += self.settings.service_weight * error_ms
-        return self._start_next()
+        return self._start_next(now_ms)
 
     def cancel(self, ticket):
         """Remove a waiting ticket without an answer.
@@ -222,17 +222,22 @@
         limit_count = rank.row.limit_count or self.slots_count
         return min(limit_count, self.slots_count)
 
-    def _start_next(self):
+    def _start_next(self, now_ms):
         actions = []
         while len(self._running) < self.slots_count:
             rank = self._choose_rank()
             if rank is None:
                 break
-            actions.append(self._start(rank))
+            actions.append(self._start(rank, now_ms))
         return actions
 
-    def _start(self, rank):
-        ticket = rank.pop()
+    def _start(self, rank, now_ms):
+        turn_ms = 0.0
+        if rank.floor_share > 0:
+            floor_slots = rank.floor_share * self.slots_count
+            turn_ms = self._service_ms / floor_slots
+        limit_count = self.settings.advance_limit_count
+        ticket = rank.pop(now_ms, turn_ms, limit_count)
         rank.running_count += 1
         self._virtual_ms = max(self._virtual_ms, rank.virtual_ms)
         self._running[ticket.request] = self._service_ms
--- a/waxwinglift/request/_rank_queue.py
+++ b/waxwinglift/request/_rank_queue.py
@@ -35,6 +35,8 @@
         self.running_count = 0
         self.is_retired = False
         self._by_caller = collections.OrderedDict()
+        # Turns that a caller with waiting tickets has taken in advance.
+        self._advances = collections.Counter()
         self._waiting_count = 0
 
     def __len__(self):
@@ -57,16 +59,32 @@
         line[ticket.request] = ticket
         self._waiting_count += 1
 
-    def pop(self):
-        """Take the first ticket of the next caller in turn."""
-        caller, line = next(iter(self._by_caller.items()))
-        request = next(iter(line))
-        ticket = line.pop(request)
-        self._waiting_count -= 1
-        if line:
-            self._by_caller.move_to_end(caller)
+    def pop(self, now_ms=0.0, turn_ms=0.0, advance_limit_count=0):
+        """Take the first ticket of the next caller in turn.
+
+        A ticket that would miss its deadline in its turn goes first, the
+        earliest deadline before others, and its caller skips a later turn.
+
+        Parameters
+        ----------
+        now_ms : float
+        turn_ms : float
+            Expected time between two starts of this rank.
+        advance_limit_count : int
+            Most turns that a caller may be ahead of the others.
+        """
+        caller = None
+        if advance_limit_count:
+            caller = self._late_caller(now_ms, turn_ms, advance_limit_count)
+        if caller is None:
+            caller = self._take_turn()
         else:
-            del self._by_caller[caller]
+            self._advances[caller] += 1
+        line = self._by_caller[caller]
+        ticket = line.pop(next(iter(line)))
+        self._waiting_count -= 1
+        if not line:
+            self._drop(caller)
         return ticket
 
     def remove(self, ticket):
@@ -77,7 +95,7 @@
         del line[ticket.request]
         self._waiting_count -= 1
         if not line:
-            del self._by_caller[ticket.caller]
+            self._drop(ticket.caller)
         return True
 
     def ahead_count(self, caller):
@@ -101,3 +119,27 @@
         """Account for slot time; a negative amount corrects an estimate."""
         self.virtual_ms += used_ms / max(1, self.row.weight)
         self.credit_ms = max(self.credit_ms - used_ms, -debt_cap_ms)
+
+    def _take_turn(self):
+        while True:
+            caller = next(iter(self._by_caller))
+            self._by_caller.move_to_end(caller)
+            if self._advances[caller] <= 0:
+                return caller
+            self._advances[caller] -= 1
+
+    def _late_caller(self, now_ms, turn_ms, advance_limit_count):
+        late = None
+        late_deadline_ms = float("inf")
+        turn_start_ms = now_ms
+        for caller, line in self._by_caller.items():
+            deadline_ms = line[next(iter(line))].deadline_ms
+            is_late = deadline_ms < min(turn_start_ms, late_deadline_ms)
+            if is_late and self._advances[caller] < advance_limit_count:
+                late, late_deadline_ms = caller, deadline_ms
+            turn_start_ms += turn_ms
+        return late
+
+    def _drop(self, caller):
+        del self._by_caller[caller]
+        self._advances.pop(caller, None)
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -138,6 +138,41 @@
     assert "modest" in [t.caller for t in driver.started[:4]]
 
 
+@pytest.mark.parametrize(
+    ("greedy_count", "greedy_ms", "modest_ms", "least", "most"),
+    [
+        # In turn it would start after its deadline, although the queue had
+        # accepted it; the work is then lost and the queue runs empty.
+        (1, 40.0, 1000.0, 1, 1),
+        # No deadline is near: in turn.
+        (1, 1000.0, 1000.0, 6, 6),
+        # A caller whose requests are all late gets a few turns in advance.
+        (20, 90.0, 1000.0, 1, 1),
+        # The one whose deadline is the nearest goes first.
+        (1, 60.0, 40.0, 2, 2),
+    ],
+)
+def test_late_tickets_start_in_advance(
+    greedy_count, greedy_ms, modest_ms, least, most
+):
+    driver = Driver(make_queue())
+    driver.offer("middle", "other")
+    for caller in "abcd":
+        driver.offer("middle", caller, deadline_ms=1000.0)
+    modest = driver.offer("middle", "modest", deadline_ms=modest_ms)
+    for _ in range(greedy_count):
+        driver.offer("middle", "greedy", deadline_ms=greedy_ms)
+    while modest not in driver.started[1:]:
+        driver.finish()
+    started = [t.caller for t in driver.started[1:]]
+    ahead = started[: started.index("modest")]
+    assert ahead.count("greedy") <= 4
+    while "greedy" not in [t.caller for t in driver.started]:
+        driver.finish()
+    callers = [t.caller for t in driver.started]
+    assert least <= callers.index("greedy") <= most
+
+
 def test_limit_keeps_a_slot_for_urgent_work():
     # Low work in every slot makes an urgent request wait for one to end.
     driver = Driver(make_queue(slots_count=3))
