--- a/waxwinglift/request/_rank_queue.py
+++ b/waxwinglift/request/_rank_queue.py
@@ -1,6 +1,7 @@
 """Waiting tickets and accounts of one rank of one pool."""
 
 import collections
+import heapq
 
 
 class RankQueue:
@@ -37,6 +38,7 @@
         self._by_caller = collections.OrderedDict()
         # Turns that a caller with waiting tickets has taken in advance.
         self._advances = collections.Counter()
+        self._deadlines = []
         self._waiting_count = 0
 
     def __len__(self):
@@ -57,6 +59,8 @@
         """Append a ticket to its caller's line."""
         line = self._by_caller.setdefault(ticket.caller, {})
         line[ticket.request] = ticket
+        entry = (ticket.deadline_ms, ticket.request, ticket.caller)
+        heapq.heappush(self._deadlines, entry)
         self._waiting_count += 1
 
     def pop(self, now_ms=0.0, turn_ms=0.0, advance_limit_count=0):
@@ -128,7 +132,17 @@
                 return caller
             self._advances[caller] -= 1
 
+    def _earliest_deadline_ms(self):
+        while True:
+            deadline_ms, request, caller = self._deadlines[0]
+            if request in self._by_caller.get(caller, {}):
+                return deadline_ms
+            heapq.heappop(self._deadlines)
+
     def _late_caller(self, now_ms, turn_ms, advance_limit_count):
+        round_ms = turn_ms * len(self._by_caller)
+        if self._earliest_deadline_ms() >= now_ms + round_ms:
+            return None
         late = None
         late_deadline_ms = float("inf")
         turn_start_ms = now_ms
