Serve floors without a lag in a flood

Cause: a rank below its floor went ahead of urgent work only when it had earned a whole statement, so that it ran up to one statement behind its floor; at a slow replica, where a statement takes 22 ms, that is 7% of what it is owed until a deadline of 500 ms.

While a flood of urgent work waits, credit of 0 is now enough; a longer debt still has to be earned back. Without a flood the order is as before, so single urgent requests do not wait.

--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -37,6 +37,7 @@
         self._service_ms = self.settings.initial_service_ms
         self._virtual_ms = 0.0
         self._accrued_ms = None
+        self._is_in_flood = False
 
     @property
     def running_count(self):
@@ -252,7 +253,14 @@
         ]
         if not ready:
             return None
-        short = [r for r in ready if r.credit_ms >= self._service_ms]
+        # A rank that waits for the credit of a whole statement runs behind
+        # its floor all through a flood.
+        least_ms = 0.0 if self._is_in_flood else self._service_ms
+        short = [
+            rank
+            for rank in ready
+            if rank.floor_share > 0 and rank.credit_ms >= least_ms
+        ]
         if short:
             return max(short, key=lambda rank: rank.credit_ms)
         urgent = [rank for rank in ready if rank.is_most_urgent]
@@ -262,11 +270,11 @@
         last_ms = now_ms if self._accrued_ms is None else self._accrued_ms
         self._accrued_ms = max(now_ms, last_ms)
         capacity_ms = (self._accrued_ms - last_ms) * self.slots_count
-        is_flooded = self._is_flooded()
+        self._is_in_flood = self._is_flooded()
         for rank in self._ranks.values():
             # An idle rank earns credit only in a flood of urgent work: saved
             # up at other times it would delay single urgent requests.
-            if len(rank) or is_flooded:
+            if len(rank) or self._is_in_flood:
                 earned_ms = rank.credit_ms + rank.floor_share * capacity_ms
                 rank.credit_ms = min(earned_ms, self._credit_cap_ms(rank))
 
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -307,6 +307,18 @@
     assert ranks.count("middle") == 4
 
 
+def test_floor_is_not_late_in_a_flood():
+    # Waiting for the credit of a whole statement of 4 ms would delay the
+    # first one of a rank that has just come by 20 ms.
+    driver = Driver(make_queue())
+    for _ in range(50):
+        driver.offer("urgent", deadline_ms=1e9)
+    driver.finish()
+    driver.offer("middle", deadline_ms=1e9)
+    driver.finish()
+    assert driver.started[-1].rank == "middle"
+
+
 def test_deleted_pool_takes_no_new_tickets():
     # The work of a deleted pool ends; new work is an error of the caller.
     driver = Driver(make_queue(pools=("main", "other")))
