--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -37,6 +37,7 @@
         self._service_ms = self.settings.initial_service_ms
         self._virtual_ms = 0.0
         self._accrued_ms = None
+        self._is_in_flood = False
 
     @property
     def running_count(self):
@@ -106,7 +107,7 @@
         rank.push(ticket)
         expiry = (ticket.deadline_ms, ticket.request, ticket)
         heapq.heappush(self._expiries, expiry)
-        return self._start_next()
+        return self._start_next(now_ms)
 
     def finish(self, ticket, now_ms, service_ms):
         """Free the slot of a started ticket and start the next one.
@@ -131,7 +132,7 @@
         rank.charge(service_ms - estimate_ms, self._debt_cap_ms(rank))
         error_ms = service_ms - self._service_ms
         self._service_ms += self.settings.service_weight * error_ms
-        return self._start_next()
+        return self._start_next(now_ms)
 
     def cancel(self, ticket):
         """Remove a waiting ticket without an answer.
@@ -230,17 +231,22 @@
         limit_count = rank.row.limit_count or self.slots_count
         return min(limit_count, self.slots_count)
 
-    def _start_next(self):
+    def _start_next(self, now_ms):
         actions = []
         while len(self._running) < self.slots_count:
             rank = self._choose_rank()
             if rank is None:
                 break
-            actions.append(self._start(rank))
+            actions.append(self._start(rank, now_ms))
         return actions
 
-    def _start(self, rank):
-        ticket = rank.pop()
+    def _start(self, rank, now_ms):
+        turn_ms = 0.0
+        if rank.floor_share > 0:
+            floor_slots = rank.floor_share * self.slots_count
+            turn_ms = self._service_ms / floor_slots
+        limit_count = self.settings.advance_limit_count
+        ticket = rank.pop(now_ms, turn_ms, limit_count)
         rank.running_count += 1
         self._virtual_ms = max(self._virtual_ms, rank.virtual_ms)
         self._running[ticket.request] = self._service_ms
@@ -255,7 +261,14 @@
         ]
         if not ready:
             return None
-        short = [r for r in ready if r.credit_ms >= self._service_ms]
+        # A rank that waits for the credit of a whole statement runs behind
+        # its floor all through a flood.
+        least_ms = 0.0 if self._is_in_flood else self._service_ms
+        short = [
+            rank
+            for rank in ready
+            if rank.floor_share > 0 and rank.credit_ms >= least_ms
+        ]
         if short:
             return max(short, key=lambda rank: rank.credit_ms)
         urgent = [rank for rank in ready if rank.is_most_urgent]
@@ -265,11 +278,11 @@
         last_ms = now_ms if self._accrued_ms is None else self._accrued_ms
         self._accrued_ms = max(now_ms, last_ms)
         capacity_ms = (self._accrued_ms - last_ms) * self.slots_count
-        is_flooded = self._is_flooded()
+        self._is_in_flood = self._is_flooded()
         for rank in self._ranks.values():
             # An idle rank earns credit only in a flood of urgent work: saved
             # up at other times it would delay single urgent requests.
-            if len(rank) or is_flooded:
+            if len(rank) or self._is_in_flood:
                 earned_ms = rank.credit_ms + rank.floor_share * capacity_ms
                 rank.credit_ms = min(earned_ms, self._credit_cap_ms(rank))
 
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -141,6 +141,41 @@
     assert "modest" in [t.caller for t in driver.started[:4]]
 
 
+@pytest.mark.parametrize(
+    ("greedy_count", "greedy_ms", "modest_ms", "least", "most"),
+    [
+        # In turn it would start after its deadline, although the queue had
+        # accepted it; the work is then lost and the queue runs empty.
+        (1, 40.0, 1000.0, 1, 1),
+        # No deadline is near: in turn.
+        (1, 1000.0, 1000.0, 6, 6),
+        # A caller whose requests are all late gets a few turns in advance.
+        (20, 90.0, 1000.0, 1, 1),
+        # The one whose deadline is the nearest goes first.
+        (1, 60.0, 40.0, 2, 2),
+    ],
+)
+def test_late_tickets_start_in_advance(
+    greedy_count, greedy_ms, modest_ms, least, most
+):
+    driver = Driver(make_queue())
+    driver.offer("middle", "other")
+    for caller in "abcd":
+        driver.offer("middle", caller, deadline_ms=1000.0)
+    modest = driver.offer("middle", "modest", deadline_ms=modest_ms)
+    for _ in range(greedy_count):
+        driver.offer("middle", "greedy", deadline_ms=greedy_ms)
+    while modest not in driver.started[1:]:
+        driver.finish()
+    started = [t.caller for t in driver.started[1:]]
+    ahead = started[: started.index("modest")]
+    assert ahead.count("greedy") <= 4
+    while "greedy" not in [t.caller for t in driver.started]:
+        driver.finish()
+    callers = [t.caller for t in driver.started]
+    assert least <= callers.index("greedy") <= most
+
+
 def test_limit_keeps_a_slot_for_urgent_work():
     # Low work in every slot makes an urgent request wait for one to end.
     driver = Driver(make_queue(slots_count=3))
@@ -294,6 +329,18 @@
     assert served == accepted
 
 
+def test_floor_is_not_late_in_a_flood():
+    # Waiting for the credit of a whole statement of 4 ms would delay the
+    # first one of a rank that has just come by 20 ms.
+    driver = Driver(make_queue())
+    for _ in range(50):
+        driver.offer("urgent", deadline_ms=1e9)
+    driver.finish()
+    driver.offer("middle", deadline_ms=1e9)
+    driver.finish()
+    assert driver.started[-1].rank == "middle"
+
+
 def test_deleted_pool_takes_no_new_tickets():
     # The work of a deleted pool ends; new work is an error of the caller.
     driver = Driver(make_queue(pools=("main", "other")))
