Route blocks to replicas by the session's default mode

Cause: a block whose driver opens it with a plain BEGIN ran on the primary even when default_transaction_read_only was on. SET SESSION CHARACTERISTICS was not recorded: it was lost at the next use of the shared connection, so that a session that had stated READ ONLY could write. BEGIN of a serializable READ ONLY transaction went to a replica, which refuses this level (0A000). Exchanges inside a block on a replica were counted as the primary's.

The stand-in refuses serializable blocks on replicas and writes under the read-only default.

--- a/waxwinglift/connection/_session.py
+++ b/waxwinglift/connection/_session.py
@@ -12,6 +12,7 @@
 from result import Result
 import xxhash
 
+from waxwinglift.connection._session_access import choose_access
 from waxwinglift.connection._session_options import PREFIX
 from waxwinglift.connection._session_options import SessionOptions
 from waxwinglift.connection._session_options import show_option
@@ -25,7 +26,6 @@
 from waxwinglift.connection._token import encode_token
 from waxwinglift.connection._types import SessionId
 from waxwinglift.connection._types import TransactionStatus
-from waxwinglift.request import Access
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
@@ -47,16 +47,6 @@
         StatementKind.UNSUPPORTED,
     }
 )
-_READ_KINDS = frozenset(
-    {
-        StatementKind.READ,
-        StatementKind.SHOW,
-        StatementKind.SET,
-        StatementKind.RESET,
-        StatementKind.EMPTY,
-        StatementKind.BEGIN_READ_ONLY,
-    }
-)
 _FLOORLESS_KINDS = frozenset(
     {StatementKind.SET, StatementKind.RESET, StatementKind.EMPTY}
 )
@@ -208,7 +198,7 @@
         kinds = {statement.kind for statement in everything}
         is_block = kinds & {StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY}
         return RunPlan(
-            access=self._access(kinds),
+            access=choose_access(self.options, self.settings, everything),
             starts_block=bool(is_block) and not self.is_in_block,
             needs_floor=not kinds <= _FLOORLESS_KINDS,
             takes_key=any(s.kind not in _FLOORLESS_KINDS for s in executed),
@@ -255,7 +245,7 @@
     def _apply(self, settings, statements):
         for statement in statements:
             if statement.kind is StatementKind.SET:
-                settings[statement.name] = statement.value
+                settings.update(statement.assignments)
             elif statement.kind is StatementKind.RESET:
                 self._reset(settings, statement.name)
 
@@ -264,13 +254,6 @@
         if name in self._initial_settings:
             settings[name] = self._initial_settings[name]
 
-    def _access(self, kinds):
-        if self.options.idempotency_key:
-            return Access.WRITE
-        if self.options.access is not Access.AUTO:
-            return self.options.access
-        return Access.READ if kinds <= _READ_KINDS else Access.WRITE
-
     def _plan_local(self, executed, everything):
         statement = everything[0]
         if any(other != statement for other in everything):
--- /dev/null
+++ b/waxwinglift/process/tests/test_read_only.py
@@ -0,0 +1,132 @@
+"""Guards that stated read-only transactions run on replicas."""
+
+import psycopg
+import pytest
+
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+
+COUNT = "SELECT count(*) FROM t"
+INSERT = "INSERT INTO t VALUES (1)"
+DEFAULT = "SET default_transaction_read_only = "
+SESSION = "SET SESSION CHARACTERISTICS AS TRANSACTION "
+SERIALIZABLE = psycopg.IsolationLevel.SERIALIZABLE
+
+
+def served(proxy):
+    """Return the exchanges that replicas and the primary have served."""
+    counts = proxy.metrics.counts
+    places = ("entry.served.replica", "entry.served.primary")
+    return [counts.get(place, 0) for place in places]
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+@pytest.mark.parametrize(
+    ("before", "begin", "is_on_replica"),
+    [
+        ([], "BEGIN", False),
+        ([], "BEGIN READ ONLY", True),
+        ([], "START TRANSACTION ISOLATION LEVEL READ COMMITTED, READ ONLY",
+         True),
+        ([], "BEGIN ISOLATION LEVEL SERIALIZABLE READ ONLY", False),
+        ([f"{DEFAULT}on"], "BEGIN", True),
+        ([f"{DEFAULT}'true'"], "BEGIN ISOLATION LEVEL REPEATABLE READ", True),
+        ([f"{DEFAULT}on"], "BEGIN READ WRITE", False),
+        ([f"{DEFAULT}on"], "BEGIN ISOLATION LEVEL SERIALIZABLE", False),
+        ([f"{DEFAULT}on", f"{DEFAULT}off"], "BEGIN", False),
+        ([f"{DEFAULT}on", f"{DEFAULT}DEFAULT"], "BEGIN", False),
+        ([f"{DEFAULT}on", "RESET default_transaction_read_only"], "BEGIN",
+         False),
+        ([f"{DEFAULT}on", "RESET ALL"], "BEGIN", False),
+        ([f"{SESSION}READ ONLY"], "BEGIN", True),
+        ([f"{SESSION}ISOLATION LEVEL REPEATABLE READ, READ ONLY"], "BEGIN",
+         True),
+        ([f"{SESSION}READ ONLY", f"{SESSION}READ WRITE"], "BEGIN", False),
+        ([f"{SESSION}ISOLATION LEVEL SERIALIZABLE, READ ONLY"], "BEGIN",
+         False),
+        (["SET waxwinglift.access = 'read'"], "BEGIN", True),
+        ([f"{DEFAULT}on", "SET waxwinglift.access = 'write'"], "BEGIN",
+         False),
+    ],
+)  # fmt: skip
+def test_block_runs_where_it_may(proxy_count, before, begin, is_on_replica):
+    # Drivers whose blocks never reach a replica load the primary with reads.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+            for statement in before:
+                await caller.execute(statement)
+            earlier = served(proxies[0])
+            for statement in (begin, COUNT, "COMMIT"):
+                await caller.execute(statement)
+            counts = zip(served(proxies[0]), earlier, strict=True)
+            expected = [3, 0] if is_on_replica else [0, 3]
+            assert [now - then for now, then in counts] == expected
+
+    run(scenario, proxy_count=proxy_count)
+
+
+@pytest.mark.parametrize(
+    ("attributes", "options", "is_on_replica"),
+    [
+        ({}, "", False),
+        ({"read_only": True}, "", True),
+        ({"read_only": True, "isolation_level": SERIALIZABLE}, "", False),
+        ({}, "-c default_transaction_read_only=on", True),
+        ({"read_only": False}, "-c default_transaction_read_only=on", False),
+    ],
+)
+def test_driver_states_a_read_only_transaction(
+    attributes, options, is_on_replica
+):
+    # psycopg opens each transaction itself, with the modes of its connection.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+        async with await psycopg.AsyncConnection.connect(
+            proxies[0].conninfo, options=options
+        ) as caller:
+            for name, value in attributes.items():
+                await getattr(caller, f"set_{name}")(value)
+            earlier = served(proxies[0])
+            assert await fetch(caller, COUNT) == [(0,)]
+            await caller.commit()
+            counts = zip(served(proxies[0]), earlier, strict=True)
+            expected = [3, 0] if is_on_replica else [0, 3]
+            assert [now - then for now, then in counts] == expected
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+@pytest.mark.parametrize(
+    ("before", "begin"),
+    [
+        ([], "BEGIN READ ONLY"),
+        ([f"{DEFAULT}on"], "BEGIN"),
+        ([f"{SESSION}READ ONLY"], "BEGIN"),
+        ([f"{SESSION}READ ONLY"], None),
+    ],
+)
+def test_write_in_a_read_only_transaction_is_refused(
+    proxy_count, before, begin
+):
+    # The caller stated that nothing is written, and must hear that it was
+    # not.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            await caller.execute("CREATE TABLE t (id int)")
+            for statement in before:
+                await caller.execute(statement)
+            if begin is not None:
+                await caller.execute(begin)
+            with pytest.raises(psycopg.errors.ReadOnlySqlTransaction):
+                await caller.execute(INSERT)
+            if begin is not None:
+                with pytest.raises(psycopg.errors.InFailedSqlTransaction):
+                    await caller.execute(COUNT)
+                await caller.execute("ROLLBACK")
+            assert await fetch(caller, COUNT) == [(0,)]
+
+    run(scenario, proxy_count=proxy_count)
--- a/waxwinglift/request/_classify.py
+++ b/waxwinglift/request/_classify.py
@@ -35,12 +35,19 @@
 
     ``name`` is the parameter, prepared statement or keyword it concerns
     (``"all"`` for RESET ALL and DEALLOCATE ALL), ``value`` the text that SET
-    assigns, as written.
+    assigns, as written.  BEGIN has the mode as its name that keeps it from
+    replicas.  ``more`` holds what SET assigns to further parameters.
     """
 
     kind: StatementKind
     name: str = ""
     value: str = ""
+    more: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def assignments(self) -> tuple[tuple[str, str], ...]:
+        """Names and values that SET assigns."""
+        return ((self.name, self.value), *self.more)
 
 
 # Callers repeat few texts; parameters come apart from the text.
@@ -76,6 +83,20 @@
     re.IGNORECASE,
 )
 _READ_ONLY = re.compile(r"\bread\s+only\b", re.IGNORECASE)
+# A replica refuses transactions with these modes, or may not write in them.
+_PRIMARY_MODES = re.compile(
+    r"\b(?:(read)\s+(write)|(serializable))\b", re.IGNORECASE
+)
+_CHARACTERISTICS = re.compile(
+    r"set\s+session\s+characteristics\s+as\s+transaction\s+(.+)",
+    re.IGNORECASE | re.DOTALL,
+)
+_MODE = re.compile(
+    r"[\s,]*(?:(?P<access>read\s+(?:only|write))"
+    r"|isolation\s+level\s+(?P<level>serializable|repeatable\s+read"
+    r"|read\s+(?:un)?committed)|(?P<deferrable>(?:not\s+)?deferrable))\b",
+    re.IGNORECASE,
+)
 _classifiers = {}
 
 
@@ -139,6 +160,10 @@
 
 @_first_keyword("begin", "start")
 def _classify_begin(text):
+    mode = _PRIMARY_MODES.search(text)
+    if mode is not None:
+        words = [word.lower() for word in mode.groups() if word]
+        return Statement(StatementKind.BEGIN, " ".join(words))
     if _READ_ONLY.search(text):
         return Statement(StatementKind.BEGIN_READ_ONLY)
     return Statement(StatementKind.BEGIN)
@@ -165,6 +190,9 @@
     zone = _SET_ZONE.fullmatch(text)
     if zone is not None:
         return Statement(StatementKind.SET, "timezone", zone.group(1))
+    modes = _CHARACTERISTICS.fullmatch(text)
+    if modes is not None:
+        return _classify_characteristics(modes.group(1))
     assignment = _SET.fullmatch(text)
     # SET LOCAL and SET TRANSACTION end with their block.
     if assignment is None:
@@ -176,6 +204,31 @@
     return Statement(StatementKind.SET, name, assignment.group(2))
 
 
+def _classify_characteristics(text):
+    """Return the defaults that SET SESSION CHARACTERISTICS stands for."""
+    assignments = []
+    position = 0
+    while position < len(text):
+        mode = _MODE.match(text, position)
+        if mode is None:
+            return Statement(StatementKind.WRITE)
+        words = " ".join(mode.group(mode.lastgroup).lower().split())
+        assignments.append(_default_of(mode.lastgroup, words))
+        position = mode.end()
+    (name, value), *more = assignments
+    return Statement(StatementKind.SET, name, value, tuple(more))
+
+
+def _default_of(mode, words):
+    if mode == "level":
+        return "default_transaction_isolation", f"'{words}'"
+    if mode == "access":
+        is_on = words == "read only"
+        return "default_transaction_read_only", "on" if is_on else "off"
+    is_on = words == "deferrable"
+    return "default_transaction_deferrable", "on" if is_on else "off"
+
+
 @_first_keyword("reset")
 def _classify_reset(text):
     return Statement(StatementKind.RESET, _object_name(text))
--- a/waxwinglift/request/_owner_stream.py
+++ b/waxwinglift/request/_owner_stream.py
@@ -167,7 +167,11 @@
         if status is not TransactionStatus.IDLE:
             await buffer.flush()
             self._start_idle_timer()
-            return self.end(status=status, has_error=has_error)
+            return self.end(
+                status=status,
+                has_error=has_error,
+                served_by_replica=self.slot.is_replica,
+            )
         position = await self._position(position_step, facts)
         return await self.release(position, buffer, has_error)
 
--- a/waxwinglift_standin/request/_commands.py
+++ b/waxwinglift_standin/request/_commands.py
@@ -16,6 +16,7 @@
     "client_encoding",
     "client_min_messages",
     "datestyle",
+    "default_transaction_deferrable",
     "default_transaction_isolation",
     "default_transaction_read_only",
     "extra_float_digits",
@@ -51,10 +52,21 @@
     is_read_only = _is_read_only(_words(tokens))
     default = session.parameters.get("default_transaction_read_only")
     is_read_only |= default == "on" and "WRITE" not in _words(tokens)
+    _check_isolation(context, _words(tokens))
     transactions.begin(session, True, is_read_only)
     return Answer("BEGIN")
 
 
+def _check_isolation(context, words):
+    level = " ".join(words)
+    if "LEVEL" not in words:
+        name = "default_transaction_isolation"
+        level = context.session.parameters.get(name, "").upper()
+    if context.server.in_recovery and "SERIALIZABLE" in level:
+        message = "cannot use serializable mode in a hot standby"
+        raise SqlError(SqlState.NOT_SUPPORTED, message)
+
+
 def _is_read_only(words):
     return "ONLY" in words and words[words.index("ONLY") - 1] == "READ"
 
--- a/waxwinglift_standin/request/_executor.py
+++ b/waxwinglift_standin/request/_executor.py
@@ -117,7 +117,9 @@
         if statement.kind is StatementKind.COMMAND:
             context = StatementContext(self.server, session)
             return SQL_COMMANDS[statement.verb](context, statement.tokens)
-        transactions.begin(session, is_explicit=False)
+        if session.transaction is None:
+            default = session.parameters.get("default_transaction_read_only")
+            transactions.begin(session, False, default == "on")
         if statement.kind is not StatementKind.READ:
             self._check_writable(session, statement)
             await transactions.take_writer(self.server, session)
