--- a/waxwinglift/connection/_owner_monitor.py
+++ b/waxwinglift/connection/_owner_monitor.py
@@ -116,7 +116,7 @@
                 self._give_up(connection)
                 raise EndpointConnectionLost("no answer in time") from error
             except asyncio.CancelledError:
-                connection.close()
+                self._close(connection)
                 raise
         if all(step.error is None for step in steps):
             self._note_answer()
@@ -197,11 +197,15 @@
     def _check_probe(self, now_ms):
         if self._probe_ms is None or now_ms - self._probe_ms < self._limit_ms:
             return
-        self._probe_ms = None
         self._give_up(self._connection)
 
-    def _give_up(self, connection):
+    def _close(self, connection):
         connection.close()
+        if connection is self._connection:
+            self._probe_ms = None
+
+    def _give_up(self, connection):
+        self._close(connection)
         # Held answers wait for polls, so a new connection is opened at once.
         self.note_silence(_MONITOR_CONNECTION)
 
