Bound the deadlines that a rank's queue keeps

Cause: the heap of deadlines drops a ticket that has left only when it is the first one. With turns in advance switched off (advance_limit_count = 0) nothing looked at the first one, so the heap grew with each request for as long as the rank had work; with them it kept those of a whole deadline.

Ruled out: clearing it when the rank runs empty, which a busy rank may never do; no heap without turns in advance, which leaves the other growth.

Change: the heap is rebuilt from the waiting tickets once it holds more than twice as many and 64.

Conclusion: memory of a queue follows its length.

--- a/waxwinglift/request/_rank_queue.py
+++ b/waxwinglift/request/_rank_queue.py
@@ -3,6 +3,9 @@
 import collections
 import heapq
 
+# Size below which the heap of deadlines is not worth rebuilding.
+_LEAST_HEAP_COUNT = 64
+
 
 class RankQueue:
     """Tickets of one rank, round robin over callers.
@@ -38,6 +41,7 @@
         self._by_caller = collections.OrderedDict()
         # Turns that a caller with waiting tickets has taken in advance.
         self._advances = collections.Counter()
+        # Heap of (deadline, request, caller), also of tickets that have left.
         self._deadlines = []
         self._waiting_count = 0
 
@@ -59,9 +63,10 @@
         """Append a ticket to its caller's line."""
         line = self._by_caller.setdefault(ticket.caller, {})
         line[ticket.request] = ticket
-        entry = (ticket.deadline_ms, ticket.request, ticket.caller)
-        heapq.heappush(self._deadlines, entry)
         self._waiting_count += 1
+        heapq.heappush(self._deadlines, _deadline_entry(ticket))
+        if len(self._deadlines) > _LEAST_HEAP_COUNT + 2 * self._waiting_count:
+            self._forget_left()
 
     def pop(self, now_ms=0.0, turn_ms=0.0, advance_limit_count=0):
         """Take the first ticket of the next caller in turn.
@@ -139,6 +144,19 @@
                 return deadline_ms
             heapq.heappop(self._deadlines)
 
+    def _forget_left(self):
+        """Rebuild the heap from the tickets that wait.
+
+        Tickets that leave stay in the heap until they are its first: without
+        this a rank that always has work would keep those of each deadline.
+        """
+        self._deadlines = [
+            _deadline_entry(ticket)
+            for line in self._by_caller.values()
+            for ticket in line.values()
+        ]
+        heapq.heapify(self._deadlines)
+
     def _late_caller(self, now_ms, turn_ms, advance_limit_count):
         round_ms = turn_ms * len(self._by_caller)
         if self._earliest_deadline_ms() >= now_ms + round_ms:
@@ -157,3 +175,7 @@
     def _drop(self, caller):
         del self._by_caller[caller]
         self._advances.pop(caller, None)
+
+
+def _deadline_entry(ticket):
+    return ticket.deadline_ms, ticket.request, ticket.caller
--- a/waxwinglift/request/tests/test_admission.py
+++ b/waxwinglift/request/tests/test_admission.py
@@ -11,6 +11,7 @@
 from waxwinglift.request._admission import Refuse
 from waxwinglift.request._admission import Start
 from waxwinglift.request._admission import Ticket
+from waxwinglift.request._rank_queue import RankQueue
 from waxwinglift.version import PoolTable
 from waxwinglift.version import RankRow
 
@@ -329,6 +330,19 @@
     assert served == accepted
 
 
+@pytest.mark.parametrize("advance_limit_count", [0, 4])
+def test_tickets_that_have_left_take_no_memory(advance_limit_count):
+    # The heap of deadlines grew by each ticket of a rank that never runs
+    # empty, until their deadlines came or, without turns in advance, for ever.
+    rank = RankQueue(RankRow(*ROWS[0]), 0)
+    for number in range(2000):
+        rank.push(Ticket(number, "main", "urgent", "c", 0.0, 1e9 + number))
+        if len(rank) > 10:
+            rank.pop(0.0, 1.0, advance_limit_count)
+    assert len(rank) == 10
+    assert len(rank._deadlines) <= 100
+
+
 def test_floor_is_not_late_in_a_flood():
     # Waiting for the credit of a whole statement of 4 ms would delay the
     # first one of a rank that has just come by 20 ms.
