Plot only the floods that were run

Ruled out: an empty picture, which would overwrite a good one.

After: test_only_floods_that_were_run_are_plotted passes in its three cases, and the command ends with the one plot it has data for.

Conclusion: a part of the table can be plotted on its own.

--- a/waxwinglift_bench/process/_measure.py
+++ b/waxwinglift_bench/process/_measure.py
@@ -94,13 +94,15 @@
         for (scenario, name, policy), world in worlds.items()
         if scenario == "low_flood" or (scenario, policy) == ("normal", "now")
     }
-    _plots.plot_low_flood(folder / "low_flood.png", low)
+    if low:
+        _plots.plot_low_flood(folder / "low_flood.png", low)
     urgent = {
         (name, policy): world
         for (scenario, name, policy), world in worlds.items()
         if scenario == "urgent_flood"
     }
-    _plots.plot_urgent_flood(folder / "urgent_flood.png", urgent)
+    if urgent:
+        _plots.plot_urgent_flood(folder / "urgent_flood.png", urgent)
 
 
 @click.command()
--- a/waxwinglift_bench/process/tests/test_measure.py
+++ b/waxwinglift_bench/process/tests/test_measure.py
@@ -5,6 +5,7 @@
 from waxwinglift_bench.process._deployment import DEPLOYMENTS
 from waxwinglift_bench.process._measure import row
 from waxwinglift_bench.process._measure import run_world
+from waxwinglift_bench.process._measure import save_plots
 from waxwinglift_bench.process._measure import VARIANTS
 
 
@@ -29,3 +30,25 @@
     figures = world.statistics.ranks.values()
     assert sum(f.answered_count for f in figures) > 1000
     assert world.fleet.groups["g0"].term == 2
+
+
+@pytest.fixture(scope="module")
+def short_world():
+    return run("normal", duration_s=0.1)
+
+
+@pytest.mark.parametrize(
+    ("scenarios", "plots"),
+    [
+        (["normal"], ["low_flood.png"]),
+        (["urgent_flood"], ["urgent_flood.png"]),
+        (["low_flood", "urgent_flood"], ["low_flood.png", "urgent_flood.png"]),
+    ],
+)
+def test_only_floods_that_were_run_are_plotted(
+    scenarios, plots, short_world, tmp_path
+):
+    # An empty plot has no axes, and the command ended with a traceback.
+    worlds = {(name, "pilabrio", "now"): short_world for name in scenarios}
+    save_plots(tmp_path, worlds)
+    assert sorted(path.name for path in tmp_path.iterdir()) == plots
