Refuse leases behind a single raised term at once

Ruled out: a shorter limit for all, because a renewal waits up to 400 ms for a leader that changes 218 primaries at once.

Change: the limit is for terms that are raised within 250 ms of each other; the first of a row counts at once.

The new test fails before in the case of a single raise.

--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -44,9 +44,10 @@
         no further lease: together with the lease an accepted edit is in force
         everywhere within 3 s.
     raise_limit_ms : int
-        The same for a raised term.  Not zero: a renewal arrives with an
-        index that is a round trip old, and while 220 terms were raised
-        within seconds no renewal was ever up to date.
+        The same for a raised term that follows another one within this
+        time; a single one counts at once.  A renewal arrives with an index
+        that is a round trip old, and while 220 terms were raised within
+        seconds no renewal was ever up to date.
     rebalance_delay_ms : int
         Quiet time after the proxies changed before owners are moved to
         their preferred place; restarts take about this long.
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -43,8 +43,13 @@
 
 @on_commit(EntryKind.TERM_RAISED)
 def _after_term_raised(core, event, now_ms):
-    if core.is_leader:
-        core.raised_times.append((now_ms, event.index))
+    if not core.is_leader:
+        return
+    # Only the terms that follow each other within the limit are waited for:
+    # a proxy whose log stands still must not delay a single change.
+    if not core.raised_times:
+        core.leases.require(event.index)
+    core.raised_times.append((now_ms, event.index))
 
 
 @on_commit(EntryKind.ENDPOINT_JOINED, EntryKind.DAEMON_DRAINING)
--- a/waxwinglift/version/tests/test_control_core.py
+++ b/waxwinglift/version/tests/test_control_core.py
@@ -273,3 +273,23 @@
         answers = leader.run("abc", 1, behind_count=behind_count)
     last = [a for a in answers if isinstance(a, LEASE_ANSWERS)][-1]
     assert isinstance(last, messages.GrantLease) is is_granted
+
+
+@pytest.mark.parametrize(
+    ("pause_steps_count", "is_granted"), [(0, True), (20, False)]
+)
+def test_single_raised_term_ends_the_leases_behind_it(
+    pause_steps_count, is_granted
+):
+    # A proxy whose log stands still while its renewals pass would delay the
+    # change of primary; only in a row of raised terms it gets some time.
+    names = ["g1", "g2"]
+    formed = [e for name in names for e in group_entries(name)]
+    leader = Leader([*map(daemon_joined, "abc"), *formed])
+    leader.run()
+    leader.commit(entries.TermRaised("g1", 2))
+    leader.run("abc", pause_steps_count)
+    leader.commit(entries.TermRaised("g2", 2))
+    answers = leader.run("abc", 1, behind_count=1)
+    last = [a for a in answers if isinstance(a, LEASE_ANSWERS)][-1]
+    assert isinstance(last, messages.GrantLease) is is_granted
