Refuse a data folder of another version with a clear error

A folder from before ended the start with a traceback of the decoder, and a single unreadable entry would have stopped a member only when it was applied. Ruled out: reading the old form; a group's timelines cannot be told from it once a change has failed.

Conclusion: nothing is lost; the member can be started with its own version or replaced.

--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -31,6 +31,7 @@
 from waxwinglift.version._entry_codec import decode_fleet
 from waxwinglift.version._entry_codec import encode_entry
 from waxwinglift.version._entry_codec import encode_fleet
+from waxwinglift.version._store_records import StoreFormatError
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +48,24 @@
 APPEND_INTERVAL_MS = 5
 
 
+def _decode_stored(stored):
+    """Return the state of a member's snapshot, the empty one without it.
+
+    Entries are checked as well: one that cannot be applied would stop the
+    member in the middle of its work.
+    """
+    snapshot = stored.snapshot
+    try:
+        for entry in stored.entries:
+            decode_entry(entry.payload)
+        return decode_fleet(snapshot.data) if snapshot else FleetState()
+    except ValueError as error:
+        raise StoreFormatError(
+            "the data folder was written by another version; start that "
+            "version, or replace this member"
+        ) from error
+
+
 class ControlNode:
     """One control member without its sockets.
 
@@ -75,11 +94,11 @@
         self.sessions = ActionQueue()
         self.changed = asyncio.Event()
         seed = f"{settings.member}-{random.SystemRandom().random()}"
-        snapshot = store.load().snapshot
+        fleet = _decode_stored(store.load())
         self.core = ControlCore(
             _control_settings.core_settings(settings),
             random.Random(seed),
-            decode_fleet(snapshot.data) if snapshot else FleetState(),
+            fleet,
         )
         self._driver = MemberDriver(
             _control_settings.consensus_settings(settings),
--- a/waxwinglift/version/_store_records.py
+++ b/waxwinglift/version/_store_records.py
@@ -25,6 +25,10 @@
         self.offset = offset
 
 
+class StoreFormatError(StoreError):
+    """The records are whole, but another version wrote their content."""
+
+
 class StoreLockedError(StoreError):
     """Another process uses the data folder."""
 
