Fill the last two registries through the shared class

Cause: the outage run and the live faults came with decorators of their own while the shared registry was made. Ruled out: the other three that are left build a record or a pair from more than the key.

Conclusion: no behaviour changes.

--- a/scripts/live_faults.py
+++ b/scripts/live_faults.py
@@ -20,6 +20,7 @@
 import psycopg
 
 from waxwinglift.process import Address
+from waxwinglift.process import Registry
 from waxwinglift.version import PoolName
 from waxwinglift.version import Rank
 from waxwinglift_bench.process import _load
@@ -33,17 +34,9 @@
 ENDPOINTS_COUNT = 3
 ROW = "{:28} {:>7} {:>6} {:>8} {:>6} {:>7} {:>8} {:>8}"
 
-FAULTS = {}
-
-
-def live_fault(name):
-    """Register a coroutine that takes the fleet and injects a fault."""
-
-    def register(function):
-        FAULTS[name] = function
-        return function
-
-    return register
+# A fault is a coroutine that takes the target and injects it.
+FAULTS = Registry()
+live_fault = FAULTS.register
 
 
 @dataclasses.dataclass(frozen=True)
--- a/waxwinglift_bench/process/_outage.py
+++ b/waxwinglift_bench/process/_outage.py
@@ -12,6 +12,7 @@
 import random
 import time
 
+from waxwinglift.process import Registry
 from waxwinglift.version import _control_core_messages as messages
 from waxwinglift.version import _failover_messages as failover
 from waxwinglift.version import GroupPhase
@@ -24,23 +25,15 @@
 from waxwinglift_bench.process._outage_proxies import Proxies
 from waxwinglift_bench.process._outage_servers import Servers
 
-EXECUTORS = {}
+# An executor takes ``(outage, action, answers)``.
+EXECUTORS = Registry()
+executes = EXECUTORS.register
 LOST_SITE = _slopes_fleet.LOCATIONS[0].data_centre
 # Steady time before the loss: each proxy has renewed, each endpoint has
 # announced itself.
 WARM_UP_MS = 600.0
 
 
-def executes(*action_types):
-    """Register the function that carries out actions of these types."""
-
-    def register(function):
-        EXECUTORS.update(dict.fromkeys(action_types, function))
-        return function
-
-    return register
-
-
 class Outage:
     """One run; `run` returns when the virtual time is over.
 
