--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -19,6 +19,8 @@
 
 from waxwinglift.connection._backend_probe import EndpointReader
 from waxwinglift.connection._backend_probe import Prober
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointRefused
 from waxwinglift.connection._wire import FrameSplitter
 from waxwinglift.connection._wire import ReplyFilter
 from waxwinglift.connection._wire import Step
@@ -34,14 +36,6 @@
 _MD5 = 5
 
 
-class EndpointConnectionLost(Exception):
-    """The connection ended or was closed before the answer was complete."""
-
-
-class EndpointRefused(Exception):
-    """The endpoint refused the connection."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointAccount:
     """Account that is used at an endpoint."""
--- a/waxwinglift/connection/_lost_sessions.py
+++ b/waxwinglift/connection/_lost_sessions.py
@@ -11,7 +11,7 @@
 from collections.abc import Set
 import dataclasses
 
-from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
 from waxwinglift.version import Epoch
 
 MONITOR_NAME = "waxwinglift monitor"
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -7,7 +7,7 @@
 
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection._backend import EndpointConnection
-from waxwinglift.connection._backend import EndpointRefused
+from waxwinglift.connection._endpoint_errors import EndpointRefused
 from waxwinglift.connection._endpoint_pool import CloseConnection
 from waxwinglift.connection._endpoint_pool import EndpointPool
 from waxwinglift.connection._endpoint_pool import OpenConnection
--- a/waxwinglift/connection/_owner_monitor.py
+++ b/waxwinglift/connection/_owner_monitor.py
@@ -7,8 +7,8 @@
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._backend import EndpointConnection
-from waxwinglift.connection._backend import EndpointConnectionLost
-from waxwinglift.connection._backend import EndpointRefused
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointRefused
 from waxwinglift.connection._silence import HealthChanged
 from waxwinglift.connection._silence import HealthMonitor
 from waxwinglift.connection._silence import SendProbe
--- /dev/null
+++ b/waxwinglift/platform/_announcements.py
@@ -0,0 +1,115 @@
+"""What servers say of themselves, as announcements."""
+
+import json
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+from result import Err
+from result import Ok
+from result import Result
+
+from waxwinglift.process import _checks
+from waxwinglift.process import Address
+from waxwinglift.process import DataCentre
+from waxwinglift.process import Location
+from waxwinglift.process import Region
+from waxwinglift.version import EndpointId
+from waxwinglift.version import GroupName
+from waxwinglift.version import Term
+from waxwinglift.version._announcements import Announcement
+
+_PRIMARY = "primary"
+_LEAVING = "draining"
+
+
+class _ServerWords(pydantic.BaseModel):
+    """Body of a check-in; other writers may send anything."""
+
+    model_config = pydantic.ConfigDict(
+        extra="ignore", strict=True, arbitrary_types_allowed=True
+    )
+
+    service: str = pydantic.Field(min_length=1)
+    address: Annotated[
+        Address, pydantic.BeforeValidator(_checks.check_address)
+    ]
+    zone: str = pydantic.Field(min_length=1)
+    # Statements that the server runs at once.
+    capacity: int = pydantic.Field(ge=1)
+    state: Literal["ready", "draining"]
+    role: Literal["primary", "replica"] = pydantic.Field(alias="dbRole")
+    sequence: int = pydantic.Field(ge=0)
+    # Wall-clock milliseconds of the server's start.
+    born: int = pydantic.Field(0, ge=0)
+
+
+def decode_announcement(
+    endpoint: str, body: bytes, regions: dict[str, str]
+) -> Result[Announcement, str]:
+    """Return the announcement of a check-in.
+
+    Parameters
+    ----------
+    endpoint : str
+        Id from the path.
+    body : bytes
+    regions : dict of str to str
+        Region of each data centre.
+    """
+    if not endpoint:
+        return Err("no id in the path")
+    try:
+        words = _ServerWords.model_validate(json.loads(body))
+    except (ValueError, RecursionError) as error:
+        return Err(f"not a check-in: {error}")
+    region = regions.get(words.zone, words.zone)
+    return Ok(
+        Announcement(
+            endpoint=EndpointId(endpoint),
+            group=GroupName(words.service),
+            address=words.address,
+            location=Location(DataCentre(words.zone), Region(region)),
+            slots_count=words.capacity,
+            connection_limit_count=0,
+            group_size_count=0,
+            term=Term(0),
+            in_recovery=words.role != _PRIMARY,
+            is_leaving=words.state == _LEAVING,
+            # Without the start the sequence alone orders announcements.
+            started_ms=max(1, words.born),
+            sequence=words.sequence,
+        )
+    )
+
+
+def departure(endpoint: str, started_ms: int) -> Announcement:
+    """Return the announcement of a server that leaves for good."""
+    return Announcement(
+        endpoint=EndpointId(endpoint),
+        group=GroupName(""),
+        address=Address("", 0),
+        location=Location(DataCentre(""), Region("")),
+        slots_count=0,
+        connection_limit_count=0,
+        group_size_count=0,
+        term=Term(0),
+        in_recovery=True,
+        started_ms=started_ms,
+        sequence=2**62,
+        is_gone=True,
+    )
+
+
+def decode_departure(endpoint: str, body: bytes) -> Announcement:
+    """Return the announcement of a sign-off; its body may be empty."""
+    started_ms = 0
+    try:
+        words = json.loads(body) if body else {}
+        born = words.get("born", 0) if isinstance(words, dict) else 0
+        if isinstance(born, int) and born > 0:
+            started_ms = born
+    except (ValueError, RecursionError):
+        # What cannot be read tells no start; the id alone counts.
+        started_ms = 0
+    return departure(endpoint, started_ms)
--- /dev/null
+++ b/waxwinglift/platform/_caller_connection.py
@@ -0,0 +1,220 @@
+"""Connections of the platform's callers."""
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._statement_ports import CallerEnd
+from waxwinglift.connection._statement_ports import CallerFault
+from waxwinglift.connection._statement_ports import CallerMessage
+from waxwinglift.connection._statement_ports import CallerMistake
+from waxwinglift.connection._statement_ports import CallerStartup
+from waxwinglift.platform import _lines
+from waxwinglift.process import Registry
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request._statements import PreparedShape
+from waxwinglift.request._statements import Statement
+from waxwinglift.request._statements import StatementAnswer
+from waxwinglift.request._statements import StatementVerb
+from waxwinglift.version import PoolName
+
+# What each failure is called on the wire.
+_FAILURE_WORDS = {
+    FailureCode.UNAVAILABLE: b"BUSY",
+    FailureCode.REJECTED: b"BUSY",
+    FailureCode.SHUTTING_DOWN: b"BUSY",
+    FailureCode.BEHIND: b"LAGGING",
+    FailureCode.FLOOR_LOST: b"LAGGING",
+    FailureCode.ABORTED: b"ABORTED",
+    FailureCode.CANCELLED: b"ABORTED",
+    FailureCode.UNKNOWN_POOL: b"NODB",
+    FailureCode.BAD_MESSAGE: b"MALFORMED",
+    FailureCode.FAILED_BLOCK: b"MALFORMED",
+    FailureCode.TOO_LARGE: b"TOOLARGE",
+    FailureCode.UNKNOWN_STATEMENT: b"NOSTMT",
+    FailureCode.TIMED_OUT: b"TIMEOUT",
+    FailureCode.ENDPOINT_FAILED: b"FAILED",
+    FailureCode.OUTCOME_UNKNOWN: b"INDOUBT",
+}
+# Nothing is promised by it.
+_DEFAULT_WORD = b"INDOUBT"
+
+_ACCESSES = {b"READ": False, b"WRITE": True}
+
+# Parsers ``(request, text, rest) -> Statement``, by the first word of a
+# text; they raise ValueError for a malformed one.
+_PARSERS = Registry()
+_parses = _PARSERS.register
+
+
+def _fields(rest, count):
+    fields = rest.split(b" ", count - 1)
+    if len(fields) != count or not all(fields):
+        raise ValueError("a field is missing")
+    return fields
+
+
+@_parses(b"BEGIN")
+def _parse_begin(request, text, rest):
+    if rest == b"READ":
+        return Statement(StatementVerb.BEGIN_READ, request, text)
+    if rest:
+        raise ValueError("BEGIN takes READ or nothing")
+    return Statement(StatementVerb.BEGIN, request, text)
+
+
+@_parses(b"COMMIT")
+def _parse_commit(request, text, rest):
+    if rest:
+        raise ValueError("COMMIT takes nothing")
+    return Statement(StatementVerb.COMMIT, request, text)
+
+
+@_parses(b"ROLLBACK")
+def _parse_rollback(request, text, rest):
+    if rest:
+        raise ValueError("ROLLBACK takes nothing")
+    return Statement(StatementVerb.ROLLBACK, request, text)
+
+
+@_parses(b"READ")
+def _parse_read(request, text, rest):
+    (item,) = _fields(rest, 1)
+    return Statement(StatementVerb.READ, request, text, arguments=item)
+
+
+@_parses(b"WRITE")
+def _parse_write(request, text, rest):
+    _fields(rest, 2)
+    return Statement(StatementVerb.WRITE, request, text, arguments=rest)
+
+
+@_parses(b"SET")
+def _parse_set(request, text, rest):
+    name, value = _fields(rest, 2)
+    return Statement(StatementVerb.SET, request, text, name, value)
+
+
+@_parses(b"PREPARE")
+def _parse_prepare(request, text, rest):
+    name, access, shape = _fields(rest, 3)
+    if access not in _ACCESSES:
+        raise ValueError("PREPARE takes READ or WRITE")
+    prepared = PreparedShape(_ACCESSES[access], shape)
+    return Statement(
+        StatementVerb.PREPARE, request, text, name, shape=prepared
+    )
+
+
+@_parses(b"EXECUTE")
+def _parse_execute(request, text, rest):
+    name, arguments = _fields(rest, 2)
+    return Statement(StatementVerb.EXECUTE, request, text, name, arguments)
+
+
+@_parses(b"DEALLOC")
+def _parse_deallocate(request, text, rest):
+    (name,) = _fields(rest, 1)
+    return Statement(StatementVerb.DEALLOCATE, request, text, name)
+
+
+def decode_message(line: bytes) -> CallerMessage:
+    """Return the typed message of a caller's line."""
+    word, rest = _lines.split_word(line)
+    try:
+        if word == _lines.Word.QUERY.value:
+            return _decode_query(rest)
+        if word == _lines.Word.STARTUP.value:
+            pool, caller = _fields(rest, 2)
+            return CallerStartup(PoolName(pool.decode()), caller.decode())
+        if word == _lines.Word.TERMINATE.value:
+            return CallerEnd.LEFT
+        raise ValueError("unknown word")
+    except ValueError as error:
+        return CallerMistake(CallerFault.MALFORMED, str(error))
+
+
+def _decode_query(rest):
+    request, text = _fields(rest, 2)
+    if request == _lines.NOTHING:
+        raise ValueError("the id is missing")
+    word, arguments = _lines.split_word(text)
+    parse = _PARSERS.get(word)
+    if parse is None:
+        raise ValueError("unknown statement")
+    return parse(request, text, arguments)
+
+
+class CallerConnection(_lines.LineProtocol):
+    """One caller.
+
+    Parameters
+    ----------
+    on_connected : callable
+        Called with this object once the caller has connected.
+    """
+
+    def __init__(self, on_connected):
+        super().__init__()
+        self.peer = ""
+        self._on_connected = on_connected
+
+    def connection_made(self, transport):
+        """Start to serve the caller."""
+        super().connection_made(transport)
+        peer = transport.get_extra_info("peername")
+        self.peer = peer[0] if peer else ""
+        self._on_connected(self)
+
+    async def receive(self) -> CallerMessage:
+        """Return the next message; the same end again once it has left."""
+        try:
+            line = await self.read_line()
+        except _lines.LineTooLong:
+            return CallerMistake(CallerFault.TOO_LARGE, "a line exceeds 1 MiB")
+        return CallerEnd.LEFT if line is None else decode_message(line)
+
+    def has_left(self) -> bool:
+        """Return whether the caller has closed its side."""
+        return self.is_ended
+
+    def on_left(self, listener):
+        """Call ``listener`` once when the caller leaves."""
+        self.on_ended = listener
+
+    async def send_ready(self, status: TransactionStatus, position):
+        """Report the state alone, as after the start-up."""
+        await self._send(_lines.encode_ready(status, position))
+
+    async def send_answer(self, answer: StatementAnswer, status, position):
+        """Send an endpoint's answer and the state afterwards."""
+        parts = [b"DATAROW %s\r\n" % row for row in answer.rows]
+        if answer.error is None:
+            receipt = answer.receipt or _lines.NOTHING
+            parts.append(b"COMPLETE %s\r\n" % receipt)
+        else:
+            word = _lines.ERROR_WORDS[answer.error.code]
+            parts.append(b"ERROR %s %s\r\n" % (word, answer.error.text))
+        parts.append(_lines.encode_ready(status, position))
+        await self._send(b"".join(parts))
+
+    async def send_failure(self, failure: Failure, status):
+        """Send a failure, and the state unless the session ends."""
+        data = encode_failure(failure)
+        if status is not None:
+            data += _lines.encode_ready(status, None)
+        await self._send(data)
+
+    async def _send(self, data):
+        if self.is_ended:
+            return
+        self.transport.write(data)
+        await self.drain()
+
+
+def encode_failure(failure: Failure) -> bytes:
+    """Return the line of a failure."""
+    word = _FAILURE_WORDS.get(failure.code, _DEFAULT_WORD)
+    text = failure.message
+    if failure.retry_after_ms is not None:
+        text = f"{text}; retry after {failure.retry_after_ms} ms"
+    encoded = text.encode("ascii", "replace").replace(b"\n", b" ")
+    return b"ERROR %s %s\r\n" % (word, encoded)
--- /dev/null
+++ b/waxwinglift/platform/_control_http.py
@@ -0,0 +1,89 @@
+"""HTTP interface of a control daemon: operators and servers."""
+
+import json
+
+from result import Err
+
+from waxwinglift.platform._announcements import decode_announcement
+from waxwinglift.platform._announcements import decode_departure
+from waxwinglift.platform._desired_state import decode_desired_state
+from waxwinglift.platform._desired_state import encode_document
+from waxwinglift.platform._http import HttpRequest
+from waxwinglift.platform._http import HttpResponse
+from waxwinglift.process import Registry
+from waxwinglift.process._control import ControlService
+from waxwinglift.process._operator_service import Replacement
+
+_ANNOUNCE = "/Instances.Heartbeat/"
+_DEPART = "/Instances.Deregister/"
+
+# Handlers ``(api, request)`` by method and path; a path that ends in ``/``
+# takes an id behind it.
+_HANDLERS = Registry()
+_handles = _HANDLERS.register
+
+
+class ControlApi:
+    """Answers the platform's calls to a control daemon.
+
+    Parameters
+    ----------
+    service : ControlService
+    regions : dict of str to str
+        Region of each data centre.
+    """
+
+    def __init__(self, service: ControlService, regions: dict[str, str]):
+        self.service = service
+        self.regions = regions
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        path = request.path.partition("?")[0]
+        head, _, tail = path.rpartition("/")
+        for key in ((request.method, path), (request.method, f"{head}/")):
+            if key in _HANDLERS:
+                return await _HANDLERS[key](self, request, tail)
+        return _error(404, "unknown call")
+
+
+@_handles(("POST", _ANNOUNCE))
+async def _announce(api, request, endpoint):
+    decoded = decode_announcement(endpoint, request.body, api.regions)
+    if isinstance(decoded, Err):
+        return _error(400, decoded.err_value)
+    if not api.service.announce(decoded.ok_value):
+        return _error(503, "no control leader")
+    return HttpResponse(200, b"{}")
+
+
+@_handles(("POST", _DEPART))
+async def _depart(api, request, endpoint):
+    if not endpoint:
+        return _error(400, "no id in the path")
+    if not api.service.announce(decode_departure(endpoint, request.body)):
+        return _error(503, "no control leader")
+    return HttpResponse(200, b"{}")
+
+
+@_handles(("POST", "/Config.Replace"))
+async def _replace(api, request, _):
+    decoded = decode_desired_state(request.body)
+    if isinstance(decoded, Err):
+        return _error(400, decoded.err_value)
+    outcome = await api.service.operators.replace(decoded.ok_value)
+    if outcome is not Replacement.ACCEPTED:
+        return _error(503, "not certain; send it again")
+    return HttpResponse(200, b"{}")
+
+
+@_handles(("GET", "/Config.Get"))
+async def _read(api, request, _):
+    desired = await api.service.operators.read()
+    if desired is None:
+        return _error(503, "not certain which state is the newest")
+    return HttpResponse(200, encode_document(desired.document))
+
+
+def _error(status, message):
+    return HttpResponse(status, json.dumps({"error": message}).encode())
--- /dev/null
+++ b/waxwinglift/platform/_desired_state.py
@@ -0,0 +1,162 @@
+"""The operator's whole desired state, as a request of the product."""
+
+import json
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+from result import Err
+from result import Ok
+from result import Result
+
+from waxwinglift.version import GroupName
+from waxwinglift.version import PoolName
+from waxwinglift.version import PoolTable
+from waxwinglift.version._desired import DesiredStateRequest
+from waxwinglift.version._entries import GroupSettings
+from waxwinglift.version._entries import PoolPolicy
+from waxwinglift.version._entries import ServingLimits
+from waxwinglift.version._rank_rows import rank_row
+from waxwinglift.version._types import Consistency
+from waxwinglift.version._types import DesiredVersion
+
+_CONSISTENCIES = {
+    "primary": Consistency.PRIMARY,
+    "bounded_staleness": Consistency.BOUNDED_STALENESS,
+    "read_your_writes": Consistency.SESSION,
+}
+
+_Count = Annotated[int, pydantic.Field(ge=0)]
+_Positive = Annotated[int, pydantic.Field(gt=0)]
+_Name = Annotated[str, pydantic.Field(min_length=1)]
+
+
+class _Part(pydantic.BaseModel):
+    """Part of the document; fields may come that are not known yet."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+
+class _Route(_Part):
+    name: _Name
+    # Name of the database that callers ask for.
+    host: _Name
+    path_prefix: str = pydantic.Field("/", alias="pathPrefix")
+    kind: Literal["primary", "bounded_staleness", "read_your_writes"]
+    # Limits one statement, not a transaction.
+    timeout_ms: _Positive = pydantic.Field(alias="timeoutMs")
+    # Expected of a whole transaction, without the caller's pauses.
+    target_latency_ms: _Positive = pydantic.Field(alias="targetLatencyMs")
+    priority: _Count
+    service: _Name
+    max_attempts: _Positive = pydantic.Field(1, alias="maxAttempts")
+    max_staleness_ms: _Count = pydantic.Field(0, alias="maxStalenessMs")
+
+
+class _Service(_Part):
+    name: _Name
+    max_conns: _Positive = pydantic.Field(alias="maxConns")
+    sync_replicas: _Count = pydantic.Field(0, alias="syncReplicas")
+
+
+class _Limits(_Part):
+    idle_block_ms: _Count = pydantic.Field(0, alias="txIdleMs")
+
+
+class _Document(_Part):
+    version: _Positive
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+def decode_desired_state(body: bytes) -> Result[DesiredStateRequest, str]:
+    """Return the request of an operator's document, or why it is invalid."""
+    try:
+        values = json.loads(body)
+        document = _Document.model_validate(values)
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        key = ".".join(str(part) for part in first["loc"])
+        return Err(f"{key}: {first['msg']}")
+    except (ValueError, RecursionError) as error:
+        return Err(f"not JSON: {error}")
+    fault = _find_fault(document)
+    if fault is not None:
+        return Err(fault)
+    return Ok(
+        DesiredStateRequest(
+            version=DesiredVersion(document.version),
+            document=_split(values),
+            pools=tuple(_pool(route) for route in document.routes),
+            groups=tuple(_group(one) for one in document.services),
+            limits=ServingLimits(document.limits.idle_block_ms),
+        )
+    )
+
+
+def encode_document(lines: tuple[str, ...]) -> bytes:
+    """Return the body that gives a desired state back."""
+    return "\n".join(lines).encode()
+
+
+def _find_fault(document):
+    services = [service.name for service in document.services]
+    if len(set(services)) != len(services):
+        return "a service is listed twice"
+    places = set()
+    for route in document.routes:
+        if route.service not in services:
+            return f"route {route.name} names unknown service {route.service}"
+        place = (route.host, route.path_prefix)
+        if place in places:
+            return f"two routes share host {route.host} and prefix"
+        places.add(place)
+    return None
+
+
+def _split(values):
+    """Return the document with each list entry on a line of its own.
+
+    Versions then differ in few lines.
+    """
+    lines = ["{"]
+    for number, (key, value) in enumerate(values.items()):
+        end = "," if number < len(values) - 1 else ""
+        if isinstance(value, list) and value:
+            lines.append(f"{json.dumps(key)}:[")
+            lines += [_compact(item) + "," for item in value[:-1]]
+            lines += [_compact(value[-1]), f"]{end}"]
+        else:
+            lines.append(f"{json.dumps(key)}:{_compact(value)}{end}")
+    lines.append("}")
+    return tuple(lines)
+
+
+def _compact(value):
+    return json.dumps(value, separators=(",", ":"))
+
+
+def _pool(route):
+    policy = PoolPolicy(
+        consistency=_CONSISTENCIES[route.kind],
+        urgency_index=route.priority,
+        statement_timeout_ms=route.timeout_ms,
+        target_latency_ms=route.target_latency_ms,
+        max_staleness_ms=route.max_staleness_ms,
+        attempt_limit_count=route.max_attempts,
+    )
+    return PoolTable(
+        pool=PoolName(route.host),
+        group=GroupName(route.service),
+        rows=(rank_row(policy),),
+        policy=policy,
+    )
+
+
+def _group(service):
+    return GroupSettings(
+        group=GroupName(service.name),
+        connection_limit_count=service.max_conns,
+        sync_replicas_count=service.sync_replicas,
+    )
--- /dev/null
+++ b/waxwinglift/platform/_lines.py
@@ -0,0 +1,197 @@
+"""Lines of the platform's wire: splitting, words and fields."""
+
+import asyncio
+import collections
+import enum
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.request._statements import EndpointErrorCode
+from waxwinglift.version import Lsn
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+LINE_LIMIT_BYTES = 2**20
+END = b"\r\n"
+# Field that stands for no position, no receipt or no id of a caller.
+NOTHING = b"-"
+# Lines that wait for their reader before the peer is held back.
+_WAITING_LIMIT_COUNT = 64
+
+
+class Word(enum.Enum):
+    """First word of a line."""
+
+    STARTUP = b"STARTUP"
+    QUERY = b"QUERY"
+    TERMINATE = b"TERMINATE"
+    READY = b"READY"
+    ROW = b"DATAROW"
+    COMPLETE = b"COMPLETE"
+    ERROR = b"ERROR"
+
+
+# What a server's error codes say.
+ENDPOINT_ERRORS = {
+    b"BUSY": EndpointErrorCode.OVERLOADED,
+    b"LAGGING": EndpointErrorCode.BEHIND,
+    b"READONLY": EndpointErrorCode.READ_ONLY,
+    b"NOSTMT": EndpointErrorCode.UNKNOWN_STATEMENT,
+    b"MISROUTED": EndpointErrorCode.WRONG_ENDPOINT,
+    b"TOOMANY": EndpointErrorCode.CONNECTION_LIMIT,
+    b"MALFORMED": EndpointErrorCode.MALFORMED,
+    b"FAILED": EndpointErrorCode.FAILED,
+    b"TIMEOUT": EndpointErrorCode.TIMED_OUT,
+}
+ERROR_WORDS = {code: word for word, code in ENDPOINT_ERRORS.items()}
+# A caller can do nothing with other errors but try again.
+ERROR_WORDS[EndpointErrorCode.OTHER] = b"FAILED"
+
+
+class LineTooLong(Exception):
+    """A line exceeds the limit; it was skipped."""
+
+
+class LineProtocol(asyncio.Protocol):
+    """Splits what arrives into lines and keeps them for one reader.
+
+    ``on_ended`` is called once when the connection has ended.
+    """
+
+    def __init__(self):
+        self.transport: asyncio.Transport | None = None
+        self.is_ended = False
+        self.on_ended = None
+        self._buffer = bytearray()
+        self._lines = collections.deque()
+        self._waiter: asyncio.Future | None = None
+        self._is_skipping = False
+        self._is_held = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self.transport = transport
+
+    def connection_lost(self, exc):
+        """End the connection; complete lines can still be read."""
+        self._end()
+
+    def eof_received(self):
+        """Treat a half-closed connection as ended."""
+        self._end()
+        return False
+
+    def pause_writing(self):
+        """Let `drain` wait: the peer does not read."""
+        self._writable.clear()
+
+    def resume_writing(self):
+        """Let `drain` go on."""
+        self._writable.set()
+
+    def data_received(self, data):
+        """Split bytes into lines."""
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while True:
+            end = buffer.find(b"\n", start)
+            if end < 0:
+                break
+            self._take(bytes(buffer[start:end]))
+            start = end + 1
+        del buffer[:start]
+        if len(buffer) > LINE_LIMIT_BYTES:
+            self._is_skipping = True
+            buffer.clear()
+        if len(self._lines) > _WAITING_LIMIT_COUNT and not self._is_held:
+            self._is_held = True
+            self.transport.pause_reading()
+        self._wake()
+
+    async def read_line(self) -> bytes | None:
+        """Return the next line without its end, None after the last one.
+
+        Raises
+        ------
+        LineTooLong
+            The line was skipped.
+        """
+        while not self._lines:
+            if self.is_ended:
+                return None
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        line = self._lines.popleft()
+        if self._is_held and not self._lines:
+            self._is_held = False
+            if not self.is_ended:
+                self.transport.resume_reading()
+        if line is None:
+            raise LineTooLong
+        return line
+
+    async def drain(self):
+        """Wait until the peer takes more bytes."""
+        if not self._writable.is_set() and not self.is_ended:
+            await self._writable.wait()
+
+    def close(self):
+        """Close after what was written has left."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def _take(self, line):
+        if self._is_skipping or len(line) > LINE_LIMIT_BYTES:
+            self._is_skipping = False
+            self._lines.append(None)
+            return
+        self._lines.append(line[:-1] if line.endswith(b"\r") else line)
+
+    def _wake(self):
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def _end(self):
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self._writable.set()
+        self._wake()
+        if self.on_ended is not None:
+            self.on_ended()
+
+
+def split_word(line: bytes) -> tuple[bytes, bytes]:
+    """Return the first field of a line and the rest."""
+    word, _, rest = line.partition(b" ")
+    return word, rest
+
+
+def encode_position(position: Position | None) -> bytes:
+    """Return the field of a position."""
+    if position is None:
+        return NOTHING
+    return b"%d.%d" % (position.term, position.lsn)
+
+
+def decode_position(field: bytes) -> Position | None:
+    """Return the position of a field, None for none.
+
+    Raises
+    ------
+    ValueError
+        The field is no position.
+    """
+    if field == NOTHING:
+        return None
+    term, _, number = field.partition(b".")
+    return Position(Term(int(term)), Lsn(int(number)))
+
+
+def encode_ready(status: TransactionStatus, position) -> bytes:
+    """Return the line that ends an answer."""
+    state = status.value.encode()
+    return b"READY %s %s\r\n" % (state, encode_position(position))
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -6,20 +6,32 @@
 from grpclib.server import Server
 import mode
 
-from waxwinglift.connection._backend import EndpointAccount
-from waxwinglift.connection._lost_sessions import CONTROL_NAME
+from waxwinglift.connection._ports import ENDPOINT_PROTOCOLS
 from waxwinglift.process import _control_settings
+from waxwinglift.process import _postgresql
+from waxwinglift.process._control_join import AddressBook
+from waxwinglift.process._control_join import GroupJoiner
+from waxwinglift.process._control_join import running
 from waxwinglift.process._control_node import ControlNode
 from waxwinglift.process._control_relay import Relay
 from waxwinglift.process._control_rpc import ControlRpc
 from waxwinglift.process._control_transport import ConsensusTransport
+from waxwinglift.process._member_identity import load_identity
+from waxwinglift.process._operator_service import OperatorService
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process.rpc._channels import ChannelCache
+from waxwinglift.process.rpc._convert import announcement_to_wire
+from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version._log_store import open_log_store
 
 logger = logging.getLogger(__name__)
 
+# Modules whose import fills the registry of endpoint protocols.
+PROTOCOL_MODULES = (_postgresql,)
+
 LEARNER_INTERVAL_S = 1.0
+# Time between two looks at who should vote; a change takes a round trip.
+MEMBERSHIP_INTERVAL_S = 0.1
 
 
 @contextlib.asynccontextmanager
@@ -67,6 +79,10 @@
     async def on_start(self):
         """Open the log store, join the log and serve."""
         settings = self.settings
+        if settings.discovery is not None:
+            identity = load_identity(settings.data_folder, settings.member)
+            settings = settings.model_copy(update={"member": identity})
+            self.settings = settings
         store = self.add_context(open_log_store(settings.data_folder))
         cut_bytes = store.report.cut_bytes_count
         if cut_bytes:
@@ -75,53 +91,89 @@
             settings, store, self.is_founding
         )
         channels = self.add_context(_open_channels())
+        configured = {
+            DaemonId(row.member): row.address for row in settings.members
+        }
+        self.book = AddressBook(configured, self._seeds)
         self._transport = ConsensusTransport(
-            DaemonId(settings.member), self._find_address, channels
+            DaemonId(settings.member),
+            self.book.find,
+            channels,
+            settings.listen,
         )
+        protocol = ENDPOINT_PROTOCOLS[settings.endpoint_protocol]
         self.node = ControlNode(
             settings,
             store,
             founders,
             self._transport.send,
-            EndpointAccount(
-                settings.endpoint_user,
-                settings.endpoint_password.get_secret_value(),
-                settings.endpoint_database,
-                CONTROL_NAME,
-            ),
+            protocol.server_steps(settings),
             self.metrics,
         )
+        self.book.follow(lambda: self.node.fleet)
         self._relay = Relay(settings, self._find_leader, channels)
+        self.operators = OperatorService(
+            self.node, self._find_leader, channels
+        )
         rpc = ControlRpc(
-            self.node, self._relay, self._find_leader, channels, self.tracer
+            self.node,
+            self._relay,
+            self._find_leader,
+            channels,
+            self.tracer,
+            self.operators,
+            self.book,
         )
         await self.add_async_context(_serving([rpc], settings.listen))
+        if settings.discovery is not None:
+            joiner = GroupJoiner(
+                DaemonId(settings.member),
+                settings.listen,
+                self.node,
+                self.book,
+                channels,
+            )
+            self.add_context(running(joiner.run()))
         logger.info(
             "serving at %s, log index %d",
             settings.listen,
             self.node.fleet.index,
         )
 
+    def set_seeds(self, seeds):
+        """Use other seeds from now on, after a reload of the settings."""
+        discovery = self.settings.discovery.model_copy(
+            update={"seeds": tuple(seeds)}
+        )
+        self.settings = self.settings.model_copy(
+            update={"discovery": discovery}
+        )
+
+    def announce(self, announcement):
+        """Take an announcement; False when no leader is known here."""
+        if self.node.has_quorum:
+            event = core_messages.AnnouncementReceived(announcement)
+            self.node.step_core(event)
+            return True
+        if self.node.consensus.leader_hint is None:
+            return False
+        self._relay.announce(announcement_to_wire(announcement))
+        return True
+
+    def _seeds(self):
+        discovery = self.settings.discovery
+        return () if discovery is None else discovery.seeds
+
     async def on_stop(self):
         """Stop sending; the store and the channels close by themselves."""
         self._transport.close()
         self.node.stop()
 
-    def _find_address(self, member):
-        found = self.node.fleet.members.get(member)
-        if found is not None:
-            return found.address
-        # A learner does not know the members before its first snapshot.
-        for row in self.settings.members:
-            if row.member == member:
-                return row.address
-        return None
-
     def _find_leader(self):
         leader = self.node.consensus.leader_hint
         if leader is None or leader == self.settings.member:
             return None
-        return self._find_address(leader)
+        return self.book.find(leader)
 
     @mode.Service.task
     async def _tick(self):
@@ -136,6 +188,16 @@
 
     @mode.Service.task
     async def _promote_learners(self):
+        if self.settings.discovery is not None:
+            return
         while not self.should_stop:
             await self.sleep(LEARNER_INTERVAL_S)
             self.node.promote_learners()
+
+    @mode.Service.task
+    async def _plan_members(self):
+        if self.settings.discovery is None:
+            return
+        while not self.should_stop:
+            await self.sleep(MEMBERSHIP_INTERVAL_S)
+            self.node.plan_members()
--- /dev/null
+++ b/waxwinglift/process/_control_join.py
@@ -0,0 +1,139 @@
+"""How a control daemon finds its group and asks to become a member."""
+
+import asyncio
+import contextlib
+
+from waxwinglift.process import _clock
+from waxwinglift.process._types import Address
+from waxwinglift.process._types import DaemonId
+from waxwinglift.process.rpc import control_grpc
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._channels import CALL_ERRORS
+
+_RETRY_INTERVAL_S = 0.25
+_CALL_TIMEOUT_S = 1.0
+# Silence of the leader after which a member may have been removed.
+_LEADERLESS_LIMIT_MS = 2000.0
+# Senders kept in the address book beside the members.
+_SENDERS_LIMIT_COUNT = 32
+
+
+class AddressBook:
+    """Addresses of the control members.
+
+    Parameters
+    ----------
+    configured : dict of DaemonId to Address
+        Members of the settings.
+    seeds : callable
+        Returns the addresses that the settings name now.
+    """
+
+    def __init__(self, configured, seeds):
+        self._configured = configured
+        self._seeds = seeds
+        self._senders: dict[DaemonId, Address] = {}
+        self._fleet = lambda: None
+
+    def follow(self, find_fleet):
+        """Take the members from ``find_fleet()`` from now on."""
+        self._fleet = find_fleet
+
+    def note_sender(self, member: DaemonId, address: Address):
+        """Record where a message came from.
+
+        A new member learns the leader's address so, before its first entry.
+        """
+        self._senders.pop(member, None)
+        self._senders[member] = address
+        while len(self._senders) > _SENDERS_LIMIT_COUNT:
+            del self._senders[next(iter(self._senders))]
+
+    def find(self, member: DaemonId) -> Address | None:
+        """Return the address of a member, None when it is unknown."""
+        fleet = self._fleet()
+        known = None if fleet is None else fleet.members.get(member)
+        if known is not None:
+            return known.address
+        return self._senders.get(member) or self._configured.get(member)
+
+    def everyone(self) -> list[Address]:
+        """Return all known addresses, each once."""
+        fleet = self._fleet()
+        members = [] if fleet is None else fleet.members.values()
+        addresses = [
+            *self._seeds(),
+            *(member.address for member in members),
+            *self._senders.values(),
+        ]
+        return list(dict.fromkeys(addresses))
+
+
+class GroupJoiner:
+    """Asks the known daemons for membership while there is need to.
+
+    Parameters
+    ----------
+    member : DaemonId
+    address : Address
+        Where this daemon listens.
+    node : ControlNode
+    book : AddressBook
+    channels : ChannelCache
+    """
+
+    def __init__(self, member, address, node, book, channels):
+        self._member = member
+        self._address = address
+        self._node = node
+        self._book = book
+        self._channels = channels
+        self._leader_ms = _clock.monotonic_ms()
+
+    async def run(self):
+        """Check regularly; returns never."""
+        while True:
+            if self._needs_group():
+                await self._ask_all()
+            await asyncio.sleep(_RETRY_INTERVAL_S)
+
+    def _needs_group(self):
+        """Return whether this daemon is no member, or may have been removed.
+
+        A removed member does not learn of its removal: nobody sends to it.
+        """
+        consensus = self._node.consensus
+        now_ms = _clock.monotonic_ms()
+        is_member = any(m.member == self._member for m in consensus.members)
+        if consensus.leader_hint is not None and is_member:
+            self._leader_ms = now_ms
+            return False
+        if not is_member:
+            return True
+        return now_ms - self._leader_ms >= _LEADERLESS_LIMIT_MS
+
+    async def _ask_all(self):
+        request = control_pb2.JoinRequest(
+            member=self._member,
+            host=self._address.host,
+            port=self._address.port,
+        )
+        addresses = [a for a in self._book.everyone() if a != self._address]
+        await asyncio.gather(*(self._ask(a, request) for a in addresses))
+
+    async def _ask(self, address, request):
+        stub = control_grpc.ControlStub(self._channels.get(address))
+        try:
+            await stub.Join(request, timeout=_CALL_TIMEOUT_S)
+        except CALL_ERRORS:
+            self._channels.discard(address)
+
+
+@contextlib.contextmanager
+def running(coroutine):
+    """Run a coroutine in a task that ends with the context."""
+    task = asyncio.ensure_future(coroutine)
+    try:
+        yield task
+    finally:
+        task.cancel()
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -11,14 +11,15 @@
 import random
 
 from result import Err
+from result import Ok
 
 from waxwinglift.process import _control_settings
 from waxwinglift.process import Registry
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._control_proposals import ConfirmationTable
 from waxwinglift.process._control_proposals import ProposalError
 from waxwinglift.process._control_proposals import ProposalFailure
 from waxwinglift.process._control_proposals import ProposalTable
-from waxwinglift.process._control_sql import run_server_action
 from waxwinglift.version import _consensus_types as consensus
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version import _failover_messages as failover
@@ -26,11 +27,15 @@
 from waxwinglift.version._action_queue import ActionQueue
 from waxwinglift.version._consensus_driver import MemberDriver
 from waxwinglift.version._control_core import ControlCore
+from waxwinglift.version._desired import plan_replacement
 from waxwinglift.version._entries import MemberPromoted
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import decode_fleet
 from waxwinglift.version._entry_codec import encode_entry
 from waxwinglift.version._entry_codec import encode_fleet
+from waxwinglift.version._membership import GroupContacts
+from waxwinglift.version._membership import MembershipPlanner
+from waxwinglift.version._promotion import promotion_right
 from waxwinglift.version._store_records import StoreFormatError
 
 logger = logging.getLogger(__name__)
@@ -79,18 +84,22 @@
         Members of a new fleet; empty for an existing one.
     send : callable
         Called with a recipient and a consensus message; must not wait.
-    account : EndpointAccount
-        Account for the SQL of a change of primary.
+    run_step : callable
+        Coroutine that carries out a ServerAction with a PromotionRight and
+        returns its outcome event.
     metrics : object
         Counters.
     """
 
-    def __init__(self, settings, store, founders, send, account, metrics):
+    def __init__(self, settings, store, founders, send, run_step, metrics):
         self.settings = settings
         self.send = send
-        self.account = account
+        self.run_step = run_step
         self.metrics = metrics
         self.proposals = ProposalTable()
+        self.confirmations = ConfirmationTable()
+        self._desired_lock = asyncio.Lock()
+        self._membership = MembershipPlanner(settings.membership)
         self.sessions = ActionQueue()
         self.changed = asyncio.Event()
         seed = f"{settings.member}-{random.SystemRandom().random()}"
@@ -138,6 +147,52 @@
     def step_consensus(self, event):
         """Step the consensus node and carry out its actions."""
         self._driver.handle(event)
+        self.confirmations.check(self.consensus, monotonic_ms())
+
+    def promotion_right(self, action):
+        """Return what an order for ``action`` carries."""
+        return promotion_right(self.member, self.consensus.term, action.term)
+
+    async def confirm_index(self, timeout_ms):
+        """Return a log index that holds every entry committed by now.
+
+        Returns
+        -------
+        LogIndex or None
+            None when no majority has confirmed in time that this member
+            still leads.
+        """
+        waiter = self.confirmations.open(monotonic_ms())
+        self.step_consensus(consensus.ConfirmLeadership())
+        try:
+            return await asyncio.wait_for(waiter, timeout_ms / 1000)
+        except asyncio.TimeoutError:
+            return None
+
+    async def wait_for_index(self, index, timeout_ms):
+        """Wait until ``index`` is applied here; False when time ran out."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                while self.fleet.index < index:
+                    await self.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def replace_desired_state(self, request, timeout_ms):
+        """Put a desired state in force; one at a time.
+
+        Returns
+        -------
+        Result[Applied or None, ProposalFailure]
+            Ok(None) when the state in force has this version or a higher
+            one.
+        """
+        async with self._desired_lock:
+            entry = plan_replacement(self.fleet, request)
+            if entry is None:
+                return Ok(None)
+            return await self.propose(entry, timeout_ms)
 
     def step_core(self, event):
         """Step the control core and carry out its actions."""
@@ -188,8 +243,39 @@
             if not row.is_voter:
                 self._propose_unwatched(MemberPromoted(row.member))
 
+    def note_join(self, request):
+        """Record that a daemon asks to become a member."""
+        self._membership.note_request(request, monotonic_ms())
+
+    def plan_members(self):
+        """Propose the next change of the control group, if one is due."""
+        if not self.has_quorum:
+            return
+        now_ms = monotonic_ms()
+        entry = self._membership.plan(self._contacts(now_ms), now_ms)
+        if entry is not None:
+            logger.info("changing the control group: %s", entry)
+            self._propose_unwatched(entry)
+
+    def _contacts(self, now_ms):
+        node = self.consensus
+        return GroupContacts(
+            leader=self.member,
+            members=node.members,
+            addresses={
+                name: member.address
+                for name, member in self.fleet.members.items()
+            },
+            silent_ms=node.silent_ms(now_ms),
+            caught_up=frozenset(
+                member
+                for member, index in node.match_indexes().items()
+                if index >= node.commit_index
+            ),
+        )
+
     def stop(self):
-        """Cancel the SQL steps that run."""
+        """Cancel the steps that run."""
         self.sessions.drop_waiting()
         if self._append_timer is not None:
             self._append_timer.cancel()
@@ -332,7 +418,7 @@
 
 async def _report_outcome(node, action):
     try:
-        outcome = await run_server_action(action, node.account)
+        outcome = await node.run_step(action, node.promotion_right(action))
     finally:
         node.sessions.finish(action)
         _start_sessions(node)
--- a/waxwinglift/process/_control_proposals.py
+++ b/waxwinglift/process/_control_proposals.py
@@ -90,3 +90,37 @@
 def _resolve(future, outcome):
     if not future.done():
         future.set_result(outcome)
+
+
+class ConfirmationTable:
+    """Questions whether this member leads, by the time of the question."""
+
+    def __init__(self):
+        self._waiting = []
+
+    def open(self, now_ms):
+        """Return the future of a question asked now."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append((now_ms, future))
+        return future
+
+    def check(self, node, now_ms):
+        """Answer the questions that a majority has confirmed since.
+
+        Parameters
+        ----------
+        node : ConsensusNode
+        now_ms : float
+        """
+        if not self._waiting:
+            return
+        contact_ms = node.quorum_contact_ms
+        leads = node.is_leader_with_quorum(now_ms)
+        waiting, self._waiting = self._waiting, []
+        for asked_ms, future in waiting:
+            if future.done():
+                continue
+            if leads and contact_ms >= asked_ms:
+                future.set_result(node.commit_index)
+            else:
+                self._waiting.append((asked_ms, future))
--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -7,8 +7,11 @@
 from grpclib.exceptions import GRPCError
 
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._operator_service import Replacement
 from waxwinglift.process._trace_context import context_of
 from waxwinglift.process._trace_context import current_traceparent
+from waxwinglift.process._types import Address
+from waxwinglift.process._types import DaemonId
 from waxwinglift.process.rpc import control_grpc
 from waxwinglift.process.rpc import control_pb2
 from waxwinglift.process.rpc._channels import CALL_ERRORS
@@ -24,6 +27,7 @@
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import encode_fleet
 from waxwinglift.version._fleet import EditAnswer
+from waxwinglift.version._membership import JoinRequest
 
 # Entries that an operator may propose; the others are the leader's own.
 OPERATOR_ENTRIES = (
@@ -51,14 +55,22 @@
         Channels to the other members.
     tracer : opentelemetry.trace.Tracer
         Source of spans.
+    operators : OperatorService
+        Desired states.
+    book : AddressBook
+        Learns where messages come from.
     """
 
-    def __init__(self, node, relay, find_leader, channels, tracer):
+    def __init__(
+        self, node, relay, find_leader, channels, tracer, operators, book
+    ):
         self._node = node
         self._relay = relay
         self._find_leader = find_leader
         self._channels = channels
         self._tracer = tracer
+        self._operators = operators
+        self._book = book
         self._timing = node.settings.timing
         self._snapshot = (None, b"")
 
@@ -187,6 +199,9 @@
         await stream.send_message(control_pb2.ConsensusAck())
         if envelope.recipient != self._node.member:
             return
+        if envelope.sender_host:
+            address = Address(envelope.sender_host, envelope.sender_port)
+            self._book.note_sender(DaemonId(envelope.sender), address)
         try:
             message = decode_message(envelope.payload)
         except ValueError:
@@ -194,6 +209,55 @@
             return
         self._node.step_consensus(MessageReceived(envelope.sender, message))
 
+    async def Join(self, stream):  # noqa: N802
+        """Note a daemon that wants to be a member, here or at the leader."""
+        request = await stream.recv_message()
+        is_accepted = self._node.has_quorum
+        if is_accepted:
+            address = Address(request.host, request.port)
+            self._node.note_join(
+                JoinRequest(DaemonId(request.member), address)
+            )
+        elif not request.forwarded:
+            is_accepted = await self._forward_join(request)
+        await stream.send_message(control_pb2.JoinReply(accepted=is_accepted))
+
+    async def _forward_join(self, request):
+        address = self._find_leader()
+        if address is None:
+            return False
+        request.forwarded = True
+        stub = control_grpc.ControlStub(self._channels.get(address))
+        timeout_s = self._timing.rpc_timeout_ms / 1000
+        try:
+            reply = await stub.Join(request, timeout=timeout_s)
+        except CALL_ERRORS:
+            return False
+        return reply.accepted
+
+    async def ConfirmIndex(self, stream):  # noqa: N802
+        """Answer with a confirmed log index when this member leads."""
+        await stream.recv_message()
+        index = None
+        if self._node.has_quorum:
+            timeout_ms = self._timing.rpc_timeout_ms
+            index = await self._node.confirm_index(timeout_ms)
+        reply = control_pb2.ConfirmIndexReply(
+            confirmed=index is not None, index=index or 0
+        )
+        await stream.send_message(reply)
+
+    async def ReplaceDesiredState(self, stream):  # noqa: N802
+        """Decide a desired state that a follower passed on."""
+        message = await stream.recv_message()
+        try:
+            outcome = await self._operators.take_forwarded(message.request)
+        except ValueError as error:
+            raise GRPCError(GrpcStatus.INVALID_ARGUMENT, str(error)) from error
+        is_accepted = outcome is Replacement.ACCEPTED
+        reply = control_pb2.DesiredStateReply(accepted=is_accepted)
+        await stream.send_message(reply)
+
     async def Propose(self, stream):  # noqa: N802
         """Apply an operator's entry, here or at the leader."""
         request = await stream.recv_message()
--- a/waxwinglift/process/_control_settings.py
+++ b/waxwinglift/process/_control_settings.py
@@ -2,7 +2,6 @@
 
 from waxwinglift.process._types import DaemonId
 from waxwinglift.version._consensus_types import ConsensusSettings
-from waxwinglift.version._control_core import ControlCoreSettings
 from waxwinglift.version._leases import LeaseSettings
 
 
@@ -12,14 +11,23 @@
 
 def consensus_settings(settings):
     """Return the consensus settings of a control daemon."""
-    return ConsensusSettings(member=DaemonId(settings.member))
+    timing = settings.timing
+    return ConsensusSettings(
+        member=DaemonId(settings.member),
+        heartbeat_ms=timing.heartbeat_ms,
+        check_quorum_ms=timing.check_quorum_ms,
+        election_timeout_min_ms=timing.election_timeout_min_ms,
+        election_timeout_max_ms=timing.election_timeout_max_ms,
+    )
 
 
 def core_settings(settings):
     """Return the control core's settings of a control daemon."""
-    return ControlCoreSettings(
-        leases=LeaseSettings(lease_ms=settings.timing.lease_ms),
-        tick_interval_ms=settings.timing.tick_interval_ms,
+    return settings.policy.model_copy(
+        update={
+            "leases": LeaseSettings(lease_ms=settings.timing.lease_ms),
+            "tick_interval_ms": settings.timing.tick_interval_ms,
+        }
     )
 
 
@@ -37,6 +45,8 @@
     """
     if not store.is_empty or settings.join:
         return ()
+    if settings.discovery is not None:
+        return _find_founder(settings)
     if not is_founding:
         raise EmptyFolderError(
             f"{settings.data_folder}: no state of member {settings.member}; "
@@ -44,3 +54,18 @@
             "its disk: remove it, add it under a new name and set join = true"
         )
     return [(DaemonId(row.member), row.address) for row in settings.members]
+
+
+def _find_founder(settings):
+    """Return this member when it is the one that founds the group.
+
+    One daemon founds alone and the others join, so that there can be no
+    second group, whatever the order of the starts.
+    """
+    discovery = settings.discovery
+    if not discovery.may_found or not discovery.seeds:
+        return ()
+    first = min(discovery.seeds, key=lambda seed: (seed.host, seed.port))
+    if first != settings.listen:
+        return ()
+    return [(DaemonId(settings.member), settings.listen)]
--- a/waxwinglift/process/_control_sql.py
+++ b/waxwinglift/process/_control_sql.py
@@ -8,8 +8,8 @@
 import contextlib
 
 from waxwinglift.connection._backend import EndpointAccount
-from waxwinglift.connection._backend import EndpointConnectionLost
-from waxwinglift.connection._backend import EndpointRefused
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointRefused
 from waxwinglift.connection._backend import open_connection
 from waxwinglift.connection._wire import parse_lsn
 from waxwinglift.process import Registry
--- a/waxwinglift/process/_control_transport.py
+++ b/waxwinglift/process/_control_transport.py
@@ -43,10 +43,13 @@
         Returns the address of a member or None.
     channels : ChannelCache
         Channels shared with the relay.
+    address : Address, optional
+        Where this member listens; a new member answers there.
     """
 
-    def __init__(self, member, find_address, channels):
+    def __init__(self, member, find_address, channels, address=None):
         self._member = member
+        self._address = address
         self._find_address = find_address
         self._channels = channels
         self._outboxes = {}
@@ -98,6 +101,9 @@
             recipient=recipient,
             payload=encode_message(message),
         )
+        if self._address is not None:
+            envelope.sender_host = self._address.host
+            envelope.sender_port = self._address.port
         channel = self._channels.get(address)
         stub = control_grpc.ControlStub(channel)
         try:
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -16,6 +16,8 @@
 
     Parameters
     ----------
+    protocol : str
+        Name in the registry of caller protocols.
     host : str
         IP number to listen on.
     port : int
@@ -43,6 +45,7 @@
     retry : RetrySettings
     """
 
+    protocol: str = "postgresql"
     host: str = "127.0.0.1"
     port: int = pydantic.Field(0, ge=0, le=65535)
     token_secret: str = pydantic.Field(min_length=8, max_length=64)
@@ -72,6 +75,8 @@
 
     Parameters
     ----------
+    protocol : str
+        Name in the registry of endpoint protocols.
     user, password : str
         Account at the endpoints; all callers share it.
     database : str
@@ -110,6 +115,7 @@
         Longest time that a drain waits for open transactions.
     """
 
+    protocol: str = "postgresql"
     user: str = "waxwinglift"
     password: str = ""
     database: str = ""
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -13,6 +13,8 @@
 from waxwinglift.connection._session_types import PreparedStatement
 from waxwinglift.process._types import DaemonId
 from waxwinglift.request import Failure
+from waxwinglift.request._statements import Statement
+from waxwinglift.request._statements import StatementAnswer
 from waxwinglift.version import EndpointId
 from waxwinglift.version import Epoch
 from waxwinglift.version import GroupName
@@ -53,6 +55,12 @@
         Control log index that the entry proxy has applied.
     floor_wait_limit_ms : int
         Longest wait of a read for its floor; another route is better then.
+    in_block : bool
+        Whether the statements belong to a transaction block; only where
+        statements are typed.
+    to_standby : bool
+        Whether the standby owner is asked because the owner cannot be
+        reached.
     """
 
     endpoint: EndpointId
@@ -71,6 +79,8 @@
     settings: Mapping[str, str] = dataclasses.field(default_factory=dict)
     applied_index: LogIndex = LogIndex(0)
     floor_wait_limit_ms: int = 0
+    in_block: bool = False
+    to_standby: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,11 +88,13 @@
     """Messages of a caller up to and including Query or Sync.
 
     ``prepared`` holds the statements that the messages refer to without
-    parsing them.
+    parsing them.  ``statement`` stands instead of messages where the
+    protocol has typed statements.
     """
 
     messages: bytes
     prepared: tuple[PreparedStatement, ...] = ()
+    statement: Statement | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +121,8 @@
         Time that the transaction waited for a slot, and that it waited for
         its floor or its answer for a quorum.
     served_by_replica : bool
+    answer : StatementAnswer or None
+        Answer to a typed statement; others go to the sink.
     """
 
     status: TransactionStatus = TransactionStatus.IDLE
@@ -121,6 +135,7 @@
     queue_wait_ms: float = 0.0
     held_ms: float = 0.0
     served_by_replica: bool = False
+    answer: StatementAnswer | None = None
 
 
 class TransactionStream(Protocol):
--- /dev/null
+++ b/waxwinglift/process/_member_identity.py
@@ -0,0 +1,56 @@
+"""Name of a control member, which lasts as long as its disk."""
+
+import os
+import pathlib
+import secrets
+
+from waxwinglift.process._types import DaemonId
+
+_FILE_NAME = "identity"
+_INCARNATION_BYTES = 6
+
+
+def load_identity(folder: pathlib.Path, name: str) -> DaemonId:
+    """Return the member's name for the disk of ``folder``.
+
+    A member whose disk was lost has forgotten its votes, so that it must not
+    go on under the old name; the name of a new disk is drawn and stored.
+
+    Parameters
+    ----------
+    folder : Path
+        Data folder; created when missing.
+    name : str
+        Name of the machine, the readable part.
+
+    Raises
+    ------
+    OSError
+        The folder cannot be written.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / _FILE_NAME
+    try:
+        stored = path.read_text(encoding="ascii").strip()
+    except (FileNotFoundError, UnicodeDecodeError):
+        stored = ""
+    # An empty or torn file comes from a crash before the name was used.
+    if stored.startswith(f"{name}."):
+        return DaemonId(stored)
+    identity = f"{name}.{secrets.token_hex(_INCARNATION_BYTES)}"
+    _write(folder, path, identity)
+    return DaemonId(identity)
+
+
+def _write(folder, path, text):
+    draft = path.with_suffix(".draft")
+    with draft.open("w", encoding="ascii") as file:
+        file.write(text)
+        file.flush()
+        os.fsync(file.fileno())
+    draft.replace(path)
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/waxwinglift/process/_operator_service.py
@@ -0,0 +1,125 @@
+"""What operators ask any control member: desired states and their reading.
+
+Requests go to the leader; a follower passes them on.  An answer is given
+only when it is certain, so an operator may ask another member instead.
+"""
+
+import enum
+import zlib
+
+import pydantic
+
+from waxwinglift.process.rpc import control_grpc
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._channels import CALL_ERRORS
+from waxwinglift.version._desired import DesiredStateRequest
+from waxwinglift.version._fleet import DesiredState
+
+_ADAPTER = pydantic.TypeAdapter(DesiredStateRequest)
+_COMPRESSION_LEVEL = 6
+
+
+class Replacement(enum.Enum):
+    """Outcome of a request to replace the desired state.
+
+    After UNKNOWN the request may still come into force; sent again it gets
+    the same answer.
+    """
+
+    ACCEPTED = "accepted"
+    UNKNOWN = "unknown"
+
+
+class OperatorService:
+    """Desired states at one control member.
+
+    Parameters
+    ----------
+    node : ControlNode
+    find_leader : callable
+        Returns the leader's address, None while there is none.
+    channels : ChannelCache
+    """
+
+    def __init__(self, node, find_leader, channels):
+        self._node = node
+        self._find_leader = find_leader
+        self._channels = channels
+        self._timing = node.settings.timing
+
+    async def replace(self, request: DesiredStateRequest) -> Replacement:
+        """Put a desired state in force, here or at the leader."""
+        if self._node.has_quorum:
+            return await self._replace_here(request)
+        data = zlib.compress(_ADAPTER.dump_json(request), _COMPRESSION_LEVEL)
+        return await self._forward(data)
+
+    async def take_forwarded(self, data: bytes) -> Replacement:
+        """Decide a request that another member passed on.
+
+        Raises
+        ------
+        ValueError
+            The bytes are no request.
+        """
+        if not self._node.has_quorum:
+            return Replacement.UNKNOWN
+        try:
+            request = _ADAPTER.validate_json(zlib.decompress(data))
+        except zlib.error as error:
+            raise ValueError(str(error)) from error
+        return await self._replace_here(request)
+
+    async def read(self) -> DesiredState | None:
+        """Return the desired state in force, None when that is not certain.
+
+        The leader asks a majority before it answers: a member that was cut
+        off or suspended may hold an old state without knowing.
+        """
+        index = await self._confirmed_index()
+        if index is None:
+            return None
+        timeout_ms = self._timing.rpc_timeout_ms
+        if not await self._node.wait_for_index(index, timeout_ms):
+            return None
+        return self._node.fleet.desired
+
+    async def _replace_here(self, request):
+        outcome = await self._node.replace_desired_state(
+            request, self._timing.rpc_timeout_ms
+        )
+        if outcome.is_ok():
+            return Replacement.ACCEPTED
+        return Replacement.UNKNOWN
+
+    async def _forward(self, data):
+        address = self._find_leader()
+        if address is None:
+            return Replacement.UNKNOWN
+        stub = control_grpc.ControlStub(self._channels.get(address))
+        request = control_pb2.DesiredStateRequest(request=data)
+        # Longer than the leader waits, so that its answer arrives.
+        timeout_s = 2 * self._timing.rpc_timeout_ms / 1000
+        try:
+            reply = await stub.ReplaceDesiredState(request, timeout=timeout_s)
+        except CALL_ERRORS:
+            return Replacement.UNKNOWN
+        if reply.accepted:
+            return Replacement.ACCEPTED
+        return Replacement.UNKNOWN
+
+    async def _confirmed_index(self):
+        if self._node.has_quorum:
+            return await self._node.confirm_index(self._timing.rpc_timeout_ms)
+        address = self._find_leader()
+        if address is None:
+            return None
+        stub = control_grpc.ControlStub(self._channels.get(address))
+        timeout_s = self._timing.rpc_timeout_ms / 1000
+        try:
+            reply = await stub.ConfirmIndex(
+                control_pb2.ConfirmIndexRequest(), timeout=timeout_s
+            )
+        except CALL_ERRORS:
+            return None
+        return reply.index if reply.confirmed else None
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -1,38 +1,26 @@
 """Owner of one endpoint: its queue, connections, health and positions."""
 
+import abc
 import asyncio
 from collections.abc import Callable
 
 from opentelemetry import trace
-from pygwire.messages import BackendKeyData
 from result import Result
 
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection import HealthState
-from waxwinglift.connection._backend import EndpointAccount
-from waxwinglift.connection._backend import open_connection
-from waxwinglift.connection._backend import send_cancel
-from waxwinglift.connection._endpoint_pool import EndpointPool
-from waxwinglift.connection._lost_sessions import MONITOR_NAME
-from waxwinglift.connection._lost_sessions import OrphanEnder
-from waxwinglift.connection._owner_connections import ConnectionKeeper
-from waxwinglift.connection._owner_connections import SlotQueue
-from waxwinglift.connection._owner_monitor import EndpointMonitor
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Metrics
 from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process._data_path_types import TransactionStream
 from waxwinglift.process._fleet_view import FleetView
-from waxwinglift.process._owner_positions import EndpointPositions
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
-from waxwinglift.request._admission import AdmissionQueue
-from waxwinglift.request._owner_slot import TransactionSlot
-from waxwinglift.request._owner_stream import OwnerStream
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import GroupPhase
@@ -40,15 +28,13 @@
 from waxwinglift.version import Term
 from waxwinglift.version._fleet import accepts_work
 
-# The monitoring connection, and the one that replaces it.
-_MONITOR_CONNECTIONS_COUNT = 2
-# Least limit that leaves the pool one connection.
-_LEAST_LIMIT_COUNT = 3
 
-
-class EndpointOwner:
+class EndpointOwner(abc.ABC):
     """Everything that the owner or standby owner of an endpoint holds.
 
+    Subclasses know the endpoint's protocol.  `_build` sets ``monitor``,
+    ``connections``, ``slots`` and ``positions``.
+
     A standby owner keeps the monitoring connection only; it refuses requests
     until the fleet's state names it as the owner.
 
@@ -94,12 +80,10 @@
         self._is_draining = False
         self._is_enabled = False
         self._lost_ms: float | None = None
-        # Term in which the table of idempotency keys is known to exist.
-        self.key_table_term: Term | None = None
         self._next_request = 0
         self._term = None
         self._was_primary = False
-        self._running: set[TransactionSlot] = set()
+        self._running: set = set()
         self._tasks: set[asyncio.Task] = set()
         self._build(record)
 
@@ -161,11 +145,11 @@
             if slot.is_silent():
                 self._run(slot.close_if_idle())
 
-    def open(self, header: ExecuteHeader) -> OwnerStream:
+    def open(self, header: ExecuteHeader) -> TransactionStream:
         """Return the stream of a new transaction."""
         self._next_request += 1
         request = RequestId(self._next_request)
-        return OwnerStream(self, header, request)
+        return self._make_stream(header, request)
 
     async def group_position(
         self, group: GroupName, term: Term
@@ -194,18 +178,14 @@
         self.positions.on_fleet_change()
         self._check_ownership()
 
-    def enter(self, slot: TransactionSlot):
+    def enter(self, slot):
         """Count a transaction that got a slot."""
         self._running.add(slot)
 
-    def leave(self, slot: TransactionSlot):
+    def leave(self, slot):
         """Forget a transaction that ended."""
         self._running.discard(slot)
 
-    def cancel_statement(self, key: BackendKeyData):
-        """Ask the endpoint to stop the statement of a connection."""
-        self._run(send_cancel(self._address, key))
-
     def note_silence(self, connection: ConnectionId):
         """Record that a statement got no answer for a while."""
         self.metrics.incr("owner.silent")
@@ -227,56 +207,16 @@
             return _refuse("the endpoint is down")
         return None
 
+    @abc.abstractmethod
     def _build(self, record):
-        settings = self.settings
-        # Half of the endpoint's connections belongs to the next owner; the
-        # monitoring connections are taken out of this owner's half.
-        reserved_count = 2 * _MONITOR_CONNECTIONS_COUNT
-        limit_count = max(
-            _LEAST_LIMIT_COUNT, record.connection_limit_count - reserved_count
-        )
-        pool = EndpointPool(settings.pool, limit_count, record.slots_count)
-        self.monitor = EndpointMonitor(
-            settings.health,
-            self._open_monitor_connection,
-            self.now_ms,
-            self._suspect_siblings,
-            self._change_health,
-            self._probe_serving,
-        )
-        self._orphans = OrphanEnder(
-            self.monitor, lambda: self.connections.process_ids()
-        )
-        self.connections = ConnectionKeeper(
-            pool,
-            self._open_serving_connection,
-            self.now_ms,
-            self.monitor.note_life,
-            self.monitor.note_silence,
-        )
-        queue = AdmissionQueue(record.slots_count, settings.admission)
-        self.slots = SlotQueue(queue, self.now_ms)
-        self.positions = EndpointPositions(
-            self.endpoint, settings, self.view, self.monitor, self.now_ms
-        )
-
-    async def _open_monitor_connection(self):
-        return await self._open_connection(MONITOR_NAME)
-
-    async def _open_serving_connection(self):
-        epoch = self.view.assignment(self.endpoint).epoch
-        return await self._open_connection(self._orphans.name_for(epoch))
-
-    async def _open_connection(self, application_name):
-        settings = self.settings
-        account = EndpointAccount(
-            settings.user,
-            settings.password,
-            settings.database or self.group,
-            application_name,
-        )
-        limit_bytes = settings.answer_limit_bytes
-        return await open_connection(self._address, account, limit_bytes)
+        """Build the parts that know the protocol."""
+
+    @abc.abstractmethod
+    def _make_stream(self, header, request):
+        """Return the stream of a transaction."""
+
+    def _on_enabled(self):
+        """Do what a protocol needs while this proxy owns the endpoint."""
 
     def _suspect_siblings(self, connection):
         self.connections.suspect_siblings(connection)
@@ -336,8 +276,7 @@
         if not self._is_enabled:
             self._is_enabled = True
             self.connections.enable()
-        if self.health is HealthState.UP:
-            self._orphans.end_if_due(self.view.assignment(self.endpoint))
+        self._on_enabled()
 
     def _hand_over(self):
         """Finish the open transactions; the next owner has its own half."""
--- a/waxwinglift/process/_owner_positions.py
+++ b/waxwinglift/process/_owner_positions.py
@@ -8,7 +8,7 @@
 from result import Ok
 from result import Result
 
-from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
 from waxwinglift.connection._backend_packet import PRIMARY_POSITION_SQL
 from waxwinglift.connection._backend_packet import REPLICA_POSITION_SQL
 from waxwinglift.connection._owner_monitor import EndpointMonitor
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -8,6 +8,8 @@
 from result import Result
 
 from waxwinglift.connection import HealthState
+from waxwinglift.connection._ports import ENDPOINT_PROTOCOLS
+from waxwinglift.process import _postgresql
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import Exchange
@@ -26,6 +28,9 @@
 from waxwinglift.version import Position
 from waxwinglift.version import Term
 
+# Modules whose import fills the registry of endpoint protocols.
+PROTOCOL_MODULES = (_postgresql,)
+
 
 class OwnerSet:
     """Starts and stops the owners that the fleet's state asks for.
@@ -144,7 +149,10 @@
             if self._owners[endpoint].is_released:
                 self._stop(self._owners.pop(endpoint))
         for endpoint in wanted - self._owners.keys():
-            owner = EndpointOwner(
+            owner_class = ENDPOINT_PROTOCOLS[
+                self._settings.protocol
+            ].owner_class
+            owner = owner_class(
                 endpoint,
                 self._settings,
                 self._view,
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -16,6 +16,8 @@
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._types import Address
+from waxwinglift.version._control_core import ControlCoreSettings
+from waxwinglift.version._membership import MembershipSettings
 
 Name = Annotated[str, pydantic.AfterValidator(_checks.check_name)]
 SocketAddress = Annotated[
@@ -83,6 +85,30 @@
     tick_interval_ms: Annotated[int, pydantic.Field(ge=5, le=100)] = 20
     relay_batch_ms: Annotated[int, pydantic.Field(ge=1, le=200)] = 20
     rpc_timeout_ms: Annotated[int, pydantic.Field(ge=50, le=10_000)] = 1000
+    heartbeat_ms: Annotated[int, pydantic.Field(ge=10, le=1000)] = 75
+    check_quorum_ms: Annotated[int, pydantic.Field(ge=20, le=5000)] = 250
+    election_timeout_min_ms: Annotated[
+        int, pydantic.Field(ge=50, le=10_000)
+    ] = 300
+    election_timeout_max_ms: Annotated[
+        int, pydantic.Field(ge=100, le=20_000)
+    ] = 600
+
+
+class DiscoverySettings(SettingsModel):
+    """How a control daemon finds its group without a list of members.
+
+    Parameters
+    ----------
+    seeds : tuple of Address
+        Addresses of a few control daemons, perhaps out of date.
+    may_found : bool
+        Whether the system starts for the first time; the daemon at the
+        lowest of the seeds' addresses then founds the group.
+    """
+
+    seeds: tuple[SocketAddress, ...] = ()
+    may_found: bool = False
 
 
 class ControlSettings(SettingsModel):
@@ -102,17 +128,33 @@
         Entries after which a snapshot is taken and the log compacted.
     join : bool
         Start empty and wait to be added by ``waxwinglift member add``.
+    discovery : DiscoverySettings, optional
+        Find the group by seeds and join it by itself, instead of
+        ``members`` and ``join``.
+    membership : MembershipSettings
+        Who votes, with ``discovery``.
+    policy : ControlCoreSettings
+        Times of the leader's decisions; leases and ticks are in ``timing``.
+    endpoint_protocol : str
+        Name in the registry of endpoint protocols.
+    promotion_address : Address, optional
+        Where changes of primary are ordered, for protocols that need it.
     """
 
     member: Name
     location: LocationSettings
     listen: SocketAddress
-    members: tuple[MemberSettings, ...]
+    members: tuple[MemberSettings, ...] = ()
     data_folder: pathlib.Path
     snapshot_entry_count: Annotated[
         int, pydantic.Field(ge=10, le=1_000_000)
     ] = 1000
     join: bool = False
+    discovery: DiscoverySettings | None = None
+    membership: MembershipSettings = MembershipSettings()
+    policy: ControlCoreSettings = ControlCoreSettings()
+    endpoint_protocol: str = "postgresql"
+    promotion_address: SocketAddress | None = None
     endpoint_user: str = "waxwinglift"
     endpoint_password: pydantic.SecretStr = pydantic.SecretStr("")
     endpoint_database: str = "postgres"
@@ -123,7 +165,8 @@
     def _check_members(self):
         names = [member.member for member in self.members]
         _checks.check_unique(names, "member")
-        if not self.join and self.member not in names:
+        is_found = self.join or self.discovery is not None
+        if not is_found and self.member not in names:
             raise ValueError(
                 f"member {self.member} is not in members; "
                 "list it or set join = true"
--- a/waxwinglift/process/rpc/_convert.py
+++ b/waxwinglift/process/rpc/_convert.py
@@ -18,6 +18,7 @@
 from waxwinglift.version._control_core_messages import Renewal
 from waxwinglift.version._failover_messages import DownEndpoint
 from waxwinglift.version._fleet import EditAnswer
+from waxwinglift.version._types import Incarnation
 
 _ANSWER_ADAPTER = pydantic.TypeAdapter(EditAnswer)
 
@@ -78,6 +79,30 @@
         term=Term(message.term),
         in_recovery=message.in_recovery,
         is_leaving=message.leaving,
+        started_ms=message.started_ms,
+        sequence=message.sequence,
+        is_gone=message.gone,
+    )
+
+
+def announcement_to_wire(announcement):
+    """Return the protobuf message of an `Announcement`."""
+    return control_pb2.Announcement(
+        endpoint=announcement.endpoint,
+        group=announcement.group,
+        host=announcement.address.host,
+        port=announcement.address.port,
+        data_centre=announcement.location.data_centre,
+        region=announcement.location.region,
+        slots_count=announcement.slots_count,
+        connection_limit_count=announcement.connection_limit_count,
+        group_size_count=announcement.group_size_count,
+        term=announcement.term,
+        in_recovery=announcement.in_recovery,
+        leaving=announcement.is_leaving,
+        started_ms=announcement.started_ms,
+        sequence=announcement.sequence,
+        gone=announcement.is_gone,
     )
 
 
@@ -113,6 +138,7 @@
             for down in message.down
         ),
         released=tuple(EndpointId(name) for name in message.released),
+        incarnation=Incarnation(message.incarnation),
     )
 
 
@@ -138,4 +164,5 @@
         released=list(renewal.released),
         sequence=renewal.sequence,
         traceparent=traceparent,
+        incarnation=renewal.incarnation,
     )
--- a/waxwinglift/process/rpc/control_grpc.py
+++ b/waxwinglift/process/rpc/control_grpc.py
@@ -42,6 +42,18 @@
     async def Status(self, stream: 'grpclib.server.Stream[waxwinglift.process.rpc.control_pb2.StatusRequest, waxwinglift.process.rpc.control_pb2.StatusReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Join(self, stream: 'grpclib.server.Stream[waxwinglift.process.rpc.control_pb2.JoinRequest, waxwinglift.process.rpc.control_pb2.JoinReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ConfirmIndex(self, stream: 'grpclib.server.Stream[waxwinglift.process.rpc.control_pb2.ConfirmIndexRequest, waxwinglift.process.rpc.control_pb2.ConfirmIndexReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ReplaceDesiredState(self, stream: 'grpclib.server.Stream[waxwinglift.process.rpc.control_pb2.DesiredStateRequest, waxwinglift.process.rpc.control_pb2.DesiredStateReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/waxwinglift.process.rpc.Control/Announce': grpclib.const.Handler(
@@ -86,6 +98,24 @@
                 waxwinglift.process.rpc.control_pb2.StatusRequest,
                 waxwinglift.process.rpc.control_pb2.StatusReply,
             ),
+            '/waxwinglift.process.rpc.Control/Join': grpclib.const.Handler(
+                self.Join,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                waxwinglift.process.rpc.control_pb2.JoinRequest,
+                waxwinglift.process.rpc.control_pb2.JoinReply,
+            ),
+            '/waxwinglift.process.rpc.Control/ConfirmIndex': grpclib.const.Handler(
+                self.ConfirmIndex,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                waxwinglift.process.rpc.control_pb2.ConfirmIndexRequest,
+                waxwinglift.process.rpc.control_pb2.ConfirmIndexReply,
+            ),
+            '/waxwinglift.process.rpc.Control/ReplaceDesiredState': grpclib.const.Handler(
+                self.ReplaceDesiredState,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                waxwinglift.process.rpc.control_pb2.DesiredStateRequest,
+                waxwinglift.process.rpc.control_pb2.DesiredStateReply,
+            ),
         }
 
 
@@ -134,3 +164,21 @@
             waxwinglift.process.rpc.control_pb2.StatusRequest,
             waxwinglift.process.rpc.control_pb2.StatusReply,
         )
+        self.Join = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/waxwinglift.process.rpc.Control/Join',
+            waxwinglift.process.rpc.control_pb2.JoinRequest,
+            waxwinglift.process.rpc.control_pb2.JoinReply,
+        )
+        self.ConfirmIndex = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/waxwinglift.process.rpc.Control/ConfirmIndex',
+            waxwinglift.process.rpc.control_pb2.ConfirmIndexRequest,
+            waxwinglift.process.rpc.control_pb2.ConfirmIndexReply,
+        )
+        self.ReplaceDesiredState = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/waxwinglift.process.rpc.Control/ReplaceDesiredState',
+            waxwinglift.process.rpc.control_pb2.DesiredStateRequest,
+            waxwinglift.process.rpc.control_pb2.DesiredStateReply,
+        )
--- a/waxwinglift/process/tests/test_control_transport.py
+++ b/waxwinglift/process/tests/test_control_transport.py
@@ -32,6 +32,7 @@
         raise NotImplementedError
 
     Announce = Renew = Watch = Relay = Propose = Status = _unused
+    Join = ConfirmIndex = ReplaceDesiredState = _unused
 
 
 @contextlib.asynccontextmanager
--- a/waxwinglift/request/_owner_slot.py
+++ b/waxwinglift/request/_owner_slot.py
@@ -4,7 +4,7 @@
 
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection._backend import EndpointConnection
-from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
 from waxwinglift.connection._backend_packet import ExchangeFacts
 from waxwinglift.connection._backend_packet import Packet
 from waxwinglift.connection._backend_packet import settings_statements
--- a/waxwinglift/request/_owner_stream.py
+++ b/waxwinglift/request/_owner_stream.py
@@ -5,7 +5,7 @@
 from opentelemetry import trace
 
 from waxwinglift.connection import TransactionStatus
-from waxwinglift.connection._backend import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
 from waxwinglift.connection._backend_packet import examine
 from waxwinglift.connection._backend_packet import Packet
 from waxwinglift.connection._backend_packet import PRIMARY_POSITION_SQL
--- a/waxwinglift/request/_types.py
+++ b/waxwinglift/request/_types.py
@@ -40,6 +40,11 @@
     FAILED_BLOCK = "25P02"
     BAD_PASSWORD = "28P01"
     UNKNOWN_STATEMENT = "26000"
+    BEHIND = "57P05"
+    ABORTED = "40000"
+    TIMED_OUT = "57P06"
+    ENDPOINT_FAILED = "58000"
+    TOO_LARGE = "54000"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,16 +52,25 @@
     """Outcome of a request that has no complete answer.
 
     Only failures with the verdict NOT_RUN may be retried.
+
+    Parameters
+    ----------
+    verdict : Verdict
+    code : FailureCode
+    message : str
+    retry_after_ms : int or None
+        When the caller may come back, where that is known.
     """
 
     verdict: Verdict
     code: FailureCode
     message: str
+    retry_after_ms: int | None = None
 
 
-def not_run(code, message):
+def not_run(code, message, retry_after_ms=None):
     """Return a failure of a request that did not run."""
-    return Failure(Verdict.NOT_RUN, code, message)
+    return Failure(Verdict.NOT_RUN, code, message, retry_after_ms)
 
 
 def may_have_run(message):
--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -15,6 +15,7 @@
 from waxwinglift.version._entries import EndpointJoined
 from waxwinglift.version._entries import EndpointLeaving
 from waxwinglift.version._entries import EndpointLost
+from waxwinglift.version._entries import EndpointRemoved
 from waxwinglift.version._entries import GroupFormed
 from waxwinglift.version._types import EndpointId
 from waxwinglift.version._types import EndpointRole
@@ -23,6 +24,9 @@
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import Term
 
+# Term of a group whose servers keep terms of their own.
+FIRST_TERM = Term(1)
+
 
 class AnnouncementSettings(pydantic.BaseModel):
     """Times of the announcements.
@@ -54,7 +58,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
-    """What an endpoint says about itself every 500 ms."""
+    """What an endpoint says about itself, at regular intervals.
+
+    Parameters
+    ----------
+    connection_limit_count, group_size_count, term
+        0 where the endpoint does not tell them.
+    started_ms : int
+        Wall-clock time of its start; 0 when it does not tell.
+    sequence : int
+        Rises with each announcement of one start; 0 when not counted.
+    is_gone : bool
+        It has left for good.
+    """
 
     endpoint: EndpointId
     group: GroupName
@@ -66,6 +82,17 @@
     term: Term
     in_recovery: bool
     is_leaving: bool = False
+    started_ms: int = 0
+    sequence: int = 0
+    is_gone: bool = False
+
+    @property
+    def order(self):
+        """Key that rises from one announcement of the endpoint to the next.
+
+        Announcements may arrive late and out of order.
+        """
+        return self.started_ms, self.sequence
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,11 +133,15 @@
         """Record an announcement; return the entries to propose."""
         name = announcement.endpoint
         record = self._records.setdefault(name, _Record(now_ms))
+        if _is_outdated(announcement, record, fleet):
+            return []
+        if announcement.is_gone:
+            return self._remove(announcement, record, fleet, now_ms)
         record.last_ms = now_ms
         record.announcement = announcement
         self._members[announcement.group].add(name)
-        entry = _wanted_entry(announcement, fleet.endpoints.get(name))
-        entries = []
+        entry = _wanted_entry(announcement, fleet)
+        entries = self._remove_predecessors(announcement, fleet, now_ms)
         if entry is not None and self._may_propose(record, entry, now_ms):
             entries.append(entry)
         formed = self._find_formed(announcement, fleet, now_ms)
@@ -118,6 +149,36 @@
             entries.append(formed)
         return entries
 
+    def _remove(self, announcement, record, fleet, now_ms):
+        """Return the removal of an endpoint that says it has left."""
+        record.announcement = announcement
+        if announcement.endpoint not in fleet.endpoints:
+            return []
+        entry = EndpointRemoved(announcement.endpoint)
+        return [entry] if self._may_propose(record, entry, now_ms) else []
+
+    def _remove_predecessors(self, announcement, fleet, now_ms):
+        """Return the removals of earlier endpoints at the same address.
+
+        Addresses are used again; what still reaches the old name there would
+        be refused or, worse, served by another group.
+        """
+        entries = []
+        if not announcement.started_ms:
+            return entries
+        for endpoint in fleet.endpoints.values():
+            is_other = endpoint.endpoint != announcement.endpoint
+            if not is_other or endpoint.address != announcement.address:
+                continue
+            if 0 < endpoint.started_ms < announcement.started_ms:
+                entry = EndpointRemoved(endpoint.endpoint)
+                record = self._records.setdefault(
+                    endpoint.endpoint, _Record(now_ms)
+                )
+                if self._may_propose(record, entry, now_ms):
+                    entries.append(entry)
+        return entries
+
     def expired(self, fleet, now_ms):
         """Return an EndpointLost for each endpoint gone silent."""
         entries = []
@@ -192,14 +253,16 @@
             return None
         fresh = self._fresh_members(announcement.group, fleet, now_ms)
         primaries = [a for a in fresh if not a.in_recovery]
-        if len(fresh) != group.size_count or len(primaries) != 1:
+        is_complete = group.is_server_fenced or len(fresh) == group.size_count
+        if not is_complete or len(primaries) != 1:
             return None
         proposed_ms = self._formed_ms.get(announcement.group, -math.inf)
         if now_ms - proposed_ms < self.settings.retry_ms:
             return None
         self._formed_ms[announcement.group] = now_ms
         primary = primaries[0]
-        return GroupFormed(primary.group, primary.term, primary.endpoint)
+        term = FIRST_TERM if group.is_server_fenced else primary.term
+        return GroupFormed(primary.group, term, primary.endpoint)
 
     def _fresh_members(self, group, fleet, now_ms):
         return [
@@ -212,8 +275,41 @@
         ]
 
 
-def _wanted_entry(announcement, known):
-    """Return the entry that makes the log agree, None when it does."""
+def _is_outdated(announcement, record, fleet):
+    """Return whether something newer is known than this announcement.
+
+    It may come from a start of the endpoint that has ended since, or from an
+    endpoint whose address has been taken by a later one.
+    """
+    if announcement.is_gone and not announcement.started_ms:
+        # It does not tell which start has ended.
+        return False
+    last = record.announcement
+    if last is not None and announcement.order < last.order:
+        return True
+    known = fleet.endpoints.get(announcement.endpoint)
+    if not announcement.started_ms:
+        return False
+    if known is not None and announcement.started_ms < known.started_ms:
+        return True
+    return any(
+        endpoint.address == announcement.address
+        and endpoint.endpoint != announcement.endpoint
+        and endpoint.started_ms > announcement.started_ms
+        for endpoint in fleet.endpoints.values()
+    )
+
+
+def _wanted_entry(announcement, fleet):
+    """Return the entry that makes the log agree, None when it does.
+
+    An endpoint that tells its start belongs to a group that an operator has
+    to declare first.
+    """
+    known = fleet.endpoints.get(announcement.endpoint)
+    is_declared = announcement.group in fleet.groups
+    if announcement.started_ms and not is_declared:
+        return None
     if announcement.is_leaving:
         if known is None or known.state is not EndpointState.JOINED:
             return None
@@ -228,6 +324,7 @@
         slots_count=announcement.slots_count,
         connection_limit_count=announcement.connection_limit_count,
         group_size_count=announcement.group_size_count,
+        started_ms=announcement.started_ms,
     )
     return None if _agrees(entry, known) else entry
 
@@ -249,4 +346,5 @@
         and known.term == entry.term
         and known.slots_count == entry.slots_count
         and known.connection_limit_count == entry.connection_limit_count
+        and known.started_ms == entry.started_ms
     )
--- a/waxwinglift/version/_apply.py
+++ b/waxwinglift/version/_apply.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from waxwinglift.version import _apply_daemons
+from waxwinglift.version import _apply_desired
 from waxwinglift.version import _apply_groups
 from waxwinglift.version._apply_registry import Answer
 from waxwinglift.version._apply_registry import Applied
@@ -23,7 +24,7 @@
 from waxwinglift.version._types import LogIndex
 
 # Modules whose import fills the registry.
-APPLY_MODULES = (_apply_daemons, _apply_groups)
+APPLY_MODULES = (_apply_daemons, _apply_desired, _apply_groups)
 
 
 def apply_entry(
--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -43,6 +43,7 @@
         slots_count=entry.slots_count,
         connection_limit_count=entry.connection_limit_count,
         state=EndpointState.JOINED,
+        started_ms=entry.started_ms,
     )
     state.set_endpoint(endpoint)
     return Ok(Applied(index))
@@ -53,10 +54,12 @@
     if known is not None and known.group != entry.group:
         message = f"{entry.endpoint} belongs to {known.group}"
         return refuse(RefusalCode.GROUP_MISMATCH, message)
+    group = state.groups.get(entry.group)
+    if group is not None and group.is_server_fenced:
+        return None
     if entry.group_size_count < 1:
         message = f"group size {entry.group_size_count} is below 1"
         return refuse(RefusalCode.GROUP_SIZE_MISMATCH, message)
-    group = state.groups.get(entry.group)
     if group is None:
         return None
     return _check_group_size(state, group, entry)
@@ -128,6 +131,19 @@
     return Ok(Applied(index))
 
 
+@applies(EntryKind.ENDPOINT_REMOVED)
+def _apply_endpoint_removed(state, index, entry):
+    """Forget an endpoint; a current primary stays until it is replaced."""
+    known = state.endpoints.get(entry.endpoint)
+    if known is None:
+        return refuse(RefusalCode.UNKNOWN_ENDPOINT, entry.endpoint)
+    if state.groups[known.group].primary == entry.endpoint:
+        known.state = EndpointState.LOST
+        return Ok(Applied(index))
+    state.remove_endpoint(entry.endpoint)
+    return Ok(Applied(index))
+
+
 def _check_step(state, entry, phases, term_offset):
     """Return a refusal unless the group is in one of ``phases``.
 
@@ -168,6 +184,11 @@
     if refusal is not None:
         return refusal
     group = state.groups[entry.group]
+    if group.is_server_fenced:
+        group.term = entry.term
+        group.primary = entry.primary
+        group.phase = GroupPhase.ACTIVE
+        return Ok(Applied(index))
     present_count = len(_present_endpoints(state, entry.group))
     if present_count != group.size_count:
         message = f"{present_count} of {group.size_count} servers known"
@@ -204,16 +225,36 @@
     ) or _check_primary(state, entry)
     if refusal is not None:
         return refusal
-    if not 0 <= entry.old_term < entry.term or entry.old_term_end_lsn < 0:
+    group = state.groups[entry.group]
+    # A server counts its own terms, which need not match the group's.
+    is_past = group.is_server_fenced or entry.old_term < entry.term
+    if entry.old_term < 0 or not is_past or entry.old_term_end_lsn < 0:
         message = f"old term {entry.old_term} does not precede {entry.term}"
         return refuse(RefusalCode.WRONG_TERM, message)
-    group = state.groups[entry.group]
-    _record_term_end(group, entry)
+    if group.is_server_fenced:
+        _record_timeline_end(group, entry)
+    else:
+        _record_term_end(group, entry)
     group.primary = entry.primary
     group.phase = GroupPhase.PROMOTING
     return Ok(Applied(index))
 
 
+# Ended timelines that are kept: sessions whose floors are older than that
+# many changes of primary have long reconnected.
+_KEPT_ENDS_COUNT = 16
+
+
+def _record_timeline_end(group, entry):
+    """Record where the chosen server's timeline ended.
+
+    A timeline that the server has skipped ended nowhere in its history.
+    """
+    group.term_ends[entry.old_term] = entry.old_term_end_lsn
+    for timeline in sorted(group.term_ends)[:-_KEPT_ENDS_COUNT]:
+        del group.term_ends[timeline]
+
+
 def _record_term_end(group, entry):
     """Record the history of the chosen server.
 
@@ -240,6 +281,9 @@
     if refusal is not None:
         return refusal
     group = state.groups[entry.group]
+    if group.is_server_fenced:
+        group.phase = GroupPhase.ACTIVE
+        return Ok(Applied(index))
     latest = max(group.timelines, default=Timeline(0))
     if entry.timeline <= latest:
         message = f"timeline {entry.timeline} does not follow {latest}"
--- a/waxwinglift/version/_apply_registry.py
+++ b/waxwinglift/version/_apply_registry.py
@@ -29,6 +29,8 @@
     INVALID_ASSIGNMENT = "invalid_assignment"
     KNOWN_MEMBER = "known_member"
     LAST_VOTER = "last_voter"
+    WRONG_VERSION = "wrong_version"
+    BAD_DOCUMENT = "bad_document"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_consensus.py
+++ b/waxwinglift/version/_consensus.py
@@ -19,6 +19,7 @@
 from waxwinglift.version._consensus_state import MESSAGE_HANDLERS
 from waxwinglift.version._consensus_state import NodeState
 from waxwinglift.version._consensus_state import on_event
+from waxwinglift.version._consensus_types import ConfirmLeadership
 from waxwinglift.version._consensus_types import MessageReceived
 from waxwinglift.version._consensus_types import NodeRole
 from waxwinglift.version._consensus_types import Tick
@@ -36,6 +37,12 @@
         campaign(node, now_ms)
 
 
+@on_event(ConfirmLeadership)
+def _on_confirm(node, event, now_ms):
+    if node.role is NodeRole.LEADER:
+        broadcast(node, now_ms)
+
+
 @on_event(MessageReceived)
 def _on_message_received(node, event, now_ms):
     handler = MESSAGE_HANDLERS[type(event.message)]
@@ -154,6 +161,14 @@
         entries = log.batch(after_index + 1, limit_bytes)
         return tuple(e for e in entries if e.index <= self.commit_index)
 
+    def silent_ms(self, now_ms):
+        """Return the time since each other member answered, as leader."""
+        node = self._state
+        return {
+            member: now_ms - max(progress.contact_ms, node.elected_ms)
+            for member, progress in node.progress.items()
+        }
+
     def match_indexes(self):
         """Return the last durable index of each other member, as leader."""
         progress = self._state.progress
--- a/waxwinglift/version/_consensus_types.py
+++ b/waxwinglift/version/_consensus_types.py
@@ -154,7 +154,21 @@
     """Asks a leader to let another member lead."""
 
 
-Event = Tick | MessageReceived | Propose | Persisted | SnapshotTaken | Resign
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmLeadership:
+    """Sends a round now; ``quorum_contact_ms`` passes it when confirmed."""
+
+
+Event = (
+    Tick
+    | MessageReceived
+    | Propose
+    | ProposeBatch
+    | Persisted
+    | SnapshotTaken
+    | Resign
+    | ConfirmLeadership
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -128,6 +128,7 @@
         self.leaving = set()
         self.drained_ms = {}
         self.sequences = {}
+        self.incarnations = {}
         # Proxies that joined and have not renewed since.
         self.awaited_ms = {}
         self.proposed_ms = {}
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -76,6 +76,7 @@
     core.leaving.discard(event.entry.daemon)
     core.drained_ms.pop(event.entry.daemon, None)
     core.sequences.pop(event.entry.daemon, None)
+    core.incarnations.pop(event.entry.daemon, None)
     core.disturb_owners(now_ms)
 
 
--- a/waxwinglift/version/_control_core_messages.py
+++ b/waxwinglift/version/_control_core_messages.py
@@ -10,6 +10,7 @@
 from waxwinglift.version._failover_messages import DownEndpoint
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._types import EndpointId
+from waxwinglift.version._types import Incarnation
 from waxwinglift.version._types import LogIndex
 
 
@@ -28,6 +29,8 @@
         Shutting down, and about to exit with all connections closed.
     down : tuple of DownEndpoint
         All endpoints that the proxy owns or stands by for and finds down.
+    incarnation : Incarnation
+        Drawn at the start of the proxy's process.
     released : tuple of EndpointId
         Endpoints whose assignment names the proxy as ``previous`` and to
         which it has no connections left; repeated until it is not named.
@@ -42,6 +45,7 @@
     is_stopped: bool = False
     down: tuple[DownEndpoint, ...] = ()
     released: tuple[EndpointId, ...] = ()
+    incarnation: Incarnation = Incarnation(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_control_core_renewals.py
+++ b/waxwinglift/version/_control_core_renewals.py
@@ -15,10 +15,11 @@
     renewal = event.renewal
     if not core.may_act():
         return [_refuse(core, renewal, "no control quorum")]
-    if renewal.sequence <= core.sequences.get(renewal.daemon, -1):
+    if not _is_in_order(core, renewal):
         # Late: a report that the process stopped may be of an earlier one.
         return [_refuse(core, renewal, "out of order")]
     core.sequences[renewal.daemon] = renewal.sequence
+    core.incarnations[renewal.daemon] = renewal.incarnation
     known = core.fleet.daemons.get(renewal.daemon)
     if renewal.is_stopped:
         return _stop_daemon(core, renewal, known, now_ms)
@@ -39,6 +40,18 @@
     return actions
 
 
+def _is_in_order(core, renewal):
+    """Return whether a renewal is later than the one before.
+
+    A new process counts from its own clock, which may be behind that of the
+    one before; its incarnation tells it apart.
+    """
+    known = core.incarnations.get(renewal.daemon, renewal.incarnation)
+    if renewal.incarnation != known:
+        return not renewal.is_stopped
+    return renewal.sequence > core.sequences.get(renewal.daemon, -1)
+
+
 def _was_last(planner, applied_index):
     """Return whether a group may wait for a proxy with this index."""
     passed_index = planner.passed_index
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -10,6 +10,9 @@
 from waxwinglift.process import Address
 from waxwinglift.process import DaemonId
 from waxwinglift.process import Location
+from waxwinglift.version._document_delta import LineEdit
+from waxwinglift.version._types import Consistency
+from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
 from waxwinglift.version._types import EndpointId
 from waxwinglift.version._types import EndpointRole
@@ -28,9 +31,11 @@
 
     NO_OPERATION = "no_operation"
     POOL_EDITED = "pool_edited"
+    DESIRED_STATE_REPLACED = "desired_state_replaced"
     ENDPOINT_JOINED = "endpoint_joined"
     ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_LOST = "endpoint_lost"
+    ENDPOINT_REMOVED = "endpoint_removed"
     GROUP_FORMED = "group_formed"
     TERM_RAISED = "term_raised"
     PRIMARY_CHOSEN = "primary_chosen"
@@ -72,13 +77,76 @@
     deadline_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolPolicy:
+    """How the requests of a pool with a single rank are served.
+
+    Parameters
+    ----------
+    consistency : Consistency
+    urgency_index : int
+        0 for the most urgent pools of a group.
+    statement_timeout_ms : int
+        Longest time for one statement.
+    target_latency_ms : int
+        Time in which callers expect a whole transaction.
+    max_staleness_ms : int
+        Largest age of what a read may miss; 0 when none is stated.
+    attempt_limit_count : int
+        Most attempts of one request, the first included.
+    """
+
+    consistency: Consistency
+    urgency_index: int
+    statement_timeout_ms: int
+    target_latency_ms: int
+    max_staleness_ms: int = 0
+    attempt_limit_count: int = 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolTable:
-    """Table of a pool: its group and its ranks, most urgent first."""
+    """Table of a pool: its group and its ranks, most urgent first.
+
+    ``policy`` is set for the pools of a whole desired state.
+    """
 
     pool: PoolName
     group: GroupName
     rows: tuple[RankRow, ...]
+    policy: PoolPolicy | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupSettings:
+    """What the operator states about a group.
+
+    Parameters
+    ----------
+    group : GroupName
+    connection_limit_count : int
+        Connections that each endpoint accepts from everyone.
+    sync_replicas_count : int
+        Replicas that have received a commit before the primary
+        acknowledges it.
+    """
+
+    group: GroupName
+    connection_limit_count: int
+    sync_replicas_count: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServingLimits:
+    """Limits that hold for every caller of a desired state.
+
+    Parameters
+    ----------
+    idle_block_ms : int
+        Time after which an idle transaction may be ended; 0 for no limit.
+    """
+
+    idle_block_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,9 +170,46 @@
     kind: EntryKind = EntryKind.POOL_EDITED
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DesiredStateReplaced:
+    """Replaces the whole desired state that has ``base_version``.
+
+    It carries what changed: most versions of a large state differ in a few
+    pools.
+
+    Parameters
+    ----------
+    version : DesiredVersion
+        Higher than ``base_version``.
+    base_version : DesiredVersion
+        Version that the changes are based on; 0 for none.
+    edits : tuple of LineEdit
+        Changes of the operator's document, which is returned as it came.
+    pools : tuple of PoolTable
+        Pools that are new or changed.
+    removed_pools : tuple of PoolName
+    groups : tuple of GroupSettings
+        All groups.
+    limits : ServingLimits
+    """
+
+    version: DesiredVersion
+    base_version: DesiredVersion
+    edits: tuple[LineEdit, ...]
+    pools: tuple[PoolTable, ...]
+    removed_pools: tuple[PoolName, ...]
+    groups: tuple[GroupSettings, ...]
+    limits: ServingLimits
+    kind: EntryKind = EntryKind.DESIRED_STATE_REPLACED
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointJoined:
-    """Registers or updates an endpoint that announced itself."""
+    """Registers or updates an endpoint that announced itself.
+
+    ``group_size_count`` is 0 where the number of servers is not stated, and
+    ``started_ms`` the time of the endpoint's start, as it says, or 0.
+    """
 
     endpoint: EndpointId
     group: GroupName
@@ -115,6 +220,7 @@
     slots_count: int
     connection_limit_count: int
     group_size_count: int
+    started_ms: int = 0
     kind: EntryKind = EntryKind.ENDPOINT_JOINED
 
 
@@ -134,6 +240,14 @@
     kind: EntryKind = EntryKind.ENDPOINT_LOST
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointRemoved:
+    """The endpoint has left for good; it is forgotten."""
+
+    endpoint: EndpointId
+    kind: EntryKind = EntryKind.ENDPOINT_REMOVED
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupFormed:
     """First primary of a group, once all its servers have announced."""
@@ -260,9 +374,11 @@
 Entry = (
     NoOperation
     | PoolEdited
+    | DesiredStateReplaced
     | EndpointJoined
     | EndpointLeaving
     | EndpointLost
+    | EndpointRemoved
     | GroupFormed
     | TermRaised
     | PrimaryChosen
--- a/waxwinglift/version/_entry_codec.py
+++ b/waxwinglift/version/_entry_codec.py
@@ -6,6 +6,7 @@
 """
 
 import typing
+import zlib
 
 import pydantic
 
@@ -41,6 +42,14 @@
 _FLEET_ADAPTER = pydantic.TypeAdapter(FleetState)
 
 
+# A desired state with hundreds of pools shrinks to a tenth; small entries
+# stay readable.
+_COMPRESSED_FROM_BYTES = 4096
+_COMPRESSION_LEVEL = 6
+# First byte of an uncompressed entry, a JSON object.
+_OBJECT_START = b"{"
+
+
 def encode_entry(entry):
     """Return the stored form of ``entry``.
 
@@ -52,7 +61,10 @@
     -------
     bytes
     """
-    return _ENTRY_ADAPTER.dump_json(entry)
+    payload = _ENTRY_ADAPTER.dump_json(entry)
+    if len(payload) < _COMPRESSED_FROM_BYTES:
+        return payload
+    return zlib.compress(payload, _COMPRESSION_LEVEL)
 
 
 def decode_entry(payload):
@@ -63,6 +75,11 @@
     ValueError
         The bytes are not an entry of a known kind.
     """
+    if not payload.startswith(_OBJECT_START):
+        try:
+            payload = zlib.decompress(payload)
+        except zlib.error as error:
+            raise ValueError(f"bad entry: {error}") from error
     return _ENTRY_ADAPTER.validate_json(payload)
 
 
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -11,6 +11,7 @@
 
 from waxwinglift.process import Registry
 from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version import _failover_server_steps
 from waxwinglift.version._failover_progress import Progress
 from waxwinglift.version._failover_reach import ReachTable
 from waxwinglift.version._failover_scan import FleetScan
@@ -19,6 +20,9 @@
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import Term
 
+# Modules whose import fills the registry of steps.
+STEP_MODULES = (_failover_server_steps,)
+
 
 class FailoverSettings(pydantic.BaseModel):
     """Times of a change of primary.
@@ -50,6 +54,17 @@
         one may be cut off itself.
     propose_retry_ms : int
         Time after which an entry that was not committed is proposed again.
+    settle_ms : int
+        Time for which a change waits for further servers once one of them
+        could take over; with fencing by the servers only.
+    catch_up_limit_ms : int
+        Longest time without writes in which the replicas of a primary that
+        leaves may receive what it still has.
+    leave_limit_ms : int
+        Longest time for which a leaving primary goes on because no replica
+        is close behind it.
+    catch_up_lsn_count : int
+        Distance at which a replica counts as close behind.
     fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
         Time limits of the actions.  They bound what a silent connection
         costs, because the action is then repeated on a new one.
@@ -66,6 +81,10 @@
     cut_off_after_ms: int = 1000
     cut_off_count: int = 2
     propose_retry_ms: int = 500
+    settle_ms: int = 300
+    catch_up_limit_ms: int = 1500
+    leave_limit_ms: int = 3000
+    catch_up_lsn_count: int = 20
     fence_limit_ms: int = 400
     read_limit_ms: int = 250
     promote_limit_ms: int = 1000
@@ -150,6 +169,17 @@
         down = self._recent_report(daemon, now_ms) or {}
         return endpoint in down and down[endpoint].term >= term
 
+    def finds_up(self, daemon, endpoint, now_ms):
+        """Return whether ``daemon`` has just reported and not found it down.
+
+        A standby owner finds a silent primary down after its owner has, so
+        a report within the time of two renewals is recent enough.
+        """
+        down = self._recent_report(
+            daemon, now_ms, self.settings.handover_report_ms
+        )
+        return down is not None and endpoint not in down
+
     def unreachable(self, fleet, now_ms):
         """Return the endpoints that only their owner cannot reach.
 
@@ -303,6 +333,8 @@
         return ()
     progress.done(messages.FenceServer, event.endpoint)
     progress.fenced.add(event.endpoint)
+    if event.position is not None:
+        progress.positions[event.endpoint] = (event.position, now_ms)
     return (event.group,)
 
 
@@ -313,6 +345,8 @@
         return ()
     if progress.done(messages.ReadPosition, event.endpoint):
         progress.positions[event.endpoint] = (event.position, now_ms)
+        if event.is_primary:
+            progress.leading.add(event.endpoint)
     return (event.group,)
 
 
@@ -348,6 +382,8 @@
         due_ms = now_ms + planner.settings.lost_retry_ms
     progress.retry_at(type(action), action.endpoint, due_ms, event.message)
     progress.note_reached(action.endpoint, event.is_reached, now_ms)
+    if event.is_gone:
+        progress.gone.add(action.endpoint)
     return (action.group,)
 
 
--- a/waxwinglift/version/_failover_messages.py
+++ b/waxwinglift/version/_failover_messages.py
@@ -37,7 +37,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FenceServer(ServerAction):
-    """Clear the server's upstream and wait until its receiver stopped."""
+    """Stop the server's receiver.
+
+    ``timeline`` is above every one that the group has used; servers that
+    fence themselves ask for it.
+    """
+
+    timeline: Timeline = Timeline(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,21 +127,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerFenced:
-    """The server has confirmed that its receiver has stopped."""
+    """The server has confirmed that its receiver has stopped.
+
+    ``position`` is what it has received, when the same answer says so.
+    """
 
     group: GroupName
     term: Term
     endpoint: EndpointId
+    position: ServerPosition | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PositionRead:
-    """Answer to ReadPosition."""
+    """Answer to ReadPosition; ``is_primary`` is the server's own word."""
 
     group: GroupName
     term: Term
     endpoint: EndpointId
     position: ServerPosition
+    is_primary: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,9 +172,11 @@
 class ActionFailed:
     """The action failed or ran into its time limit.
 
-    ``is_reached`` says that the server answered.
+    ``is_reached`` says that the server answered, ``is_gone`` that it does not
+    run any more.
     """
 
     action: ServerAction
     message: str
     is_reached: bool = False
+    is_gone: bool = False
--- a/waxwinglift/version/_failover_progress.py
+++ b/waxwinglift/version/_failover_progress.py
@@ -56,6 +56,12 @@
 
     key: tuple
     fenced: set = dataclasses.field(default_factory=set)
+    # Servers that say that they are the primary.
+    leading: set = dataclasses.field(default_factory=set)
+    # Servers that do not run any more, as the platform says.
+    gone: set = dataclasses.field(default_factory=set)
+    # Whether no proxy sends writes to the old primary any more.
+    is_quiet: bool = False
     positions: dict = dataclasses.field(default_factory=dict)
     # Timeline of the chosen server once it is promoted.
     timeline: Timeline | None = None
@@ -66,6 +72,13 @@
     unreached_ms: dict = dataclasses.field(default_factory=dict)
     proposed: object = None
     proposed_ms: float = 0.0
+    started_ms: float | None = None
+
+    def age_ms(self, now_ms):
+        """Return the time since the first call in this term and phase."""
+        if self.started_ms is None:
+            self.started_ms = now_ms
+        return now_ms - self.started_ms
 
     def may_start(self, action_type, endpoint, now_ms):
         """Return whether the action is neither under way nor in back-off."""
--- a/waxwinglift/version/_failover_scan.py
+++ b/waxwinglift/version/_failover_scan.py
@@ -67,6 +67,8 @@
         is_lost = endpoint.state is EndpointState.LOST
         if is_lost is not (endpoint.endpoint in self._planner.lost):
             return True
+        if group.is_server_fenced:
+            return False
         if is_primary or endpoint.role is not EndpointRole.REPLICA:
             return False
         is_behind = find_term(group, endpoint.term) != group.term
--- /dev/null
+++ b/waxwinglift/version/_failover_server_steps.py
@@ -0,0 +1,237 @@
+"""Steps of a change of primary in groups whose servers fence themselves.
+
+A server refuses writes from the moment that it loses its role, so nothing
+has to wait for leases.  What is left to decide is which server has received
+most, and, when the old primary leaves in order, that nothing is lost.
+"""
+
+from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version._entries import PrimaryActive
+from waxwinglift.version._entries import PrimaryChosen
+from waxwinglift.version._entries import TermRaised
+from waxwinglift.version._failover_steps import on_phase
+from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import Fencing
+from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import Lsn
+from waxwinglift.version._types import Term
+from waxwinglift.version._types import Timeline
+
+
+@on_phase(GroupPhase.FORMING, Fencing.SERVER)
+def _step_forming(change):
+    count = len(change.members)
+    return f"forming: none of {count} known servers is the only primary"
+
+
+@on_phase(GroupPhase.ACTIVE, Fencing.SERVER)
+def _step_active(change):
+    progress = change.progress
+    reason = change.why_failed()
+    if reason is None:
+        progress.positions.clear()
+        progress.started_ms = None
+        return None
+    waited_ms = progress.age_ms(change.now_ms)
+    if not _successors(change):
+        return f"{reason}; no other server is known"
+    if _leaves_in_order(change):
+        _read_all(change)
+        is_late = waited_ms >= change.settings.leave_limit_ms
+        if not is_late and not _is_close(change):
+            return f"{reason}; waiting for a replica close behind it"
+    term = Term(change.group.term + 1)
+    change.propose(TermRaised(change.group.group, term))
+    return f"{reason}; raising the term to {term}"
+
+
+@on_phase(GroupPhase.FENCING, Fencing.SERVER)
+def _step_fencing(change):
+    waited_ms = change.progress.age_ms(change.now_ms)
+    if _leaves_in_order(change) and not _has_settled(change, waited_ms):
+        return "waiting for a replica to receive all writes"
+    successors = _successors(change)
+    for endpoint in successors:
+        if endpoint.endpoint not in change.progress.fenced:
+            change.send(
+                messages.FenceServer,
+                endpoint,
+                change.settings.fence_limit_ms,
+                timeline=Timeline(change.group.term),
+            )
+    names = {endpoint.endpoint for endpoint in successors}
+    fenced = change.progress.fenced & names & change.progress.positions.keys()
+    if fenced and _are_enough(change, fenced, names, waited_ms):
+        _choose(change, fenced)
+        return "choosing the new primary"
+    if not fenced and waited_ms >= change.settings.cut_off_after_ms:
+        return _return_to_old(change)
+    return f"waiting for servers to be fenced: {_missing(names, fenced)}"
+
+
+@on_phase(GroupPhase.PROMOTING, Fencing.SERVER)
+def _step_promoting(change):
+    group = change.group
+    progress = change.progress
+    if progress.timeline is not None:
+        change.propose(
+            PrimaryActive(group.group, group.term, progress.timeline)
+        )
+        return f"{group.primary} is promoted; resuming writes"
+    primary = change.fleet.endpoints[group.primary]
+    change.send(
+        messages.PromoteServer, primary, change.settings.promote_limit_ms
+    )
+    failure = progress.failure(messages.PromoteServer, group.primary)
+    status = f"waiting for {group.primary} to be promoted{failure}"
+    if not _is_chosen_lost(change):
+        return status
+    term = Term(group.term + 1)
+    change.propose(TermRaised(group.group, term))
+    return f"{status}; raising the term to {term}"
+
+
+def _successors(change):
+    """Return the members that may take over, in order of their ids.
+
+    Lost ones do not count: what was acknowledged while they were lost is on
+    the others.
+    """
+    return [
+        endpoint
+        for endpoint in change.members
+        if endpoint.endpoint != change.group.primary
+        and endpoint.state is not EndpointState.LOST
+    ]
+
+
+def _leaves_in_order(change):
+    """Return whether the old primary still works while it is replaced."""
+    primary = change.fleet.endpoints.get(change.group.primary)
+    if primary is None or primary.state is not EndpointState.LEAVING:
+        return False
+    return change.why_down() is None
+
+
+def _read_all(change):
+    primary = change.fleet.endpoints[change.group.primary]
+    change.read(primary)
+    for endpoint in _successors(change):
+        change.read(endpoint)
+
+
+def _distance(change):
+    """Return how far the best successor is behind, None when unknown."""
+    positions = change.progress.positions
+    old = positions.get(change.group.primary)
+    others = [
+        positions[endpoint.endpoint][0]
+        for endpoint in _successors(change)
+        if endpoint.endpoint in positions
+    ]
+    if old is None or not others:
+        return None
+    best = max(others)
+    if best.timeline != old[0].timeline:
+        return None
+    return old[0].lsn - best.lsn
+
+
+def _is_close(change):
+    distance = _distance(change)
+    limit = change.settings.catch_up_lsn_count
+    return distance is not None and distance <= limit
+
+
+def _has_settled(change, waited_ms):
+    """Return whether a successor has all that the old primary wrote.
+
+    The old primary's position counts only once no proxy sends it writes any
+    more.
+    """
+    progress = change.progress
+    if waited_ms >= change.settings.catch_up_limit_ms:
+        return True
+    if not progress.is_quiet:
+        is_quiet = change.has_passed()
+        progress.is_quiet = is_quiet or waited_ms >= change.settings.settle_ms
+        progress.positions.clear()
+        return False
+    _read_all(change)
+    distance = _distance(change)
+    return distance is not None and distance <= 0
+
+
+def _are_enough(change, fenced, names, waited_ms):
+    """Return whether one of the fenced servers has every commit it must.
+
+    A commit is on the primary and on ``sync_replicas_count`` replicas, so as
+    many less one may be missing among the fenced ones.
+    """
+    if fenced == names:
+        return True
+    settings = change.group.settings
+    sync_count = 0 if settings is None else settings.sync_replicas_count
+    if sync_count and len(fenced) < len(names) - sync_count + 1:
+        return False
+    return waited_ms >= change.settings.settle_ms
+
+
+def _choose(change, fenced):
+    """Propose the server that has received most.
+
+    A higher timeline goes before a longer log.  Among equals a server that
+    is not leaving is preferred.
+    """
+    positions = change.progress.positions
+    leaving = {
+        endpoint.endpoint
+        for endpoint in change.members
+        if endpoint.state is EndpointState.LEAVING
+    }
+    best = max(
+        sorted(fenced),
+        key=lambda name: (positions[name][0], name not in leaving),
+    )
+    _propose_choice(change, best, positions[best][0])
+
+
+def _return_to_old(change):
+    """Go back to the old primary when it answers and no other server does."""
+    name = change.group.primary
+    primary = change.fleet.endpoints.get(name)
+    if primary is None:
+        return "no server answers"
+    change.read(primary)
+    if name in change.progress.leading:
+        _propose_choice(change, name, change.progress.positions[name][0])
+    return f"no successor answers; asking {name}"
+
+
+def _propose_choice(change, name, position):
+    group = change.group
+    change.propose(
+        PrimaryChosen(
+            group.group,
+            group.term,
+            name,
+            Term(position.timeline),
+            Lsn(position.lsn),
+        )
+    )
+
+
+def _is_chosen_lost(change):
+    """Return whether another server must be chosen.
+
+    A promotion that is only slow is waited for: its outcome is not known.
+    """
+    name = change.group.primary
+    if name in change.progress.gone:
+        return True
+    since_ms = change.now_ms - change.settings.rechoose_after_ms
+    return change.progress.is_unreached(name, since_ms)
+
+
+def _missing(names, fenced):
+    return ", ".join(sorted(names - fenced)) or "none is known"
--- a/waxwinglift/version/_failover_steps.py
+++ b/waxwinglift/version/_failover_steps.py
@@ -12,18 +12,24 @@
 from waxwinglift.version._fleet import find_term
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import Fencing
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import Term
 
 # A step takes a Change, adds actions to it and returns a status or None.
+# Steps are found by the group's fencing and phase.
 PHASE_STEPS = Registry()
-on_phase = PHASE_STEPS.register
+
+
+def on_phase(phase, fencing=Fencing.LEASE):
+    """Return a decorator that registers the step of a phase."""
+    return PHASE_STEPS.register((fencing, phase))
 
 
 def advance_group(planner, fleet, group, members, now_ms):
     """Return the next actions of ``group`` and update its status."""
     change = Change(planner, fleet, group, members, now_ms)
-    status = PHASE_STEPS[group.phase](change)
+    status = PHASE_STEPS[group.fencing, group.phase](change)
     change.progress.status = status or ""
     return change.actions
 
@@ -101,6 +107,8 @@
         if assignment is None:
             return None
         if self.is_down(assignment.owner):
+            if self.group.is_server_fenced and self.is_found_up(assignment):
+                return None
             return "owner reports the primary down"
         is_owner_live = assignment.owner in self.planner.live_daemons
         if not is_owner_live and self.is_down(assignment.standby):
@@ -127,6 +135,15 @@
             daemon, self.group.primary, self.group.term, self.now_ms
         )
 
+    def is_found_up(self, assignment):
+        """Return whether the standby owner, which probes too, is served.
+
+        The owner alone may be cut off; requests then go to the standby.
+        """
+        return self.planner.finds_up(
+            assignment.standby, self.group.primary, self.now_ms
+        )
+
     def has_passed(self):
         """Return whether no lease holder can still use the old primary."""
         if self.planner.observed_index < self.group.raised_index:
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -7,13 +7,17 @@
 from waxwinglift.process import Address
 from waxwinglift.process import DaemonId
 from waxwinglift.process import Location
+from waxwinglift.version._entries import GroupSettings
 from waxwinglift.version._entries import OwnerAssignment
 from waxwinglift.version._entries import PoolTable
+from waxwinglift.version._entries import ServingLimits
 from waxwinglift.version._types import DaemonState
+from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
 from waxwinglift.version._types import EndpointId
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
+from waxwinglift.version._types import Fencing
 from waxwinglift.version._types import GroupName
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import LogIndex
@@ -46,7 +50,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Endpoint:
-    """One announced database server; ``term`` is its own timeline."""
+    """One announced database server.
+
+    ``term`` is its own timeline, 0 where announcements do not tell it.
+    """
 
     endpoint: EndpointId
     group: GroupName
@@ -57,6 +64,7 @@
     slots_count: int
     connection_limit_count: int
     state: EndpointState
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,7 +73,9 @@
 
     ``raised_index`` is the log index of the last TermRaised; every daemon
     with a lease must have applied it before a promotion.  ``timelines`` gives
-    the term of each timeline in the history of the current primary.
+    the term of each timeline in the history of the current primary.  With
+    fencing by the servers positions carry their timelines instead, and
+    ``term_ends`` is keyed by them.
     """
 
     group: GroupName
@@ -76,6 +86,13 @@
     raised_index: LogIndex
     term_ends: dict[Term, Lsn]
     timelines: dict[Timeline, Term]
+    fencing: Fencing = Fencing.LEASE
+    settings: GroupSettings | None = None
+
+    @property
+    def is_server_fenced(self):
+        """Whether a replaced primary refuses writes by itself."""
+        return self.fencing is Fencing.SERVER
 
 
 def find_term(group, timeline):
@@ -90,6 +107,8 @@
         0 for a timeline from before the group was formed, None for one that
         is not in the history of the group's current primary.
     """
+    if group.is_server_fenced:
+        return Term(timeline)
     if timeline in group.timelines:
         return group.timelines[timeline]
     is_earlier = timeline < min(group.timelines, default=0)
@@ -104,6 +123,10 @@
     """
     if endpoint.state is EndpointState.LOST:
         return endpoint.endpoint == group.primary
+    if endpoint.state is EndpointState.LEAVING and group.is_server_fenced:
+        # Its successor is chosen while it still serves.
+        is_primary = endpoint.endpoint == group.primary
+        return is_primary and group.phase is GroupPhase.ACTIVE
     return endpoint.state is EndpointState.JOINED
 
 
@@ -135,6 +158,20 @@
     version: TableVersion
 
 
+@dataclasses.dataclass(slots=True)
+class DesiredState:
+    """The operator's whole desired state, as it was accepted.
+
+    ``document`` holds the lines that the operator sent.  The pools are among
+    the pools of the fleet; ``pool_names`` tells them from others.
+    """
+
+    version: DesiredVersion
+    document: tuple[str, ...]
+    pool_names: frozenset[PoolName]
+    limits: ServingLimits
+
+
 @dataclasses.dataclass
 class FleetState:
     """Everything that the control log describes.
@@ -158,6 +195,7 @@
     edit_answers: dict[EditId, EditAnswer] = dataclasses.field(
         default_factory=dict
     )
+    desired: DesiredState | None = None
 
     def __post_init__(self):
         # Not fields: snapshots and comparisons leave the indexes out.
@@ -189,6 +227,18 @@
         if pool.table is not None:
             self._group_pools[pool.table.group][name] = pool
 
+    def remove_pool(self, name: PoolName):
+        """Forget a pool and its version."""
+        self.set_pool(name, Pool(None, TableVersion(0)))
+        del self.pools[name]
+
+    def connection_limit_count(self, endpoint: Endpoint) -> int:
+        """Return the connections that an endpoint accepts from everyone."""
+        group = self.groups.get(endpoint.group)
+        if group is not None and group.settings is not None:
+            return group.settings.connection_limit_count
+        return endpoint.connection_limit_count
+
     def endpoints_of(self, group: GroupName) -> Collection[Endpoint]:
         """Return the endpoints of a group, also those that are lost."""
         return self._group_endpoints.get(group, {}).values()
--- /dev/null
+++ b/waxwinglift/version/_membership.py
@@ -0,0 +1,167 @@
+"""Which control daemons vote, as decisions of the control leader.
+
+Members are named by their disks: one that comes back with an empty disk has
+a new name, because it has forgotten its votes.  It starts as a learner like
+any other new member.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+import pydantic
+
+from waxwinglift.process import Address
+from waxwinglift.process import DaemonId
+from waxwinglift.version._consensus_messages import MemberRole
+from waxwinglift.version._entries import Entry
+from waxwinglift.version._entries import MemberAdded
+from waxwinglift.version._entries import MemberPromoted
+from waxwinglift.version._entries import MemberRemoved
+
+
+class MembershipSettings(pydantic.BaseModel):
+    """Limits of the control group.
+
+    Parameters
+    ----------
+    voters_count : int
+        Voters that the group should have, 2 f + 1 to bear f losses.
+    members_limit_count : int
+        Most members, learners included.
+    replace_after_ms : int
+        Silence after which a learner takes the place of a voter.  A restart
+        takes less.
+    forget_learner_ms : int
+        Silence after which a learner is removed.
+    join_ttl_ms : int
+        Age at which a request to join no longer counts; members repeat it.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    voters_count: int = pydantic.Field(5, ge=1)
+    members_limit_count: int = pydantic.Field(9, ge=1)
+    replace_after_ms: int = pydantic.Field(2500, gt=0)
+    forget_learner_ms: int = pydantic.Field(10_000, gt=0)
+    join_ttl_ms: int = pydantic.Field(2000, gt=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinRequest:
+    """A control daemon asks to become a member."""
+
+    member: DaemonId
+    address: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupContacts:
+    """What the leader knows of the members.
+
+    Parameters
+    ----------
+    leader : DaemonId
+    members : sequence of MemberRole
+    addresses : mapping of DaemonId to Address
+    silent_ms : mapping of DaemonId to float
+        Time since each other member answered last.
+    caught_up : frozenset of DaemonId
+        Members that hold all committed entries.
+    """
+
+    leader: DaemonId
+    members: Sequence[MemberRole]
+    addresses: Mapping[DaemonId, Address]
+    silent_ms: Mapping[DaemonId, float]
+    caught_up: frozenset[DaemonId]
+
+    @property
+    def voters(self):
+        """Members that vote."""
+        return [m.member for m in self.members if m.is_voter]
+
+    @property
+    def learners(self):
+        """Members that do not vote."""
+        return [m.member for m in self.members if not m.is_voter]
+
+
+class MembershipPlanner:
+    """Proposes one change of the control group at a time.
+
+    Parameters
+    ----------
+    settings : MembershipSettings
+    """
+
+    def __init__(self, settings: MembershipSettings):
+        self.settings = settings
+        self._requests: dict[DaemonId, tuple[JoinRequest, float]] = {}
+
+    def note_request(self, request: JoinRequest, now_ms: float):
+        """Record that a daemon asks to join."""
+        self._requests[request.member] = (request, now_ms)
+
+    def plan(self, contacts: GroupContacts, now_ms: float) -> Entry | None:
+        """Return the next change, None when nothing has to change."""
+        return (
+            self._plan_join(contacts, now_ms)
+            or self._plan_promotion(contacts)
+            or self._plan_forgetting(contacts)
+        )
+
+    def _plan_join(self, contacts, now_ms):
+        for request in self._fresh_requests(now_ms):
+            if request.member in contacts.addresses:
+                continue
+            predecessor = _find_predecessor(contacts, request)
+            if predecessor is not None:
+                return MemberRemoved(predecessor)
+            if len(contacts.members) < self.settings.members_limit_count:
+                return MemberAdded(request.member, request.address)
+        return None
+
+    def _fresh_requests(self, now_ms):
+        oldest_ms = now_ms - self.settings.join_ttl_ms
+        self._requests = {
+            member: (request, received_ms)
+            for member, (request, received_ms) in self._requests.items()
+            if received_ms >= oldest_ms
+        }
+        return [request for request, _ in self._requests.values()]
+
+    def _plan_promotion(self, contacts):
+        ready = [m for m in contacts.learners if m in contacts.caught_up]
+        if not ready:
+            return None
+        if len(contacts.voters) < self.settings.voters_count:
+            return MemberPromoted(min(ready))
+        silent = [
+            member
+            for member in contacts.voters
+            if contacts.silent_ms.get(member, 0.0)
+            >= self.settings.replace_after_ms
+        ]
+        if not silent:
+            return None
+        longest = max(silent, key=lambda m: (contacts.silent_ms[m], m))
+        return MemberRemoved(longest)
+
+    def _plan_forgetting(self, contacts):
+        for member in contacts.learners:
+            silent_ms = contacts.silent_ms.get(member, 0.0)
+            if silent_ms >= self.settings.forget_learner_ms:
+                return MemberRemoved(member)
+        return None
+
+
+def _find_predecessor(contacts, request):
+    """Return the member that had the address of a new one before.
+
+    Its disk is gone: two processes cannot listen at one address.
+    """
+    for member, address in contacts.addresses.items():
+        if address == request.address and member != contacts.leader:
+            return member
+    return None
--- a/waxwinglift/version/_types.py
+++ b/waxwinglift/version/_types.py
@@ -16,6 +16,10 @@
 LogIndex = NewType("LogIndex", int)
 TableVersion = NewType("TableVersion", int)
 Epoch = NewType("Epoch", int)
+# Version that operators give to a whole desired state.
+DesiredVersion = NewType("DesiredVersion", int)
+# Drawn at each start of a process or at each new disk of a control member.
+Incarnation = NewType("Incarnation", int)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -82,3 +86,28 @@
 
     ACTIVE = "active"
     DRAINING = "draining"
+
+
+class Fencing(enum.Enum):
+    """What keeps a replaced primary from serving.
+
+    LEASE: proxies act only on a live lease, because the endpoint does not
+    know that it was replaced.  SERVER: the endpoint itself refuses writes
+    and plain transactions as soon as it has lost its role.
+    """
+
+    LEASE = "lease"
+    SERVER = "server"
+
+
+class Consistency(enum.Enum):
+    """What the reads of a pool must see.
+
+    PRIMARY: every acknowledged commit.  BOUNDED_STALENESS: every commit
+    acknowledged more than a stated time ago.  SESSION: the same, and every
+    commit of the own session.
+    """
+
+    PRIMARY = "primary"
+    BOUNDED_STALENESS = "bounded_staleness"
+    SESSION = "session"
--- a/waxwinglift_bench/process/_slopes_proxy.py
+++ b/waxwinglift_bench/process/_slopes_proxy.py
@@ -2,7 +2,7 @@
 
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._fleet_view import FleetView
-from waxwinglift.process._owner import EndpointOwner
+from waxwinglift.process._postgresql_owner import PostgresOwner
 from waxwinglift_bench.process import _slopes_fleet
 from waxwinglift_bench.process._slopes_requests import step_measurement
 
@@ -22,7 +22,7 @@
     endpoints = list(fleet.endpoints)[:: _slopes_fleet.GROUP_SIZE_COUNT]
     settings = OwnerSettings()
     return [
-        EndpointOwner(endpoint, settings, view)
+        PostgresOwner(endpoint, settings, view)
         for endpoint in endpoints[:ENDPOINTS_COUNT]
     ]
 
--- a/waxwinglift_bench/process/_slopes_transport.py
+++ b/waxwinglift_bench/process/_slopes_transport.py
@@ -68,6 +68,18 @@
         await stream.recv_message()
         await stream.send_message(control_pb2.StatusReply())
 
+    async def Join(self, stream):  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(control_pb2.JoinReply(accepted=True))
+
+    async def ConfirmIndex(self, stream):  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(control_pb2.ConfirmIndexReply())
+
+    async def ReplaceDesiredState(self, stream):  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(control_pb2.DesiredStateReply())
+
 
 class _ByteCounter:
     """Forwards connections to the server and counts their bytes."""
--- a/waxwinglift_standin/process/tests/test_service.py
+++ b/waxwinglift_standin/process/tests/test_service.py
@@ -28,6 +28,7 @@
         raise NotImplementedError
 
     Renew = Watch = Relay = Consensus = Propose = Status = _unused
+    Join = ConfirmIndex = ReplaceDesiredState = _unused
 
 
 @contextlib.asynccontextmanager
