--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -77,6 +77,9 @@
         self.settings = settings
         self.limit_count = (connection_limit_count - 1) // 2
         self.slots_count = slots_count
+        # Connections kept open without demand; None for the slots and the
+        # spare ones.
+        self.warm_count = None
         self._connections = {}
         self._waiting = collections.OrderedDict()
         self._is_enabled = False
@@ -245,6 +248,18 @@
             actions += self._check(connection, now_ms)
         return actions + self._serve(now_ms)
 
+    def shrink(self, now_ms):
+        """Close idle connections beyond the limit, which may have fallen."""
+        actions = []
+        excess_count = len(self._connections) - self.limit_count
+        for connection, record in list(self._connections.items()):
+            if excess_count <= 0:
+                break
+            if record.state is ConnectionState.IDLE:
+                actions += self._close(connection, now_ms)
+                excess_count -= 1
+        return actions
+
     def _check(self, connection, now_ms):
         record = self._connections[connection]
         limit_ms = self._limits_ms.get(record.state, float("inf"))
@@ -292,14 +307,18 @@
 
     def _check_idle(self, connection, now_ms):
         # Replacements of suspects that turned out healthy are surplus.
-        if self._usable_count() > self._wanted_count():
+        is_surplus = self._usable_count() > self._wanted_count()
+        if is_surplus and not self.settings.keeps_surplus:
             return self._close(connection, now_ms)
         return self._probe(connection, now_ms)
 
     def _wanted_count(self):
         busy_count = self._count(ConnectionState.BUSY)
         needed_count = busy_count + len(self._waiting)
-        return max(self.slots_count + self.settings.spare_count, needed_count)
+        warm_count = self.warm_count
+        if warm_count is None:
+            warm_count = self.slots_count + self.settings.spare_count
+        return max(warm_count, needed_count)
 
     def _usable_count(self):
         usable_count = len(self._connections)
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import enum
 import functools
 
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection._backend import EndpointConnection
+from waxwinglift.connection._endpoint_errors import EndpointFull
 from waxwinglift.connection._endpoint_errors import EndpointRefused
 from waxwinglift.connection._endpoint_pool import CloseConnection
 from waxwinglift.connection._endpoint_pool import EndpointPool
@@ -26,6 +28,14 @@
 _performs = _performers.register
 
 
+class Opening(enum.Enum):
+    """How the opening of a connection ended."""
+
+    OPENED = "opened"
+    REFUSED = "refused"
+    FULL = "full"
+
+
 class ConnectionKeeper:
     """Opens, probes, lends and closes the connections of one endpoint.
 
@@ -39,6 +49,8 @@
         Called when the endpoint shows that it is alive.
     on_silence : callable
         Called with the id of a connection whose probe got no answer.
+    on_attempt : callable, optional
+        Called with an `Opening` each time an opening has ended.
     """
 
     def __init__(
@@ -48,12 +60,14 @@
         now_ms: Callable[[], float],
         on_life: Callable[[], None],
         on_silence: Callable[[ConnectionId], None],
+        on_attempt: Callable[["Opening"], None] = lambda opening: None,
     ):
         self.pool = pool
         self._open_connection = open_connection
         self._now_ms = now_ms
         self._on_life = on_life
         self._on_silence = on_silence
+        self._on_attempt = on_attempt
         self._has_lost = False
         self._connections: dict[ConnectionId, EndpointConnection] = {}
         self._tasks: dict[ConnectionId, asyncio.Task] = {}
@@ -92,6 +106,14 @@
         now_ms = self._now_ms()
         self.perform(self.pool.suspect_siblings(connection, now_ms))
 
+    def open_one(self):
+        """Open one connection more, unless the limit is reached."""
+        self.perform(self.pool.open_one(self._now_ms()))
+
+    def shrink(self):
+        """Close idle connections beyond the pool's limit."""
+        self.perform(self.pool.shrink(self._now_ms()))
+
     def probe_longest_idle(self, before_ms: float) -> bool:
         """Probe a connection idle since before a time, if there is one."""
         now_ms = self._now_ms()
@@ -179,15 +201,18 @@
     async def _finish_open(self, connection):
         try:
             link = await self._open_connection()
-        except EndpointRefused:
+        except EndpointRefused as error:
             now_ms = self._now_ms()
             self.perform(self.pool.on_open_failed(connection, now_ms))
+            is_full = isinstance(error, EndpointFull)
+            self._on_attempt(Opening.FULL if is_full else Opening.REFUSED)
             return
         # A server may accept connections and run no statement, so this is no
         # sign of life.
         self._connections[connection] = link
         link.on_lost = self._note_lost
         self.perform(self.pool.on_opened(connection, self._now_ms()))
+        self._on_attempt(Opening.OPENED)
 
     def _note_lost(self):
         # The transaction on it may still read the last bytes.
--- /dev/null
+++ b/waxwinglift/connection/_statement_link.py
@@ -0,0 +1,88 @@
+"""A connection to an endpoint and what is in force on it."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from waxwinglift.connection._statement_ports import StatementConnection
+from waxwinglift.request._statements import Command
+from waxwinglift.request._statements import CommandKind
+from waxwinglift.request._statements import PreparedShape
+from waxwinglift.request._statements import Reply
+
+Values = Mapping[bytes, bytes]
+
+
+class StatementLink:
+    """One connection, its session values and its prepared statements.
+
+    Parameters
+    ----------
+    connection : StatementConnection
+    """
+
+    def __init__(self, connection: StatementConnection):
+        self.connection = connection
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: set[bytes] = set()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether neither side has closed the connection."""
+        return self.connection.is_usable
+
+    @property
+    def on_lost(self):
+        """Called when the connection ends."""
+        return self.connection.on_lost
+
+    @on_lost.setter
+    def on_lost(self, listener):
+        self.connection.on_lost = listener
+
+    def probe(self, on_probed):
+        """Send something that needs no slot; report how it ended."""
+        self.connection.probe(on_probed)
+
+    def close(self):
+        """Close at once."""
+        self.connection.close()
+
+    async def run(self, commands: Sequence[Command]) -> list[Reply]:
+        """Send commands in one piece and return their replies.
+
+        Raises
+        ------
+        EndpointConnectionLost
+            The replies are not complete.
+        """
+        return await self.connection.run(commands)
+
+    def align(self, wanted: Values) -> list[Command]:
+        """Return the commands that bring ``wanted`` in force.
+
+        They count as done: a connection on which one fails is closed.
+        """
+        commands = []
+        if self.values.keys() - wanted.keys():
+            commands.append(Command(CommandKind.RESET))
+            self.values = {}
+            self.prepared.clear()
+        for name, value in wanted.items():
+            if self.values.get(name) != value:
+                commands.append(
+                    Command(CommandKind.SET, name=name, arguments=value)
+                )
+                self.values[name] = value
+        return commands
+
+    def prepare(self, shape: PreparedShape) -> tuple[bytes, list[Command]]:
+        """Return the name of a shape here and the commands that define it.
+
+        The same shape has one name whatever callers call it, so that their
+        names cannot collide.
+        """
+        name = (b"w_" if shape.is_write else b"r_") + shape.shape
+        if name in self.prepared:
+            return name, []
+        self.prepared.add(name)
+        return name, [Command(CommandKind.PREPARE, name=name, shape=shape)]
--- /dev/null
+++ b/waxwinglift/connection/_statement_monitor.py
@@ -0,0 +1,100 @@
+"""Health of one endpoint, judged on its serving connections."""
+
+from collections.abc import Callable
+
+from waxwinglift.connection import HealthState
+from waxwinglift.connection._owner_connections import Opening
+from waxwinglift.connection._silence import HealthChanged
+from waxwinglift.connection._silence import HealthMonitor
+from waxwinglift.connection._silence import SendProbe
+from waxwinglift.connection._silence import SuspectSiblings
+from waxwinglift.connection._silence import TryNewConnection
+from waxwinglift.process import Registry
+from waxwinglift.process._policy_settings import HealthSettings
+
+# Methods that perform one type of health action.
+_performers = Registry()
+_performs = _performers.register
+
+
+class StatementMonitor:
+    """Probes an endpoint without a connection of its own.
+
+    Connections are scarce where statements are typed, and every statement
+    shows that the endpoint lives.
+
+    Parameters
+    ----------
+    settings : HealthSettings
+    now_ms : callable
+    on_health : callable
+        Called with each new HealthState.
+    """
+
+    def __init__(
+        self,
+        settings: HealthSettings,
+        now_ms: Callable[[], float],
+        on_health: Callable[[HealthState], None],
+    ):
+        self.health = HealthMonitor(settings)
+        self._now_ms = now_ms
+        self._on_health = on_health
+        self._connections = None
+        self._answer_ms = float("-inf")
+
+    def attach(self, connections):
+        """Use the connections of a ConnectionKeeper."""
+        self._connections = connections
+
+    def start(self):
+        """Do nothing: the pool opens the connections."""
+
+    def stop(self):
+        """Do nothing: the pool closes the connections."""
+
+    def tick(self):
+        """Send the probes that are due and judge the silence."""
+        now_ms = self._now_ms()
+        if now_ms >= self.health.due_ms:
+            self.perform(self.health.tick(now_ms))
+
+    def note_life(self):
+        """Record an answer on any connection."""
+        self._answer_ms = self._now_ms()
+        self.perform(self.health.on_answer(self._answer_ms))
+
+    def note_silence(self, connection):
+        """Record that a request got no answer in time."""
+        self.perform(self.health.on_silent(connection, self._now_ms()))
+
+    def note_attempt(self, opening: Opening):
+        """Record how the opening of a connection ended."""
+        now_ms = self._now_ms()
+        if opening is Opening.REFUSED:
+            self.perform(self.health.on_refused(now_ms))
+        else:
+            # One that has no connection left has answered as well.
+            self._answer_ms = now_ms
+            self.perform(self.health.on_opened(now_ms))
+
+    def perform(self, actions):
+        """Perform the actions of the health monitor in order."""
+        for action in actions:
+            _performers[type(action)](self, action)
+
+    @_performs(SendProbe)
+    def _send_probe(self, action):
+        self._connections.probe_longest_idle(self._answer_ms)
+
+    @_performs(TryNewConnection)
+    def _try_new_connection(self, action):
+        self._connections.open_one()
+
+    @_performs(SuspectSiblings)
+    def _suspect_siblings(self, action):
+        self._connections.suspect_siblings(action.connection)
+
+    @_performs(HealthChanged)
+    def _change_health(self, action):
+        self._on_health(action.state)
--- /dev/null
+++ b/waxwinglift/connection/_statement_session.py
@@ -0,0 +1,297 @@
+"""One caller's session where statements are typed."""
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._statement_ports import CallerEnd
+from waxwinglift.connection._statement_ports import CallerFault
+from waxwinglift.connection._statement_ports import CallerMistake
+from waxwinglift.connection._statement_ports import CallerStartup
+from waxwinglift.connection._statement_ports import StatementCaller
+from waxwinglift.process import Registry
+from waxwinglift.process._data_path_route import EntryContext
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
+from waxwinglift.request._floors import advance_floor
+from waxwinglift.request._statement_run import StatementRunner
+from waxwinglift.request._statements import PreparedShape
+from waxwinglift.request._statements import Statement
+from waxwinglift.request._statements import StatementAnswer
+from waxwinglift.request._statements import StatementVerb
+from waxwinglift.version import Position
+
+_IDLE = TransactionStatus.IDLE
+_IN_TRANSACTION = TransactionStatus.IN_TRANSACTION
+_FAILED = TransactionStatus.FAILED
+_DONE = StatementAnswer()
+
+_FAULT_CODES = {
+    CallerFault.MALFORMED: FailureCode.BAD_MESSAGE,
+    CallerFault.TOO_LARGE: FailureCode.TOO_LARGE,
+}
+_FAILED_BLOCK = not_run(
+    FailureCode.FAILED_BLOCK, "the transaction failed; end it first"
+)
+_READ_BLOCK = not_run(
+    FailureCode.ABORTED, "a transaction that only reads cannot write"
+)
+
+# Methods that serve a statement, by its verb.
+_verbs = Registry()
+_serves = _verbs.register
+
+
+class StatementSession:
+    """Serves one caller from start-up to the end of its connection.
+
+    The proxy itself answers what only concerns the session.  A block is
+    opened at an endpoint with its first statement that needs data.
+
+    Parameters
+    ----------
+    context : EntryContext
+    caller : StatementCaller
+    is_draining : callable
+        Returns whether the session is to end as soon as it is idle.
+    """
+
+    def __init__(
+        self, context: EntryContext, caller: StatementCaller, is_draining
+    ):
+        self.caller = ""
+        self.table = None
+        self.floor: Position | None = None
+        self.settings: dict[str, str] = {}
+        self._context = context
+        self._connection = caller
+        self._is_draining = is_draining
+        self._prepared: dict[bytes, PreparedShape] = {}
+        self._status = _IDLE
+        self._is_read_block = False
+        self._are_settings_new = False
+        self._is_answering = False
+        self._runner = StatementRunner(context, self)
+
+    @property
+    def policy(self):
+        """Policy of the session's pool."""
+        return self.table.policy
+
+    @property
+    def has_left(self) -> bool:
+        """Whether nobody waits for an answer any more."""
+        return self._connection.has_left()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is lost when the session is closed now."""
+        return self._status is _IDLE and not self._is_answering
+
+    async def serve(self):
+        """Serve the caller until it leaves or the session ends."""
+        try:
+            if await self._start():
+                await self._serve_statements()
+        finally:
+            await self._runner.close()
+            self._connection.close()
+
+    def close_for_drain(self):
+        """End an idle session because the proxy is shutting down."""
+        self._connection.close()
+
+    async def _start(self):
+        message = await self._connection.receive()
+        if isinstance(message, CallerEnd):
+            return False
+        if not isinstance(message, CallerStartup):
+            fault = _fault(message)
+            await self._connection.send_failure(fault, None)
+            return False
+        self.caller = f"{message.caller}@{self._connection.peer}"
+        failure = self._find_table(message.pool)
+        if failure is not None:
+            await self._connection.send_failure(failure, None)
+            return False
+        await self._connection.send_ready(_IDLE, None)
+        return True
+
+    def _find_table(self, pool):
+        """Take the pool's current table; return why that is not possible."""
+        table = self._context.view.table(pool)
+        if table is None or table.policy is None:
+            if self._context.view.fleet.desired is None:
+                message = "the proxy has no configuration yet"
+                return not_run(FailureCode.UNAVAILABLE, message, 500)
+            message = f"database {pool} does not exist"
+            return not_run(FailureCode.UNKNOWN_POOL, message)
+        self.table = table
+        return None
+
+    async def _serve_statements(self):
+        while True:
+            message = await self._connection.receive()
+            if isinstance(message, CallerEnd):
+                return
+            self._is_answering = True
+            try:
+                await self._serve_message(message)
+            finally:
+                self._is_answering = False
+            if self._is_draining() and self.is_idle:
+                return
+
+    async def _serve_message(self, message):
+        if not isinstance(message, Statement):
+            await self._send_failure(_fault(message))
+            return
+        is_end = message.verb in (
+            StatementVerb.ROLLBACK,
+            StatementVerb.COMMIT,
+        )
+        if self._status is _FAILED and not is_end:
+            await self._send_failure(_FAILED_BLOCK)
+            return
+        await _verbs[message.verb](self, message)
+
+    async def _send_done(self):
+        await self._connection.send_answer(_DONE, self._status, None)
+
+    async def _send_failure(self, failure: Failure):
+        await self._connection.send_failure(failure, self._status)
+
+    @_serves(StatementVerb.SET)
+    async def _set(self, statement):
+        settings = dict(self.settings)
+        name = statement.name.decode("latin-1")
+        settings[name] = statement.arguments.decode("latin-1")
+        self.settings = settings
+        self._are_settings_new = True
+        await self._send_done()
+
+    @_serves(StatementVerb.PREPARE)
+    async def _prepare(self, statement):
+        self._prepared[statement.name] = statement.shape
+        await self._send_done()
+
+    @_serves(StatementVerb.DEALLOCATE)
+    async def _deallocate(self, statement):
+        self._prepared.pop(statement.name, None)
+        await self._send_done()
+
+    @_serves(StatementVerb.BEGIN, StatementVerb.BEGIN_READ)
+    async def _begin(self, statement):
+        if self._status is _IDLE:
+            failure = self._find_table(self.table.pool)
+            if failure is not None:
+                await self._send_failure(failure)
+                return
+            self._status = _IN_TRANSACTION
+            self._is_read_block = statement.verb is StatementVerb.BEGIN_READ
+        await self._send_done()
+
+    @_serves(StatementVerb.ROLLBACK)
+    async def _roll_back(self, statement):
+        await self._runner.close()
+        self._status = _IDLE
+        await self._send_done()
+
+    @_serves(StatementVerb.COMMIT)
+    async def _commit(self, statement):
+        if self._status is _FAILED:
+            await self._runner.close()
+            self._status = _IDLE
+            message = "the transaction had failed and was rolled back"
+            await self._send_failure(not_run(FailureCode.ABORTED, message))
+            return
+        if self._status is _IDLE:
+            await self._send_done()
+            return
+        await self._run(statement)
+
+    @_serves(StatementVerb.READ, StatementVerb.WRITE)
+    async def _access(self, statement):
+        await self._run(statement)
+
+    @_serves(StatementVerb.EXECUTE)
+    async def _execute(self, statement):
+        shape = self._prepared.get(statement.name)
+        if shape is None:
+            name = statement.name.decode("latin-1")
+            message = f"no prepared statement {name}"
+            await self._send_failure(
+                not_run(FailureCode.UNKNOWN_STATEMENT, message)
+            )
+            return
+        bound = Statement(
+            statement.verb,
+            statement.request,
+            statement.text,
+            statement.name,
+            statement.arguments,
+            shape,
+        )
+        await self._run(bound)
+
+    async def _run(self, statement):
+        """Run a statement that needs data and send its outcome."""
+        failure = self._refuse(statement)
+        if failure is not None:
+            await self._end_block_with(failure)
+            return
+        self._connection.on_left(self._runner.cancel)
+        try:
+            end = await self._run_end(statement)
+        finally:
+            self._connection.on_left(None)
+        if end.failure is not None:
+            if end.failure.code is FailureCode.FLOOR_LOST:
+                # Told once; the session then goes on from what there is.
+                self.floor = None
+            await self._end_block_with(end.failure)
+            return
+        if self._status is not _IDLE:
+            self._status = end.status
+        self._note_position(statement, end)
+        await self._connection.send_answer(
+            end.answer, self._status, end.position
+        )
+
+    def _refuse(self, statement):
+        if self._status is _IN_TRANSACTION:
+            if self._is_read_block and statement.is_write:
+                return _READ_BLOCK
+            return None
+        return self._find_table(self.table.pool)
+
+    async def _run_end(self, statement):
+        if self._status is _IDLE:
+            return await self._runner.run_single(statement)
+        if not self._runner.is_in_block:
+            self._are_settings_new = False
+            return await self._runner.run_first(statement, self._is_read_block)
+        settings = self.settings if self._are_settings_new else None
+        self._are_settings_new = False
+        return await self._runner.run_next(statement, settings)
+
+    def _note_position(self, statement, end):
+        """Raise the floor to what the session has written."""
+        answer = end.answer
+        if answer.error is not None or end.served_by_replica:
+            return
+        if self._status is not _IDLE:
+            return
+        is_commit = statement.verb is StatementVerb.COMMIT
+        if statement.is_write or (is_commit and self._runner.block_writes):
+            self.floor = advance_floor(self.floor, end.position)
+
+    async def _end_block_with(self, failure):
+        await self._runner.close()
+        self._status = _IDLE
+        await self._send_failure(failure)
+
+
+def _fault(message):
+    """Return the failure of a message that cannot be served."""
+    if isinstance(message, CallerMistake):
+        return not_run(_FAULT_CODES[message.fault], message.message)
+    return not_run(FailureCode.BAD_MESSAGE, "unexpected message")
--- /dev/null
+++ b/waxwinglift/platform/_protocols.py
@@ -0,0 +1,75 @@
+"""The platform's entries in the protocol registries."""
+
+import json
+
+from waxwinglift.connection._ports import caller_protocol
+from waxwinglift.connection._ports import ENDPOINT_PROTOCOLS
+from waxwinglift.platform import _lines
+from waxwinglift.platform._caller_connection import CallerConnection
+from waxwinglift.platform._endpoint_connection import open_connection
+from waxwinglift.platform._http import call_http
+from waxwinglift.platform._http import HttpFailed
+from waxwinglift.platform._http import HttpRequest
+from waxwinglift.process._statement_callers import StatementCallers
+from waxwinglift.process._statement_endpoints import StatementEndpoints
+from waxwinglift.process._statement_steps import PromotionRefused
+from waxwinglift.request._statements import EndpointStatus
+
+PROTOCOL = "platform"
+
+_PRIMARY = b"primary"
+_OK = 200
+_CONFLICT = 409
+# Longest time for the answer to an order.
+_CALL_TIMEOUT_S = 2.0
+
+
+@caller_protocol(PROTOCOL)
+def make_callers(entry):
+    """Return what accepts the platform's callers."""
+    return StatementCallers(entry, CallerConnection)
+
+
+def decode_status(row: bytes) -> EndpointStatus:
+    """Return the status of a row.
+
+    Raises
+    ------
+    ValueError
+        The row is no status.
+    """
+    # Behind them stand the lag, running statements and connections.
+    role, _term, received, held_term, *_ = row.split(b" ")
+    position = _lines.decode_position(received)
+    if position is None:
+        raise ValueError("no position")
+    return EndpointStatus(role == _PRIMARY, position, int(held_term))
+
+
+def _make_promote(settings):
+    async def promote(action, right):
+        if settings.promotion_address is None:
+            raise PromotionRefused("no address for promotions", False)
+        body = {"service": action.group, "id": action.endpoint}
+        headers = {
+            "Lease-Holder": right.holder,
+            "Fencing-Token": str(right.token),
+        }
+        request = HttpRequest("POST", "/promote", json.dumps(body).encode())
+        try:
+            response = await call_http(
+                settings.promotion_address, request, headers, _CALL_TIMEOUT_S
+            )
+        except HttpFailed as error:
+            raise OSError(str(error)) from error
+        if response.status != _OK:
+            message = f"promotion refused with {response.status}"
+            is_gone = response.status == _CONFLICT
+            raise PromotionRefused(message, is_gone)
+
+    return promote
+
+
+ENDPOINT_PROTOCOLS.register(PROTOCOL)(
+    StatementEndpoints(open_connection, decode_status, _make_promote)
+)
--- /dev/null
+++ b/waxwinglift/platform/_roles.py
@@ -0,0 +1,81 @@
+"""Settings of the product's daemons for the platform's roles."""
+
+import secrets
+
+from waxwinglift.platform._protocols import PROTOCOL
+from waxwinglift.platform._settings import PlatformSettings
+from waxwinglift.process._data_path_settings import EntrySettings
+from waxwinglift.process._data_path_settings import OwnerSettings
+from waxwinglift.process._policy_settings import EndpointPoolSettings
+from waxwinglift.process._settings import ControlSettings
+from waxwinglift.process._settings import ControlTimingSettings
+from waxwinglift.process._settings import ProxySettings
+from waxwinglift.process._settings import ProxyTimingSettings
+from waxwinglift.version._announcements import AnnouncementSettings
+from waxwinglift.version._control_core import ControlCoreSettings
+from waxwinglift.version._membership import MembershipSettings
+
+# Announcements that may be missed before an endpoint counts as lost.
+_MISSED_ANNOUNCEMENTS_COUNT = 4
+_CONTROL_TIMING = ControlTimingSettings(
+    lease_ms=2000,
+    heartbeat_ms=120,
+    check_quorum_ms=500,
+    election_timeout_min_ms=600,
+    election_timeout_max_ms=1200,
+)
+_PROXY_TIMING = ProxyTimingSettings(renew_interval_ms=400, rpc_timeout_ms=800)
+
+
+def control_settings(platform: PlatformSettings) -> ControlSettings:
+    """Return the settings of a control daemon."""
+    ttl_ms = _MISSED_ANNOUNCEMENTS_COUNT * platform.announce_interval_ms
+    promotion = platform.promotion
+    return ControlSettings(
+        member=platform.machine,
+        location=platform.location,
+        listen=platform.control_listen,
+        data_folder=platform.data_folder,
+        discovery=platform.discovery,
+        membership=MembershipSettings(
+            voters_count=2 * platform.tolerance.disks_count + 1
+        ),
+        policy=ControlCoreSettings(
+            announcements=AnnouncementSettings(
+                ttl_ms=int(ttl_ms), max_backoff_ms=5000
+            )
+        ),
+        endpoint_protocol=PROTOCOL,
+        promotion_address=None if promotion is None else promotion.address,
+        timing=_CONTROL_TIMING,
+    )
+
+
+def proxy_settings(platform: PlatformSettings) -> ProxySettings:
+    """Return the settings of a proxy."""
+    callers = platform.listen.callers
+    # Open transactions get the first half of the time until the end.
+    drain_ms = platform.bounds.grace_s * 1000 / 2
+    return ProxySettings(
+        daemon=platform.machine,
+        location=platform.location,
+        peer_listen=platform.peer_listen,
+        control=platform.control_seeds,
+        ready_listen=platform.listen.readiness,
+        entry=EntrySettings(
+            protocol=PROTOCOL,
+            host=callers.host,
+            port=callers.port,
+            # Sessions do not roam with tokens here.
+            token_secret=secrets.token_hex(16),
+            drain_timeout_ms=drain_ms,
+        ),
+        owner=OwnerSettings(
+            protocol=PROTOCOL,
+            drain_timeout_ms=drain_ms,
+            pool=EndpointPoolSettings(keeps_surplus=True),
+        ),
+        timing=_PROXY_TIMING.model_copy(
+            update={"drain_timeout_ms": int(drain_ms) + 1000}
+        ),
+    )
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import math
+import secrets
 import time
 
 from grpclib.exceptions import ProtocolError
@@ -27,10 +28,12 @@
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import decode_fleet
 from waxwinglift.version._types import DaemonState
+from waxwinglift.version._types import Incarnation
 
 logger = logging.getLogger(__name__)
 
 RECONNECT_DELAY_S = 0.1
+INCARNATION_BITS = 62
 # A relay that is cut off from the leader answers, but only with refusals.
 # An election takes up to 0.7 s, in which all relays refuse.
 REFUSALS_COUNT = 8
@@ -100,10 +103,34 @@
         self._renew_now = asyncio.Event()
         self._renewed_ms = -math.inf
         self._entries_timer = None
+        self._incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
+        self._configured = tuple(settings.control)
         self._relays = order_relays(settings.daemon, settings.control)
         self._has_lease = False
         self._was_active = False
 
+    def set_control(self, addresses):
+        """Use other configured addresses, after a reload of the settings."""
+        self._configured = tuple(addresses)
+        self._follow_members()
+
+    def _follow_members(self):
+        """Use the members that the fleet's state names, too.
+
+        Configured addresses may be out of date: daemons are replaced.
+        """
+        members = self.view.fleet.members.values()
+        known = {member.address for member in members}
+        known.update(self._configured)
+        if known == set(self._relays):
+            return
+        current = self._relays[0]
+        ordered = order_relays(self.settings.daemon, known)
+        if current in known:
+            ordered.remove(current)
+            ordered.insert(0, current)
+        self._relays = ordered
+
     async def on_stop(self):
         """Tell control that this proxy has stopped, once."""
         self._is_stopped = True
@@ -174,6 +201,7 @@
             self._apply_entry(reply.first_index + offset, payload)
         self.view.notify()
         self._note_own_state()
+        self._follow_members()
         self._renew_for_entries()
 
     def _renew_for_entries(self):
@@ -200,6 +228,7 @@
             return
         self.view.replace(decode_fleet(unpack_snapshot(reply.snapshot)))
         self._note_own_state()
+        self._follow_members()
         self.renew_soon()
 
     def _apply_entry(self, index, payload):
@@ -303,6 +332,7 @@
             is_stopped=self._is_stopped,
             down=self.health.down_endpoints(),
             released=self.health.released_endpoints(),
+            incarnation=self._incarnation,
         )
 
     def _note_lease(self):
--- a/waxwinglift/process/_data_path_route.py
+++ b/waxwinglift/process/_data_path_route.py
@@ -25,6 +25,7 @@
 from waxwinglift.version import PoolName
 from waxwinglift.version import Position
 from waxwinglift.version import Rank
+from waxwinglift.version._types import Fencing
 
 
 class EntryContext:
@@ -97,11 +98,12 @@
         self, group: GroupName, request: RouteRequest
     ) -> Result[Route, Failure]:
         """Choose the endpoint for a request."""
-        if not self.view.lease_is_live():
-            return _unavailable("this proxy has no lease")
         group_view = self.group_view(group)
         if group_view is None:
             return _unavailable(f"group {group} is not known")
+        needs_lease = group_view.fencing is Fencing.LEASE
+        if needs_lease and not self.view.lease_is_live():
+            return _unavailable("this proxy has no lease")
         return choose_route(
             request,
             group_view,
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -61,6 +61,8 @@
     to_standby : bool
         Whether the standby owner is asked because the owner cannot be
         reached.
+    statement_timeout_ms : int
+        Longest time for each statement of a block after the first.
     """
 
     endpoint: EndpointId
@@ -81,6 +83,7 @@
     floor_wait_limit_ms: int = 0
     in_block: bool = False
     to_standby: bool = False
+    statement_timeout_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,12 +92,14 @@
 
     ``prepared`` holds the statements that the messages refer to without
     parsing them.  ``statement`` stands instead of messages where the
-    protocol has typed statements.
+    protocol has typed statements, with the session's values where these
+    have changed inside a block.
     """
 
     messages: bytes
     prepared: tuple[PreparedStatement, ...] = ()
     statement: Statement | None = None
+    settings: Mapping[str, str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +128,8 @@
     served_by_replica : bool
     answer : StatementAnswer or None
         Answer to a typed statement; others go to the sink.
+    is_unreached : bool
+        The owner could not be reached, which says nothing of the endpoint.
     """
 
     status: TransactionStatus = TransactionStatus.IDLE
@@ -136,6 +143,7 @@
     held_ms: float = 0.0
     served_by_replica: bool = False
     answer: StatementAnswer | None = None
+    is_unreached: bool = False
 
 
 class TransactionStream(Protocol):
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -80,6 +80,8 @@
         self._is_draining = False
         self._is_enabled = False
         self._lost_ms: float | None = None
+        # Whether the endpoint says that it is not the primary any more.
+        self.has_lost_role = False
         self._next_request = 0
         self._term = None
         self._was_primary = False
@@ -160,14 +162,14 @@
     def check(self, header: ExecuteHeader) -> ExchangeEnd | None:
         """Return the refusal of a transaction, None when it may run."""
         if not self.view.lease_is_live():
-            return _refuse("this proxy has no lease")
+            return refuse("this proxy has no lease")
         if self._is_draining:
             message = "this proxy is shutting down"
-            return _refuse(message, FailureCode.SHUTTING_DOWN)
+            return refuse(message, FailureCode.SHUTTING_DOWN)
         assignment = self.view.assignment(self.endpoint)
         is_owner = self.view.owns(self.endpoint)
         if not is_owner or assignment.epoch != header.epoch:
-            return _refuse("this proxy does not own the endpoint", stale=True)
+            return refuse("this proxy does not own the endpoint", stale=True)
         return self._check_endpoint(header)
 
     def on_fleet_change(self):
@@ -195,16 +197,16 @@
         group = self.view.group(self.group)
         record = self.view.endpoint(self.endpoint)
         if group is None or group.term != header.term:
-            return _refuse("the group's term has changed", stale=True)
+            return refuse("the group's term has changed", stale=True)
         if record is None or not accepts_work(record, group):
-            return _refuse("the endpoint is leaving", stale=True)
+            return refuse("the endpoint is leaving", stale=True)
         is_replica = group.primary != self.endpoint
         if not is_replica and group.phase is not GroupPhase.ACTIVE:
-            return _refuse("a change of primary is in progress", stale=True)
+            return refuse("a change of primary is in progress", stale=True)
         if is_replica and not header.read_only:
-            return _refuse("the endpoint is not the primary", stale=True)
+            return refuse("the endpoint is not the primary", stale=True)
         if self.health is HealthState.DOWN:
-            return _refuse("the endpoint is down")
+            return refuse("the endpoint is down")
         return None
 
     @abc.abstractmethod
@@ -312,6 +314,7 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _refuse(message, code=FailureCode.UNAVAILABLE, stale=False):
+def refuse(message, code=FailureCode.UNAVAILABLE, stale=False):
+    """Return the end of an exchange that has not run."""
     failure = not_run(code, message)
     return ExchangeEnd(failure=failure, is_stale_owner=stale)
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -70,6 +70,8 @@
         self._owners: dict[EndpointId, EndpointOwner] = {}
         self._stopping: set[asyncio.Task] = set()
         self._is_draining = False
+        # Finds the executors of other proxies, once they are known.
+        self.find_executor = _find_nobody
         self._ticker: asyncio.TimerHandle | None = None
 
     def start(self):
@@ -149,16 +151,15 @@
             if self._owners[endpoint].is_released:
                 self._stop(self._owners.pop(endpoint))
         for endpoint in wanted - self._owners.keys():
-            owner_class = ENDPOINT_PROTOCOLS[
-                self._settings.protocol
-            ].owner_class
-            owner = owner_class(
+            protocol = ENDPOINT_PROTOCOLS[self._settings.protocol]
+            owner = protocol.owner_class(
                 endpoint,
                 self._settings,
                 self._view,
                 on_released=self._reconcile,
                 **self._options,
             )
+            protocol.attach(owner, self.find_executor)
             self._owners[endpoint] = owner
             owner.start()
 
@@ -177,6 +178,10 @@
         task.add_done_callback(self._stopping.discard)
 
 
+def _find_nobody(daemon):
+    return None
+
+
 class _NoOwner:
     """Stream of an endpoint that this proxy does not own."""
 
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -21,9 +21,9 @@
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._peer_cancel import send_cancel_request
-from waxwinglift.process._peer_codec import decode_end
 from waxwinglift.process._peer_codec import decode_failure
 from waxwinglift.process._peer_codec import decode_position
+from waxwinglift.process._peer_codec import decode_result
 from waxwinglift.process._peer_codec import encode_exchange
 from waxwinglift.process._types import Address
 from waxwinglift.process._types import DaemonId
@@ -209,7 +209,9 @@
             try:
                 await self._open()
             except _LOST as error:
-                return ExchangeEnd(failure=_unreachable(error))
+                return ExchangeEnd(
+                    failure=_unreachable(error), is_unreached=True
+                )
             if self._is_cancelled:
                 message = "the statement was cancelled"
                 failure = not_run(FailureCode.CANCELLED, message)
@@ -223,7 +225,9 @@
             return await self._receive(sink)
         except _LOST as error:
             message = f"the connection to the endpoint's owner ended: {error}"
-            return ExchangeEnd(failure=may_have_run(message))
+            return ExchangeEnd(
+                failure=may_have_run(message), is_unreached=True
+            )
 
     def cancel(self):
         """Give up the exchange that runs."""
@@ -261,7 +265,7 @@
             if reply.messages:
                 await sink(reply.messages)
             if reply.HasField("end"):
-                return self._end(decode_end(reply.end))
+                return self._end(decode_result(reply))
 
     def _end(self, end):
         is_over = (
--- a/waxwinglift/process/_peer_codec.py
+++ b/waxwinglift/process/_peer_codec.py
@@ -1,5 +1,6 @@
 """Conversion between the data path's messages and protobuf."""
 
+import dataclasses
 import struct
 
 from pygwire.messages import CancelRequest
@@ -15,6 +16,12 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import Verdict
 from waxwinglift.request._classify import classify
+from waxwinglift.request._statements import EndpointError
+from waxwinglift.request._statements import EndpointErrorCode
+from waxwinglift.request._statements import PreparedShape
+from waxwinglift.request._statements import Statement
+from waxwinglift.request._statements import StatementAnswer
+from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import EndpointId
 from waxwinglift.version import Epoch
 from waxwinglift.version import GroupName
@@ -45,12 +52,17 @@
     wire.verdict = failure.verdict.value
     wire.sqlstate = failure.code.value
     wire.message = failure.message
+    if failure.retry_after_ms is not None:
+        wire.retry_after_ms = failure.retry_after_ms
 
 
 def decode_failure(wire) -> Failure:
     """Return the failure of a WireFailure."""
     return Failure(
-        Verdict(wire.verdict), FailureCode(wire.sqlstate), wire.message
+        Verdict(wire.verdict),
+        FailureCode(wire.sqlstate),
+        wire.message,
+        wire.retry_after_ms or None,
     )
 
 
@@ -83,6 +95,11 @@
             query=statement.query,
             param_types=statement.param_types,
         )
+    if exchange.statement is not None:
+        _encode_statement(frame.statement, exchange.statement)
+    if exchange.settings is not None:
+        frame.has_settings = True
+        frame.settings.update(exchange.settings)
     if header is not None:
         _encode_header(frame.header, header)
     return frame
@@ -96,7 +113,55 @@
         )
         for one in frame.prepared
     )
-    return Exchange(frame.messages, prepared)
+    has_statement = frame.HasField("statement")
+    return Exchange(
+        frame.messages,
+        prepared,
+        _decode_statement(frame.statement) if has_statement else None,
+        dict(frame.settings) if frame.has_settings else None,
+    )
+
+
+def _encode_statement(wire, statement: Statement):
+    wire.verb = statement.verb.value
+    wire.request = statement.request
+    wire.text = statement.text
+    wire.name = statement.name
+    wire.arguments = statement.arguments
+    if statement.shape is not None:
+        wire.prepared_writes = statement.shape.is_write
+        wire.prepared_shape = statement.shape.shape
+
+
+def _decode_statement(wire) -> Statement:
+    shape = None
+    if wire.prepared_shape:
+        shape = PreparedShape(wire.prepared_writes, wire.prepared_shape)
+    return Statement(
+        StatementVerb(wire.verb),
+        wire.request,
+        wire.text,
+        wire.name,
+        wire.arguments,
+        shape,
+    )
+
+
+def encode_answer(wire, answer: StatementAnswer):
+    """Fill a StatementAnswer message."""
+    wire.rows.extend(answer.rows)
+    wire.receipt = answer.receipt
+    if answer.error is not None:
+        wire.error = answer.error.code.value
+        wire.error_text = answer.error.text
+
+
+def decode_answer(wire) -> StatementAnswer:
+    """Return the answer of a StatementAnswer message."""
+    error = None
+    if wire.error:
+        error = EndpointError(EndpointErrorCode(wire.error), wire.error_text)
+    return StatementAnswer(tuple(wire.rows), wire.receipt, error)
 
 
 def decode_header(wire) -> ExecuteHeader:
@@ -119,6 +184,9 @@
         settings=dict(wire.settings),
         applied_index=LogIndex(wire.applied_index),
         floor_wait_limit_ms=wire.floor_wait_limit_ms,
+        in_block=wire.in_block,
+        to_standby=wire.to_standby,
+        statement_timeout_ms=wire.statement_timeout_ms,
     )
 
 
@@ -165,6 +233,14 @@
     )
 
 
+def decode_result(frame) -> ExchangeEnd:
+    """Return the outcome that a ResultFrame holds."""
+    end = decode_end(frame.end)
+    if not frame.HasField("answer"):
+        return end
+    return dataclasses.replace(end, answer=decode_answer(frame.answer))
+
+
 def _encode_header(wire, header):
     wire.endpoint = header.endpoint
     wire.group = header.group
@@ -183,3 +259,6 @@
     wire.settings.update(header.settings)
     wire.applied_index = header.applied_index
     wire.floor_wait_limit_ms = header.floor_wait_limit_ms
+    wire.in_block = header.in_block
+    wire.to_standby = header.to_standby
+    wire.statement_timeout_ms = header.statement_timeout_ms
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -13,6 +13,7 @@
 from waxwinglift.process._peer_cancel import StatementFinder
 from waxwinglift.process._peer_codec import decode_exchange
 from waxwinglift.process._peer_codec import decode_header
+from waxwinglift.process._peer_codec import encode_answer
 from waxwinglift.process._peer_codec import encode_end
 from waxwinglift.process._peer_codec import encode_failure
 from waxwinglift.process._peer_codec import encode_position
@@ -186,6 +187,8 @@
         reply = peer_pb2.ResultFrame(messages=self._kept)
         self._kept = b""
         encode_end(reply.end, end)
+        if end.answer is not None:
+            encode_answer(reply.answer, end.answer)
         await self._stream.send_message(reply)
 
     async def _sink(self, data):
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -144,6 +144,9 @@
     ----------
     spare_count : int
         Connections kept open beyond the endpoint's slots.
+    keeps_surplus : bool
+        Whether connections beyond that stay open once demand has fallen;
+        for endpoints where opening is expensive.
     open_timeout_ms, probe_timeout_ms : float
         Longest time for opening a connection and for answering a probe.
     idle_probe_ms : float
@@ -154,6 +157,7 @@
     """
 
     spare_count: int = pydantic.Field(2, ge=0)
+    keeps_surplus: bool = False
     open_timeout_ms: float = pydantic.Field(600.0, gt=0)
     probe_timeout_ms: float = pydantic.Field(300.0, gt=0)
     idle_probe_ms: float = pydantic.Field(1000.0, gt=0)
--- a/waxwinglift/process/_postgresql.py
+++ b/waxwinglift/process/_postgresql.py
@@ -13,6 +13,10 @@
 
     owner_class = PostgresOwner
 
+    @staticmethod
+    def attach(owner, find_executor):
+        """Do nothing: an owner needs no other proxy."""
+
     @staticmethod
     def server_steps(settings):
         """Return the coroutine that carries out steps on servers."""
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -52,7 +52,8 @@
         reports = []
         for endpoint, state in self._owners.health().items():
             term = self._term_of(endpoint)
-            if state is HealthState.DOWN:
+            owner = self._owners.owner(endpoint)
+            if state is HealthState.DOWN or owner.has_lost_role:
                 reports.append(DownEndpoint(endpoint, term))
             elif self._is_stalled(endpoint):
                 reports.append(DownEndpoint(endpoint, term, True))
@@ -109,6 +110,7 @@
             settings.owner, self.view, on_health=self._on_health, **options
         )
         self.peers = PeerClients(self.view, self.owners)
+        self.owners.find_executor = self.peers.executor_for
         self.entry = EntryServer(
             settings.entry, self.view, self.peers, **options
         )
@@ -177,10 +179,21 @@
         logger.info("endpoint %s is %s", endpoint, state.value)
         self.link.renew_soon()
 
+    def _may_serve(self):
+        """Return whether requests can be served without a risk.
+
+        Where all servers fence themselves a proxy needs no lease, only a
+        state that it has once received.
+        """
+        if self.lease.is_live(monotonic_ms()):
+            return True
+        groups = self.view.fleet.groups.values()
+        return bool(groups) and all(g.is_server_fenced for g in groups)
+
     def judge_readiness(self):
         """Return whether the balancer should send callers here."""
         return _readiness.judge_readiness(
             self._is_stopping,
-            self.lease.is_live(monotonic_ms()),
+            self._may_serve(),
             set(self.owners.health().values()),
         )
--- /dev/null
+++ b/waxwinglift/process/_statement_callers.py
@@ -0,0 +1,63 @@
+"""Listens for callers whose protocol has typed statements."""
+
+import asyncio
+from collections.abc import Callable
+
+from waxwinglift.connection import SessionId
+from waxwinglift.connection._statement_session import StatementSession
+
+_BACKLOG_COUNT = 1024
+
+
+class StatementCallers:
+    """Accepts connections for an EntryServer.
+
+    Parameters
+    ----------
+    entry : EntryServer
+    make_connection : callable
+        Returns the asyncio protocol of a connection, a `StatementCaller`; it
+        calls its argument with itself once the caller has connected.
+    """
+
+    def __init__(self, entry, make_connection: Callable):
+        self._entry = entry
+        self._make_connection = make_connection
+        self._last_number = 0
+
+    def find_statement(self, key) -> None:
+        """Return None: there are no cancel requests."""
+        return None
+
+    async def listen(self) -> asyncio.Server:
+        """Return the listening server."""
+        settings = self._entry.settings
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: self._make_connection(self._accept),
+            settings.host,
+            settings.port,
+            backlog=_BACKLOG_COUNT,
+        )
+
+    def _accept(self, connection):
+        task = asyncio.ensure_future(self._entry.run(self._serve(connection)))
+        task.add_done_callback(_see_error)
+
+    async def _serve(self, connection):
+        self._last_number += 1
+        session = StatementSession(
+            self._entry.context,
+            connection,
+            lambda: self._entry.is_draining,
+        )
+        with self._entry.keep(SessionId(self._last_number), session):
+            await session.serve()
+
+
+def _see_error(task):
+    """Let a session that failed end loudly, but alone."""
+    if not task.cancelled() and task.exception() is not None:
+        task.get_loop().call_exception_handler(
+            {"message": "session failed", "exception": task.exception()}
+        )
--- /dev/null
+++ b/waxwinglift/process/_statement_steps.py
@@ -0,0 +1,176 @@
+"""Steps of a change of primary on endpoints with typed statements."""
+
+import asyncio
+import contextlib
+
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointRefused
+from waxwinglift.process import Registry
+from waxwinglift.request._statements import Command
+from waxwinglift.request._statements import CommandKind
+from waxwinglift.request._statements import EndpointStatus
+from waxwinglift.version import _failover_messages as failover
+from waxwinglift.version import Timeline
+from waxwinglift.version._types import ServerPosition
+
+# Time between two questions whether a promoted server leads.
+_POLL_INTERVAL_S = 0.02
+# Time for which an idle connection is kept for the next step.
+_KEEP_S = 5.0
+# Only a server that leads accepts a plain transaction; it needs no slot.
+_LEADER_QUESTION = (Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK))
+
+# A step is a coroutine for one type of action.
+_STEPS = Registry()
+_step = _STEPS.register
+
+
+class PromotionRefused(Exception):
+    """The order was refused; ``is_gone`` when the server does not run."""
+
+    def __init__(self, message, is_gone):
+        super().__init__(message)
+        self.is_gone = is_gone
+
+
+class StepFailed(Exception):
+    """The endpoint answered, but not as the step needs it."""
+
+
+class StatementSteps:
+    """Carries out steps on endpoints, over connections that are kept.
+
+    Parameters
+    ----------
+    open_connection : callable
+        Opens a connection; raises EndpointRefused.
+    decode_status : callable
+        Returns the EndpointStatus of a row; raises ValueError.
+    promote : callable
+        Coroutine ``(action, right)`` that orders a promotion; raises
+        PromotionRefused or OSError.
+    """
+
+    def __init__(self, open_connection, decode_status, promote):
+        self.promote = promote
+        self._open = open_connection
+        self._decode_status = decode_status
+        self._kept = {}
+
+    async def run(self, action, right):
+        """Carry out an action and return its outcome event."""
+        is_reached = False
+        try:
+            async with asyncio.timeout(action.time_limit_ms / 1000):
+                return await _STEPS[type(action)](self, action, right)
+        except PromotionRefused as error:
+            return failover.ActionFailed(
+                action, str(error), is_gone=error.is_gone
+            )
+        except StepFailed as error:
+            is_reached = True
+            message = str(error)
+        except TimeoutError:
+            message = "time limit exceeded"
+        except (EndpointRefused, EndpointConnectionLost, OSError) as error:
+            message = str(error)
+        return failover.ActionFailed(action, message, is_reached)
+
+    async def status(self, action, command) -> EndpointStatus:
+        """Return the status that an endpoint answers a command with."""
+        async with self.session(action) as connection:
+            (reply,) = await connection.run([command])
+        error = reply.answer.error
+        if error is not None or not reply.answer.rows:
+            reason = "no row" if error is None else error.code.value
+            raise StepFailed(f"no status: {reason}")
+        try:
+            return self._decode_status(reply.answer.rows[0])
+        except ValueError as error:
+            raise StepFailed(f"bad status: {error}") from error
+
+    @contextlib.asynccontextmanager
+    async def session(self, action):
+        """Lend a connection; it is kept for a while when it still works."""
+        key = (action.endpoint, action.address)
+        connection = self._take(key)
+        if connection is None:
+            connection = await self._open(
+                action.address, action.group, action.endpoint
+            )
+        try:
+            yield connection
+        except BaseException:
+            connection.close()
+            raise
+        self._keep(key, connection)
+
+    def _take(self, key):
+        kept = self._kept.pop(key, None)
+        if kept is None:
+            return None
+        connection, timer = kept
+        timer.cancel()
+        return connection if connection.is_usable else None
+
+    def _keep(self, key, connection):
+        if key in self._kept or not connection.is_usable:
+            connection.close()
+            return
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(_KEEP_S, self._forget, key)
+        self._kept[key] = (connection, timer)
+
+    def _forget(self, key):
+        connection, _ = self._kept.pop(key)
+        connection.close()
+
+
+@_step(failover.FenceServer)
+async def _fence(steps, action, right):
+    """Stop the receiver; an endpoint takes only a term above its own."""
+    term = action.timeline
+    while True:
+        command = Command(CommandKind.FENCE, term=term)
+        status = await steps.status(action, command)
+        if term > status.received.term:
+            return failover.ServerFenced(
+                action.group,
+                action.term,
+                action.endpoint,
+                _server_position(status),
+            )
+        term = status.received.term + 1
+
+
+@_step(failover.ReadPosition)
+async def _read_position(steps, action, right):
+    status = await steps.status(action, Command(CommandKind.STATUS))
+    return failover.PositionRead(
+        action.group,
+        action.term,
+        action.endpoint,
+        _server_position(status),
+        status.is_primary,
+    )
+
+
+@_step(failover.PromoteServer)
+async def _promote(steps, action, right):
+    """Order the promotion and wait until the server leads."""
+    await steps.promote(action, right)
+    while True:
+        async with steps.session(action) as connection:
+            begun, _ = await connection.run(_LEADER_QUESTION)
+        if begun.answer.error is None and begun.position is not None:
+            return failover.ServerPromoted(
+                action.group,
+                action.term,
+                action.endpoint,
+                Timeline(begun.position.term),
+            )
+        await asyncio.sleep(_POLL_INTERVAL_S)
+
+
+def _server_position(status):
+    return ServerPosition(Timeline(status.received.term), status.received.lsn)
--- a/waxwinglift/process/tests/test_cancel.py
+++ b/waxwinglift/process/tests/test_cancel.py
@@ -33,7 +33,7 @@
 
 def key_of(proxy):
     """Return the key that the proxy's only caller was told."""
-    ((number, session),) = proxy.entry._sessions.items()
+    ((number, session),) = proxy.entry.sessions.items()
     return CancelKey(number, session.secret_key)
 
 
@@ -191,7 +191,7 @@
         async with await connect(proxies[0], "access=write"):
             stale = key_of(proxies[0])
         entry = proxies[0].entry
-        entry._numbers._last = (stale.process_id - 1) % (1 << 20)
+        entry._callers._numbers._last = (stale.process_id - 1) % (1 << 20)
         async with await connect(proxies[0], "access=write") as caller:
             assert key_of(proxies[0]).process_id == stale.process_id
             work = asyncio.ensure_future(fetch(caller, SLEEP))
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -1,6 +1,7 @@
 """Queue in front of one endpoint: order, limits and early refusal."""
 
 import heapq
+import math
 
 from waxwinglift.process._policy_settings import AdmissionSettings
 from waxwinglift.request._admission_types import Refuse
@@ -220,11 +221,13 @@
 
     def _check_wait(self, ticket, rank, now_ms):
         if len(rank) >= rank.row.queue_limit_count:
-            return [_refuse(ticket, FailureCode.REJECTED, "queue is full")]
+            wait_ms = self.expected_wait_ms(ticket)
+            message = "queue is full"
+            return [_refuse(ticket, FailureCode.REJECTED, message, wait_ms)]
         wait_ms = self.expected_wait_ms(ticket)
         if now_ms + wait_ms > ticket.deadline_ms:
             message = f"expected wait of {wait_ms:.0f} ms exceeds the deadline"
-            return [_refuse(ticket, FailureCode.REJECTED, message)]
+            return [_refuse(ticket, FailureCode.REJECTED, message, wait_ms)]
         return []
 
     def _usable_slots_count(self, rank):
@@ -329,5 +332,7 @@
     return min(len(other), round(own_count * ratio))
 
 
-def _refuse(ticket, code, message):
-    return Refuse(ticket, not_run(code, message))
+def _refuse(ticket, code, message, wait_ms=None):
+    """Return a refusal; after ``wait_ms`` the queue may have room."""
+    retry_after_ms = None if wait_ms is None else math.ceil(wait_ms)
+    return Refuse(ticket, not_run(code, message, retry_after_ms))
--- a/waxwinglift/request/_group_view.py
+++ b/waxwinglift/request/_group_view.py
@@ -12,6 +12,7 @@
 from waxwinglift.version import Lsn
 from waxwinglift.version import Term
 from waxwinglift.version._fleet import accepts_work
+from waxwinglift.version._types import Fencing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +29,7 @@
     slots_count : int
     owner : DaemonId or None
     epoch : Epoch
+    standby : DaemonId or None
     """
 
     endpoint: EndpointId
@@ -36,6 +38,7 @@
     slots_count: int
     owner: DaemonId | None
     epoch: Epoch
+    standby: DaemonId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +54,7 @@
     primary: EndpointView | None
     replicas: tuple[EndpointView, ...]
     term_ends: Mapping[Term, Lsn]
+    fencing: Fencing = Fencing.LEASE
 
 
 def view_group(fleet, group, location):
@@ -84,6 +88,7 @@
         primary=primaries[0] if primaries and is_active else None,
         replicas=tuple(v for v in views if v.role is EndpointRole.REPLICA),
         term_ends=dict(state.term_ends),
+        fencing=state.fencing,
     )
 
 
@@ -97,12 +102,16 @@
         slots_count=endpoint.slots_count,
         owner=assignment.owner if assignment else None,
         epoch=assignment.epoch if assignment else Epoch(0),
+        standby=assignment.standby if assignment else None,
     )
 
 
 def _is_usable(endpoint, group):
     if not accepts_work(endpoint, group):
         return False
+    if group.is_server_fenced:
+        # Reads state the position that they need.
+        return True
     # A replaced primary may hold writes that were discarded.
     is_replaced = endpoint.endpoint != group.primary
     return not (endpoint.role is EndpointRole.PRIMARY and is_replaced)
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -74,6 +74,8 @@
 
     ``catch_up_ms`` is the expected wait for the floor at the endpoint;
     after ``wait_limit_ms`` the owner refuses and another route is better.
+    ``standby`` serves while the owner cannot be reached, in groups whose
+    servers fence themselves.
     """
 
     endpoint: EndpointId
@@ -83,6 +85,7 @@
     term: Term
     catch_up_ms: float
     wait_limit_ms: float = 0.0
+    standby: DaemonId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -261,4 +264,5 @@
         term=group_view.term,
         catch_up_ms=candidate.catch_up_ms,
         wait_limit_ms=wait_limit_ms,
+        standby=view.standby,
     )
--- /dev/null
+++ b/waxwinglift/request/_statement_run.py
@@ -0,0 +1,386 @@
+"""Runs the statements of one session on endpoints, with retries."""
+
+import asyncio
+import dataclasses
+import math
+
+from result import Err
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.process._data_path_route import EntryContext
+from waxwinglift.process._data_path_types import Exchange
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._data_path_types import TransactionStream
+from waxwinglift.process._trace_context import current_traceparent
+from waxwinglift.request import Access
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import may_have_run
+from waxwinglift.request import not_run
+from waxwinglift.request import Verdict
+from waxwinglift.request._data_path_attempt import endpoint_failure
+from waxwinglift.request._retry import retry_delay_ms
+from waxwinglift.request._routing import Route
+from waxwinglift.request._routing import RouteRequest
+from waxwinglift.request._statements import EndpointErrorCode
+from waxwinglift.request._statements import Statement
+from waxwinglift.request._statements import StatementVerb
+from waxwinglift.version import EndpointRole
+from waxwinglift.version._types import Consistency
+
+# A newer fleet view usually arrives within this time; the request is tried
+# again then in any case.
+_CHANGE_WAIT_MS = 50.0
+# Time added to a statement's limit for the answer of its owner.
+_OWNER_GRACE_MS = 150.0
+# Part of its time for which a request may wait for a change of primary; a
+# caller that is refused in time can still come back.
+_CHANGE_WAIT_PART = 0.6
+# When a caller may come back while a change of primary is in progress.
+_CHANGE_RETRY_MS = 500
+_PASSING_CODES = frozenset(
+    {FailureCode.UNAVAILABLE, FailureCode.SHUTTING_DOWN}
+)
+_REPEATED_ERRORS = frozenset(
+    {
+        EndpointErrorCode.FAILED,
+        EndpointErrorCode.TIMED_OUT,
+        EndpointErrorCode.OTHER,
+    }
+)
+
+
+async def _drop(data):
+    """Take no bytes: the answers of typed statements come with the end."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempts:
+    """State of the attempts of one statement or of a block's first one."""
+
+    access: Access
+    arrived_ms: float
+    deadline_ms: float
+    is_block: bool
+    excluded: set = dataclasses.field(default_factory=set)
+    count: int = 0
+    was_rejected: bool = False
+    to_standby: bool = False
+    # Whether an earlier attempt may have run; reads only.
+    last: ExchangeEnd | None = None
+
+
+class StatementRunner:
+    """Routes the statements of one session; a block stays on its stream.
+
+    Parameters
+    ----------
+    context : EntryContext
+    session : StatementSession
+        Has ``table``, ``floor``, ``settings`` and ``caller``.
+    """
+
+    def __init__(self, context: EntryContext, session):
+        self._context = context
+        self._session = session
+        # Whether the open block, or the last one, has written.
+        self.block_writes = False
+        self._stream: TransactionStream | None = None
+
+    @property
+    def is_in_block(self) -> bool:
+        """Whether a block is open at an endpoint."""
+        return self._stream is not None
+
+    def cancel(self):
+        """Give up the statement that runs."""
+        if self._stream is not None:
+            self._stream.cancel()
+
+    async def close(self):
+        """End the open transaction."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            await stream.close()
+
+    async def run_single(self, statement: Statement) -> ExchangeEnd:
+        """Run a statement outside of a block."""
+        access = self._access(statement.is_write)
+        attempts = self._attempts(access, is_block=False)
+        end = await self._run_attempts(statement, attempts)
+        await self.close()
+        self._note(end)
+        return end
+
+    async def run_first(
+        self, statement: Statement, is_read_block: bool
+    ) -> ExchangeEnd:
+        """Run the first statement of a block, which opens it."""
+        access = self._access(not is_read_block)
+        attempts = self._attempts(access, is_block=True)
+        self.block_writes = statement.is_write
+        end = await self._run_attempts(statement, attempts)
+        return await self._finish_in_block(statement, end)
+
+    async def run_next(
+        self, statement: Statement, settings: dict[str, str] | None
+    ) -> ExchangeEnd:
+        """Run a later statement of the open block.
+
+        ``settings`` are the session's values if they have changed.
+        """
+        self.block_writes = self.block_writes or statement.is_write
+        exchange = Exchange(b"", statement=statement, settings=settings)
+        limit_ms = self._session.policy.statement_timeout_ms
+        end = await self._run_on(exchange, limit_ms)
+        return await self._finish_in_block(statement, end)
+
+    async def _finish_in_block(self, statement, end):
+        end = self._judge_block(statement, end)
+        is_open = (
+            end.failure is None
+            and end.status is TransactionStatus.IN_TRANSACTION
+        )
+        if not is_open:
+            await self.close()
+        self._note(end)
+        return end
+
+    def _judge_block(self, statement, end):
+        """Say what a failure inside a block means for the whole block.
+
+        Before COMMIT is sent nothing can be kept, and a block that only read
+        keeps nothing anyway.
+        """
+        failure = end.failure
+        if failure is None:
+            return end
+        is_open = statement.verb is StatementVerb.COMMIT
+        is_unsure = failure.verdict is Verdict.MAY_HAVE_RUN
+        if is_open and is_unsure and self.block_writes:
+            return end
+        if is_unsure or self._stream is not None:
+            message = f"the transaction was ended: {failure.message}"
+            aborted = not_run(
+                FailureCode.ABORTED, message, failure.retry_after_ms
+            )
+            return dataclasses.replace(end, failure=aborted)
+        return end
+
+    def _access(self, is_write):
+        policy = self._session.policy
+        if is_write or policy.consistency is Consistency.PRIMARY:
+            return Access.WRITE
+        return Access.READ
+
+    def _attempts(self, access, is_block):
+        now_ms = self._context.now_ms()
+        limit_ms = self._session.policy.statement_timeout_ms
+        self._context.budget(self._session.table.pool).record_request()
+        return _Attempts(access, now_ms, now_ms + limit_ms, is_block)
+
+    async def _run_attempts(self, statement, attempts):
+        while True:
+            end, route = await self._attempt(statement, attempts)
+            end = _judge_answer(statement, attempts, end)
+            if end.failure is None:
+                return end
+            if not await self._may_retry(statement, attempts, end, route):
+                return _final(statement, attempts, end)
+
+    async def _attempt(self, statement, attempts):
+        routed = self._route(attempts)
+        if isinstance(routed, Err):
+            return ExchangeEnd(failure=routed.err_value), None
+        route = routed.ok_value
+        daemon = route.standby if attempts.to_standby else route.owner
+        executor = None
+        if daemon is not None:
+            executor = self._context.executors.executor_for(daemon)
+        if executor is None:
+            message = "the endpoint's owner is not known"
+            failure = not_run(FailureCode.UNAVAILABLE, message)
+            return ExchangeEnd(failure=failure, is_unreached=True), route
+        attempts.count += 1
+        await self.close()
+        self._stream = executor.open(self._header(attempts, route))
+        end = await self._run_observed(route, statement, attempts)
+        if end.failure is not None:
+            await self.close()
+        return end, route
+
+    async def _run_observed(self, route, statement, attempts):
+        knowledge = self._context.knowledge(self._session.table.group)
+        started_ms = self._context.now_ms()
+        knowledge.observe_start(route.endpoint, started_ms)
+        limit_ms = attempts.deadline_ms - started_ms
+        exchange = Exchange(b"", statement=statement)
+        end = await self._run_on(exchange, limit_ms)
+        now_ms = self._context.now_ms()
+        if end.failure is None:
+            knowledge.observe_answer(
+                route.endpoint,
+                end.position,
+                now_ms - started_ms,
+                end.queue_wait_ms,
+                now_ms,
+            )
+        else:
+            is_owner_lost = end.is_unreached or attempts.to_standby
+            knowledge.observe_refusal(
+                route.endpoint,
+                None if is_owner_lost else endpoint_failure(end),
+                now_ms,
+                end.failed_position,
+            )
+        return end
+
+    async def _run_on(self, exchange, limit_ms):
+        """Run an exchange; the owner answers in time or is given up."""
+        try:
+            async with asyncio.timeout((limit_ms + _OWNER_GRACE_MS) / 1000):
+                return await self._stream.run(exchange, _drop)
+        except TimeoutError:
+            message = "the endpoint's owner did not answer in time"
+            return ExchangeEnd(
+                failure=may_have_run(message), is_unreached=True
+            )
+
+    def _route(self, attempts):
+        session = self._session
+        request = RouteRequest(
+            access=attempts.access,
+            floor=session.floor,
+            max_age_ms=None,
+            deadline_ms=attempts.deadline_ms,
+            excluded=frozenset(attempts.excluded),
+            is_urgent=session.policy.urgency_index == 0,
+            was_rejected=attempts.was_rejected,
+        )
+        return self._context.choose(session.table.group, request)
+
+    def _header(self, attempts, route: Route):
+        session = self._session
+        policy = session.policy
+        is_read = attempts.access is Access.READ
+        left_ms = max(0.0, attempts.deadline_ms - self._context.now_ms())
+        return ExecuteHeader(
+            endpoint=route.endpoint,
+            group=session.table.group,
+            epoch=route.epoch,
+            term=route.term,
+            pool=session.table.pool,
+            rank=session.table.rows[0].rank,
+            caller=session.caller,
+            floor=session.floor if is_read else None,
+            max_age_ms=policy.max_staleness_ms if is_read else 0,
+            deadline_left_ms=math.ceil(left_ms),
+            read_only=is_read,
+            traceparent=current_traceparent(),
+            settings=session.settings,
+            applied_index=self._context.view.applied_index,
+            in_block=attempts.is_block,
+            to_standby=attempts.to_standby,
+            statement_timeout_ms=policy.statement_timeout_ms,
+        )
+
+    async def _may_retry(self, statement, attempts, end, route):
+        """Decide on another attempt and wait for its time."""
+        now_ms = self._context.now_ms()
+        if now_ms >= attempts.deadline_ms or self._session.has_left:
+            return False
+        failure = end.failure
+        if failure.verdict is not Verdict.NOT_RUN:
+            if statement.is_write or attempts.is_block:
+                return False
+            attempts.last = end
+        if end.is_unreached and not attempts.to_standby:
+            # The standby owner can serve without control's word.
+            attempts.to_standby = True
+            return True
+        attempts.to_standby = False
+        if end.failed_position is not None:
+            attempts.excluded.add(route.endpoint)
+            return True
+        if self._waits_for_change(end, route):
+            return await self._wait_for_change(attempts, now_ms)
+        return await self._wait_for_other(attempts, end, route)
+
+    def _waits_for_change(self, end, route):
+        """Return whether only a newer fleet view can help."""
+        if end.failure.verdict is not Verdict.NOT_RUN:
+            return False
+        if end.is_stale_owner or route is None:
+            return end.failure.code in _PASSING_CODES
+        is_replica = route.role is EndpointRole.REPLICA
+        return end.failure.code in _PASSING_CODES and not is_replica
+
+    async def _wait_for_change(self, attempts, now_ms):
+        limit_ms = attempts.deadline_ms - attempts.arrived_ms
+        until_ms = attempts.arrived_ms + _CHANGE_WAIT_PART * limit_ms
+        if now_ms >= until_ms:
+            return False
+        wait_ms = min(until_ms - now_ms, _CHANGE_WAIT_MS)
+        await self._context.view.wait_for_change(wait_ms)
+        attempts.excluded.clear()
+        return True
+
+    async def _wait_for_other(self, attempts, end, route):
+        limit_count = self._session.policy.attempt_limit_count
+        if attempts.count >= max(2, limit_count):
+            return False
+        if not self._context.budget(self._session.table.pool).try_spend():
+            return False
+        attempts.was_rejected = end.failure.code is FailureCode.REJECTED
+        if route is not None and route.role is EndpointRole.REPLICA:
+            attempts.excluded.add(route.endpoint)
+        self._context.metrics.incr("entry.retried")
+        settings = self._context.settings.retry
+        delay_ms = retry_delay_ms(attempts.count, settings, self._context.rng)
+        await asyncio.sleep(delay_ms / 1000)
+        return True
+
+    def _note(self, end):
+        metrics = self._context.metrics
+        if end.failure is not None:
+            metrics.incr(f"entry.failed.{end.failure.verdict.value}")
+            return
+        place = "replica" if end.served_by_replica else "primary"
+        metrics.incr(f"entry.served.{place}")
+
+
+def _judge_answer(statement, attempts, end):
+    """Turn an error that another endpoint may not have into a failure.
+
+    Only a read outside of a block can be repeated after it ran.
+    """
+    answer = end.answer
+    if answer is None or answer.error is None or attempts.is_block:
+        return end
+    if statement.is_write or answer.error.code not in _REPEATED_ERRORS:
+        return end
+    failure = Failure(
+        Verdict.RAN,
+        FailureCode.ENDPOINT_FAILED,
+        f"the endpoint answered {answer.error.code.value}",
+    )
+    return dataclasses.replace(end, failure=failure)
+
+
+def _final(statement, attempts, end):
+    """Return the outcome that the caller gets after the last attempt."""
+    failure = end.failure
+    if failure.verdict is Verdict.NOT_RUN:
+        if failure.retry_after_ms is None:
+            failure = dataclasses.replace(
+                failure, retry_after_ms=_CHANGE_RETRY_MS
+            )
+        if attempts.is_block or attempts.last is None:
+            return dataclasses.replace(end, failure=failure)
+    if statement.is_write:
+        return end
+    # A read keeps nothing, whether it ran or not.
+    message = f"the read failed: {failure.message}"
+    aborted = not_run(FailureCode.ABORTED, message, failure.retry_after_ms)
+    return dataclasses.replace(end, failure=aborted)
--- /dev/null
+++ b/waxwinglift/request/_statement_stream.py
@@ -0,0 +1,491 @@
+"""One transaction of typed statements at the owner of an endpoint."""
+
+import asyncio
+import contextlib
+
+from opentelemetry import trace
+from result import Err
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.process._data_path_types import Exchange
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
+from waxwinglift.process._data_path_types import Sink
+from waxwinglift.process._trace_context import context_of
+from waxwinglift.request import Failure
+from waxwinglift.request import FailureCode
+from waxwinglift.request import may_have_run
+from waxwinglift.request import not_run
+from waxwinglift.request import RequestId
+from waxwinglift.request import Verdict
+from waxwinglift.request._admission import Ticket
+from waxwinglift.request._statements import Command
+from waxwinglift.request._statements import CommandKind
+from waxwinglift.request._statements import EndpointErrorCode
+from waxwinglift.request._statements import Reply
+from waxwinglift.request._statements import Statement
+from waxwinglift.request._statements import StatementVerb
+from waxwinglift.version import PoolName
+
+# Time for a rollback before the connection is given up.
+_ROLLBACK_TIMEOUT_MS = 500.0
+_GROUP_TABLE = PoolName("")
+_ROLLBACK = Command(CommandKind.ROLLBACK)
+# Errors after which another endpoint may serve the same request.
+_REROUTED = frozenset(
+    {
+        EndpointErrorCode.OVERLOADED,
+        EndpointErrorCode.BEHIND,
+        EndpointErrorCode.READ_ONLY,
+        EndpointErrorCode.UNKNOWN_STATEMENT,
+    }
+)
+
+
+class StreamFailed(Exception):
+    """An exchange ends with this outcome; the connection is given up."""
+
+    def __init__(self, end: ExchangeEnd):
+        super().__init__(end.failure.message)
+        self.end = end
+
+
+class StatementStream:
+    """Runs one statement, or the statements of one transaction block.
+
+    A read at the primary runs inside a transaction of the proxy's own: only
+    a server that leads accepts one, so the read cannot miss a commit that a
+    later primary has acknowledged.  A read at a replica states the position
+    that it needs.
+
+    Parameters
+    ----------
+    owner : StatementOwner
+    header : ExecuteHeader
+    request : RequestId
+        Unique at the owner.
+    """
+
+    def __init__(self, owner, header: ExecuteHeader, request: RequestId):
+        self.header = header
+        self._owner = owner
+        self._request = request
+        self._work: asyncio.Task | None = None
+        self._is_cancelled = False
+        self._is_started = False
+        self._is_over = False
+        self._is_sent = False
+        self._taken = None
+        self._block_ticket: Ticket | None = None
+        self._block_started_ms = 0.0
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._queue_wait_ms = 0.0
+        self._is_at_primary = False
+        self._values = _encode_values(header.settings)
+
+    async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
+        """Run one statement and return its outcome."""
+        context = context_of(self.header.traceparent)
+        span = self._owner.tracer.start_span("owner.execute", context)
+        self._stop_idle_timer()
+        if exchange.settings is not None:
+            self._values = _encode_values(exchange.settings)
+        self._work = asyncio.current_task()
+        try:
+            end = await self._run_or_fail(exchange.statement, span)
+        finally:
+            self._work = None
+            span.end()
+        if end.failure is not None:
+            verdict = end.failure.verdict.value
+            self._owner.metrics.incr(f"owner.failed.{verdict}")
+        return end
+
+    def cancel(self):
+        """Give up the statement that runs."""
+        if self._work is not None:
+            self._is_cancelled = True
+            self._work.cancel()
+
+    async def close(self):
+        """End the transaction; an open block is rolled back."""
+        self._stop_idle_timer()
+        self._end_block()
+
+    async def _run_or_fail(self, statement, span):
+        try:
+            return await self._run(statement, span)
+        except StreamFailed as failed:
+            self._give_up()
+            return failed.end
+        except EndpointConnectionLost as error:
+            self._give_up()
+            return self._end(failure=self._lost(statement, str(error)))
+        except TimeoutError:
+            # The endpoint may still work on it: the connection is closed.
+            if self._taken is not None:
+                self._owner.note_silence(self._taken[0])
+            self._give_up()
+            return self._end(failure=self._timed_out(statement))
+        except asyncio.CancelledError:
+            self._give_up()
+            if not self._is_cancelled:
+                raise
+            asyncio.current_task().uncancel()
+            return self._end(failure=self._cancelled())
+        except BaseException:
+            self._give_up()
+            raise
+
+    async def _run(self, statement, span):
+        self._is_sent = False
+        if self._is_over:
+            message = "the transaction block was ended"
+            self._fail(not_run(FailureCode.ABORTED, message))
+        is_first = not self._is_started
+        self._is_started = True
+        limit_ms = self._limit_ms(is_first)
+        deadline_ms = self._owner.now_ms() + limit_ms
+        context = trace.set_span_in_context(span)
+        inner = self._owner.tracer.start_span("endpoint.statement", context)
+        try:
+            if not self.header.in_block:
+                return await self._run_single(statement, deadline_ms)
+            if is_first:
+                await self._begin_block(deadline_ms)
+            return await self._run_in_block(statement, deadline_ms)
+        finally:
+            inner.end()
+
+    def _limit_ms(self, is_first):
+        if is_first or not self.header.statement_timeout_ms:
+            return self.header.deadline_left_ms
+        return self.header.statement_timeout_ms
+
+    async def _run_single(self, statement, deadline_ms):
+        self._check()
+        after = await self._find_floor(deadline_ms)
+        async with self._slot(deadline_ms):
+            # The assignment and the role may have changed during the wait.
+            self._check()
+            await self._take_connection(deadline_ms)
+            if self._is_at_primary and not statement.is_write:
+                reply = await self._run_guarded(statement, deadline_ms)
+            else:
+                commands = self._commands(statement, after)
+                reply = (await self._send(commands, deadline_ms))[-1]
+            self._check_reply(reply)
+            self._release_connection()
+        return self._answer(reply)
+
+    async def _run_guarded(self, statement, deadline_ms):
+        """Run a read where only the primary accepts it."""
+        commands = self._commands(statement, None)
+        prepared, read = commands[:-1], commands[-1]
+        begin = [*prepared, Command(CommandKind.BEGIN)]
+        begun = (await self._send(begin, deadline_ms, is_own=True))[-1]
+        if begun.answer.error is not None:
+            self._check_reply(begun)
+        reply, ended = await self._send([read, _ROLLBACK], deadline_ms)
+        if ended.status is not TransactionStatus.IDLE:
+            raise EndpointConnectionLost("the transaction did not end")
+        return Reply(reply.answer, ended.status, reply.position)
+
+    async def _begin_block(self, deadline_ms):
+        self._check()
+        after = await self._find_floor(deadline_ms)
+        await self._enter_blocks(deadline_ms)
+        self._check()
+        await self._take_connection(deadline_ms)
+        is_read = self.header.read_only and not self._is_at_primary
+        kind = CommandKind.BEGIN_READ if is_read else CommandKind.BEGIN
+        begin = Command(kind, after=after)
+        (reply,) = await self._send([begin], deadline_ms, is_own=True)
+        if reply.answer.error is not None:
+            self._check_reply(reply)
+
+    async def _run_in_block(self, statement, deadline_ms):
+        async with self._slot(deadline_ms):
+            commands = self._commands(statement, None)
+            reply = (await self._send(commands, deadline_ms))[-1]
+        if reply.status is not TransactionStatus.IN_TRANSACTION:
+            # It has ended, or can only be rolled back.
+            self._end_block(is_idle=reply.status is TransactionStatus.IDLE)
+        else:
+            self._start_idle_timer()
+        self._note_error(reply)
+        return self._answer(reply)
+
+    def _commands(self, statement: Statement, after):
+        """Return what brings the session in force, and the statement."""
+        link = self._taken[1]
+        commands = link.align(self._values)
+        if statement.verb is StatementVerb.EXECUTE:
+            name, prepared = link.prepare(statement.shape)
+            commands += prepared
+            command = Command(
+                CommandKind.EXECUTE,
+                statement.request,
+                name=name,
+                arguments=statement.arguments,
+                after=after,
+            )
+        else:
+            command = Command(
+                CommandKind.CALLER,
+                statement.request,
+                statement.text,
+                after=after,
+            )
+        return [*commands, command]
+
+    async def _find_floor(self, deadline_ms):
+        """Return the position that a read at a replica must state."""
+        header = self.header
+        self._is_at_primary = self._owner.positions.is_primary
+        if self._is_at_primary or not header.read_only:
+            return None
+        floor = header.floor
+        if not header.max_age_ms:
+            return floor
+        left_ms = deadline_ms - self._owner.now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / 1000):
+                found = await self._owner.positions.floors.find(
+                    header.max_age_ms
+                )
+        except TimeoutError:
+            message = "no recent position of the primary in time"
+            found = Err(not_run(FailureCode.UNAVAILABLE, message))
+        if isinstance(found, Err):
+            self._fail(found.err_value)
+        known = found.ok_value
+        return known if floor is None else max(floor, known)
+
+    @contextlib.asynccontextmanager
+    async def _slot(self, deadline_ms):
+        """Hold a slot of the endpoint."""
+        ticket = self._ticket(deadline_ms)
+        asked_ms = self._owner.now_ms()
+        failure = await self._owner.slots.enter(ticket)
+        if failure is not None:
+            self._fail(failure)
+        started_ms = self._owner.now_ms()
+        self._queue_wait_ms = started_ms - asked_ms
+        self._owner.metrics.timing("owner.queue_wait", self._queue_wait_ms)
+        self._owner.enter(self)
+        try:
+            yield
+        finally:
+            service_ms = self._owner.now_ms() - started_ms
+            self._owner.slots.leave(ticket, service_ms)
+            if self._block_ticket is None:
+                self._owner.leave(self)
+
+    async def _enter_blocks(self, deadline_ms):
+        ticket = self._ticket(deadline_ms, is_block=True)
+        failure = await self._owner.blocks.enter(ticket)
+        if failure is not None:
+            self._fail(failure)
+        self._block_ticket = ticket
+        self._block_started_ms = self._owner.now_ms()
+        self._owner.enter(self)
+
+    def _ticket(self, deadline_ms, is_block=False):
+        header = self.header
+        return Ticket(
+            request=self._request,
+            pool=_GROUP_TABLE,
+            rank=header.rank,
+            caller=header.caller,
+            arrival_ms=self._owner.now_ms(),
+            deadline_ms=deadline_ms,
+            is_block=is_block,
+        )
+
+    async def _take_connection(self, deadline_ms):
+        if self._taken is not None:
+            return
+        left_ms = max(0.0, deadline_ms - self._owner.now_ms())
+        taken = await self._owner.connections.acquire(self._request, left_ms)
+        if taken is None:
+            message = "no connection to the endpoint in time"
+            self._fail(not_run(FailureCode.UNAVAILABLE, message))
+        self._taken = taken
+
+    async def _send(self, commands, deadline_ms, is_own=False):
+        """Send commands and return their replies.
+
+        Raises
+        ------
+        EndpointConnectionLost, TimeoutError
+            The replies are not complete.
+        """
+        left_ms = deadline_ms - self._owner.now_ms()
+        if left_ms <= 0:
+            message = "the time for the statement is over"
+            self._fail(not_run(FailureCode.REJECTED, message))
+        self._is_sent = not is_own
+        async with asyncio.timeout(left_ms / 1000):
+            replies = await self._taken[1].run(commands)
+        self._owner.monitor.note_life()
+        return replies
+
+    def _check(self):
+        refusal = self._owner.check(self.header)
+        if refusal is not None:
+            raise StreamFailed(refusal)
+
+    def _check_reply(self, reply):
+        """Fail when another endpoint may serve the request."""
+        self._note_error(reply)
+        error = reply.answer.error
+        if error is None or error.code not in _REROUTED:
+            return
+        self._release_or_discard(reply.status)
+        code = FailureCode.UNAVAILABLE
+        if error.code is EndpointErrorCode.OVERLOADED:
+            code = FailureCode.REJECTED
+        is_behind = error.code is EndpointErrorCode.BEHIND
+        if is_behind:
+            code = FailureCode.BEHIND
+        end = self._end(
+            failure=not_run(code, f"the endpoint is {error.code.value}"),
+            failed_position=reply.position if is_behind else None,
+            is_stale_owner=error.code is EndpointErrorCode.READ_ONLY,
+        )
+        raise StreamFailed(end)
+
+    def _note_error(self, reply):
+        """Take what an error tells about the endpoint."""
+        error = reply.answer.error
+        if error is None:
+            return
+        self._owner.metrics.incr(f"endpoint.{error.code.value}")
+        if error.code is EndpointErrorCode.READ_ONLY and self._is_at_primary:
+            self._owner.note_lost_role()
+        if error.code is EndpointErrorCode.UNKNOWN_STATEMENT and self._taken:
+            self._taken[1].prepared.clear()
+
+    def _answer(self, reply):
+        return self._end(
+            status=reply.status,
+            position=reply.position,
+            answer=reply.answer,
+            has_error=reply.answer.error is not None,
+            served_by_replica=not self._is_at_primary,
+        )
+
+    def _release_or_discard(self, status):
+        if status is TransactionStatus.IDLE:
+            self._release_connection()
+        else:
+            self._discard_connection()
+
+    def _release_connection(self):
+        if self._taken is not None:
+            (connection, _), self._taken = self._taken, None
+            self._owner.connections.release(connection)
+
+    def _discard_connection(self):
+        if self._taken is not None:
+            (connection, _), self._taken = self._taken, None
+            self._owner.connections.discard(connection)
+
+    def _end_block(self, is_idle=False):
+        """Give the block's connection back, after a rollback if needed."""
+        self._is_over = True
+        if self._taken is not None and is_idle:
+            self._release_connection()
+        elif self._taken is not None:
+            taken, self._taken = self._taken, None
+            self._owner.run_in_background(self._roll_back(taken))
+        self._leave_blocks()
+
+    async def _roll_back(self, taken):
+        connection, link = taken
+        try:
+            async with asyncio.timeout(_ROLLBACK_TIMEOUT_MS / 1000):
+                (reply,) = await link.run([_ROLLBACK])
+        except (TimeoutError, EndpointConnectionLost):
+            self._owner.connections.discard(connection)
+            return
+        if reply.status is TransactionStatus.IDLE:
+            self._owner.connections.release(connection)
+        else:
+            self._owner.connections.discard(connection)
+
+    def _leave_blocks(self):
+        ticket, self._block_ticket = self._block_ticket, None
+        if ticket is None:
+            return
+        service_ms = self._owner.now_ms() - self._block_started_ms
+        self._owner.blocks.leave(ticket, service_ms)
+        self._owner.leave(self)
+
+    def _give_up(self):
+        """Close the connection: what runs on it is not known."""
+        self._is_over = True
+        self._discard_connection()
+        self._leave_blocks()
+
+    def _fail(self, failure: Failure):
+        raise StreamFailed(self._end(failure=failure))
+
+    def _end(self, **fields):
+        return ExchangeEnd(queue_wait_ms=self._queue_wait_ms, **fields)
+
+    def _lost(self, statement, reason):
+        if not self._is_sent:
+            message = f"connection lost before the statement: {reason}"
+            return not_run(FailureCode.UNAVAILABLE, message)
+        if self.header.in_block and not _may_commit(statement):
+            message = f"the transaction was lost: {reason}"
+            return not_run(FailureCode.ABORTED, message)
+        return may_have_run(f"the endpoint's answer was lost: {reason}")
+
+    def _timed_out(self, statement):
+        if not self._is_sent:
+            message = "the endpoint did not take the statement in time"
+            return not_run(FailureCode.UNAVAILABLE, message)
+        if self.header.in_block and not _may_commit(statement):
+            message = "a statement took too long; the transaction was ended"
+            return not_run(FailureCode.ABORTED, message)
+        message = "the endpoint did not answer in time"
+        return Failure(Verdict.MAY_HAVE_RUN, FailureCode.TIMED_OUT, message)
+
+    def _cancelled(self):
+        verdict = Verdict.MAY_HAVE_RUN if self._is_sent else Verdict.NOT_RUN
+        message = "the statement was cancelled"
+        return Failure(verdict, FailureCode.CANCELLED, message)
+
+    def _start_idle_timer(self):
+        limit_ms = self._owner.idle_block_ms
+        if limit_ms <= 0:
+            return
+        loop = asyncio.get_running_loop()
+        self._idle_timer = loop.call_later(
+            limit_ms / 1000, self._end_idle_block
+        )
+
+    def _end_idle_block(self):
+        self._owner.metrics.incr("owner.idle_block_ended")
+        self._end_block()
+
+    def _stop_idle_timer(self):
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+
+def _encode_values(settings):
+    """Return a session's values as the endpoint takes them."""
+    return {
+        name.encode("latin-1"): value.encode("latin-1")
+        for name, value in settings.items()
+    }
+
+
+def _may_commit(statement: Statement) -> bool:
+    return statement.verb is StatementVerb.COMMIT
--- a/waxwinglift/request/_statements.py
+++ b/waxwinglift/request/_statements.py
@@ -118,6 +118,24 @@
     error: EndpointError | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointStatus:
+    """What an endpoint says of itself.
+
+    Parameters
+    ----------
+    is_primary : bool
+    received : Position
+        Last commit that it has received, in the endpoint's own terms.
+    held_term : int
+        Term above which it receives nothing; 0 when it receives.
+    """
+
+    is_primary: bool
+    received: Position
+    held_term: int = 0
+
+
 class CommandKind(enum.Enum):
     """What an owner or control asks an endpoint for."""
 
