--- a/waxwinglift/platform/__main__.py
+++ b/waxwinglift/platform/__main__.py
@@ -1,6 +1,7 @@
 """Programs of the platform's roles: ``python3 -m waxwinglift.platform``."""
 
 import contextlib
+import logging
 import pathlib
 
 import click
@@ -16,6 +17,11 @@
 from waxwinglift.process._proxy import ProxyService
 from waxwinglift.process.cli._daemons import START_ERRORS
 
+logger = logging.getLogger(__name__)
+
+# Time between two looks at the settings file, which may change unannounced.
+_RELOAD_INTERVAL_S = 1.0
+
 _settings_option = click.option(
     "--settings",
     "path",
@@ -25,15 +31,59 @@
 )
 
 
+class SettingsReloader(mode.Service):
+    """Takes the seeds of a settings file that changes, signalled or not.
+
+    Other settings need a restart.
+
+    Parameters
+    ----------
+    path : Path
+    set_seeds : callable
+        Called with the addresses of the control seeds after each change.
+    """
+
+    def __init__(self, path, set_seeds):
+        super().__init__()
+        self._path = path
+        self._set_seeds = set_seeds
+        self._seeds = None
+
+    def reload(self):
+        """Read the file again; one that is not valid changes nothing."""
+        loaded = _settings.load_platform_settings(self._path)
+        if loaded.is_err():
+            logger.warning("settings not reloaded: %s", loaded.err_value)
+            return
+        seeds = loaded.ok_value.control_seeds
+        if seeds == self._seeds:
+            return
+        if self._seeds is not None:
+            logger.info("settings reloaded: seeds are %s", _join(seeds))
+        self._seeds = seeds
+        self._set_seeds(seeds)
+
+    @mode.Service.task
+    async def _watch(self):
+        while not self.should_stop:
+            self.reload()
+            await self.sleep(_RELOAD_INTERVAL_S)
+
+
 class PlatformControl(mode.Service):
     """A control daemon behind the platform's HTTP interface."""
 
-    def __init__(self, platform, metrics, tracer):
+    def __init__(self, platform, path, metrics, tracer):
         super().__init__()
         self.platform = platform
         self.control = ControlService(
             _roles.control_settings(platform), metrics, tracer
         )
+        self._reloader = SettingsReloader(path, self.control.set_seeds)
+
+    def reload(self):
+        """Read the settings again."""
+        self._reloader.reload()
 
     async def on_start(self):
         """Start the daemon, then listen for operators and servers."""
@@ -42,6 +92,29 @@
         await self.add_async_context(
             _http.serving_http(self.platform.listen.control, api.handle)
         )
+        await self.add_runtime_dependency(self._reloader)
+
+
+class PlatformProxy(mode.Service):
+    """A proxy whose seeds follow the platform's settings file."""
+
+    def __init__(self, settings, path, metrics, tracer):
+        super().__init__()
+        self.proxy = ProxyService(settings, metrics, tracer)
+        self._reloader = SettingsReloader(path, self.proxy.link.set_control)
+
+    def reload(self):
+        """Read the settings again."""
+        self._reloader.reload()
+
+    async def on_start(self):
+        """Start the proxy."""
+        await self.add_runtime_dependency(self.proxy)
+        await self.add_runtime_dependency(self._reloader)
+
+
+def _join(addresses):
+    return ", ".join(str(address) for address in addresses)
 
 
 def _load(path):
@@ -81,7 +154,9 @@
     _run(
         settings,
         f"control {platform.machine}",
-        lambda metrics, tracer: PlatformControl(platform, metrics, tracer),
+        lambda metrics, tracer: PlatformControl(
+            platform, path, metrics, tracer
+        ),
     )
 
 
@@ -94,7 +169,7 @@
     _run(
         settings,
         f"proxy {platform.machine}",
-        lambda metrics, tracer: ProxyService(settings, metrics, tracer),
+        lambda metrics, tracer: PlatformProxy(settings, path, metrics, tracer),
     )
 
 
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -110,7 +110,7 @@
             protocol.server_steps(settings),
             self.metrics,
         )
-        self.book.follow(lambda: self.node.fleet)
+        self.book.follow(self.node)
         self._relay = Relay(settings, self._find_leader, channels)
         self.operators = OperatorService(
             self.node, self._find_leader, channels
--- a/waxwinglift/process/_control_join.py
+++ b/waxwinglift/process/_control_join.py
@@ -35,9 +35,10 @@
         self._senders: dict[DaemonId, Address] = {}
         self._fleet = lambda: None
 
-    def follow(self, find_fleet):
-        """Take the members from ``find_fleet()`` from now on."""
-        self._fleet = find_fleet
+    def follow(self, node):
+        """Take the members from a ControlNode from now on."""
+        self._configured = {**self._configured, **node.logged_addresses}
+        self._fleet = lambda: node.fleet
 
     def note_sender(self, member: DaemonId, address: Address):
         """Record where a message came from.
@@ -64,6 +65,7 @@
         addresses = [
             *self._seeds(),
             *(member.address for member in members),
+            *self._configured.values(),
             *self._senders.values(),
         ]
         return list(dict.fromkeys(addresses))
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -28,6 +28,7 @@
 from waxwinglift.version._consensus_driver import MemberDriver
 from waxwinglift.version._control_core import ControlCore
 from waxwinglift.version._desired import plan_replacement
+from waxwinglift.version._entries import MemberAdded
 from waxwinglift.version._entries import MemberPromoted
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import decode_fleet
@@ -54,16 +55,16 @@
 
 
 def _decode_stored(stored):
-    """Return the state of a member's snapshot, the empty one without it.
+    """Return the state of a member's snapshot and the entries behind it.
 
     Entries are checked as well: one that cannot be applied would stop the
     member in the middle of its work.
     """
     snapshot = stored.snapshot
     try:
-        for entry in stored.entries:
-            decode_entry(entry.payload)
-        return decode_fleet(snapshot.data) if snapshot else FleetState()
+        entries = [decode_entry(entry.payload) for entry in stored.entries]
+        fleet = decode_fleet(snapshot.data) if snapshot else FleetState()
+        return fleet, entries
     except ValueError as error:
         raise StoreFormatError(
             "the data folder was written by another version; start that "
@@ -103,7 +104,14 @@
         self.sessions = ActionQueue()
         self.changed = asyncio.Event()
         seed = f"{settings.member}-{random.SystemRandom().random()}"
-        fleet = _decode_stored(store.load())
+        fleet, entries = _decode_stored(store.load())
+        # Before a leader commits them again, the entries of the log are the
+        # only place that tells where the members are.
+        self.logged_addresses = {
+            entry.member: entry.address
+            for entry in entries
+            if isinstance(entry, MemberAdded)
+        }
         self.core = ControlCore(
             _control_settings.core_settings(settings),
             random.Random(seed),
--- a/waxwinglift/process/_runner.py
+++ b/waxwinglift/process/_runner.py
@@ -18,21 +18,30 @@
 
 
 @contextlib.contextmanager
-def _signals_set_event(loop, event):
-    handled = (signal.SIGTERM, signal.SIGINT)
-    for number in handled:
-        loop.add_signal_handler(number, event.set)
+def _signals_handled(loop, on_stop, on_reload):
+    handlers = {
+        signal.SIGTERM: on_stop,
+        signal.SIGINT: on_stop,
+        signal.SIGHUP: on_reload,
+    }
+    for number, handler in handlers.items():
+        loop.add_signal_handler(number, handler)
     try:
         yield
     finally:
-        for number in handled:
+        for number in handlers:
             loop.remove_signal_handler(number)
 
 
+def _ignore_reload():
+    logger.info("nothing to reload: restart to use other settings")
+
+
 async def _run(service):
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    with _signals_set_event(loop, stop_requested):
+    reload = getattr(service, "reload", _ignore_reload)
+    with _signals_handled(loop, stop_requested.set, reload):
         await service.start()
         requested = asyncio.ensure_future(stop_requested.wait())
         stopped = asyncio.ensure_future(service.wait_until_stopped())
