--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -123,7 +123,7 @@
 
     def _build(self, record):
         settings = self.settings
-        self._lost_term = None
+        self._seen_term = None
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
@@ -171,8 +171,12 @@
     def _follow_term(self):
         """Take a new term; the endpoint itself refuses what is outdated."""
         group = self.view.group(self.group)
-        if group is not None and group.term != self._lost_term:
-            self._lost_term = group.term
+        if group is None:
+            return
+        # A report from before the promotion must not end the new term.
+        seen = (group.term, group.phase)
+        if seen != self._seen_term:
+            self._seen_term = seen
             self.has_lost_role = False
 
     def _follow_endpoint(self):
--- a/waxwinglift/process/_statement_positions.py
+++ b/waxwinglift/process/_statement_positions.py
@@ -16,6 +16,7 @@
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
+from waxwinglift.version import GroupPhase
 from waxwinglift.version import Position
 from waxwinglift.version import Term
 
@@ -181,10 +182,15 @@
 
     @property
     def is_primary(self) -> bool:
-        """Whether the endpoint is its group's primary, as far as known."""
+        """Whether the endpoint is its group's active primary.
+
+        A server that is chosen but not promoted yet does not lead.
+        """
         record = self._view.endpoint(self._endpoint)
         group = None if record is None else self._view.group(record.group)
-        return group is not None and group.primary == self._endpoint
+        if group is None or group.phase is not GroupPhase.ACTIVE:
+            return False
+        return group.primary == self._endpoint
 
     def start(self):
         """Do nothing: positions are asked for when they are needed."""
--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -194,15 +194,23 @@
         passed = failover.LeasesPassed(self.leases.passed_index(now_ms))
         return self.planner.step(self.fleet, passed, now_ms)
 
-    def note_applied(self, event, now_ms):
+    def note_applied(self, event, group, now_ms):
         """Let the planner go on with the group that an entry changed."""
-        group = getattr(event.entry, "group", None)
-        endpoint = getattr(event.entry, "endpoint", None)
-        if group is None and endpoint is not None:
-            group = self.fleet.endpoints[endpoint].group
         applied = failover.EntryApplied(event.index, group)
         return self.planner.step(self.fleet, applied, now_ms)
 
+    def group_of(self, entry):
+        """Return the group that an entry changes, None for no single one.
+
+        Ask before and after it is applied: an endpoint may be new or gone.
+        """
+        group = getattr(entry, "group", None)
+        endpoint = getattr(entry, "endpoint", None)
+        if group is None and endpoint is not None:
+            known = self.fleet.endpoints.get(endpoint)
+            group = None if known is None else known.group
+        return group if group in self.fleet.groups else None
+
     def update_live(self, now_ms):
         """Recompute the proxies with leases; note when they changed."""
         live = self.leases.live(now_ms) & self.fleet.daemons.keys()
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -23,6 +23,7 @@
 def _on_entry_committed(core, event, now_ms):
     if event.index <= core.fleet.index:
         return []
+    group = core.group_of(event.entry)
     outcome = apply_entry(core.fleet, event.index, event.entry)
     core.last_outcome = outcome
     if isinstance(outcome, Err):
@@ -38,7 +39,9 @@
     core.proposed_ms.pop(event.entry, None)
     if not core.may_act():
         return []
-    return core.note_applied(event, now_ms) + core.plan_owners(now_ms)
+    group = group or core.group_of(event.entry)
+    applied = core.note_applied(event, group, now_ms)
+    return applied + core.plan_owners(now_ms)
 
 
 @on_commit(EntryKind.TERM_RAISED)
