--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -101,6 +101,7 @@
         self._refusals_count = 0
         self._refusal_reason = "no answer"
         self._renew_now = asyncio.Event()
+        self._relay_changed = asyncio.Event()
         self._renewed_ms = -math.inf
         self._entries_timer = None
         self._incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
@@ -148,8 +149,7 @@
         while not self.should_stop:
             relay = self._relays[0]
             try:
-                with open_channel(relay) as channel:
-                    await self._watch(channel)
+                await self._watch_until_changed(relay)
             except (*CALL_ERRORS, WatchError) as error:
                 self.metrics.incr("control.watch_failures")
                 if self._is_watching:
@@ -158,11 +158,32 @@
                 self._next_relay(relay)
             await self.sleep(RECONNECT_DELAY_S)
 
+    async def _watch_until_changed(self, relay):
+        """Follow a relay until it fails or renewals have left it.
+
+        A relay that has lost its power says nothing; the renewals notice
+        before the watch stream does.
+        """
+        with open_channel(relay) as channel:
+            watch = asyncio.ensure_future(self._watch(channel))
+            change = asyncio.ensure_future(self._relay_changed.wait())
+            try:
+                await asyncio.wait(
+                    {watch, change}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if watch.done():
+                    await watch
+            finally:
+                watch.cancel()
+                change.cancel()
+
     def _next_relay(self, failed):
         """Use another control daemon unless that has happened already."""
         self._refusals_count = 0
         if self._relays[0] == failed:
             self._relays.append(self._relays.pop(0))
+            self._relay_changed.set()
+            self._relay_changed = asyncio.Event()
             self.renew_soon()
 
     async def _watch(self, channel):
--- a/waxwinglift/process/_data_path.py
+++ b/waxwinglift/process/_data_path.py
@@ -93,10 +93,15 @@
     async def drain(self):
         """Finish what runs, refuse new work, close idle sessions.
 
-        Returns when no session is left, or when the time that the settings
-        allow has passed; ``stop`` then ends the others.
+        The balancer goes on sending callers until it has noticed that the
+        proxy is not ready; they are served until then.  Returns when no
+        session is left, or when the time that the settings allow has passed;
+        ``stop`` then ends the others.
         """
         until_ms = self.context.now_ms() + self.settings.drain_timeout_ms
+        if self.settings.drain_linger_ms:
+            await asyncio.sleep(self.settings.drain_linger_ms / 1000)
+            self._server.close()
         self.is_draining = True
         for session in list(self.sessions.values()):
             if session.is_idle:
--- a/waxwinglift/process/_data_path_route.py
+++ b/waxwinglift/process/_data_path_route.py
@@ -11,6 +11,7 @@
 from waxwinglift.process._data_path_types import Executors
 from waxwinglift.process._data_path_types import Metrics
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._request_log import RequestLog
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
@@ -59,6 +60,7 @@
         self.metrics = metrics
         self.tracer = tracer
         self.rng = rng
+        self.request_log = RequestLog(now_ms)
         self._knowledge: dict[GroupName, EndpointKnowledge] = {}
         self._budgets: dict[PoolName, RetryBudget] = {}
         self._group_views: dict[GroupName, GroupView | None] = {}
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -38,6 +38,9 @@
         Answer bytes kept for a slow caller before reading more.
     drain_timeout_ms : float
         Longest time that a drain waits for open transactions.
+    drain_linger_ms : float
+        Part of it in which callers are still accepted, because the balancer
+        has not noticed yet.
     reported_parameters : dict of str to str
         Parameters reported to callers at start-up, as the endpoints have
         them.
@@ -54,6 +57,7 @@
     startup_timeout_ms: float = pydantic.Field(10_000.0, gt=0)
     write_buffer_bytes: int = pydantic.Field(2**18, ge=1024)
     drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
+    drain_linger_ms: float = pydantic.Field(0.0, ge=0)
     reported_parameters: dict[str, str] = pydantic.Field(
         default_factory=lambda: {
             "server_version": "16.0",
--- a/waxwinglift/process/_observability.py
+++ b/waxwinglift/process/_observability.py
@@ -15,6 +15,7 @@
 import statsd
 
 from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process._log_output import OutputHandler
 
 LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -46,8 +47,8 @@
 
 
 def configure_logging(settings, process_name):
-    """Write JSON log lines to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Write JSON log lines to standard output, without ever waiting."""
+    handler = OutputHandler(sys.stdout.fileno())
     formatter = json_logger.JsonFormatter(
         LOG_FIELDS, static_fields={"process_name": process_name}
     )
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -138,6 +138,16 @@
 
     async def _finish_in_block(self, statement, end):
         end = self._judge_block(statement, end)
+        if end.failure is not None:
+            self._context.request_log.write(
+                "transaction ended",
+                request_id=statement.request.decode("latin-1"),
+                pool=self._session.table.pool,
+                verb=statement.verb.value,
+                verdict=end.failure.verdict.value,
+                reason=end.failure.message,
+                log_index=self._context.view.applied_index,
+            )
         is_open = (
             end.failure is None
             and end.status is TransactionStatus.IN_TRANSACTION
@@ -186,9 +196,32 @@
             end = _judge_answer(statement, attempts, end)
             if end.failure is None:
                 return end
-            if not await self._may_retry(statement, attempts, end, route):
+            may_retry = await self._may_retry(statement, attempts, end, route)
+            self._log_failure(statement, attempts, end, route, may_retry)
+            if not may_retry:
                 return _final(statement, attempts, end)
 
+    def _log_failure(self, statement, attempts, end, route, may_retry):
+        failure = end.failure
+        now_ms = self._context.now_ms()
+        self._context.request_log.write(
+            "attempt failed, trying again" if may_retry else "request failed",
+            request_id=statement.request.decode("latin-1"),
+            pool=self._session.table.pool,
+            rank=self._session.table.rows[0].rank,
+            verb=statement.verb.value,
+            verdict=failure.verdict.value,
+            reason=failure.message,
+            retry_after_ms=failure.retry_after_ms,
+            attempts_count=attempts.count,
+            elapsed_ms=round(now_ms - attempts.arrived_ms, 1),
+            queue_wait_ms=round(end.queue_wait_ms, 1),
+            endpoint=None if route is None else route.endpoint,
+            owner=None if route is None else route.owner,
+            term=None if route is None else route.term,
+            log_index=self._context.view.applied_index,
+        )
+
     async def _attempt(self, statement, attempts):
         routed = self._route(attempts)
         if isinstance(routed, Err):
--- /dev/null
+++ b/waxwinglift_standin/platform/_caller.py
@@ -0,0 +1,83 @@
+"""A caller of the stand-in, one statement at a time."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+
+_NUMBERS = itertools.count(1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """What a caller got for one statement."""
+
+    request: bytes
+    rows: tuple[bytes, ...]
+    receipt: bytes
+    error: bytes
+    state: bytes
+
+    @property
+    def is_good(self):
+        """Whether the statement succeeded."""
+        return not self.error
+
+
+class Caller:
+    """A session at a proxy."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def connected(cls, address, database, name="tester"):
+        """Yield a started session.
+
+        Raises
+        ------
+        ConnectionError
+            The proxy refused it.
+        """
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        caller = cls(reader, writer)
+        try:
+            writer.write(f"STARTUP {database} {name}\r\n".encode())
+            answer = await caller.answer(b"")
+            if answer.error:
+                raise ConnectionError(answer.error.decode())
+            yield caller
+        finally:
+            writer.close()
+
+    async def query(self, text: str, request=None) -> CallerAnswer:
+        """Run one statement and return its answer."""
+        if request is None:
+            request = b"%016x" % next(_NUMBERS)
+        self.send(b"QUERY %s %s\r\n" % (request, text.encode()))
+        return await self.answer(request)
+
+    def send(self, data: bytes):
+        """Send bytes as they are."""
+        self._writer.write(data)
+
+    async def answer(self, request) -> CallerAnswer:
+        """Read the lines up to the state; a closed session has none."""
+        rows, receipt, error = [], b"", b""
+        while True:
+            line = (await self._reader.readline()).rstrip(b"\r\n")
+            word, _, rest = line.partition(b" ")
+            if word == b"DATAROW":
+                rows.append(rest)
+            elif word == b"COMPLETE":
+                receipt = rest
+            elif word == b"ERROR":
+                error = rest
+            else:
+                break
+        state = rest.split(b" ")[0] if word == b"READY" else b""
+        return CallerAnswer(request, tuple(rows), receipt, error, state)
--- /dev/null
+++ b/waxwinglift_standin/platform/_cloud.py
@@ -0,0 +1,74 @@
+"""The platform's calls of the stand-in: promotions and check-ins."""
+
+import contextlib
+import json
+
+from waxwinglift.platform._http import call_http
+from waxwinglift.platform._http import HttpFailed
+from waxwinglift.platform._http import HttpRequest
+from waxwinglift.platform._http import HttpResponse
+from waxwinglift.platform._http import serving_http
+from waxwinglift.process import Address
+from waxwinglift_standin.platform._server import ServerState
+
+_CALL_TIMEOUT_S = 1.0
+
+
+@contextlib.asynccontextmanager
+async def serving_promotions(groups, tokens):
+    """Yield the address that takes orders for ``groups``.
+
+    Parameters
+    ----------
+    groups : dict of str to ServerGroup
+    tokens : callable
+        Returns the next fencing token; the real one comes in a header,
+        which the stand-in's HTTP front does not pass on.
+    """
+
+    async def handle(request: HttpRequest):
+        order = json.loads(request.body)
+        group = groups.get(order["service"])
+        if group is None:
+            return HttpResponse(404)
+        status = await group.promote(order["id"], tokens())
+        return HttpResponse(status, b"{}")
+
+    async with serving_http(Address("127.0.0.1", 0), handle) as server:
+        host, port = server.sockets[0].getsockname()[:2]
+        yield Address(host, port)
+
+
+async def announce(server, sequence, addresses, born_ms=1):
+    """Send one check-in of a server to the first daemon that takes it.
+
+    Returns
+    -------
+    bool
+        Whether a daemon has acknowledged it.
+    """
+    if server.state is not ServerState.UP:
+        return False
+    words = {
+        "service": server.group.name,
+        "address": str(server.address),
+        "zone": server.data_centre,
+        "version": "v1",
+        "capacity": server.settings.slots_count,
+        "state": "draining" if server.is_draining else "ready",
+        "warmupLeftMs": 0,
+        "dbRole": "primary" if server.is_primary else "replica",
+        "sequence": sequence,
+        "born": born_ms,
+    }
+    request = HttpRequest(
+        "POST",
+        f"/Instances.Heartbeat/{server.name}",
+        json.dumps(words).encode(),
+    )
+    for address in addresses:
+        with contextlib.suppress(HttpFailed):
+            response = await call_http(address, request, {}, _CALL_TIMEOUT_S)
+            if response.status == 200:
+                return True
+    return False
--- /dev/null
+++ b/waxwinglift_standin/platform/_group.py
@@ -0,0 +1,124 @@
+"""A group of database servers: replication and changes of primary."""
+
+import asyncio
+import dataclasses
+
+from waxwinglift_standin.platform._log import Commit
+from waxwinglift_standin.platform._log import ServerLog
+from waxwinglift_standin.platform._server import DatabaseServer
+from waxwinglift_standin.platform._server import ServerSettings
+from waxwinglift_standin.platform._server import ServerState
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicationTimes:
+    """How far replicas are behind.
+
+    Parameters
+    ----------
+    receive_ms, apply_ms : float
+        Time until a replica has received a commit, and until it shows it.
+    promote_ms : float
+        Time until a server leads once its promotion is accepted.
+    """
+
+    receive_ms: float = 1.0
+    apply_ms: float = 2.0
+    promote_ms: float = 50.0
+
+
+class ServerGroup:
+    """Servers of one database, one of which leads.
+
+    Parameters
+    ----------
+    name : str
+    times : ReplicationTimes, optional
+    """
+
+    def __init__(self, name, times=None):
+        self.name = name
+        self.times = times or ReplicationTimes()
+        self.servers: dict[str, DatabaseServer] = {}
+        self.logs: dict[str, ServerLog] = {}
+        self.primary: str | None = None
+        self.term = 1
+        self.highest_token = -1
+        self.promotions_count = 0
+        self.cut_off: set[str] = set()
+
+    async def add(self, name, data_centre, settings=None):
+        """Start a server; the first one leads."""
+        server = DatabaseServer(
+            name, self, data_centre, settings or ServerSettings()
+        )
+        self.servers[name] = server
+        self.logs[name] = ServerLog()
+        if self.primary is None:
+            self.primary = name
+        else:
+            self.logs[name].copy_from(self.logs[self.primary])
+        await server.start()
+        return server
+
+    def stop(self):
+        """End all servers."""
+        for server in self.servers.values():
+            if server.state is not ServerState.DOWN:
+                server.crash()
+
+    async def commit(self, server, writes) -> bool:
+        """Commit at the primary; False when the server does not lead."""
+        if self.primary != server.name:
+            return False
+        log = self.logs[server.name]
+        number = log.received[1] + 1
+        commit = Commit(self.term, number, tuple(writes))
+        log.append(commit)
+        log.apply_to(len(log.commits))
+        for name in self.servers:
+            if name != server.name:
+                asyncio.ensure_future(self._replicate(name, commit))
+        return True
+
+    async def promote(self, name, token) -> int:
+        """Carry out an order; return the status of its answer."""
+        server = self.servers.get(name)
+        if token < self.highest_token:
+            return 409
+        self.highest_token = token
+        if server is None or server.state is ServerState.DOWN:
+            return 409
+        if self.primary != name:
+            asyncio.ensure_future(self._lead(name))
+        return 200
+
+    async def _replicate(self, name, commit):
+        await asyncio.sleep(self.times.receive_ms / 1000)
+        while name in self.cut_off:
+            await asyncio.sleep(0.005)
+        server, log = self.servers[name], self.logs[name]
+        follows = (
+            server.state is not ServerState.DOWN
+            and not server.held_term
+            and self.primary != name
+            and commit.number == log.received[1] + 1
+        )
+        if not follows:
+            return
+        log.append(commit)
+        count = len(log.commits)
+        await asyncio.sleep(self.times.apply_ms / 1000)
+        log.apply_to(count)
+
+    async def _lead(self, name):
+        await asyncio.sleep(self.times.promote_ms / 1000)
+        self.promotions_count += 1
+        self.primary = name
+        self.term += 1
+        log = self.logs[name]
+        log.apply_to(len(log.commits))
+        for other, server in self.servers.items():
+            server.held_term = 0
+            if other != name:
+                self.logs[other].copy_from(log)
--- /dev/null
+++ b/waxwinglift_standin/platform/_log.py
@@ -0,0 +1,85 @@
+"""Log of one database server of the stand-in."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """Writes that took effect together, in order."""
+
+    term: int
+    number: int
+    writes: tuple[tuple[bytes, bytes, bytes], ...]
+
+    @property
+    def place(self):
+        """Term and number, as positions compare."""
+        return self.term, self.number
+
+
+class ServerLog:
+    """Commits that a server has received, and those that it has applied."""
+
+    def __init__(self):
+        self.commits: list[Commit] = []
+        self.applied_count = 0
+
+    @property
+    def received(self) -> tuple[int, int]:
+        """Place of the last received commit."""
+        return self.commits[-1].place if self.commits else (1, 0)
+
+    @property
+    def applied(self) -> tuple[int, int]:
+        """Place of the last applied commit."""
+        if not self.applied_count:
+            return (1, 0)
+        return self.commits[self.applied_count - 1].place
+
+    def append(self, commit: Commit):
+        """Receive a commit."""
+        self.commits.append(commit)
+
+    def apply_to(self, count: int):
+        """Apply the first ``count`` commits."""
+        self.applied_count = max(
+            self.applied_count, min(count, len(self.commits))
+        )
+
+    def copy_from(self, other: "ServerLog"):
+        """Follow another log; what it lacks is rolled back."""
+        self.commits = list(other.commits)
+        self.applied_count = len(self.commits)
+
+    def holds(self, place: tuple[int, int]) -> bool:
+        """Return whether a commit at this place has been applied."""
+        if place[1] == 0:
+            return True
+        applied = self.commits[: self.applied_count]
+        return any(commit.place == place for commit in applied) or (
+            bool(applied)
+            and applied[-1].place >= place
+            and self._covers(applied, place)
+        )
+
+    def value(self, item: bytes) -> bytes:
+        """Return the applied value of an item."""
+        for commit in reversed(self.commits[: self.applied_count]):
+            for name, data, _ in reversed(commit.writes):
+                if name == item:
+                    return data
+        return b""
+
+    def requests(self) -> list[bytes]:
+        """Return the ids of the applied writes, in order."""
+        return [
+            request
+            for commit in self.commits[: self.applied_count]
+            for _, _, request in commit.writes
+        ]
+
+    @staticmethod
+    def _covers(applied, place):
+        """Return whether the place is in this history, not in another."""
+        same = [c for c in applied if c.term == place[0]]
+        return bool(same) and same[-1].number >= place[1]
--- /dev/null
+++ b/waxwinglift_standin/platform/_server.py
@@ -0,0 +1,138 @@
+"""One database server that speaks the platform's lines."""
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import itertools
+
+from waxwinglift.process import Address
+from waxwinglift_standin.platform._session import ServerSession
+
+
+class ServerState(enum.Enum):
+    """How a server behaves towards the network."""
+
+    UP = "up"
+    DARK = "dark"
+    DOWN = "down"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """Sizes and times of a server.
+
+    Parameters
+    ----------
+    slots_count : int
+    queue_count : int
+        Statements that wait for a slot before further ones are refused.
+    connection_limit_count : int
+    work_ms, opening_ms : float
+        Time that a statement and a new connection take of a slot.
+    """
+
+    slots_count: int = 3
+    queue_count: int = 24
+    connection_limit_count: int = 23
+    work_ms: float = 1.0
+    opening_ms: float = 1.0
+
+
+class DatabaseServer:
+    """A server of a group; the group does its replication.
+
+    Parameters
+    ----------
+    name : str
+        The id by which callers expect it.
+    group : ServerGroup
+    data_centre : str
+    settings : ServerSettings
+    """
+
+    def __init__(self, name, group, data_centre, settings):
+        self.name = name
+        self.group = group
+        self.data_centre = data_centre
+        self.settings = settings
+        self.state = ServerState.DOWN
+        self.is_draining = False
+        self.held_term = 0
+        self.address: Address | None = None
+        self.sessions: set[ServerSession] = set()
+        self.slots = asyncio.Semaphore(settings.slots_count)
+        self.waiting_count = 0
+        self.receipts = itertools.count(1)
+        self.is_losing_answers = False
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def log(self):
+        """Log of this server."""
+        return self.group.logs[self.name]
+
+    @property
+    def is_primary(self):
+        """Whether the server leads its group."""
+        return self.group.primary == self.name
+
+    async def start(self, port=0):
+        """Listen; a server that comes back has its log."""
+        self.state = ServerState.UP
+        if port == 0 and self.address is not None:
+            port = self.address.port
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", port
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = Address(host, port)
+
+    def crash(self):
+        """End all connections; what is not committed is rolled back."""
+        self.state = ServerState.DOWN
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for session in list(self.sessions):
+            session.abort()
+
+    def go_dark(self):
+        """Answer nothing any more, on old and new connections."""
+        self.state = ServerState.DARK
+
+    def come_back(self):
+        """Answer again."""
+        self.state = ServerState.UP
+
+    async def hold_slot(self, work_ms):
+        """Wait for a slot and use it; False when the queue is full."""
+        if self.waiting_count >= self.settings.queue_count:
+            return False
+        self.waiting_count += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting_count -= 1
+        try:
+            await asyncio.sleep(work_ms / 1000)
+        finally:
+            self.slots.release()
+        return True
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        session = ServerSession(self, reader, writer)
+        self.sessions.add(session)
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await session.serve()
+        except asyncio.CancelledError:
+            # Only `crash` cancels, and the connection ends with it.
+            session.abort()
+        finally:
+            self.sessions.discard(session)
+            self._tasks.discard(task)
+            writer.close()
--- /dev/null
+++ b/waxwinglift_standin/platform/_session.py
@@ -0,0 +1,232 @@
+"""One connection to a database server of the stand-in."""
+
+import asyncio
+
+from waxwinglift.process import Registry
+
+# Methods that answer a statement, by its first word.
+_verbs = Registry()
+_answers = _verbs.register
+
+
+class ServerSession:
+    """Answers one connection, a line at a time."""
+
+    def __init__(self, server, reader, writer):
+        self.server = server
+        self.values = {}
+        self.prepared = {}
+        self.writes = None
+        self.is_read_only = False
+        self.is_failed = False
+        self._reader = reader
+        self._writer = writer
+
+    def abort(self):
+        """End the connection at once."""
+        self.writes = None
+        self._writer.transport.abort()
+
+    async def serve(self):
+        """Answer until the connection ends."""
+        line = await self._read()
+        word, _, rest = line.partition(b" ")
+        if word != b"STARTUP":
+            self._send(b"ERROR MALFORMED start first")
+            return
+        if not await self._start(rest):
+            return
+        while True:
+            line = await self._read()
+            word, _, rest = line.partition(b" ")
+            if word != b"QUERY":
+                return
+            await self._query(rest)
+
+    async def _read(self):
+        line = await self._reader.readuntil(b"\n")
+        while self.server.state.value == "dark":
+            await asyncio.sleep(0.01)
+        return line.rstrip(b"\r\n")
+
+    def _send(self, *lines):
+        if self.server.state.value != "dark":
+            self._writer.write(b"".join(line + b"\r\n" for line in lines))
+
+    async def _start(self, rest):
+        server = self.server
+        fields = rest.split(b" ")
+        expected = fields[2].decode() if len(fields) > 2 else server.name
+        if expected != server.name:
+            self._send(b"ERROR MISROUTED " + server.name.encode())
+            return False
+        if len(server.sessions) > server.settings.connection_limit_count:
+            self._send(b"ERROR TOOMANY " + server.name.encode())
+            return False
+        if not await server.hold_slot(server.settings.opening_ms):
+            self._send(b"ERROR BUSY " + server.name.encode())
+            return False
+        self._ready()
+        return True
+
+    async def _query(self, rest):
+        request, _, text = rest.partition(b" ")
+        word, _, arguments = text.partition(b" ")
+        after = None
+        if word == b"AFTER":
+            field, _, text = arguments.partition(b" ")
+            term, _, number = field.partition(b".")
+            after = (int(term), int(number))
+            word, _, arguments = text.partition(b" ")
+        if after is not None and not self.server.log.holds(after):
+            self._error(b"LAGGING")
+        elif word not in _verbs:
+            self._error(b"MALFORMED")
+        else:
+            await _verbs[word](self, request, arguments)
+        self._ready()
+
+    def _ready(self):
+        state = b"I"
+        if self.writes is not None:
+            state = b"E" if self.is_failed else b"T"
+        self._send(b"READY %s %d.%d" % (state, *self.server.log.applied))
+
+    def _error(self, code):
+        if self.writes is not None and code != b"BUSY":
+            self.is_failed = True
+        self._send(b"ERROR %s %s" % (code, self.server.name.encode()))
+
+    def _done(self, receipt=b"-", rows=()):
+        rows = [b"DATAROW " + row for row in rows]
+        if self.server.is_losing_answers:
+            return
+        self._send(*rows, b"COMPLETE " + receipt)
+
+    def _receipt(self, request):
+        number = next(self.server.receipts)
+        return b"%s.%d.%s" % (self.server.name.encode(), number, request)
+
+    async def _work(self):
+        if await self.server.hold_slot(self.server.settings.work_ms):
+            return True
+        self._error(b"BUSY")
+        return False
+
+    @_answers(b"BEGIN")
+    async def _begin(self, request, arguments):
+        if arguments != b"READ" and not self.server.is_primary:
+            self._error(b"READONLY")
+            return
+        if self.writes is None:
+            self.writes = []
+            self.is_read_only = arguments == b"READ"
+            self.is_failed = False
+        self._done()
+
+    @_answers(b"ROLLBACK")
+    async def _roll_back(self, request, arguments):
+        self.writes = None
+        self._done()
+
+    @_answers(b"COMMIT")
+    async def _commit(self, request, arguments):
+        writes, self.writes = self.writes, None
+        if writes is None or self.is_failed:
+            self._done()
+            return
+        if not await self._work():
+            return
+        if writes and not await self.server.group.commit(self.server, writes):
+            self._error(b"READONLY")
+            return
+        self._done(self._receipt(request))
+
+    @_answers(b"READ")
+    async def _read_item(self, request, arguments):
+        if not self._may_go_on() or not await self._work():
+            return
+        value = self.server.log.value(arguments)
+        self._done(self._receipt(request), [value])
+
+    @_answers(b"WRITE")
+    async def _write_item(self, request, arguments):
+        item, _, data = arguments.partition(b" ")
+        await self._write(request, item, data)
+
+    @_answers(b"EXECUTE")
+    async def _execute(self, request, arguments):
+        name, _, rest = arguments.partition(b" ")
+        if name not in self.prepared:
+            self._error(b"NOSTMT")
+            return
+        if self.prepared[name]:
+            item, _, data = rest.partition(b" ")
+            await self._write(request, item, data)
+        else:
+            await self._read_item(request, rest)
+
+    @_answers(b"SET")
+    async def _set(self, request, arguments):
+        name, _, value = arguments.partition(b" ")
+        self.values[name] = value
+        self._done()
+
+    @_answers(b"RESET")
+    async def _reset(self, request, arguments):
+        self.values.clear()
+        self.prepared.clear()
+        self._done()
+
+    @_answers(b"PREPARE")
+    async def _prepare(self, request, arguments):
+        name, access, _ = arguments.split(b" ", 2)
+        self.prepared[name] = access == b"WRITE"
+        self._done()
+
+    @_answers(b"STATUS")
+    async def _status(self, request, arguments):
+        if await self._work():
+            self._done(rows=[self._describe()])
+
+    @_answers(b"PAUSE")
+    async def _pause(self, request, arguments):
+        term = int(arguments)
+        if term > self.server.log.received[0] and not self.server.is_primary:
+            self.server.held_term = term
+        self._done(rows=[self._describe()])
+
+    def _may_go_on(self):
+        """Return whether a statement may run in the open transaction."""
+        is_plain = self.writes is not None and not self.is_read_only
+        if is_plain and not self.server.is_primary:
+            self._error(b"READONLY")
+            return False
+        return True
+
+    async def _write(self, request, item, data):
+        if not self.server.is_primary or self.is_read_only:
+            self._error(b"READONLY")
+            return
+        if not await self._work():
+            return
+        write = (item, data, request)
+        if self.writes is not None:
+            self.writes.append(write)
+        elif not await self.server.group.commit(self.server, [write]):
+            self._error(b"READONLY")
+            return
+        self._done(self._receipt(request))
+
+    def _describe(self):
+        server = self.server
+        role = b"primary" if server.is_primary else b"replica"
+        term, number = server.log.received
+        return b"%s %d %d.%d %d 0 0 %d" % (
+            role,
+            term,
+            term,
+            number,
+            server.held_term,
+            len(server.sessions),
+        )
