Notice silent peers and serve past unreachable owners

A peer with waiting requests that stays silent for 250 ms is now asked for a sign of life and counts as silent 250 ms later; requests go to the standby owner, or are served by the proxy itself, at once. Only groups whose servers fence themselves do that.

--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -160,7 +160,12 @@
 
 
 class Executor(Protocol):
-    """Owner of endpoints, in this process or behind a peer connection."""
+    """Owner of endpoints, in this process or behind a peer connection.
+
+    ``is_silent`` tells that the other process does not answer just now.
+    """
+
+    is_silent: bool
 
     def open(self, header: ExecuteHeader) -> TransactionStream:
         """Return the stream of a new transaction."""
--- a/waxwinglift/process/_observability.py
+++ b/waxwinglift/process/_observability.py
@@ -46,9 +46,17 @@
     return StatsdMetrics(settings)
 
 
+def _make_handler():
+    try:
+        return OutputHandler(sys.stdout.fileno())
+    except OSError:
+        # Standard output is no file, as under a test runner.
+        return logging.StreamHandler(sys.stdout)
+
+
 def configure_logging(settings, process_name):
     """Write JSON log lines to standard output, without ever waiting."""
-    handler = OutputHandler(sys.stdout.fileno())
+    handler = _make_handler()
     formatter = json_logger.JsonFormatter(
         LOG_FIELDS, static_fields={"process_name": process_name}
     )
@@ -57,8 +65,10 @@
     root.handlers[:] = [handler]
     root.setLevel(settings.log_level.upper())
     # These libraries log each connection; state changes are ours to log.
-    for name in ("mode", "asyncio", "hpack", "h2", "grpclib"):
+    for name in ("mode", "hpack", "h2", "grpclib"):
         logging.getLogger(name).setLevel(logging.WARNING)
+    # It warns of each write to a connection that has just ended.
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
     mode.Service.mundane_level = "debug"
 
 
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 
 from opentelemetry import trace
 from result import Err
@@ -28,9 +29,14 @@
 from waxwinglift.version import Position
 from waxwinglift.version import Term
 
+logger = logging.getLogger(__name__)
+
 # Modules whose import fills the registry of endpoint protocols.
 PROTOCOL_MODULES = (_postgresql,)
 
+# Time after which an endpoint is given up that only a lost owner brought.
+_GUEST_IDLE_MS = 5000.0
+
 
 class OwnerSet:
     """Starts and stops the owners that the fleet's state asks for.
@@ -49,6 +55,9 @@
         Called with the endpoint and each new HealthState.
     """
 
+    # An executor of the own process always answers.
+    is_silent = False
+
     def __init__(
         self,
         settings: OwnerSettings,
@@ -70,6 +79,9 @@
         self._owners: dict[EndpointId, EndpointOwner] = {}
         self._stopping: set[asyncio.Task] = set()
         self._is_draining = False
+        self._now_ms = now_ms
+        # Endpoints served here without an assignment, and when last asked.
+        self._guests: dict[EndpointId, float] = {}
         # Finds the executors of other proxies, once they are known.
         self.find_executor = _find_nobody
         self._ticker: asyncio.TimerHandle | None = None
@@ -117,6 +129,8 @@
     def open(self, header: ExecuteHeader) -> TransactionStream:
         """Return the stream of a new transaction."""
         owner = self._owners.get(header.endpoint)
+        if owner is None and header.to_standby:
+            owner = self._open_guest(header.endpoint)
         return _NoOwner() if owner is None else owner.open(header)
 
     async def group_position(
@@ -141,9 +155,38 @@
         # All endpoints share one timer: most of the cost of an idle one is
         # waking the process up.
         self._schedule_tick()
+        if self._guests:
+            self._end_guests()
         for owner in list(self._owners.values()):
             owner.tick()
 
+    def _open_guest(self, endpoint):
+        """Serve an endpoint here whose owners cannot be reached.
+
+        Only endpoints that fence themselves may have a guest.
+        """
+        record = self._view.endpoint(endpoint)
+        group = None if record is None else self._view.group(record.group)
+        if group is None or not group.is_server_fenced:
+            return None
+        if endpoint not in self._guests:
+            logger.info(
+                "serving an endpoint whose owners cannot be reached",
+                extra={"endpoint": endpoint},
+            )
+        self._guests[endpoint] = self._now_ms()
+        self._reconcile()
+        return self._owners.get(endpoint)
+
+    def _end_guests(self):
+        """Give up the guests that have not been asked for a while."""
+        oldest_ms = self._now_ms() - _GUEST_IDLE_MS
+        idle = [e for e, used in self._guests.items() if used < oldest_ms]
+        for endpoint in idle:
+            del self._guests[endpoint]
+        if idle:
+            self._reconcile()
+
     def _reconcile(self):
         wanted = self._wanted()
         for endpoint in [e for e in self._owners if e not in wanted]:
@@ -159,6 +202,7 @@
                 on_released=self._reconcile,
                 **self._options,
             )
+            owner.is_wanted_as_guest = self._guests.__contains__
             protocol.attach(owner, self.find_executor)
             self._owners[endpoint] = owner
             owner.start()
@@ -168,8 +212,11 @@
         return {
             endpoint
             for endpoint, assignment in view.fleet.owners.items()
-            if view.daemon in (assignment.owner, assignment.standby)
-            and endpoint in view.fleet.endpoints
+            if endpoint in view.fleet.endpoints
+            and (
+                view.daemon in (assignment.owner, assignment.standby)
+                or endpoint in self._guests
+            )
         }
 
     def _stop(self, owner):
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -21,10 +21,12 @@
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._peer_cancel import send_cancel_request
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._peer_codec import decode_failure
 from waxwinglift.process._peer_codec import decode_position
 from waxwinglift.process._peer_codec import decode_result
 from waxwinglift.process._peer_codec import encode_exchange
+from waxwinglift.process._peer_health import PeerHealth
 from waxwinglift.process._types import Address
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process.rpc import peer_grpc
@@ -42,6 +44,9 @@
 # Streams kept per peer while they have no transaction.
 _IDLE_LIMIT_COUNT = 64
 _POSITION_TIMEOUT_S = 2.0
+# Longest time for opening a stream, a new connection included: two round
+# trips between regions take 48 ms.
+_OPEN_TIMEOUT_MS = 400.0
 _LOST = (
     OSError,
     GRPCError,
@@ -64,18 +69,15 @@
 
     def __init__(self, address: Address):
         self.address = address
-        self._channel = Channel(
-            address.host,
-            address.port,
-            config=Configuration(
-                _keepalive_time=_KEEPALIVE_S,
-                _keepalive_timeout=_KEEPALIVE_S,
-                _http2_max_pings_without_data=0,
-            ),
-        )
-        self._stub = peer_grpc.PeerStub(self._channel)
+        self.health = PeerHealth(self._ping, self._reconnect, monotonic_ms)
         self._idle: list[_PeerCall] = []
         self._closing: set[asyncio.Task] = set()
+        self._connect()
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the proxy does not answer at the moment."""
+        return self.health.is_silent
 
     def open(self, header: ExecuteHeader) -> "PeerStream":
         """Return the stream of a new transaction."""
@@ -86,12 +88,16 @@
     ) -> Result[Position, Failure]:
         """Return a position that holds every acknowledged write."""
         request = peer_pb2.GroupPositionRequest(group=group, term=term)
+        self.health.note_request()
         try:
             reply = await self._stub.GroupPosition(
                 request, timeout=_POSITION_TIMEOUT_S
             )
         except _LOST as error:
             return Err(_unreachable(error))
+        finally:
+            self.health.note_end()
+        self.health.note_answer()
         if reply.HasField("failure"):
             return Err(decode_failure(reply.failure))
         return Ok(decode_position(reply.position))
@@ -107,13 +113,43 @@
 
     def close(self):
         """Close the connection; open transactions are rolled back."""
-        for call in self._idle:
-            call.drop()
-        self._idle.clear()
+        self.health.close()
+        self._drop_idle()
         for task in self._closing:
             task.cancel()
         self._channel.close()
 
+    def _connect(self):
+        self._channel = Channel(
+            self.address.host,
+            self.address.port,
+            config=Configuration(
+                _keepalive_time=_KEEPALIVE_S,
+                _keepalive_timeout=_KEEPALIVE_S,
+                _http2_max_pings_without_data=0,
+            ),
+        )
+        self._stub = peer_grpc.PeerStub(self._channel)
+
+    def _reconnect(self):
+        """Give up on a connection that has gone silent; what runs fails."""
+        self._drop_idle()
+        self._channel.close()
+        self._connect()
+
+    def _drop_idle(self):
+        for call in self._idle:
+            call.drop()
+        self._idle.clear()
+
+    async def _ping(self, timeout_ms):
+        try:
+            message = peer_pb2.PingMessage()
+            await self._stub.Ping(message, timeout=timeout_ms / 1000)
+        except _LOST:
+            return False
+        return True
+
     def take(self) -> "_PeerCall":
         """Return an idle stream that is still open, or a new one."""
         while self._idle:
@@ -202,6 +238,13 @@
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Run one exchange and return its outcome."""
+        self._client.health.note_request()
+        try:
+            return await self._run(exchange, sink)
+        finally:
+            self._client.health.note_end()
+
+    async def _run(self, exchange, sink):
         header = None
         if not self._is_started:
             header = self._header
@@ -209,6 +252,7 @@
             try:
                 await self._open()
             except _LOST as error:
+                self._client.health.note_lost()
                 return ExchangeEnd(
                     failure=_unreachable(error), is_unreached=True
                 )
@@ -252,14 +296,15 @@
         self._call = self._client.take()
         if self._call.is_open:
             return
-        limit_s = self._header.deadline_left_ms / 1000
+        limit_ms = min(self._header.deadline_left_ms, _OPEN_TIMEOUT_MS)
         # A peer behind a partition does not even refuse.
-        async with asyncio.timeout(limit_s):
+        async with asyncio.timeout(limit_ms / 1000):
             await self._call.open()
 
     async def _receive(self, sink):
         while True:
             reply = await self._call.receive()
+            self._client.health.note_answer()
             if reply is None:
                 raise ConnectionResetError("the answer is incomplete")
             if reply.messages:
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -52,6 +52,11 @@
         elif frame is not None:
             await _PeerCall(stream, self._executor).serve(frame)
 
+    async def Ping(self, stream):
+        """Answer at once."""
+        await stream.recv_message()
+        await stream.send_message(peer_pb2.PingMessage())
+
     async def GroupPosition(self, stream):
         """Answer with a position that holds every acknowledged write."""
         request = await stream.recv_message()
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -28,6 +28,8 @@
 _RESERVED_COUNT = 3
 # Part of the rest that a standby owner may use while the owner is lost.
 _STANDBY_PART = 0.3
+# Connections of a proxy that can reach neither owner nor standby owner.
+_GUEST_LIMIT_COUNT = 3
 # Connection that a standby owner keeps to probe the endpoint.
 _STANDBY_WARM_COUNT = 1
 # Connections that only the most urgent transaction blocks may take.
@@ -45,6 +47,9 @@
     reach the owner.
     """
 
+    # Returns whether an endpoint is served here without an assignment.
+    is_wanted_as_guest = staticmethod(lambda endpoint: False)
+
     def attach(self, open_connection, find_executor):
         """Set what the protocol and the proxy provide."""
         self._open = open_connection
@@ -71,7 +76,7 @@
         if self._is_draining:
             message = "this proxy is shutting down"
             return refuse(message, FailureCode.SHUTTING_DOWN, stale=True)
-        if not self._is_named():
+        if not self._is_named() and not header.to_standby:
             return refuse("this proxy does not own the endpoint", stale=True)
         group = self.view.group(self.group)
         record = self.view.endpoint(self.endpoint)
@@ -194,6 +199,9 @@
         if self.view.owns(self.endpoint):
             pool.limit_count = usable_count
             pool.warm_count = None
+        elif self._is_guest:
+            pool.limit_count = _GUEST_LIMIT_COUNT
+            pool.warm_count = _STANDBY_WARM_COUNT
         else:
             pool.limit_count = max(2, int(_STANDBY_PART * usable_count))
             pool.warm_count = _STANDBY_WARM_COUNT
@@ -217,6 +225,11 @@
             [_limit_blocks(table, blocks_count)] if ordered else []
         )
 
+    @property
+    def _is_guest(self):
+        """Whether this proxy serves without an assignment."""
+        return self.is_wanted_as_guest(self.endpoint)
+
     def _is_named(self):
         assignment = self.view.assignment(self.endpoint)
         if assignment is None:
@@ -226,7 +239,7 @@
     def _check_ownership(self):
         self.monitor.health.is_standby = not self.view.owns(self.endpoint)
         self._set_limits()
-        if self._is_named():
+        if self._is_named() or self._is_guest:
             self._enable()
             self.connections.shrink()
         elif self._is_enabled:
--- a/waxwinglift/process/rpc/peer_grpc.py
+++ b/waxwinglift/process/rpc/peer_grpc.py
@@ -22,6 +22,10 @@
     async def GroupPosition(self, stream: 'grpclib.server.Stream[waxwinglift.process.rpc.peer_pb2.GroupPositionRequest, waxwinglift.process.rpc.peer_pb2.GroupPositionReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Ping(self, stream: 'grpclib.server.Stream[waxwinglift.process.rpc.peer_pb2.PingMessage, waxwinglift.process.rpc.peer_pb2.PingMessage]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/waxwinglift.process.rpc.Peer/Execute': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 waxwinglift.process.rpc.peer_pb2.GroupPositionRequest,
                 waxwinglift.process.rpc.peer_pb2.GroupPositionReply,
             ),
+            '/waxwinglift.process.rpc.Peer/Ping': grpclib.const.Handler(
+                self.Ping,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                waxwinglift.process.rpc.peer_pb2.PingMessage,
+                waxwinglift.process.rpc.peer_pb2.PingMessage,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             waxwinglift.process.rpc.peer_pb2.GroupPositionRequest,
             waxwinglift.process.rpc.peer_pb2.GroupPositionReply,
         )
+        self.Ping = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/waxwinglift.process.rpc.Peer/Ping',
+            waxwinglift.process.rpc.peer_pb2.PingMessage,
+            waxwinglift.process.rpc.peer_pb2.PingMessage,
+        )
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -23,7 +23,9 @@
 from waxwinglift.request._retry import retry_delay_ms
 from waxwinglift.request._routing import Route
 from waxwinglift.request._routing import RouteRequest
-from waxwinglift.request._statements import EndpointErrorCode
+from waxwinglift.request._statement_attempts import final_outcome
+from waxwinglift.request._statement_attempts import judge_answer
+from waxwinglift.request._statement_attempts import StatementAttempts
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import EndpointRole
@@ -37,40 +39,15 @@
 # Part of its time for which a request may wait for a change of primary; a
 # caller that is refused in time can still come back.
 _CHANGE_WAIT_PART = 0.6
-# When a caller may come back while a change of primary is in progress.
-_CHANGE_RETRY_MS = 500
 _PASSING_CODES = frozenset(
     {FailureCode.UNAVAILABLE, FailureCode.SHUTTING_DOWN}
 )
-_REPEATED_ERRORS = frozenset(
-    {
-        EndpointErrorCode.FAILED,
-        EndpointErrorCode.TIMED_OUT,
-        EndpointErrorCode.OTHER,
-    }
-)
 
 
 async def _drop(data):
     """Take no bytes: the answers of typed statements come with the end."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Attempts:
-    """State of the attempts of one statement or of a block's first one."""
-
-    access: Access
-    arrived_ms: float
-    deadline_ms: float
-    is_block: bool
-    excluded: set = dataclasses.field(default_factory=set)
-    count: int = 0
-    was_rejected: bool = False
-    to_standby: bool = False
-    # Whether an earlier attempt may have run; reads only.
-    last: ExchangeEnd | None = None
-
-
 class StatementRunner:
     """Routes the statements of one session; a block stays on its stream.
 
@@ -188,18 +165,18 @@
         now_ms = self._context.now_ms()
         limit_ms = self._session.policy.statement_timeout_ms
         self._context.budget(self._session.table.pool).record_request()
-        return _Attempts(access, now_ms, now_ms + limit_ms, is_block)
+        return StatementAttempts(access, now_ms, now_ms + limit_ms, is_block)
 
     async def _run_attempts(self, statement, attempts):
         while True:
             end, route = await self._attempt(statement, attempts)
-            end = _judge_answer(statement, attempts, end)
+            end = judge_answer(statement, attempts, end)
             if end.failure is None:
                 return end
             may_retry = await self._may_retry(statement, attempts, end, route)
             self._log_failure(statement, attempts, end, route, may_retry)
             if not may_retry:
-                return _final(statement, attempts, end)
+                return final_outcome(statement, attempts, end)
 
     def _log_failure(self, statement, attempts, end, route, may_retry):
         failure = end.failure
@@ -227,22 +204,40 @@
         if isinstance(routed, Err):
             return ExchangeEnd(failure=routed.err_value), None
         route = routed.ok_value
-        daemon = route.standby if attempts.to_standby else route.owner
-        executor = None
-        if daemon is not None:
-            executor = self._context.executors.executor_for(daemon)
+        daemon, executor = self._choose_daemon(route, attempts)
         if executor is None:
-            message = "the endpoint's owner is not known"
+            message = "no owner of the endpoint can be reached"
             failure = not_run(FailureCode.UNAVAILABLE, message)
-            return ExchangeEnd(failure=failure, is_unreached=True), route
+            return ExchangeEnd(failure=failure), route
         attempts.count += 1
         await self.close()
-        self._stream = executor.open(self._header(attempts, route))
+        self._stream = executor.open(
+            self._header(attempts, route, daemon != route.owner)
+        )
         end = await self._run_observed(route, statement, attempts)
+        if end.is_unreached:
+            attempts.unreached.add(daemon)
         if end.failure is not None:
             await self.close()
         return end, route
 
+    def _choose_daemon(self, route, attempts):
+        """Return who serves the endpoint: its owner, if it can be reached.
+
+        Servers that fence themselves can be used through the standby owner,
+        or from here, without control's word.
+        """
+        executors = self._context.executors
+        own = self._context.view.daemon
+        places = dict.fromkeys((route.owner, route.standby, own))
+        for daemon in places:
+            if daemon is None or daemon in attempts.unreached:
+                continue
+            executor = executors.executor_for(daemon)
+            if executor is not None and not executor.is_silent:
+                return daemon, executor
+        return None, None
+
     async def _run_observed(self, route, statement, attempts):
         knowledge = self._context.knowledge(self._session.table.group)
         started_ms = self._context.now_ms()
@@ -260,10 +255,9 @@
                 now_ms,
             )
         else:
-            is_owner_lost = end.is_unreached or attempts.to_standby
             knowledge.observe_refusal(
                 route.endpoint,
-                None if is_owner_lost else endpoint_failure(end),
+                None if end.is_unreached else endpoint_failure(end),
                 now_ms,
                 end.failed_position,
             )
@@ -293,7 +287,7 @@
         )
         return self._context.choose(session.table.group, request)
 
-    def _header(self, attempts, route: Route):
+    def _header(self, attempts, route: Route, to_standby: bool):
         session = self._session
         policy = session.policy
         is_read = attempts.access is Access.READ
@@ -314,7 +308,7 @@
             settings=session.settings,
             applied_index=self._context.view.applied_index,
             in_block=attempts.is_block,
-            to_standby=attempts.to_standby,
+            to_standby=to_standby,
             statement_timeout_ms=policy.statement_timeout_ms,
         )
 
@@ -328,11 +322,8 @@
             if statement.is_write or attempts.is_block:
                 return False
             attempts.last = end
-        if end.is_unreached and not attempts.to_standby:
-            # The standby owner can serve without control's word.
-            attempts.to_standby = True
+        if end.is_unreached:
             return True
-        attempts.to_standby = False
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
             return True
@@ -381,39 +372,3 @@
             return
         place = "replica" if end.served_by_replica else "primary"
         metrics.incr(f"entry.served.{place}")
-
-
-def _judge_answer(statement, attempts, end):
-    """Turn an error that another endpoint may not have into a failure.
-
-    Only a read outside of a block can be repeated after it ran.
-    """
-    answer = end.answer
-    if answer is None or answer.error is None or attempts.is_block:
-        return end
-    if statement.is_write or answer.error.code not in _REPEATED_ERRORS:
-        return end
-    failure = Failure(
-        Verdict.RAN,
-        FailureCode.ENDPOINT_FAILED,
-        f"the endpoint answered {answer.error.code.value}",
-    )
-    return dataclasses.replace(end, failure=failure)
-
-
-def _final(statement, attempts, end):
-    """Return the outcome that the caller gets after the last attempt."""
-    failure = end.failure
-    if failure.verdict is Verdict.NOT_RUN:
-        if failure.retry_after_ms is None:
-            failure = dataclasses.replace(
-                failure, retry_after_ms=_CHANGE_RETRY_MS
-            )
-        if attempts.is_block or attempts.last is None:
-            return dataclasses.replace(end, failure=failure)
-    if statement.is_write:
-        return end
-    # A read keeps nothing, whether it ran or not.
-    message = f"the read failed: {failure.message}"
-    aborted = not_run(FailureCode.ABORTED, message, failure.retry_after_ms)
-    return dataclasses.replace(end, failure=aborted)
