Refuse at once what a proxy without control cannot serve

They now refuse at once, so that the caller's next attempt reaches another proxy, and are not ready while a primary refuses them and control is away.

--- a/waxwinglift/process/_data_path_route.py
+++ b/waxwinglift/process/_data_path_route.py
@@ -28,6 +28,9 @@
 from waxwinglift.version import Rank
 from waxwinglift.version._types import Fencing
 
+# Time for which a refusal of a primary counts against this proxy.
+_LOST_PRIMARY_MS = 3000.0
+
 
 class EntryContext:
     """Fleet view, knowledge, budgets and executors of an entry proxy.
@@ -62,10 +65,20 @@
         self.rng = rng
         self.request_log = RequestLog(now_ms)
         self._knowledge: dict[GroupName, EndpointKnowledge] = {}
+        self._lost_primary_ms: dict[GroupName, float] = {}
         self._budgets: dict[PoolName, RetryBudget] = {}
         self._group_views: dict[GroupName, GroupView | None] = {}
         view.add_listener(self._group_views.clear)
 
+    def note_lost_primary(self, group: GroupName):
+        """Record that the primary that is known refused to lead."""
+        self._lost_primary_ms[group] = self.now_ms()
+
+    def has_lost_primary(self) -> bool:
+        """Return whether a primary refused a short time ago."""
+        oldest_ms = self.now_ms() - _LOST_PRIMARY_MS
+        return any(ms >= oldest_ms for ms in self._lost_primary_ms.values())
+
     def close(self):
         """Stop listening to the fleet view."""
         self.view.remove_listener(self._group_views.clear)
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -190,10 +190,17 @@
         groups = self.view.fleet.groups.values()
         return bool(groups) and all(g.is_server_fenced for g in groups)
 
+    def _is_missing_primary(self):
+        """Return whether callers find their primaries elsewhere only."""
+        if self.lease.is_live(monotonic_ms()):
+            return False
+        return self.entry.context.has_lost_primary()
+
     def judge_readiness(self):
         """Return whether the balancer should send callers here."""
         return _readiness.judge_readiness(
             self._is_stopping,
             self._may_serve(),
             set(self.owners.health().values()),
+            self._is_missing_primary(),
         )
--- a/waxwinglift/process/_readiness.py
+++ b/waxwinglift/process/_readiness.py
@@ -25,7 +25,9 @@
     reason: str
 
 
-def judge_readiness(is_draining, has_lease, health_states):
+def judge_readiness(
+    is_draining, has_lease, health_states, is_missing_primary=False
+):
     """Return the readiness that follows from a proxy's state.
 
     Parameters
@@ -36,6 +38,9 @@
         Whether its lease is live.
     health_states : collection of HealthState
         Health of the endpoints that it probes.
+    is_missing_primary : bool
+        Whether a group's primary cannot be used from here and control
+        cannot be asked for the next one; another proxy may do better.
     """
     if is_draining:
         return Readiness(False, "draining")
@@ -43,6 +48,8 @@
         return Readiness(False, "no lease")
     if health_states and HealthState.UP not in health_states:
         return Readiness(False, "no endpoint answers")
+    if is_missing_primary:
+        return Readiness(False, "control and a primary cannot be reached")
     return Readiness(True, "ready")
 
 
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -14,7 +14,6 @@
 from waxwinglift.process._data_path_types import TransactionStream
 from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.request import Access
-from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import may_have_run
 from waxwinglift.request import not_run
@@ -327,6 +326,8 @@
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
             return True
+        if end.is_stale_owner and route is not None:
+            self._context.note_lost_primary(self._session.table.group)
         if self._waits_for_change(end, route):
             return await self._wait_for_change(attempts, now_ms)
         return await self._wait_for_other(attempts, end, route)
@@ -343,7 +344,9 @@
     async def _wait_for_change(self, attempts, now_ms):
         limit_ms = attempts.deadline_ms - attempts.arrived_ms
         until_ms = attempts.arrived_ms + _CHANGE_WAIT_PART * limit_ms
-        if now_ms >= until_ms:
+        if now_ms >= until_ms or not self._context.view.lease_is_live():
+            # Without control no newer view will arrive; another proxy may
+            # have it.
             return False
         wait_ms = min(until_ms - now_ms, _CHANGE_WAIT_MS)
         await self._context.view.wait_for_change(wait_ms)
