Read positions again only once they are too old

Cause: while a primary leaves in order the planner steps on each report and tick, and each step asked every server for its position, which takes a slot there. A position is now read again 50 ms after the last one.

Ruled out: reading only at ticks, since a step that follows an answer at once shortens the pause without writes.

--- a/waxwinglift/version/_failover_server_steps.py
+++ b/waxwinglift/version/_failover_server_steps.py
@@ -17,6 +17,9 @@
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
 
+# Time between two reads of a server's position.
+_READ_INTERVAL_MS = 50
+
 
 @on_phase(GroupPhase.FORMING, Fencing.SERVER)
 def _step_forming(change):
@@ -114,9 +117,15 @@
 
 
 def _read_all(change):
-    primary = change.fleet.endpoints[change.group.primary]
-    change.read(primary)
+    _read(change, change.fleet.endpoints[change.group.primary])
     for endpoint in _successors(change):
+        _read(change, endpoint)
+
+
+def _read(change, endpoint):
+    """Read a position again once it is too old; each costs a slot."""
+    known = change.progress.positions.get(endpoint.endpoint)
+    if known is None or change.now_ms - known[1] >= _READ_INTERVAL_MS:
         change.read(endpoint)
 
 
@@ -202,7 +211,7 @@
     primary = change.fleet.endpoints.get(name)
     if primary is None:
         return "no server answers"
-    change.read(primary)
+    _read(change, primary)
     if name in change.progress.leading:
         _propose_choice(change, name, change.progress.positions[name][0])
     return f"no successor answers; asking {name}"
