Test the platform's codecs and promise only what did not run

Cause: the word of a failure followed from its code alone, so a cancelled statement that may have run was reported as ABORTED, which promises callers that nothing is kept. Only failures with the verdict NOT_RUN get such a word now.

--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -10,6 +10,7 @@
 from waxwinglift.process import Registry
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
+from waxwinglift.request import Verdict
 from waxwinglift.request._statements import PreparedShape
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementAnswer
@@ -34,8 +35,9 @@
     FailureCode.ENDPOINT_FAILED: b"FAILED",
     FailureCode.OUTCOME_UNKNOWN: b"INDOUBT",
 }
-# Nothing is promised by it.
+# Words that promise nothing; the others say that nothing has run.
 _DEFAULT_WORD = b"INDOUBT"
+_UNPROMISING_WORDS = frozenset({b"TIMEOUT", b"FAILED", _DEFAULT_WORD})
 
 _ACCESSES = {b"READ": False, b"WRITE": True}
 
@@ -211,8 +213,14 @@
 
 
 def encode_failure(failure: Failure) -> bytes:
-    """Return the line of a failure."""
+    """Return the line of a failure.
+
+    Only a statement that has not run gets a word that promises so.
+    """
     word = _FAILURE_WORDS.get(failure.code, _DEFAULT_WORD)
+    is_promise = word not in _UNPROMISING_WORDS
+    if is_promise and failure.verdict is not Verdict.NOT_RUN:
+        word = _DEFAULT_WORD
     text = failure.message
     if failure.retry_after_ms is not None:
         text = f"{text}; retry after {failure.retry_after_ms} ms"
--- /dev/null
+++ b/waxwinglift/platform/tests/test_endpoint_connection.py
@@ -0,0 +1,164 @@
+"""Guards the lines to database servers and the reading of their replies."""
+
+import asyncio
+
+import pytest
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.platform._endpoint_connection import encode_command
+from waxwinglift.platform._endpoint_connection import EndpointConnection
+from waxwinglift.platform._protocols import decode_status
+from waxwinglift.platform.tests.test_lines import FakeTransport
+from waxwinglift.request._statements import Command
+from waxwinglift.request._statements import CommandKind
+from waxwinglift.request._statements import EndpointErrorCode
+from waxwinglift.request._statements import EndpointStatus
+from waxwinglift.request._statements import PreparedShape
+from waxwinglift.version import Lsn
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+_POSITION = Position(Term(3), Lsn(1207))
+
+
+@pytest.mark.parametrize(
+    "command, line",
+    [
+        (
+            Command(CommandKind.CALLER, b"id1", b"READ 1a4", after=_POSITION),
+            b"QUERY id1 AFTER 3.1207 READ 1a4\r\n",
+        ),
+        (
+            Command(
+                CommandKind.EXECUTE, b"id1", name=b"r_q", arguments=b"1a4"
+            ),
+            b"QUERY id1 EXECUTE r_q 1a4\r\n",
+        ),
+        (Command(CommandKind.BEGIN), b"QUERY - BEGIN\r\n"),
+        (
+            Command(CommandKind.BEGIN_READ, after=_POSITION),
+            b"QUERY - AFTER 3.1207 BEGIN READ\r\n",
+        ),
+        (Command(CommandKind.ROLLBACK), b"QUERY - ROLLBACK\r\n"),
+        (
+            Command(CommandKind.SET, name=b"zone", arguments=b"a"),
+            b"QUERY - SET zone a\r\n",
+        ),
+        (
+            Command(
+                CommandKind.PREPARE,
+                name=b"w_q",
+                shape=PreparedShape(True, b"q"),
+            ),
+            b"QUERY - PREPARE w_q WRITE q\r\n",
+        ),
+        (Command(CommandKind.RESET), b"QUERY - RESET\r\n"),
+        (Command(CommandKind.STATUS), b"QUERY - STATUS\r\n"),
+        (Command(CommandKind.FENCE, term=4), b"QUERY - PAUSE 4\r\n"),
+    ],
+)
+def test_encode_command(command, line):
+    """A caller's text must reach the server unchanged."""
+    assert encode_command(command) == line
+
+
+def _connection():
+    connection = EndpointConnection()
+    connection.connection_made(FakeTransport())
+    return connection
+
+
+def _run(commands, data):
+    """Return the replies that ``data`` gives to ``commands``."""
+
+    async def work():
+        connection = _connection()
+        running = asyncio.ensure_future(connection.run(commands))
+        await asyncio.sleep(0)
+        connection.data_received(data)
+        connection.connection_lost(None)
+        return await running
+
+    return asyncio.run(work())
+
+
+_READ = Command(CommandKind.CALLER, b"id1", b"READ 1a4")
+
+
+@pytest.mark.parametrize(
+    "data, rows, receipt, code, status",
+    [
+        (
+            b"DATAROW a b\r\nDATAROW c\r\nCOMPLETE 7.1\r\nREADY I 3.9\r\n",
+            (b"a b", b"c"),
+            b"7.1",
+            None,
+            TransactionStatus.IDLE,
+        ),
+        (
+            b"ERROR READONLY i-1\r\nREADY E 3.9\r\n",
+            (),
+            b"",
+            EndpointErrorCode.READ_ONLY,
+            TransactionStatus.FAILED,
+        ),
+        (
+            b"ERROR SOMETHING new\r\nREADY T 3.9\r\n",
+            (),
+            b"",
+            EndpointErrorCode.OTHER,
+            TransactionStatus.IN_TRANSACTION,
+        ),
+    ],
+)
+def test_reply(data, rows, receipt, code, status):
+    """Rows, receipt and state must come from the same reply."""
+    (reply,) = _run([_READ], data)
+    assert reply.answer.rows == rows
+    assert reply.answer.receipt == receipt
+    assert (reply.answer.error and reply.answer.error.code) == code
+    assert reply.status is status
+    assert reply.position == Position(Term(3), Lsn(9))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"DATAROW a\r\nCOMPLETE 7.1\r\n",
+        b"DATAROW a\r\nCOMPLETE 7.1\r\nREADY I 3",
+        b"WHAT is this\r\nREADY I 3.9\r\n",
+        b"COMPLETE 7.1\r\nREADY X 3.9\r\n",
+        b"COMPLETE 7.1\r\nREADY I nowhere\r\n",
+    ],
+)
+def test_incomplete_reply_is_lost(data):
+    """Half an answer or a damaged one must not pass for a whole one."""
+    with pytest.raises(EndpointConnectionLost):
+        _run([_READ], data)
+
+
+@pytest.mark.parametrize(
+    "row, status",
+    [
+        (
+            b"replica 3 3.1209 0 12 2 17",
+            EndpointStatus(False, Position(Term(3), Lsn(1209)), 0),
+        ),
+        (
+            b"primary 4 4.7 5 0 0 1 more",
+            EndpointStatus(True, Position(Term(4), Lsn(7)), 5),
+        ),
+    ],
+)
+def test_decode_status(row, status):
+    """The fencing of a change of primary relies on these fields."""
+    assert decode_status(row) == status
+
+
+@pytest.mark.parametrize("row", [b"", b"replica 3", b"replica 3 - 0 1 1 1"])
+def test_damaged_status(row):
+    """A row that cannot be read must not count as a position."""
+    with pytest.raises(ValueError):
+        decode_status(row)
--- /dev/null
+++ b/waxwinglift/platform/tests/test_lines.py
@@ -0,0 +1,137 @@
+"""Guards how bytes of a connection become lines and fields."""
+
+import asyncio
+
+import pytest
+
+from waxwinglift.connection import TransactionStatus
+from waxwinglift.platform import _lines
+from waxwinglift.version import Lsn
+from waxwinglift.version import Position
+from waxwinglift.version import Term
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what is written and whether reading is held back."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = bytearray()
+        self.is_reading_held = False
+
+    def write(self, data):
+        self.written += data
+
+    def pause_reading(self):
+        self.is_reading_held = True
+
+    def resume_reading(self):
+        self.is_reading_held = False
+
+    def close(self):
+        pass
+
+
+def _feed(*pieces):
+    protocol = _lines.LineProtocol()
+    protocol.connection_made(FakeTransport())
+    for piece in pieces:
+        protocol.data_received(piece)
+    return protocol
+
+
+@pytest.mark.parametrize(
+    "pieces, lines",
+    [
+        ((b"A\r\nB\r\n",), [b"A", b"B"]),
+        ((b"A", b" b c\r", b"\nD"), [b"A b c"]),
+        ((b"only LF\n",), [b"only LF"]),
+        ((b"\r\n",), [b""]),
+        ((b"half a line",), []),
+    ],
+)
+def test_pieces_become_lines(pieces, lines):
+    """A line split over packets must not be lost or cut."""
+
+    async def work():
+        protocol = _feed(*pieces)
+        return [await protocol.read_line() for _ in lines]
+
+    assert asyncio.run(work()) == lines
+
+
+@pytest.mark.parametrize(
+    "long_pieces",
+    [
+        (b"x" * (_lines.LINE_LIMIT_BYTES + 1) + b"\r\nNEXT\r\n",),
+        (b"x" * _lines.LINE_LIMIT_BYTES, b"y" * 9, b"z\r\nNEXT\r\n"),
+    ],
+)
+def test_line_beyond_the_limit_is_skipped(long_pieces):
+    """An oversized line must not hide the line behind it."""
+
+    async def work():
+        protocol = _feed(*long_pieces)
+        with pytest.raises(_lines.LineTooLong):
+            await protocol.read_line()
+        return await protocol.read_line()
+
+    assert asyncio.run(work()) == b"NEXT"
+
+
+def test_fast_peer_is_held_back():
+    """A peer that floods lines must not fill the memory."""
+
+    async def work():
+        protocol = _feed(b"A\r\n" * 100)
+        was_held = protocol.transport.is_reading_held
+        for _ in range(100):
+            await protocol.read_line()
+        return was_held, protocol.transport.is_reading_held
+
+    assert asyncio.run(work()) == (True, False)
+
+
+def test_last_line_can_be_read_after_the_end():
+    """A statement sent just before a close must still be seen."""
+
+    async def work():
+        protocol = _feed(b"LAST\r\n")
+        protocol.connection_lost(None)
+        return await protocol.read_line(), await protocol.read_line()
+
+    assert asyncio.run(work()) == (b"LAST", None)
+
+
+@pytest.mark.parametrize(
+    "field, position",
+    [
+        (b"-", None),
+        (b"3.1207", Position(Term(3), Lsn(1207))),
+        (b"0.0", Position(Term(0), Lsn(0))),
+    ],
+)
+def test_position_there_and_back(field, position):
+    """A position must survive its encoding."""
+    assert _lines.decode_position(field) == position
+    assert _lines.encode_position(position) == field
+
+
+@pytest.mark.parametrize("field", [b"", b"3", b"a.b", b"3.", b".7"])
+def test_malformed_position(field):
+    """A damaged position must not be taken for another one."""
+    with pytest.raises(ValueError):
+        _lines.decode_position(field)
+
+
+@pytest.mark.parametrize(
+    "status, line",
+    [
+        (TransactionStatus.IDLE, b"READY I -\r\n"),
+        (TransactionStatus.IN_TRANSACTION, b"READY T -\r\n"),
+        (TransactionStatus.FAILED, b"READY E -\r\n"),
+    ],
+)
+def test_ready_line(status, line):
+    """Each state must have the letter that callers expect."""
+    assert _lines.encode_ready(status, None) == line
--- /dev/null
+++ b/waxwinglift/platform/tests/test_settings.py
@@ -0,0 +1,108 @@
+"""Guards what the platform's settings file turns into."""
+
+import pytest
+from result import Err
+import tomli_w
+
+from waxwinglift.platform import _roles
+from waxwinglift.platform._settings import load_platform_settings
+from waxwinglift.process import Address
+
+_VALUES = {
+    "nodeName": "core-ub-a-1",
+    "ip": "10.1.0.8",
+    "zone": "ub-a",
+    "region": "ulaanbaatar",
+    "internalPorts": [7440, 7455],
+    "seeds": ["10.1.0.11:8782", "10.2.0.8:8782"],
+    "bootstrap": True,
+    "heartbeatMs": 1200,
+    "zones": {"ub-a": "ulaanbaatar"},
+    "bindAddrs": {
+        "control": "10.1.0.8:8782",
+        "frontendAddr": "10.1.0.8:8784",
+        "readinessAddr": "10.1.0.8:8785",
+    },
+    "faultTolerance": {"machines": 2, "zones": 0, "regions": 0},
+    "bounds": {"graceS": 6, "drainMs": 7000},
+    "cloudApi": {"address": "10.200.0.160:8783", "ratePerS": 50.0},
+}
+
+
+def _load(folder, values):
+    path = folder / "settings.toml"
+    path.write_text(tomli_w.dumps(values), encoding="utf-8")
+    return load_platform_settings(path)
+
+
+def test_seeds_are_reached_at_the_members_port(tmp_path):
+    """The seeds name the operators' port; members talk on another one."""
+    platform = _load(tmp_path, _VALUES).ok_value
+    assert platform.control_seeds == (
+        Address("10.1.0.11", 7440),
+        Address("10.2.0.8", 7440),
+    )
+
+
+def test_ports_of_two_processes_differ(tmp_path):
+    """Two roles on one machine must not listen on the same port."""
+    platform = _load(tmp_path, _VALUES).ok_value
+    alone = _VALUES | {"bindAddrs": {"frontendAddr": "10.1.0.8:8784"}}
+    proxy = _load(tmp_path, alone).ok_value
+    ports = [
+        platform.control_listen.port,
+        platform.peer_listen.port,
+        platform.metrics_listen.port,
+        proxy.metrics_listen.port,
+    ]
+    assert len(set(ports)) == len(ports)
+
+
+@pytest.mark.parametrize("disks_count, voters_count", [(0, 1), (1, 3), (2, 5)])
+def test_voters_outlive_the_tolerated_losses(
+    tmp_path, disks_count, voters_count
+):
+    """A majority must be left after the losses that are to be borne."""
+    values = _VALUES | {"faultTolerance": {"machines": disks_count}}
+    values["dataDir"] = "/data"
+    settings = _roles.control_settings(_load(tmp_path, values).ok_value)
+    assert settings.membership.voters_count == voters_count
+
+
+def test_drain_ends_before_the_process_is_killed(tmp_path):
+    """Open transactions get the first half of the time that is left."""
+    settings = _roles.proxy_settings(_load(tmp_path, _VALUES).ok_value)
+    assert settings.entry.drain_timeout_ms == 3000
+    assert settings.timing.drain_timeout_ms < 6000
+
+
+def test_unknown_fields_are_ignored(tmp_path):
+    """The platform may add fields at any time."""
+    values = _VALUES | {"news": {"a": [1]}, "contracts": ["base"]}
+    assert _load(tmp_path, values).is_ok()
+
+
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"nodeName": ""}, "nodeName"),
+        ({"ip": "somewhere"}, "ip"),
+        ({"internalPorts": [7440]}, "internalPorts"),
+        ({"seeds": ["10.1.0.11"]}, "seeds"),
+        ({"heartbeatMs": 0}, "heartbeatMs"),
+        ({"faultTolerance": {"machines": -1}}, "faultTolerance.machines"),
+    ],
+)
+def test_invalid_settings_name_the_field(tmp_path, change, named):
+    """An operator must learn which field is wrong."""
+    loaded = _load(tmp_path, _VALUES | change)
+    assert isinstance(loaded, Err)
+    assert named in loaded.err_value
+
+
+def test_missing_and_broken_files(tmp_path):
+    """A file that cannot be read must not end in a traceback."""
+    assert load_platform_settings(tmp_path / "none.toml").is_err()
+    path = tmp_path / "broken.toml"
+    path.write_text("ip = ", encoding="utf-8")
+    assert load_platform_settings(path).is_err()
