--- /dev/null
+++ b/waxwinglift/version/tests/test_announcement_order.py
@@ -0,0 +1,125 @@
+"""Tests of announcements that come late or from an earlier start."""
+
+import dataclasses
+
+import pytest
+
+from waxwinglift.process import Address
+from waxwinglift.process import Location
+from waxwinglift.version import _entries as entries
+from waxwinglift.version._announcements import Announcement
+from waxwinglift.version._announcements import AnnouncementSettings
+from waxwinglift.version._announcements import AnnouncementTable
+from waxwinglift.version._apply import apply_entry
+from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._types import EndpointState
+from waxwinglift.version.tests.test_desired import pool
+from waxwinglift.version.tests.test_desired import put
+from waxwinglift.version.tests.test_desired import request
+
+BASE = Announcement(
+    endpoint="s1",
+    group="g",
+    address=Address("10.0.0.1", 8000),
+    location=Location("ub-a", "ub"),
+    slots_count=3,
+    connection_limit_count=0,
+    group_size_count=0,
+    term=0,
+    in_recovery=False,
+    started_ms=1000,
+    sequence=5,
+)
+
+
+class Table:
+    """Announcement table whose entries are committed at once."""
+
+    def __init__(self, is_declared=True):
+        self.fleet = FleetState()
+        if is_declared:
+            put(self.fleet, request(1, pool("a")))
+        self.table = AnnouncementTable(AnnouncementSettings())
+        self.now_ms = 0.0
+
+    def announce(self, **changes):
+        self.now_ms += 1000
+        announcement = dataclasses.replace(BASE, **changes)
+        found = self.table.announce(announcement, self.fleet, self.now_ms)
+        for entry in found:
+            apply_entry(self.fleet, self.fleet.index + 1, entry)
+        return found
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        {"sequence": 4, "slots_count": 9},
+        {"started_ms": 900, "sequence": 99, "slots_count": 9},
+        {"sequence": 4, "is_leaving": True},
+        {"started_ms": 900, "sequence": 99, "is_gone": True},
+        {"endpoint": "s0", "started_ms": 900, "sequence": 1},
+    ],
+    ids=[
+        "overtaken",
+        "earlier start",
+        "overtaken leave",
+        "earlier start's end",
+        "predecessor at the address",
+    ],
+)
+def test_late_announcements_change_nothing(late):
+    # A network that held them back must not undo what came after them.
+    table = Table()
+    table.announce()
+    assert table.announce(**late) == []
+    assert set(table.fleet.endpoints) == {"s1"}
+    assert table.fleet.endpoints["s1"].slots_count == 3
+
+
+def test_a_later_server_takes_the_address():
+    # Requests for the old name must not go on to the new server.
+    table = Table()
+    table.announce()
+    found = table.announce(endpoint="s2", started_ms=2000, in_recovery=True)
+    assert entries.EndpointRemoved("s1") in found
+
+
+def test_a_server_starts_again_under_its_name():
+    # Its sequence begins anew; without its start it would look overtaken.
+    table = Table()
+    table.announce()
+    table.announce(started_ms=5000, sequence=1, slots_count=2)
+    assert table.fleet.endpoints["s1"].slots_count == 2
+
+
+@pytest.mark.parametrize("started_ms", [0, 1000])
+def test_a_departure_removes_a_replica(started_ms):
+    # A server that has left must not be waited for.
+    table = Table()
+    table.announce()
+    table.announce(
+        endpoint="s2", address=Address("10.0.0.2", 1), in_recovery=True
+    )
+    table.announce(
+        endpoint="s2", started_ms=started_ms, sequence=2**62, is_gone=True
+    )
+    assert set(table.fleet.endpoints) == {"s1"}
+
+
+def test_a_departed_primary_is_kept_until_it_is_replaced():
+    # The change of primary needs to know what is replaced.
+    table = Table()
+    table.announce()
+    table.announce(sequence=6)
+    assert table.fleet.groups["g"].primary == "s1"
+    table.announce(started_ms=0, is_gone=True)
+    assert table.fleet.endpoints["s1"].state is EndpointState.LOST
+
+
+def test_a_server_of_an_undeclared_group_waits():
+    # Another writer may announce anything; operators declare the groups.
+    table = Table(is_declared=False)
+    assert table.announce() == []
+    put(table.fleet, request(1, pool("a")))
+    assert table.announce(sequence=6) != []
--- /dev/null
+++ b/waxwinglift/version/tests/test_desired.py
@@ -0,0 +1,113 @@
+"""Tests of whole desired states."""
+
+import dataclasses
+
+import pytest
+
+from waxwinglift.version import _entries as entries
+from waxwinglift.version._apply import apply_entry
+from waxwinglift.version._apply import RefusalCode
+from waxwinglift.version._desired import DesiredStateRequest
+from waxwinglift.version._desired import plan_replacement
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import decode_fleet
+from waxwinglift.version._entry_codec import encode_entry
+from waxwinglift.version._entry_codec import encode_fleet
+from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._rank_rows import rank_row
+from waxwinglift.version._types import Consistency
+
+
+def pool(name, timeout_ms=800, group="g"):
+    policy = entries.PoolPolicy(Consistency.PRIMARY, 0, timeout_ms, 400)
+    return entries.PoolTable(name, group, (rank_row(policy),), policy)
+
+
+def request(version, *pools, groups=("g",)):
+    return DesiredStateRequest(
+        version=version,
+        document=tuple(f"{p.pool}:{p.policy}" for p in pools),
+        pools=pools,
+        groups=tuple(entries.GroupSettings(name, 23) for name in groups),
+        limits=entries.ServingLimits(3000),
+    )
+
+
+def put(fleet, wanted):
+    """Plan and apply a request; return the entry or None."""
+    entry = plan_replacement(fleet, wanted)
+    if entry is not None:
+        stored = decode_entry(encode_entry(entry))
+        assert apply_entry(fleet, fleet.index + 1, stored).is_ok()
+    return entry
+
+
+def test_the_highest_version_is_in_force_whole():
+    # Pools that a version leaves out must not be served any more.
+    fleet = FleetState()
+    put(fleet, request(3, pool("a"), pool("b")))
+    put(fleet, request(7, pool("b", 900), pool("c")))
+    assert set(fleet.pools) == {"b", "c"}
+    assert fleet.pools["b"].table.policy.statement_timeout_ms == 900
+    assert fleet.desired.version == 7
+    assert fleet.groups["g"].is_server_fenced
+    assert (
+        fleet.desired.document
+        == request(7, pool("b", 900), pool("c")).document
+    )
+
+
+@pytest.mark.parametrize("version", [1, 4, 5])
+def test_a_version_that_is_not_higher_changes_nothing(version):
+    # Operators race and resend; other content under a held version must
+    # never be obeyed.
+    fleet = FleetState()
+    put(fleet, request(5, pool("a")))
+    before = encode_fleet(fleet)
+    assert put(fleet, request(version, pool("other"))) is None
+    assert encode_fleet(fleet) == before
+
+
+def test_an_entry_carries_only_what_changed():
+    # At 310 changes a day the whole state would go to each daemon.
+    fleet = FleetState()
+    put(fleet, request(1, *(pool(f"p{n}") for n in range(300))))
+    wanted = [pool(f"p{n}") for n in range(300)]
+    wanted[7] = pool("p7", 1234)
+    entry = put(fleet, request(2, *wanted))
+    assert [table.pool for table in entry.pools] == ["p7"]
+    assert len(encode_entry(entry)) < 2000
+
+
+@pytest.mark.parametrize(
+    ("changes", "code"),
+    [
+        ({"base_version": 4}, RefusalCode.WRONG_VERSION),
+        ({"version": 5}, RefusalCode.WRONG_VERSION),
+        (
+            {"edits": (entries.LineEdit(8, 9, ()),)},
+            RefusalCode.BAD_DOCUMENT,
+        ),
+    ],
+    ids=["other base", "not higher", "edits of another text"],
+)
+def test_an_entry_for_another_state_is_refused(changes, code):
+    # Two leaders may have planned from different states.
+    fleet = FleetState()
+    put(fleet, request(5, pool("a")))
+    entry = plan_replacement(fleet, request(6, pool("b")))
+    outcome = apply_entry(
+        fleet, fleet.index + 1, dataclasses.replace(entry, **changes)
+    )
+    assert outcome.err_value.code is code
+    assert set(fleet.pools) == {"a"}
+
+
+def test_a_snapshot_keeps_the_desired_state():
+    # A member that was compacted past must give the same document back.
+    fleet = FleetState()
+    put(fleet, request(5, pool("a")))
+    copy = decode_fleet(encode_fleet(fleet))
+    assert copy.desired == fleet.desired
+    assert copy.groups["g"].settings == fleet.groups["g"].settings
+    assert plan_replacement(copy, request(5, pool("b"))) is None
--- /dev/null
+++ b/waxwinglift/version/tests/test_failover_server.py
@@ -0,0 +1,276 @@
+"""Changes of primary in groups whose servers fence themselves."""
+
+import dataclasses
+
+import pytest
+
+from waxwinglift.process import Address
+from waxwinglift.process import Location
+from waxwinglift.version import _entries as entries
+from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version._failover import FailoverPlanner
+from waxwinglift.version._failover import FailoverSettings
+from waxwinglift.version._types import EndpointRole
+from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import ServerPosition
+from waxwinglift.version.tests.fleets import daemon_joined
+from waxwinglift.version.tests.fleets import extend
+from waxwinglift.version.tests.fleets import make_fleet
+from waxwinglift.version.tests.test_desired import pool
+from waxwinglift.version.tests.test_desired import request
+from waxwinglift.version._desired import plan_replacement
+
+TICK_MS = 20
+
+
+@dataclasses.dataclass
+class Server:
+    """What a server answers; nothing while it is not reachable."""
+
+    position: ServerPosition = ServerPosition(1, 100)
+    is_reachable: bool = True
+    is_gone: bool = False
+
+
+class Rig:
+    """Group of three servers, s0 the primary; entries commit at once."""
+
+    def __init__(self, sync_count=0):
+        self.fleet = make_fleet(*map(daemon_joined, "ab"))
+        wanted = request(1, pool("p"))
+        settings = dataclasses.replace(
+            wanted.groups[0], sync_replicas_count=sync_count
+        )
+        wanted = dataclasses.replace(wanted, groups=(settings,))
+        extend(self.fleet, plan_replacement(self.fleet, wanted))
+        for number in range(3):
+            extend(self.fleet, joined(number))
+        extend(self.fleet, entries.GroupFormed("g", 1, "s0"))
+        owned = [
+            entries.OwnerAssignment(f"s{n}", "a", "b", 1) for n in range(3)
+        ]
+        extend(self.fleet, entries.OwnersAssigned(tuple(owned)))
+        self.servers = {f"s{n}": Server() for n in range(3)}
+        self.planner = FailoverPlanner(FailoverSettings())
+        self.passed_index = None
+        self.now_ms = 0.0
+        self.promoted = []
+        self.down = {}
+
+    @property
+    def group(self):
+        return self.fleet.groups["g"]
+
+    def report(self, daemon, *endpoints):
+        self.down[daemon] = endpoints
+
+    def run(self, duration_ms):
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            for daemon, endpoints in self.down.items():
+                down = tuple(
+                    messages.DownEndpoint(e, self.group.term)
+                    for e in endpoints
+                )
+                self._step(messages.HealthReported(daemon, down))
+            self._step(
+                messages.LeasesObserved(frozenset("ab"), self.passed_index)
+            )
+            self.now_ms += TICK_MS
+
+    def _step(self, event):
+        todo = self.planner.step(self.fleet, event, self.now_ms)
+        while todo:
+            outcome = self._execute(todo.pop(0))
+            todo += self.planner.step(self.fleet, outcome, self.now_ms)
+
+    def _execute(self, action):
+        if isinstance(action, messages.Propose):
+            extend(self.fleet, action.entry)
+            return messages.EntryApplied(self.fleet.index, "g")
+        server = self.servers[action.endpoint]
+        if not server.is_reachable:
+            return messages.ActionFailed(
+                action, "silent", is_gone=server.is_gone
+            )
+        names = (action.group, action.term, action.endpoint)
+        if isinstance(action, messages.FenceServer):
+            return messages.ServerFenced(*names, server.position)
+        if isinstance(action, messages.ReadPosition):
+            is_primary = action.endpoint == "s0" and not self.promoted
+            return messages.PositionRead(*names, server.position, is_primary)
+        self.promoted.append(action.endpoint)
+        return messages.ServerPromoted(*names, server.position.timeline + 1)
+
+
+def joined(number, role=None):
+    return entries.EndpointJoined(
+        endpoint=f"s{number}",
+        group="g",
+        address=Address("10.0.0.1", 8000 + number),
+        location=Location("ub-a", "ub"),
+        role=role
+        or (EndpointRole.REPLICA if number else EndpointRole.PRIMARY),
+        term=0,
+        slots_count=3,
+        connection_limit_count=0,
+        group_size_count=0,
+        started_ms=1 + number,
+    )
+
+
+def test_a_healthy_group_is_left_alone():
+    # Each needless change of primary discards writes.
+    rig = Rig()
+    rig.report("a")
+    rig.report("b")
+    rig.run(5000)
+    assert rig.group.phase is GroupPhase.ACTIVE
+    assert rig.promoted == []
+
+
+@pytest.mark.parametrize(
+    ("ahead", "expected"), [("s1", "s1"), ("s2", "s2"), (None, "s1")]
+)
+def test_the_replica_that_received_most_takes_over(ahead, expected):
+    # Everything that only the other one has received would be lost.
+    rig = Rig()
+    if ahead is not None:
+        rig.servers[ahead].position = ServerPosition(1, 120)
+    rig.servers["s0"].is_reachable = False
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.run(1000)
+    assert rig.promoted == [expected]
+    assert rig.group.primary == expected
+    assert rig.group.phase is GroupPhase.ACTIVE
+
+
+def test_a_higher_timeline_goes_before_a_longer_log():
+    # An order that is carried out late may have promoted another server.
+    rig = Rig()
+    rig.servers["s1"].position = ServerPosition(1, 500)
+    rig.servers["s2"].position = ServerPosition(2, 90)
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.run(1000)
+    assert rig.promoted == ["s2"]
+
+
+def test_a_change_does_not_wait_for_leases():
+    # The servers refuse outdated writes by themselves; waiting for a proxy
+    # that is cut off would only lengthen the gap.
+    rig = Rig()
+    rig.passed_index = 0
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.run(600)
+    assert rig.group.phase is GroupPhase.ACTIVE
+    assert rig.promoted == ["s1"]
+
+
+def test_a_primary_that_only_its_owner_misses_stays():
+    # The owner may be cut off itself; the standby owner serves meanwhile.
+    rig = Rig()
+    rig.report("a", "s0")
+    rig.report("b")
+    rig.run(3000)
+    assert rig.promoted == []
+
+
+@pytest.mark.parametrize(
+    ("sync_count", "is_promoted"), [(0, True), (1, False)]
+)
+def test_a_silent_replica_is_waited_for_only_when_it_may_have_more(
+    sync_count, is_promoted
+):
+    # With synchronous replicas a commit may be on the silent one alone.
+    rig = Rig(sync_count)
+    rig.servers["s2"].is_reachable = False
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.run(3000)
+    assert bool(rig.promoted) is is_promoted
+
+
+def test_a_lost_replica_is_not_waited_for():
+    # What was acknowledged while it was lost is on the other one.
+    rig = Rig(sync_count=1)
+    extend(rig.fleet, entries.EndpointLost("s2"))
+    rig.servers["s2"].is_reachable = False
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.run(1000)
+    assert rig.promoted == ["s1"]
+
+
+def test_a_leaving_primary_hands_over_without_a_loss():
+    # Writes stop first; the successor must have received all of them.
+    rig = Rig()
+    rig.report("a")
+    rig.report("b")
+    rig.passed_index = 0
+    rig.servers["s0"].position = ServerPosition(1, 110)
+    extend(rig.fleet, entries.EndpointLeaving("s0"))
+    rig.run(200)
+    assert rig.promoted == []
+    rig.passed_index = rig.fleet.index
+    rig.servers["s2"].position = ServerPosition(1, 110)
+    rig.run(1000)
+    assert rig.promoted == ["s2"]
+
+
+@pytest.mark.parametrize("lag", [200, 21])
+def test_a_leaving_primary_goes_on_while_replicas_are_far_behind(lag):
+    # Stopping writes that early would lengthen the gap for nothing.
+    rig = Rig()
+    rig.report("a")
+    rig.report("b")
+    rig.servers["s0"].position = ServerPosition(1, 100 + lag)
+    extend(rig.fleet, entries.EndpointLeaving("s0"))
+    rig.run(1000)
+    assert rig.group.phase is GroupPhase.ACTIVE
+    assert rig.group.term == 1
+
+
+def test_a_chosen_server_that_does_not_run_is_replaced_at_once():
+    # The platform says that it is gone; waiting would not bring it back.
+    rig = Rig()
+    rig.servers["s1"].position = ServerPosition(1, 130)
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.servers["s0"].is_reachable = False
+    original = rig._execute
+
+    def lose_chosen(action):
+        if isinstance(action, messages.PromoteServer):
+            server = rig.servers[action.endpoint]
+            if action.endpoint == "s1":
+                server.is_reachable, server.is_gone = False, True
+        return original(action)
+
+    rig._execute = lose_chosen
+    rig.run(1500)
+    assert rig.promoted == ["s2"]
+
+
+def test_the_old_primary_goes_on_when_no_other_server_answers():
+    # A group without a primary serves no write at all.
+    rig = Rig()
+    rig.servers["s1"].is_reachable = False
+    rig.servers["s2"].is_reachable = False
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.run(1500)
+    assert rig.group.primary == "s0"
+    assert rig.promoted == ["s0"]
+
+
+def test_the_end_of_a_timeline_is_recorded():
+    # Sessions that saw more of it must be told.
+    rig = Rig()
+    rig.servers["s1"].position = ServerPosition(1, 117)
+    rig.report("a", "s0")
+    rig.report("b", "s0")
+    rig.run(1000)
+    assert rig.group.term_ends == {1: 117}
--- /dev/null
+++ b/waxwinglift/version/tests/test_membership.py
@@ -0,0 +1,100 @@
+"""Tests of who votes in the control group."""
+
+import pytest
+
+from waxwinglift.process import Address
+from waxwinglift.version._consensus_messages import MemberRole
+from waxwinglift.version._entries import MemberAdded
+from waxwinglift.version._entries import MemberPromoted
+from waxwinglift.version._entries import MemberRemoved
+from waxwinglift.version._membership import GroupContacts
+from waxwinglift.version._membership import JoinRequest
+from waxwinglift.version._membership import MembershipPlanner
+from waxwinglift.version._membership import MembershipSettings
+
+SILENT = MembershipSettings().replace_after_ms
+FORGOTTEN = MembershipSettings().forget_learner_ms
+
+
+def address(number):
+    return Address("10.0.0.1", 7000 + number)
+
+
+def contacts(voters="abcde", learners="", silent=None, lagging=""):
+    """Members a, b, ... listen at ports 7000, 7001, ..."""
+    names = [*voters, *learners]
+    return GroupContacts(
+        leader="a",
+        members=[MemberRole(n, n in voters) for n in names],
+        addresses={n: address(ord(n) - ord("a")) for n in names},
+        silent_ms={n: (silent or {}).get(n, 0.0) for n in names[1:]},
+        caught_up=frozenset(n for n in names if n not in lagging),
+    )
+
+
+def join(name, port_of=None):
+    number = ord(port_of or name) - ord("a")
+    return JoinRequest(name, address(number))
+
+
+@pytest.mark.parametrize(
+    ("known", "requests", "expected"),
+    [
+        (contacts("a"), [join("b")], MemberAdded("b", address(1))),
+        (contacts("a", "b"), [join("b")], MemberPromoted("b")),
+        (contacts("a", "b", lagging="b"), [], None),
+        (contacts(), [], None),
+        (contacts(), [join("f")], MemberAdded("f", address(5))),
+        (contacts(learners="f"), [join("f")], None),
+        (contacts(learners="f", silent={"c": SILENT}), [], MemberRemoved("c")),
+        (contacts(silent={"c": SILENT}), [], None),
+        (contacts("abde", "f"), [], MemberPromoted("f")),
+        (
+            contacts(learners="f", silent={"f": FORGOTTEN}, lagging="f"),
+            [],
+            MemberRemoved("f"),
+        ),
+        (contacts(), [join("x", "c")], MemberRemoved("c")),
+        (contacts("abde"), [join("x", "c")], MemberAdded("x", address(2))),
+        (contacts("abcde", "fghi"), [join("x", "m")], None),
+    ],
+    ids=[
+        "a new daemon starts as a learner",
+        "a learner that has caught up votes while voters are missing",
+        "one that has not caught up waits",
+        "a full group stays",
+        "a spare daemon becomes a learner",
+        "a spare learner does not vote",
+        "a learner takes the place of a silent voter",
+        "a silent voter stays while nobody can replace it",
+        "after the removal the learner votes",
+        "a silent learner is forgotten",
+        "a new disk at a voter's address replaces the voter",
+        "and joins once the old name is gone",
+        "a full list of members takes nobody",
+    ],
+)
+def test_next_change(known, requests, expected):
+    # A wrong step loses the majority, or counts a vote that was forgotten
+    # with its disk.
+    planner = MembershipPlanner(MembershipSettings())
+    for request in requests:
+        planner.note_request(request, 0.0)
+    assert planner.plan(known, 1.0) == expected
+
+
+def test_old_requests_do_not_count():
+    # A daemon that has gone for good must not come back as a member.
+    planner = MembershipPlanner(MembershipSettings())
+    planner.note_request(join("f"), 0.0)
+    assert planner.plan(contacts(), 60_000.0) is None
+
+
+def test_two_lost_disks_are_replaced_one_by_one():
+    # With both removed at once the rest could not form a majority that the
+    # old one overlaps.
+    planner = MembershipPlanner(MembershipSettings())
+    planner.note_request(join("x", "b"), 0.0)
+    planner.note_request(join("y", "c"), 0.0)
+    assert planner.plan(contacts(), 1.0) == MemberRemoved("b")
+    assert planner.plan(contacts("acde"), 2.0) == MemberAdded("x", address(1))
