Read where the answer is expected first in groups that fence themselves

Cause: reads kept to replicas and left the primary 9% of them, a share made for groups whose primary must not serve stale reads. In a burst the slots of the replicas were full while the primary's were free, and callers in the data centre of a primary read from another region. Servers that fence themselves make reads at the primary safe: the endpoint with the least expected latency now serves, the primary with a handicap of one statement. The way there and back no longer counts as work in a queue, and replicas that are later than a pool accepts are left out.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -65,6 +65,9 @@
     is_spill_limited : bool
         Whether reads that replica queues refuse need a token to go to the
         primary; urgent reads never do.
+    primary_least_saving_ms : float
+        Time that a read must save to go to a primary that fences itself.
+        About one statement: it delays urgent work there by no more.
     distance_ms : tuple of float
         Round trip within the data centre, the region, and beyond; used
         until latencies have been measured.
@@ -87,6 +90,7 @@
     primary_share: float = pydantic.Field(0.09, ge=0, le=1)
     primary_burst_count: float = pydantic.Field(30.0, ge=1)
     is_spill_limited: bool = True
+    primary_least_saving_ms: float = pydantic.Field(15.0, ge=0)
     distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
     latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
     lag_weight: float = pydantic.Field(0.6, gt=0, le=1)
--- a/waxwinglift/request/_knowledge.py
+++ b/waxwinglift/request/_knowledge.py
@@ -194,7 +194,9 @@
         age_ms = now_ms - record.observed_ms
         fade = 0.5 ** (age_ms / self.settings.stale_after_ms)
         service_ms = base_ms + (record.service_ms - base_ms) * fade
-        queued_ms = record.in_flight_count * service_ms / view.slots_count
+        # The way there and back takes no slot.
+        work_ms = max(0.0, service_ms - base_ms)
+        queued_ms = record.in_flight_count * work_ms / view.slots_count
         return service_ms + record.queue_wait_ms * fade + queued_ms
 
     def return_share(self, endpoint, now_ms):
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -20,6 +20,7 @@
 from waxwinglift.version import Epoch
 from waxwinglift.version import Position
 from waxwinglift.version import Term
+from waxwinglift.version._types import Fencing
 
 __all__ = [
     "EndpointKnowledge",
@@ -32,11 +33,19 @@
     "view_group",
 ]
 
+# Functions that choose the endpoint of a read, by what fences the group.
+_READ_ROUTERS = Registry()
+_routes_reads = _READ_ROUTERS.register
+
 # A policy picks one of several replicas: it is called as
 # ``policy(candidates, rng)`` with at least one `Candidate`.
 ROUTING_POLICIES = Registry()
 routing_policy = ROUTING_POLICIES.register
 
+# Random factor on expected latencies: proxies that know the same would all
+# choose the same endpoint otherwise.
+_COST_SPREAD = 1.2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteRequest:
@@ -57,6 +66,8 @@
         Whether its rank is the first of the pool's table.
     was_rejected : bool
         Whether the queue of an excluded endpoint refused the request.
+    age_limit_ms : float
+        Age that the data must not exceed, besides the floor; 0 for any.
     """
 
     access: Access
@@ -66,6 +77,7 @@
     excluded: frozenset[EndpointId] = frozenset()
     is_urgent: bool = False
     was_rejected: bool = False
+    age_limit_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +144,13 @@
         return _route_to_primary(request, group_view)
     if not request.excluded:
         knowledge.primary_share.record_read()
+    route_read = _READ_ROUTERS[group_view.fencing]
+    return route_read(request, group_view, knowledge, settings, now_ms, rng)
+
+
+@_routes_reads(Fencing.LEASE)
+def _route_to_replica(request, group_view, knowledge, settings, now_ms, rng):
+    """Keep reads off the primary, but for the share that it may get."""
     candidates = _candidates(request, group_view, knowledge, now_ms)
     prompt = _within_wait(request, candidates, settings, now_ms)
     usable = _admitted(prompt, rng)
@@ -157,6 +176,32 @@
     return to_primary
 
 
+@_routes_reads(Fencing.SERVER)
+def _route_to_nearest(request, group_view, knowledge, settings, now_ms, rng):
+    """Read where the answer is expected first, the primary included.
+
+    Servers that fence themselves make reads at the primary safe, and its
+    slots count where a flood needs those of all servers.
+    """
+    replicas = _candidates(request, group_view, knowledge, now_ms)
+    candidates = _within_wait(request, replicas, settings, now_ms)
+    primary = group_view.primary
+    if primary is not None and primary.owner is not None:
+        if primary.endpoint not in request.excluded:
+            load_ms = knowledge.load_ms(primary, now_ms)
+            load_ms += settings.primary_least_saving_ms
+            share = knowledge.return_share(primary.endpoint, now_ms)
+            candidates.append(Candidate(primary, 0.0, load_ms, share))
+    usable = _admitted(candidates, rng) or candidates or replicas
+    if not usable:
+        message = f"no endpoint of group {group_view.group} can be read"
+        return Err(not_run(FailureCode.UNAVAILABLE, message))
+    chosen = min(
+        usable, key=lambda one: one.cost_ms * rng.uniform(1.0, _COST_SPREAD)
+    )
+    return Ok(_route(chosen, group_view))
+
+
 @routing_policy("random")
 def pick_random(candidates, rng):
     """Pick any replica."""
@@ -203,7 +248,11 @@
     if request.max_age_ms is not None:
         if knowledge.lag_ms(view.endpoint) <= request.max_age_ms:
             return 0.0
-    return knowledge.catch_up_ms(view.endpoint, request.floor, now_ms)
+    floor_ms = knowledge.catch_up_ms(view.endpoint, request.floor, now_ms)
+    if not request.age_limit_ms:
+        return floor_ms
+    excess_ms = knowledge.lag_ms(view.endpoint) - request.age_limit_ms
+    return max(floor_ms, excess_ms)
 
 
 def _within_wait(request, candidates, settings, now_ms):
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -283,6 +283,7 @@
             excluded=frozenset(attempts.excluded),
             is_urgent=session.policy.urgency_index == 0,
             was_rejected=attempts.was_rejected,
+            age_limit_ms=session.policy.max_staleness_ms,
         )
         return self._context.choose(session.table.group, request)
 
--- /dev/null
+++ b/waxwinglift/request/tests/test_routing_nearest.py
@@ -0,0 +1,142 @@
+"""Guards reads of groups whose servers fence themselves."""
+
+import collections
+import random
+
+import pytest
+
+from waxwinglift.process import Address
+from waxwinglift.process import Location
+from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift.request import Access
+from waxwinglift.request import FailureCode
+from waxwinglift.request._routing import choose_route
+from waxwinglift.request._routing import EndpointKnowledge
+from waxwinglift.request._routing import RouteRequest
+from waxwinglift.request._routing import view_group
+from waxwinglift.version import EndpointRole
+from waxwinglift.version import EndpointState
+from waxwinglift.version import FleetState
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import OwnerAssignment
+from waxwinglift.version import Position
+from waxwinglift.version._fleet import Endpoint
+from waxwinglift.version._fleet import Group
+from waxwinglift.version._types import Fencing
+
+SETTINGS = RoutingSettings()
+WORK_MS = 15.0
+NOW_MS = 1000.0
+
+
+def make_fleet(phase=GroupPhase.ACTIVE):
+    """Return one group: primary a, replicas b and c, a region each."""
+    fleet = FleetState()
+    for name in "abc":
+        role = EndpointRole.PRIMARY if name == "a" else EndpointRole.REPLICA
+        place = Location(f"dc-{name}", f"region-{name}")
+        fleet.set_endpoint(
+            Endpoint(
+                name,
+                "g",
+                Address("127.0.0.1", 1),
+                place,
+                role,
+                1,
+                2,
+                25,
+                EndpointState.JOINED,
+            )
+        )
+        fleet.owners[name] = OwnerAssignment(name, f"p{name}", None, 4)
+    fleet.groups["g"] = Group(
+        "g", phase, 3, 1, "a", 0, {}, {1: 1}, Fencing.SERVER
+    )
+    return fleet
+
+
+def make_knowledge(place, waits_ms=(), lags_ms=()):
+    """Return what answers taught: distances, queues and lags."""
+    waits_ms, lags_ms = dict(waits_ms), dict(lags_ms)
+    knowledge = EndpointKnowledge(SETTINGS)
+    for now_ms in range(0, int(NOW_MS) + 1, 10):
+        for name in "abc":
+            wait_ms = waits_ms.get(name, 0.0)
+            way_ms = SETTINGS.distance_ms[0 if name == place else 2]
+            position = Position(1, max(0, now_ms - lags_ms.get(name, 0)))
+            knowledge.observe_start(name, now_ms)
+            knowledge.observe_answer(
+                name, position, way_ms + WORK_MS + wait_ms, wait_ms, now_ms
+            )
+    return knowledge
+
+
+def shares(place, knowledge, fleet=None, **fields):
+    """Return how often each endpoint is chosen for reads from a place."""
+    location = Location(f"dc-{place}", f"region-{place}")
+    view = view_group(fleet or make_fleet(), "g", location)
+    request = RouteRequest(
+        **{
+            "access": Access.READ,
+            "floor": None,
+            "max_age_ms": None,
+            "deadline_ms": 10_000.0,
+            **fields,
+        }
+    )
+    rng = random.Random(1)
+    chosen = collections.Counter()
+    for _ in range(200):
+        routed = choose_route(request, view, knowledge, SETTINGS, NOW_MS, rng)
+        chosen[routed.unwrap().endpoint] += 1
+    return {name: count / 200 for name, count in chosen.items()}
+
+
+@pytest.mark.parametrize(
+    "place, waits_ms, fields, expected",
+    [
+        # Without load each data centre reads from its own server.
+        ("a", {}, {}, "a"),
+        ("b", {}, {}, "b"),
+        ("c", {}, {}, "c"),
+        # A flood that fills the replicas' queues uses the primary's slots.
+        ("b", {"b": 200, "c": 200}, {}, "a"),
+        # The primary's own queue keeps reads away from it.
+        ("a", {"a": 200}, {}, "bc"),
+        # What refused the request before is not asked again.
+        ("b", {}, {"excluded": frozenset("b")}, "ac"),
+        ("b", {}, {"excluded": frozenset("bc")}, "a"),
+    ],
+)
+def test_read_goes_where_the_answer_comes_first(
+    place, waits_ms, fields, expected
+):
+    """Reads must use all slots, and the nearest ones without load."""
+    chosen = shares(place, make_knowledge(place, waits_ms), **fields)
+    assert set(chosen) <= set(expected)
+
+
+def test_late_replicas_are_left_out():
+    """A replica behind the accepted age would only refuse the read."""
+    knowledge = make_knowledge("b", lags_ms={"b": 900, "c": 50})
+    assert "b" in shares("b", knowledge, age_limit_ms=1500.0)
+    assert "b" not in shares("b", knowledge, age_limit_ms=400.0)
+
+
+def test_reads_go_on_without_a_primary():
+    """A change of primary must not stop reads that replicas can serve."""
+    fleet = make_fleet(GroupPhase.PROMOTING)
+    assert set(shares("a", make_knowledge("a"), fleet=fleet)) <= set("bc")
+
+
+def test_nothing_to_read_from():
+    """Without any endpoint the caller must be told that nothing ran."""
+    fleet = make_fleet(GroupPhase.PROMOTING)
+    view = view_group(fleet, "g", Location("dc-a", "region-a"))
+    request = RouteRequest(
+        Access.READ, None, None, 10_000.0, frozenset("bc")
+    )
+    routed = choose_route(
+        request, view, make_knowledge("a"), SETTINGS, NOW_MS, random.Random(1)
+    )
+    assert routed.err_value.code is FailureCode.UNAVAILABLE
