State the least position that a read of some age must see

The positions are now kept by the time of the question, and the oldest one that is recent enough is stated. Positions of a replaced primary are forgotten once another one is active; until then replicas go on serving.

--- /dev/null
+++ b/waxwinglift/platform/tests/test_statement_path.py
@@ -0,0 +1,239 @@
+"""Guards what callers see from their line to a server and back."""
+
+import asyncio
+
+import pytest
+
+from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
+from waxwinglift_standin.platform import ServerSettings
+
+
+def run(scenario, **options):
+    """Run a scenario with a fleet, within a time limit."""
+
+    async def work():
+        async with asyncio.timeout(15):
+            async with running_statement_fleet(**options) as fleet:
+                return await scenario(fleet)
+
+    return asyncio.run(work())
+
+
+async def _write_and_read(caller):
+    written = await caller.query("WRITE 1a4 coal")
+    read = await caller.query("READ 1a4")
+    return written, read
+
+
+async def _in_block(caller):
+    await caller.query("BEGIN")
+    written = await caller.query("WRITE 1a4 coal")
+    read = await caller.query("READ 1a4")
+    committed = await caller.query("COMMIT")
+    assert read.is_good and committed.receipt != b"-"
+    return written, await caller.query("READ 1a4")
+
+
+async def _prepared(caller):
+    await caller.query("PREPARE w WRITE q1")
+    await caller.query("PREPARE r READ q2")
+    written = await caller.query("EXECUTE w 1a4 coal")
+    return written, await caller.query("EXECUTE r 1a4")
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+@pytest.mark.parametrize("pool", ["pay", "refill"])
+@pytest.mark.parametrize("use", [_write_and_read, _in_block, _prepared])
+def test_own_writes_are_read(use, pool, proxy_count):
+    """A session must see what it has just written, through any proxy."""
+
+    async def scenario(fleet):
+        async with fleet.connected(pool) as caller:
+            return await use(caller)
+
+    written, read = run(scenario, proxy_count=proxy_count)
+    assert written.is_good and written.receipt not in (b"", b"-")
+    assert read.rows == (b"coal",)
+    assert read.state == b"I"
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+def test_rolled_back_writes_are_not_kept(proxy_count):
+    """A rolled-back transaction must leave nothing behind."""
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            await caller.query("BEGIN")
+            await caller.query("WRITE 1a4 coal")
+            ended = await caller.query("ROLLBACK")
+            return ended.state, (await caller.query("READ 1a4")).rows
+
+    assert run(scenario, proxy_count=proxy_count) == (b"I", (b"",))
+
+
+def test_a_caller_that_leaves_keeps_nothing():
+    """A transaction without its caller must not hold a connection."""
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            await caller.query("BEGIN")
+            await caller.query("WRITE 1a4 coal")
+        await asyncio.sleep(0.1)
+        owner = fleet.proxies[0].owners.owner("s1")
+        assert not owner.is_busy
+        return fleet.group.logs["s1"].requests()
+
+    assert run(scenario) == []
+
+
+def test_idle_transaction_is_ended():
+    """A caller that rests in a transaction must not hold it for ever."""
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            await caller.query("BEGIN")
+            await caller.query("WRITE 1a4 coal")
+            await asyncio.sleep(0.3)
+            committed = await caller.query("COMMIT")
+            after = await caller.query("READ 1a4")
+            return committed.error.split(b" ")[0], committed.state, after.rows
+
+    assert run(scenario, idle_block_ms=100) == (b"ABORTED", b"I", (b"",))
+
+
+@pytest.mark.parametrize(
+    "statement, word, state",
+    [
+        ("DROP 1a4", b"MALFORMED", b"I"),
+        ("READ", b"MALFORMED", b"I"),
+        ("EXECUTE none 1a4", b"NOSTMT", b"I"),
+        ("DEALLOC none", b"", b"I"),
+        ("COMMIT", b"", b"I"),
+    ],
+)
+def test_session_goes_on_after_a_refused_statement(statement, word, state):
+    """One bad statement must not cost the session."""
+
+    async def scenario(fleet):
+        async with fleet.connected("refill") as caller:
+            refused = await caller.query(statement)
+            served = await caller.query("READ 1a4")
+            return refused.error.split(b" ")[0], refused.state, served.is_good
+
+    assert run(scenario) == (word, state, True)
+
+
+def test_unknown_database_is_refused():
+    """A caller must learn that its database does not exist."""
+
+    async def scenario(fleet):
+        with pytest.raises(ConnectionError, match="NODB"):
+            async with fleet.connected("nowhere"):
+                pass
+
+    run(scenario)
+
+
+def test_oversized_statement_is_refused():
+    """A line beyond the limit must not end or confuse the session."""
+
+    async def scenario(fleet):
+        async with fleet.connected("refill") as caller:
+            caller.send(b"QUERY x READ " + b"a" * 2**20 + b"\r\n")
+            refused = await caller.answer(b"x")
+            served = await caller.query("READ 1a4")
+            return refused.error.split(b" ")[0], served.is_good
+
+    assert run(scenario) == (b"TOOLARGE", True)
+
+
+def test_names_and_values_of_sessions_do_not_mix():
+    """Callers share connections, so their names must not collide."""
+
+    async def scenario(fleet):
+        async with fleet.connected("refill") as first:
+            async with fleet.connected("refill") as second:
+                await first.query("PREPARE p READ q1")
+                await second.query("PREPARE p WRITE q1")
+                for _ in range(5):
+                    read = await first.query("EXECUTE p 1a4")
+                    written = await second.query("EXECUTE p 1a4 coal")
+                    assert read.is_good and written.is_good
+                    assert len(read.rows) == 1 and not written.rows
+
+    run(scenario)
+
+
+def test_changed_primary_keeps_own_writes():
+    """After a change of primary a session must still see its writes."""
+
+    async def scenario(fleet):
+        async with fleet.connected("refill") as caller:
+            await caller.query("WRITE 1a4 coal")
+            await asyncio.sleep(0.05)
+            fleet.lead("s2")
+            read = await caller.query("READ 1a4")
+            written = await caller.query("WRITE 1a4 wood")
+            again = await caller.query("READ 1a4")
+            return read.rows, written.is_good, again.rows
+
+    assert run(scenario) == ((b"coal",), True, (b"wood",))
+
+
+def test_replaced_primary_acknowledges_no_write():
+    """A write at a primary that was replaced must not be acknowledged."""
+
+    async def scenario(fleet):
+        # The proxies do not know yet that s2 leads.
+        async with fleet.connected("pay") as caller:
+            assert (await caller.query("WRITE 1a4 coal")).is_good
+            fleet.group.primary = "s2"
+            refused = await caller.query("WRITE 1a4 wood")
+            return refused.error.split(b" ")[0], refused.state
+
+    assert run(scenario) == (b"BUSY", b"I")
+
+
+def test_lost_answer_of_a_write_is_in_doubt():
+    """A write whose answer was lost must not be reported as not run."""
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            assert (await caller.query("WRITE 1a4 coal")).is_good
+            fleet.server("s1").go_dark()
+            lost = await caller.query("WRITE 1a4 wood")
+            return lost.error.split(b" ")[0]
+
+    assert run(scenario) in (b"TIMEOUT", b"INDOUBT")
+
+
+def test_each_statement_runs_once_in_a_flood():
+    """A flood beyond the slots must be served or refused, never doubled."""
+
+    async def write(fleet, number):
+        async with fleet.connected("pay", f"u{number}") as caller:
+            return await caller.query(f"WRITE i{number} x")
+
+    async def scenario(fleet):
+        answers = await asyncio.gather(
+            *(write(fleet, number) for number in range(120))
+        )
+        await asyncio.sleep(0.05)
+        return answers, fleet.group.logs["s1"].requests()
+
+    answers, kept = run(
+        scenario,
+        settings=ServerSettings(
+            slots_count=2, queue_count=4, work_ms=2.0, opening_ms=2.0
+        ),
+    )
+    good = {answer.request for answer in answers if answer.is_good}
+    refused = {
+        answer.request
+        for answer in answers
+        if answer.error.split(b" ")[0] in (b"BUSY", b"ABORTED")
+    }
+    assert len(kept) == len(set(kept))
+    assert good <= set(kept)
+    assert not refused & set(kept)
+    assert good
--- a/waxwinglift/process/_statement_positions.py
+++ b/waxwinglift/process/_statement_positions.py
@@ -12,6 +12,7 @@
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
+from waxwinglift.request._position_history import PositionHistory
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.version import EndpointId
@@ -22,9 +23,9 @@
 
 # Longest time for asking the primary for its position.
 _ASK_TIMEOUT_MS = 400.0
-# A known position is asked for anew at this part of its accepted age, so
-# that reads rarely wait for it.
-_REFRESH_PART = 0.4
+# The primary is asked anew after this part of an accepted age: the least
+# position that counts is then nearly as old as it may be.
+_REFRESH_PART = 0.2
 # Part of an accepted age that is left for the way of the answer.
 _MARGIN_MS = 50.0
 
@@ -107,22 +108,36 @@
         self._view = view
         self._find_executor = find_executor
         self._now_ms = now_ms
-        self._known: Position | None = None
-        self._asked_ms = float("-inf")
+        self._history = PositionHistory()
+        self._term: Term | None = None
         self._asking: asyncio.Task | None = None
 
     async def find(self, max_age_ms: float) -> Result[Position, Failure]:
         """Return a position asked for at most ``max_age_ms`` ago."""
         limit_ms = max(0.0, max_age_ms - _MARGIN_MS)
-        age_ms = self._now_ms() - self._asked_ms
-        if self._known is not None and age_ms <= limit_ms:
-            if age_ms > _REFRESH_PART * limit_ms:
-                self._refresh()
-            return Ok(self._known)
         if limit_ms <= 0:
             return await self._ask()
+        self._follow_term()
+        now_ms = self._now_ms()
+        known = self._history.find(now_ms, limit_ms)
+        if now_ms - self._history.newest_ms > _REFRESH_PART * limit_ms:
+            self._refresh()
+        if known is not None:
+            return Ok(known)
         return await asyncio.shield(self._refresh())
 
+    def _follow_term(self):
+        """Forget the positions of a primary that another one has replaced.
+
+        Until then they count: replicas go on serving reads of their age.
+        """
+        group = self._view.group(self._group)
+        if group is None or group.phase is not GroupPhase.ACTIVE:
+            return
+        if group.term != self._term:
+            self._term = group.term
+            self._history.clear()
+
     def _refresh(self):
         if self._asking is None or self._asking.done():
             self._asking = asyncio.ensure_future(self._ask())
@@ -130,10 +145,10 @@
 
     async def _ask(self):
         asked_ms = self._now_ms()
+        term = self._term
         outcome = await self._ask_owner()
-        if isinstance(outcome, Ok) and asked_ms > self._asked_ms:
-            self._known = outcome.ok_value
-            self._asked_ms = asked_ms
+        if isinstance(outcome, Ok) and term == self._term:
+            self._history.record(asked_ms, outcome.ok_value)
         return outcome
 
     async def _ask_owner(self):
--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -144,6 +144,7 @@
     shared = {"metrics": metrics, "tracer": options.get("tracer")}
     owners = OwnerSet(owner_settings, view, **shared)
     peers = PeerClients(view, owners)
+    owners.find_executor = peers.executor_for
     settings = EntrySettings(token_secret=SECRET, **options.get("entry", {}))
     entry = EntryServer(settings, view, peers, **shared)
     server = PeerServer([PeerService(owners, entry.find_statement)])
--- /dev/null
+++ b/waxwinglift/process/tests/test_statement_positions.py
@@ -0,0 +1,110 @@
+"""Guards the positions that reads at replicas must state."""
+
+import asyncio
+
+import pytest
+from result import Err
+from result import Ok
+
+from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._statement_positions import GroupFloors
+from waxwinglift.process.tests.data_path_fleet import LOCATION
+from waxwinglift.version import FleetState
+from waxwinglift.version import GroupPhase
+from waxwinglift.version import LogIndex
+from waxwinglift.version import OwnerAssignment
+from waxwinglift.version import Position
+from waxwinglift.version._fleet import Group
+from waxwinglift.version._types import Fencing
+
+
+class FakeOwner:
+    """Owner of the primary that answers with a growing position."""
+
+    def __init__(self):
+        self.asked_count = 0
+        self.failure = None
+
+    async def group_position(self, group, term):
+        self.asked_count += 1
+        if self.failure is not None:
+            return Err(self.failure)
+        return Ok(Position(term, 100 * self.asked_count))
+
+
+class Rig:
+    """Floors of one group on a clock that the test moves."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self.owner = FakeOwner()
+        state = FleetState(index=LogIndex(1))
+        state.groups["g"] = Group(
+            "g", GroupPhase.ACTIVE, 3, 1, "a", 0, {}, {1: 1}, Fencing.SERVER
+        )
+        state.owners["a"] = OwnerAssignment("a", "p1", None, 1)
+        self.group = state.groups["g"]
+        self.floors = GroupFloors(
+            "g",
+            FleetView("p2", LOCATION, lambda: True, state),
+            lambda daemon: self.owner,
+            lambda: self.now_ms,
+        )
+
+    async def find(self, now_ms, max_age_ms=1550):
+        """Return the log offset that a read at this time must see."""
+        self.now_ms = now_ms
+        found = await self.floors.find(max_age_ms)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return found.ok_value.lsn if isinstance(found, Ok) else None
+
+
+@pytest.mark.parametrize(
+    "times_ms, offsets",
+    [
+        # The first read waits for an answer, the next ones use it while it
+        # is recent enough; newer ones are asked for in the background.
+        ((0, 400, 800, 1400), (100, 100, 100, 100)),
+        # 100 is too old at 1600, 200 was asked for at 400.
+        ((0, 400, 800, 1600), (100, 100, 100, 200)),
+        # After a pause nothing is recent enough.
+        ((0, 5000), (100, 200)),
+    ],
+)
+def test_least_position_that_counts(times_ms, offsets):
+    """A replica that is late, but not too late, must not be refused."""
+
+    async def work():
+        rig = Rig()
+        return tuple([await rig.find(now_ms) for now_ms in times_ms])
+
+    assert asyncio.run(work()) == offsets
+
+
+def test_new_primary_is_asked_anew():
+    """Positions of a replaced primary may not be in the new log."""
+
+    async def work():
+        rig = Rig()
+        before = await rig.find(0)
+        rig.group.phase = GroupPhase.PROMOTING
+        rig.group.term = 2
+        during = await rig.find(200)
+        rig.group.phase = GroupPhase.ACTIVE
+        after = await rig.find(210)
+        return before, during, after
+
+    assert asyncio.run(work()) == (100, 100, 200)
+
+
+def test_reads_without_a_recent_position_are_refused():
+    """A read must not be served from data of unknown age."""
+
+    async def work():
+        rig = Rig()
+        first = await rig.find(0)
+        rig.owner.failure = "no answer"
+        return first, await rig.find(1400), await rig.find(1600)
+
+    assert asyncio.run(work()) == (100, 100, None)
