Keep a primary that most proxies may still use

Control cannot tell proxies that are cut off from failed ones, but when more are lost than left it is rather control that is cut off. A reported primary is then kept for 8 s at most, so that a change still ends within 10 s. Proxies that stop in order and primaries that leave do not count.

Ruled out: letting cut-off proxies search for the new primary themselves; they reported the replicas as down until the partition healed.

--- a/waxwinglift/version/_control_core_renewals.py
+++ b/waxwinglift/version/_control_core_renewals.py
@@ -80,6 +80,7 @@
 def _stop_daemon(core, renewal, known, now_ms):
     """A stopped proxy has closed its connections: no lease to wait for."""
     core.leases.drop(renewal.daemon)
+    core.planner.tally.forget(renewal.daemon)
     actions = [_refuse(core, renewal, "stopped")]
     if known is not None:
         core.leaving.add(renewal.daemon)
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -12,6 +12,7 @@
 from waxwinglift.process import Registry
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version import _failover_server_steps
+from waxwinglift.version._daemon_tally import DaemonTally
 from waxwinglift.version._failover_progress import Progress
 from waxwinglift.version._failover_reach import ReachTable
 from waxwinglift.version._failover_scan import FleetScan
@@ -63,6 +64,10 @@
     leave_limit_ms : int
         Longest time for which a leaving primary goes on because no replica
         is close behind it.
+    most_lost_limit_ms : int
+        Longest time for which a primary that is reported down is kept while
+        most proxies are out of control's reach; with fencing by the servers
+        only.  A change then still ends within the 10 s that users allow.
     catch_up_lsn_count : int
         Distance at which a replica counts as close behind.
     fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
@@ -84,6 +89,7 @@
     settle_ms: int = 300
     catch_up_limit_ms: int = 1500
     leave_limit_ms: int = 3000
+    most_lost_limit_ms: int = 8000
     catch_up_lsn_count: int = 20
     fence_limit_ms: int = 400
     read_limit_ms: int = 250
@@ -124,6 +130,7 @@
         # None until the leases were observed: an owner is not known to be
         # lost before.
         self.live_daemons = None
+        self.tally = DaemonTally()
         self.passed_index = None
         self.observed_index = -1
         self.is_changing = False
@@ -250,6 +257,7 @@
 @on_planner_event(messages.LeasesObserved)
 def _on_leases(planner, fleet, event, now_ms):
     planner.live_daemons = event.live_daemons
+    planner.tally.observe(event.live_daemons, now_ms)
     for daemon in [d for d in planner.reports if d not in event.live_daemons]:
         del planner.reports[daemon]
     planner.passed_index = event.passed_index
--- a/waxwinglift/version/_failover_server_steps.py
+++ b/waxwinglift/version/_failover_server_steps.py
@@ -36,8 +36,11 @@
         progress.started_ms = None
         return None
     waited_ms = progress.age_ms(change.now_ms)
+    limit_ms = change.settings.most_lost_limit_ms
     if not _successors(change):
         return f"{reason}; no other server is known"
+    if _may_still_serve(change) and waited_ms < limit_ms:
+        return f"{reason}; most proxies are out of reach and may still use it"
     if _leaves_in_order(change):
         _read_all(change)
         is_late = waited_ms >= change.settings.leave_limit_ms
@@ -116,6 +119,17 @@
     return change.why_down() is None
 
 
+def _may_still_serve(change):
+    """Return whether most proxies may use a primary that control misses.
+
+    On their side of a partition a new primary would serve nobody.
+    """
+    primary = change.fleet.endpoints[change.group.primary]
+    if primary.state is EndpointState.LEAVING:
+        return False
+    return change.planner.tally.are_most_lost
+
+
 def _read_all(change):
     _read(change, change.fleet.endpoints[change.group.primary])
     for endpoint in _successors(change):
--- a/waxwinglift/version/tests/test_failover_server.py
+++ b/waxwinglift/version/tests/test_failover_server.py
@@ -8,6 +8,7 @@
 from waxwinglift.process import Location
 from waxwinglift.version import _entries as entries
 from waxwinglift.version import _failover_messages as messages
+from waxwinglift.version._daemon_tally import DaemonTally
 from waxwinglift.version._failover import FailoverPlanner
 from waxwinglift.version._failover import FailoverSettings
 from waxwinglift.version._types import EndpointRole
@@ -56,6 +57,7 @@
         self.now_ms = 0.0
         self.promoted = []
         self.down = {}
+        self.live = frozenset("ab")
 
     @property
     def group(self):
@@ -74,7 +76,7 @@
                 )
                 self._step(messages.HealthReported(daemon, down))
             self._step(
-                messages.LeasesObserved(frozenset("ab"), self.passed_index)
+                messages.LeasesObserved(self.live, self.passed_index)
             )
             self.now_ms += TICK_MS
 
@@ -274,3 +276,50 @@
     rig.report("b", "s0")
     rig.run(1000)
     assert rig.group.term_ends == {1: 117}
+
+
+@pytest.mark.parametrize(
+    ("live", "is_leaving", "wait_ms", "is_promoted"),
+    [
+        # Most proxies are on the primary's side of a partition: it goes on
+        # serving them, and a new one would serve only those that are left.
+        ("a", False, 5000, False),
+        # It may have failed with them; callers must not wait for ever.
+        ("a", False, 9500, True),
+        # Half of the proxies are as many as a lost region has.
+        ("abc", False, 1000, True),
+        # The primary itself says that it leaves.
+        ("a", True, 5000, True),
+    ],
+)
+def test_a_primary_that_most_proxies_may_use_is_kept(
+    live, is_leaving, wait_ms, is_promoted
+):
+    rig = Rig()
+    rig.live = frozenset("abcdef")
+    rig.report("a")
+    rig.report("b")
+    rig.run(200)
+    rig.live = frozenset(live)
+    rig.down = {}
+    rig.report("a", "s0")
+    if "b" in live:
+        rig.report("b", "s0")
+    if is_leaving:
+        extend(rig.fleet, entries.EndpointLeaving("s0"))
+    rig.run(wait_ms)
+    assert bool(rig.promoted) is is_promoted
+
+
+def test_proxies_that_stop_in_order_are_not_lost():
+    # Proxies that are restarted one after another must not delay a change.
+    tally = DaemonTally()
+    tally.observe(frozenset("abcde"), 0.0)
+    for daemon in "abc":
+        tally.forget(daemon)
+    tally.observe(frozenset("de"), 100.0)
+    assert not tally.are_most_lost
+    tally.observe(frozenset(), 200.0)
+    assert tally.are_most_lost
+    tally.observe(frozenset(), 20_000.0)
+    assert not tally.are_most_lost
