Route reads past replicas that cannot be used

Cause: a read counted each replica that was down, silent or had no recent position of its primary as one of two attempts and was refused with the primary free; the wait for such a position took the whole time of the statement. A replica that cannot be used is now left out at once, and the position is waited for 250 ms at most. Nothing has run and no queue was full, so this adds no load where there is too much.

--- a/waxwinglift/platform/tests/test_statement_path.py
+++ b/waxwinglift/platform/tests/test_statement_path.py
@@ -237,3 +237,38 @@
     assert good <= set(kept)
     assert not refused & set(kept)
     assert good
+
+
+@pytest.mark.parametrize("lost", [("s2",), ("s3",), ("s2", "s3")])
+def test_reads_go_on_past_lost_replicas(lost):
+    """A read must not be refused while any endpoint can serve it."""
+
+    async def scenario(fleet):
+        async with fleet.connected("look") as caller:
+            assert (await caller.query("READ 1a4")).is_good
+            for name in lost:
+                fleet.server(name).crash()
+            answers = []
+            for _ in range(20):
+                answers.append(await caller.query("READ 1a4"))
+                await asyncio.sleep(0.05)
+            return [answer.error for answer in answers if answer.error]
+
+    assert run(scenario) == []
+
+
+def test_reads_go_to_the_primary_when_its_position_is_unknown():
+    """Without a recent position a replica cannot be used, others can."""
+
+    async def scenario(fleet):
+        floors = [
+            fleet.proxies[0].owners.owner(name).positions.floors
+            for name in ("s2", "s3")
+        ]
+        for floor in floors:
+            floor._find_executor = lambda daemon: None
+        async with fleet.connected("look") as caller:
+            answers = [await caller.query("READ 1a4") for _ in range(5)]
+            return [answer.error for answer in answers if answer.error]
+
+    assert run(scenario) == []
--- a/waxwinglift/process/_statement_positions.py
+++ b/waxwinglift/process/_statement_positions.py
@@ -161,7 +161,7 @@
         outcome = _unavailable("the primary's owner is not known")
         for daemon in (assignment.owner, assignment.standby):
             executor = None if daemon is None else self._find_executor(daemon)
-            if executor is None:
+            if executor is None or executor.is_silent:
                 continue
             outcome = await executor.group_position(self._group, group.term)
             if isinstance(outcome, Ok):
--- a/waxwinglift/process/tests/test_statement_positions.py
+++ b/waxwinglift/process/tests/test_statement_positions.py
@@ -21,6 +21,8 @@
 class FakeOwner:
     """Owner of the primary that answers with a growing position."""
 
+    is_silent = False
+
     def __init__(self):
         self.asked_count = 0
         self.failure = None
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -327,20 +327,32 @@
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
             return True
+        if self._is_rerouted(end, route):
+            attempts.excluded.add(route.endpoint)
+            return True
         if end.is_stale_owner and route is not None:
             self._context.note_lost_primary(self._session.table.group)
         if self._waits_for_change(end, route):
             return await self._wait_for_change(attempts, now_ms)
         return await self._wait_for_other(attempts, end, route)
 
+    def _is_rerouted(self, end, route):
+        """Return whether another endpoint may serve what a replica cannot.
+
+        Nothing has run and no queue was full, so the load does not grow.
+        """
+        return (
+            route is not None
+            and route.role is EndpointRole.REPLICA
+            and end.failure.verdict is Verdict.NOT_RUN
+            and end.failure.code in _PASSING_CODES
+        )
+
     def _waits_for_change(self, end, route):
         """Return whether only a newer fleet view can help."""
         if end.failure.verdict is not Verdict.NOT_RUN:
             return False
-        if end.is_stale_owner or route is None:
-            return end.failure.code in _PASSING_CODES
-        is_replica = route.role is EndpointRole.REPLICA
-        return end.failure.code in _PASSING_CODES and not is_replica
+        return end.failure.code in _PASSING_CODES
 
     async def _wait_for_change(self, attempts, now_ms):
         limit_ms = attempts.deadline_ms - attempts.arrived_ms
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -30,6 +30,9 @@
 
 # Time for a rollback before the connection is given up.
 _ROLLBACK_TIMEOUT_MS = 500.0
+# Longest wait for a position of the primary, ten round trips between
+# regions; the read then goes to the primary itself.
+_FLOOR_WAIT_MS = 250.0
 _GROUP_TABLE = PoolName("")
 _ROLLBACK = Command(CommandKind.ROLLBACK)
 # Errors after which another endpoint may serve the same request.
@@ -249,9 +252,9 @@
         floor = header.floor
         if not header.max_age_ms:
             return floor
-        left_ms = deadline_ms - self._owner.now_ms()
+        left_ms = max(0.0, deadline_ms - self._owner.now_ms())
         try:
-            async with asyncio.timeout(max(0.0, left_ms) / 1000):
+            async with asyncio.timeout(min(left_ms, _FLOOR_WAIT_MS) / 1000):
                 found = await self._owner.positions.floors.find(
                     header.max_age_ms
                 )
