Wait for a replica where that is shorter than the primary's queue

The wait for a replica now counts as part of the expected latency, up to half of the time that is left, and is made before the read is sent: a server refuses what it has not received.

--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -184,7 +184,9 @@
     slots count where a flood needs those of all servers.
     """
     replicas = _candidates(request, group_view, knowledge, now_ms)
-    candidates = _within_wait(request, replicas, settings, now_ms)
+    # Half of the time left stays for the queue and the statement.
+    limit_ms = (request.deadline_ms - now_ms) / 2
+    candidates = [one for one in replicas if one.catch_up_ms <= limit_ms]
     primary = group_view.primary
     if primary is not None and primary.owner is not None:
         if primary.endpoint not in request.excluded:
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -210,6 +210,9 @@
             return ExchangeEnd(failure=failure), route
         attempts.count += 1
         await self.close()
+        if route.catch_up_ms > 0:
+            # An endpoint refuses a read whose floor it has not reached.
+            await asyncio.sleep(route.catch_up_ms / 1000)
         self._stream = executor.open(
             self._header(attempts, route, daemon != route.owner)
         )
--- a/waxwinglift/request/tests/test_routing_nearest.py
+++ b/waxwinglift/request/tests/test_routing_nearest.py
@@ -140,3 +140,26 @@
         request, view, make_knowledge("a"), SETTINGS, NOW_MS, random.Random(1)
     )
     assert routed.err_value.code is FailureCode.UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    "lag_ms, primary_wait_ms, expected",
+    [
+        # The replica has the floor at once.
+        (50, 0, "b"),
+        # It has it in 200 ms; the primary answers in 39 ms.
+        (300, 0, "a"),
+        # In a flood of the primary the wait for the replica is shorter.
+        (300, 600, "b"),
+        # It would take longer than half of the time that is left.
+        (900, 600, "a"),
+    ],
+)
+def test_own_writes_of_late_replicas(lag_ms, primary_wait_ms, expected):
+    """Late replicas must not move all reads of writers to the primary."""
+    knowledge = make_knowledge(
+        "b", {"a": primary_wait_ms}, {"b": lag_ms, "c": 5000}
+    )
+    floor = Position(1, int(NOW_MS) - 100)
+    chosen = shares("b", knowledge, floor=floor, deadline_ms=NOW_MS + 800)
+    assert set(chosen) == set(expected)
