Elect a control leader sooner after a restart

Cause: after all processes were killed control had a leader only 1.7 s later, and proxies serve nothing before. Deadlines of 0.6 to 1.2 s were drawn from the whole range although nobody can lead then, and with two disks lost each of the three members must vote while only the most complete log can win.

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -21,10 +21,10 @@
 _BALANCER_NOTICE_MS = 2200.0
 _CONTROL_TIMING = ControlTimingSettings(
     lease_ms=2000,
-    heartbeat_ms=120,
-    check_quorum_ms=500,
-    election_timeout_min_ms=600,
-    election_timeout_max_ms=1200,
+    heartbeat_ms=80,
+    check_quorum_ms=300,
+    election_timeout_min_ms=350,
+    election_timeout_max_ms=700,
 )
 _PROXY_TIMING = ProxyTimingSettings(renew_interval_ms=400, rpc_timeout_ms=800)
 
@@ -50,6 +50,7 @@
         endpoint_protocol=PROTOCOL,
         promotion_address=None if promotion is None else promotion.address,
         timing=_CONTROL_TIMING,
+        observability=platform.observability,
     )
 
 
@@ -81,4 +82,5 @@
         timing=_PROXY_TIMING.model_copy(
             update={"drain_timeout_ms": int(drain_ms) + 1000}
         ),
+        observability=platform.observability,
     )
--- a/waxwinglift/version/_consensus_election.py
+++ b/waxwinglift/version/_consensus_election.py
@@ -77,15 +77,24 @@
     if request.term < node.term:
         return False
     is_free = request.term > node.term or node.voted_for in (None, sender)
-    is_complete = node.log.is_up_to_date(request.last_index, request.last_term)
-    return is_free and is_complete
+    return is_free and _is_complete(node, request)
+
+
+def _is_complete(node, request):
+    """Return whether the sender has everything that this member has."""
+    return node.log.is_up_to_date(request.last_index, request.last_term)
 
 
 @on_message(PreVoteRequest)
 def _on_pre_vote_request(node, sender, request, now_ms):
-    is_granted = not is_loyal(node, now_ms) and _may_vote(
-        node, sender, request
-    )
+    """Grant a pre-vote, or stand soon when this log is more complete.
+
+    The sender cannot win without this member's vote if few are left.
+    """
+    is_free = not is_loyal(node, now_ms)
+    is_granted = is_free and _may_vote(node, sender, request)
+    if is_free and not _is_complete(node, request):
+        node.stand_soon(now_ms)
     term = request.term if is_granted else node.term
     node.send(sender, PreVoteResponse(term, is_granted))
 
--- a/waxwinglift/version/_consensus_state.py
+++ b/waxwinglift/version/_consensus_state.py
@@ -108,6 +108,23 @@
             low, high = high, high + low / 2
         self.election_deadline_ms = now_ms + self.rng.uniform(low, high)
 
+    def start_election_deadline(self, now_ms):
+        """Set the first deadline; all members may have just restarted.
+
+        In the first half of the usual range: nobody leads after a restart of
+        all, and a leader that there is refuses the pre-votes.
+        """
+        low = self.settings.election_timeout_min_ms
+        middle = (low + self.settings.election_timeout_max_ms) / 2
+        self.election_deadline_ms = now_ms + self.rng.uniform(low, middle)
+
+    def stand_soon(self, now_ms):
+        """Bring the election deadline forward to within a heartbeat."""
+        delay_ms = self.rng.uniform(0, self.settings.heartbeat_ms)
+        self.election_deadline_ms = min(
+            self.election_deadline_ms, now_ms + delay_ms
+        )
+
     def persist(self, sends=(), counts_vote=False, last_index=0, **parts):
         """Emit a Persist action and remember what waits for it."""
         self.sequence += 1
