Serve counters and latency histograms on a metrics address

Cause: on-call engineers have logs and metrics only, and metrics left the process by statsd alone, which the platform does not have. A process now serves its counters and histograms as text at `observability.metrics_listen`, through prometheus-client; on the platform at port 9464 (proxy) and 9465 (control), which the deploy file names. The page of the readiness check and this one share one small server, and the platform's programs start through the same function as the others.

--- a/waxwinglift/platform/__main__.py
+++ b/waxwinglift/platform/__main__.py
@@ -11,11 +11,9 @@
 from waxwinglift.platform import _http
 from waxwinglift.platform import _roles
 from waxwinglift.platform import _settings
-from waxwinglift.process import _observability
-from waxwinglift.process import _runner
 from waxwinglift.process._control import ControlService
 from waxwinglift.process._proxy import ProxyService
-from waxwinglift.process.cli._daemons import START_ERRORS
+from waxwinglift.process.cli._daemons import run_daemon
 
 logger = logging.getLogger(__name__)
 
@@ -73,12 +71,10 @@
 class PlatformControl(mode.Service):
     """A control daemon behind the platform's HTTP interface."""
 
-    def __init__(self, platform, path, metrics, tracer):
+    def __init__(self, platform, settings, path, metrics, tracer):
         super().__init__()
         self.platform = platform
-        self.control = ControlService(
-            _roles.control_settings(platform), metrics, tracer
-        )
+        self.control = ControlService(settings, metrics, tracer)
         self._reloader = SettingsReloader(path, self.control.set_seeds)
 
     def reload(self):
@@ -128,18 +124,6 @@
     return loaded.ok_value
 
 
-def _run(product_settings, process_name, make_service):
-    observability = product_settings.observability
-    _observability.configure_logging(observability, process_name)
-    metrics = _observability.make_metrics(observability)
-    with _observability.open_tracer(observability, process_name) as tracer:
-        try:
-            code = _runner.run_service(lambda: make_service(metrics, tracer))
-        except START_ERRORS as error:
-            raise click.ClickException(str(error)) from error
-    raise click.exceptions.Exit(int(code))
-
-
 @click.group()
 def main():
     """Run waxwinglift's daemons on the platform."""
@@ -150,12 +134,11 @@
 def control(path):
     """Run a control daemon."""
     platform = _load(path)
-    settings = _roles.control_settings(platform)
-    _run(
-        settings,
+    run_daemon(
+        _roles.control_settings(platform),
         f"control {platform.machine}",
-        lambda metrics, tracer: PlatformControl(
-            platform, path, metrics, tracer
+        lambda settings, metrics, tracer: PlatformControl(
+            platform, settings, path, metrics, tracer
         ),
     )
 
@@ -165,11 +148,12 @@
 def proxy(path):
     """Run a proxy."""
     platform = _load(path)
-    settings = _roles.proxy_settings(platform)
-    _run(
-        settings,
+    run_daemon(
+        _roles.proxy_settings(platform),
         f"proxy {platform.machine}",
-        lambda metrics, tracer: PlatformProxy(settings, path, metrics, tracer),
+        lambda settings, metrics, tracer: PlatformProxy(
+            settings, path, metrics, tracer
+        ),
     )
 
 
--- a/waxwinglift/platform/_settings.py
+++ b/waxwinglift/platform/_settings.py
@@ -14,9 +14,13 @@
 from waxwinglift.process import Address
 from waxwinglift.process._settings import DiscoverySettings
 from waxwinglift.process._settings import LocationSettings
+from waxwinglift.process._settings import ObservabilitySettings
 
 SETTINGS_VARIABLE = "WAXWINGLIFT_CONFIG"
 
+# The deploy file can only name a fixed port: the usual one for metrics.
+_METRICS_PORT = 9464
+
 SocketAddress = Annotated[
     Address, pydantic.BeforeValidator(_checks.check_address)
 ]
@@ -101,9 +105,12 @@
 
     @property
     def metrics_listen(self) -> Address:
-        """Address of the process's metrics."""
-        offset = 2 if self.listen.control is None else 3
-        return Address(self.ip, self.internal_ports[0] + offset)
+        """Address of the process's metrics, as the deploy file names it.
+
+        Two roles may share a machine.
+        """
+        offset = 0 if self.listen.control is None else 1
+        return Address(self.ip, _METRICS_PORT + offset)
 
     @property
     def control_seeds(self) -> tuple[Address, ...]:
@@ -115,6 +122,11 @@
         port = self.internal_ports[0]
         return tuple(Address(seed.host, port) for seed in self.seeds)
 
+    @property
+    def observability(self) -> ObservabilitySettings:
+        """Logs to standard output, metrics on their own port."""
+        return ObservabilitySettings(metrics_listen=self.metrics_listen)
+
     @property
     def location(self) -> LocationSettings:
         """Data centre and region of the machine."""
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -17,6 +17,7 @@
 from waxwinglift.process._control_rpc import ControlRpc
 from waxwinglift.process._control_transport import ConsensusTransport
 from waxwinglift.process._member_identity import load_identity
+from waxwinglift.process._observability import serving_metrics
 from waxwinglift.process._operator_service import OperatorService
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process.rpc._channels import ChannelCache
@@ -124,6 +125,9 @@
             self.operators,
             self.book,
         )
+        await self.add_async_context(
+            serving_metrics(settings.observability, self.metrics)
+        )
         await self.add_async_context(_serving([rpc], settings.listen))
         if settings.discovery is not None:
             joiner = GroupJoiner(
--- /dev/null
+++ b/waxwinglift/process/_http_page.py
@@ -0,0 +1,58 @@
+"""Answers ``GET`` requests with a page that is made at each request."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+from waxwinglift.process._types import Address
+
+_REQUEST_LIMIT_BYTES = 4096
+_REQUEST_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """What a request gets: status line, type of the body, body."""
+
+    status: str
+    content_type: str
+    body: bytes
+
+
+@contextlib.asynccontextmanager
+async def serving_page(address: Address, make_page: Callable[[], Page]):
+    """Serve a page while the context is open.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    make_page : callable
+        Returns the `Page` of a request.
+    """
+
+    async def answer(reader, writer):
+        with contextlib.suppress(OSError, asyncio.TimeoutError):
+            await _answer(reader, writer, make_page)
+        writer.close()
+
+    server = await asyncio.start_server(answer, address.host, address.port)
+    async with server:
+        yield server
+
+
+async def _answer(reader, writer, make_page):
+    request = await asyncio.wait_for(
+        reader.read(_REQUEST_LIMIT_BYTES), _REQUEST_TIMEOUT_S
+    )
+    if not request.startswith(b"GET "):
+        writer.write(b"HTTP/1.0 405 Method Not Allowed\r\n\r\n")
+        return
+    page = make_page()
+    head = (
+        f"HTTP/1.0 {page.status}\r\nContent-Type: {page.content_type}\r\n"
+        f"Content-Length: {len(page.body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + page.body)
+    await writer.drain()
--- a/waxwinglift/process/_observability.py
+++ b/waxwinglift/process/_observability.py
@@ -15,7 +15,10 @@
 import statsd
 
 from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process._http_page import serving_page
 from waxwinglift.process._log_output import OutputHandler
+from waxwinglift.process._metrics_page import MetricsGroup
+from waxwinglift.process._metrics_page import PageMetrics
 
 LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -40,10 +43,27 @@
 
 
 def make_metrics(settings):
-    """Return the metrics client that the settings ask for."""
-    if settings.statsd is None:
-        return NoMetrics()
-    return StatsdMetrics(settings)
+    """Return the metrics that the settings ask for."""
+    receivers = []
+    if settings.statsd is not None:
+        receivers.append(StatsdMetrics(settings))
+    if settings.metrics_listen is not None:
+        receivers.append(PageMetrics(settings.statsd_prefix))
+    if len(receivers) == 1:
+        return receivers[0]
+    return MetricsGroup(*receivers) if receivers else NoMetrics()
+
+
+@contextlib.asynccontextmanager
+async def serving_metrics(settings, metrics):
+    """Serve the page of the metrics, if the settings name an address."""
+    if settings.metrics_listen is None:
+        yield None
+        return
+    async with serving_page(
+        settings.metrics_listen, metrics.make_page
+    ) as server:
+        yield server
 
 
 def _make_handler():
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -13,6 +13,7 @@
 from waxwinglift.process._data_path import EntryServer
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._owner_set import OwnerSet
+from waxwinglift.process._observability import serving_metrics
 from waxwinglift.process._peer_client import PeerClients
 from waxwinglift.process._peer_service import PeerServer
 from waxwinglift.process._peer_service import PeerService
@@ -98,6 +99,7 @@
     def __init__(self, settings, metrics, tracer):
         super().__init__()
         self.settings = settings
+        self.metrics = metrics
         location = settings.location
         self.lease = DaemonLease()
         self.view = FleetView(
@@ -137,6 +139,9 @@
                     settings.ready_listen, self.judge_readiness
                 )
             )
+        await self.add_async_context(
+            serving_metrics(settings.observability, self.metrics)
+        )
         self.owners.start()
         await self.entry.start()
         # A crash of the link stops the proxy: it could not renew its lease.
--- a/waxwinglift/process/_readiness.py
+++ b/waxwinglift/process/_readiness.py
@@ -6,15 +6,12 @@
 state that the proxy keeps anyway, so it costs the endpoints nothing.
 """
 
-import asyncio
-import contextlib
 import dataclasses
 import json
 
 from waxwinglift.connection import HealthState
-
-REQUEST_LIMIT_BYTES = 4096
-REQUEST_TIMEOUT_S = 2.0
+from waxwinglift.process._http_page import Page
+from waxwinglift.process._http_page import serving_page
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,9 +50,8 @@
     return Readiness(True, "ready")
 
 
-@contextlib.asynccontextmanager
-async def serving_readiness(address, judge):
-    """Answer ``GET`` requests with 200 or 503 while the context is open.
+def serving_readiness(address, judge):
+    """Return a context that answers with 200 or 503 while it is open.
 
     Parameters
     ----------
@@ -64,28 +60,10 @@
     judge : callable
         Returns the `Readiness` now.
     """
-
-    async def answer(reader, writer):
-        with contextlib.suppress(OSError, asyncio.TimeoutError):
-            await _answer(reader, writer, judge())
-        writer.close()
-
-    server = await asyncio.start_server(answer, address.host, address.port)
-    async with server:
-        yield server
+    return serving_page(address, lambda: _make_page(judge()))
 
 
-async def _answer(reader, writer, readiness):
-    line = await asyncio.wait_for(
-        reader.read(REQUEST_LIMIT_BYTES), REQUEST_TIMEOUT_S
-    )
-    if not line.startswith(b"GET "):
-        writer.write(b"HTTP/1.0 405 Method Not Allowed\r\n\r\n")
-        return
+def _make_page(readiness):
     status = "200 OK" if readiness.is_ready else "503 Service Unavailable"
     body = json.dumps(dataclasses.asdict(readiness)) + "\n"
-    writer.write(
-        f"HTTP/1.0 {status}\r\nContent-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
-    )
-    await writer.drain()
+    return Page(status, "application/json", body.encode())
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -51,6 +51,9 @@
         UDP address of a statsd server; counters are dropped without one.
     statsd_prefix : str
         First part of each metric name.
+    metrics_listen : Address, optional
+        Where counters and latency histograms are served as text; not served
+        without one.
     trace_file : Path, optional
         File that spans are appended to as JSON lines; off without one.
     trace_sample_ratio : float
@@ -62,6 +65,7 @@
     ] = "info"
     statsd: SocketAddress | None = None
     statsd_prefix: Name = "waxwinglift"
+    metrics_listen: SocketAddress | None = None
     trace_file: pathlib.Path | None = None
     trace_sample_ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 1.0
 
--- a/waxwinglift/process/cli/_daemons.py
+++ b/waxwinglift/process/cli/_daemons.py
@@ -18,7 +18,22 @@
 _path_argument = click.argument("path", type=click.Path(dir_okay=False))
 
 
-def _run(settings, process_name, make_service):
+def run_daemon(settings, process_name, make_service):
+    """Run a daemon until it is stopped, then exit with its code.
+
+    Parameters
+    ----------
+    settings : ProxySettings or ControlSettings
+    process_name : str
+        Shown in each log line.
+    make_service : callable
+        Called with the settings, the metrics and the tracer.
+
+    Raises
+    ------
+    ClickException
+        The daemon could not start.
+    """
     observability = settings.observability
     _observability.configure_logging(observability, process_name)
     metrics = _observability.make_metrics(observability)
@@ -45,7 +60,7 @@
       waxwinglift-proxy /etc/waxwinglift/proxy.toml
     """
     settings = load_or_exit(path, _settings.ProxySettings)
-    _run(settings, f"proxy {settings.daemon}", ProxyService)
+    run_daemon(settings, f"proxy {settings.daemon}", ProxyService)
 
 
 @click.command()
@@ -69,4 +84,4 @@
     def make_service(*arguments):
         return ControlService(*arguments, is_founding=is_founding)
 
-    _run(settings, f"control {settings.member}", make_service)
+    run_daemon(settings, f"control {settings.member}", make_service)
--- /dev/null
+++ b/waxwinglift/process/tests/test_metrics_page.py
@@ -0,0 +1,75 @@
+"""Guards the metrics that operators read from a process."""
+
+import asyncio
+
+import pytest
+
+from waxwinglift.process import Address
+from waxwinglift.process._http_page import serving_page
+from waxwinglift.process._metrics_page import MetricsGroup
+from waxwinglift.process._metrics_page import PageMetrics
+from waxwinglift.process._observability import make_metrics
+from waxwinglift.process._settings import ObservabilitySettings
+
+
+async def _ask(address, request):
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(request)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def _serve(metrics, request):
+    async def work():
+        listen = Address("127.0.0.1", 0)
+        async with serving_page(listen, metrics.make_page) as server:
+            return await _ask(server.sockets[0].getsockname()[:2], request)
+
+    return asyncio.run(work())
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "waxwinglift_entry_served_primary_total 3.0",
+        'waxwinglift_entry_request_rank0_ms_bucket{le="50.0"} 1.0',
+        'waxwinglift_entry_request_rank0_ms_bucket{le="100.0"} 2.0',
+        "waxwinglift_entry_request_rank0_ms_count 2.0",
+    ],
+)
+def test_page_shows_counters_and_histograms(line):
+    """An operator must see what was counted and how long it took."""
+    metrics = PageMetrics("waxwinglift")
+    metrics.incr("entry.served.primary")
+    metrics.incr("entry.served.primary", 2)
+    metrics.timing("entry.request.rank0", 40.0)
+    metrics.timing("entry.request.rank0", 90.0)
+    answer = _serve(metrics, b"GET /metrics HTTP/1.1\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.0 200 OK")
+    assert line in answer.decode().splitlines()
+
+
+@pytest.mark.parametrize("request_", [b"POST / HTTP/1.1\r\n\r\n", b"\r\n"])
+def test_other_requests_are_refused(request_):
+    """A page must not do anything for a request that is no GET."""
+    answer = _serve(PageMetrics("waxwinglift"), request_)
+    assert answer.startswith(b"HTTP/1.0 405")
+
+
+@pytest.mark.parametrize(
+    "settings, kind",
+    [
+        ({"metrics_listen": "127.0.0.1:9464"}, PageMetrics),
+        (
+            {"metrics_listen": "127.0.0.1:9464", "statsd": "127.0.0.1:8125"},
+            MetricsGroup,
+        ),
+    ],
+)
+def test_settings_choose_the_receivers(settings, kind):
+    """Both receivers must get the metrics where both are set."""
+    metrics = make_metrics(ObservabilitySettings(**settings))
+    assert isinstance(metrics, kind)
+    metrics.incr("entry.session")
+    assert b"entry_session_total 1.0" in metrics.make_page().body
--- a/waxwinglift/request/tests/test_routing_nearest.py
+++ b/waxwinglift/request/tests/test_routing_nearest.py
@@ -133,9 +133,7 @@
     """Without any endpoint the caller must be told that nothing ran."""
     fleet = make_fleet(GroupPhase.PROMOTING)
     view = view_group(fleet, "g", Location("dc-a", "region-a"))
-    request = RouteRequest(
-        Access.READ, None, None, 10_000.0, frozenset("bc")
-    )
+    request = RouteRequest(Access.READ, None, None, 10_000.0, frozenset("bc"))
     routed = choose_route(
         request, view, make_knowledge("a"), SETTINGS, NOW_MS, random.Random(1)
     )
--- a/waxwinglift/version/tests/test_failover_server.py
+++ b/waxwinglift/version/tests/test_failover_server.py
@@ -75,9 +75,7 @@
                     for e in endpoints
                 )
                 self._step(messages.HealthReported(daemon, down))
-            self._step(
-                messages.LeasesObserved(self.live, self.passed_index)
-            )
+            self._step(messages.LeasesObserved(self.live, self.passed_index))
             self.now_ms += TICK_MS
 
     def _step(self, event):
