Pass by the owner that has given an endpoint up

Servers that fence themselves may be used through the standby owner or from the entry proxy: NOT_OWNER and SHUTTING_DOWN now lead there, as an owner that cannot be reached does. What cannot be reached is kept for each endpoint apart.

--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -22,6 +22,7 @@
     FailureCode.UNAVAILABLE: b"BUSY",
     FailureCode.REJECTED: b"BUSY",
     FailureCode.SHUTTING_DOWN: b"BUSY",
+    FailureCode.NOT_OWNER: b"BUSY",
     FailureCode.BEHIND: b"LAGGING",
     FailureCode.FLOOR_LOST: b"LAGGING",
     FailureCode.ABORTED: b"ABORTED",
--- a/waxwinglift/platform/tests/test_statement_path.py
+++ b/waxwinglift/platform/tests/test_statement_path.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from waxwinglift.platform.tests.statement_fleet import fleet_state
 from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
+from waxwinglift.process import DaemonId
 from waxwinglift_standin.platform import ServerSettings
 
 
@@ -272,3 +274,20 @@
             return [answer.error for answer in answers if answer.error]
 
     assert run(scenario) == []
+
+
+@pytest.mark.parametrize("has_control", [True, False])
+def test_owner_that_gave_an_endpoint_up_is_passed_by(has_control):
+    """A proxy with an old view must not refuse what it can still serve."""
+
+    async def scenario(fleet):
+        entry, owner = fleet.proxies
+        newer = fleet_state(fleet.group, DaemonId("proxy-9"))
+        newer.daemons = fleet.state.daemons
+        owner.view.replace(newer)
+        entry.lease["is_live"] = has_control
+        async with fleet.connected("pay") as caller:
+            answers = [await caller.query("WRITE 1a4 coal") for _ in range(5)]
+            return [answer.error for answer in answers if answer.error]
+
+    assert run(scenario, proxy_count=2) == []
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -34,6 +34,8 @@
 # Modules whose import fills the registry of endpoint protocols.
 PROTOCOL_MODULES = (_postgresql,)
 
+_NOT_HERE = "this proxy does not own the endpoint"
+
 # Time after which an endpoint is given up that only a lost owner brought.
 _GUEST_IDLE_MS = 5000.0
 
@@ -141,7 +143,7 @@
         primary = None if record is None else record.primary
         owner = self._owners.get(primary)
         if owner is None:
-            return Err(_not_here())
+            return Err(not_run(FailureCode.NOT_OWNER, _NOT_HERE))
         return await owner.group_position(group, term)
 
     def _schedule_tick(self):
@@ -234,15 +236,11 @@
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Refuse the exchange."""
-        return ExchangeEnd(failure=_not_here(), is_stale_owner=True)
+        failure = not_run(FailureCode.NOT_OWNER, _NOT_HERE)
+        return ExchangeEnd(failure=failure, is_stale_owner=True)
 
     def cancel(self):
         """Do nothing."""
 
     async def close(self):
         """Do nothing."""
-
-
-def _not_here():
-    message = "this proxy does not own the endpoint"
-    return not_run(FailureCode.UNAVAILABLE, message)
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -77,7 +77,8 @@
             message = "this proxy is shutting down"
             return refuse(message, FailureCode.SHUTTING_DOWN, stale=True)
         if not self._is_named() and not header.to_standby:
-            return refuse("this proxy does not own the endpoint", stale=True)
+            message = "this proxy does not own the endpoint"
+            return refuse(message, FailureCode.NOT_OWNER, stale=True)
         group = self.view.group(self.group)
         record = self.view.endpoint(self.endpoint)
         if group is None or record is None or not accepts_work(record, group):
--- a/waxwinglift/request/_data_path_run.py
+++ b/waxwinglift/request/_data_path_run.py
@@ -42,7 +42,11 @@
 # Lets the owner's queue report first that the deadline has passed.
 _QUEUE_GRACE_MS = 100.0
 _PASSING_CODES = frozenset(
-    {FailureCode.UNAVAILABLE, FailureCode.SHUTTING_DOWN}
+    {
+        FailureCode.UNAVAILABLE,
+        FailureCode.SHUTTING_DOWN,
+        FailureCode.NOT_OWNER,
+    }
 )
 # No endpoint reaches it: only the age of the data can satisfy the read.
 _UNREACHABLE_LSN = Lsn(2**63 - 1)
--- a/waxwinglift/request/_statement_attempts.py
+++ b/waxwinglift/request/_statement_attempts.py
@@ -33,7 +33,7 @@
     excluded: set = dataclasses.field(default_factory=set)
     count: int = 0
     was_rejected: bool = False
-    # Daemons that could not be reached for the present endpoint.
+    # Endpoints with a daemon that cannot be reached or has given them up.
     unreached: set = dataclasses.field(default_factory=set)
     # Whether an earlier attempt may have run; reads only.
     last: ExchangeEnd | None = None
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -38,9 +38,16 @@
 # Part of its time for which a request may wait for a change of primary; a
 # caller that is refused in time can still come back.
 _CHANGE_WAIT_PART = 0.6
-_PASSING_CODES = frozenset(
-    {FailureCode.UNAVAILABLE, FailureCode.SHUTTING_DOWN}
-)
+# The daemon does not serve the endpoint any more; its standby owner does.
+_LEFT_CODES = frozenset({FailureCode.NOT_OWNER, FailureCode.SHUTTING_DOWN})
+_PASSING_CODES = _LEFT_CODES | {FailureCode.UNAVAILABLE}
+
+
+def _is_elsewhere(end):
+    """Return whether another daemon may serve the same endpoint."""
+    if end.failure is None:
+        return False
+    return end.is_unreached or end.failure.code in _LEFT_CODES
 
 
 async def _drop(data):
@@ -217,8 +224,8 @@
             self._header(attempts, route, daemon != route.owner)
         )
         end = await self._run_observed(route, statement, attempts)
-        if end.is_unreached:
-            attempts.unreached.add(daemon)
+        if _is_elsewhere(end):
+            attempts.unreached.add((route.endpoint, daemon))
         if end.failure is not None:
             await self.close()
         return end, route
@@ -233,7 +240,8 @@
         own = self._context.view.daemon
         places = dict.fromkeys((route.owner, route.standby, own))
         for daemon in places:
-            if daemon is None or daemon in attempts.unreached:
+            place = (route.endpoint, daemon)
+            if daemon is None or place in attempts.unreached:
                 continue
             executor = executors.executor_for(daemon)
             if executor is not None and not executor.is_silent:
@@ -325,7 +333,7 @@
             if statement.is_write or attempts.is_block:
                 return False
             attempts.last = end
-        if end.is_unreached:
+        if _is_elsewhere(end):
             return True
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
@@ -367,6 +375,7 @@
         wait_ms = min(until_ms - now_ms, _CHANGE_WAIT_MS)
         await self._context.view.wait_for_change(wait_ms)
         attempts.excluded.clear()
+        attempts.unreached.clear()
         return True
 
     async def _wait_for_other(self, attempts, end, route):
--- a/waxwinglift/request/_types.py
+++ b/waxwinglift/request/_types.py
@@ -45,6 +45,7 @@
     TIMED_OUT = "57P06"
     ENDPOINT_FAILED = "58000"
     TOO_LARGE = "54000"
+    NOT_OWNER = "57P07"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
