--- a/waxwinglift/connection/_statement_link.py
+++ b/waxwinglift/connection/_statement_link.py
@@ -1,5 +1,6 @@
 """A connection to an endpoint and what is in force on it."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -11,6 +12,11 @@
 
 Values = Mapping[bytes, bytes]
 
+# Commands that take a slot of the endpoint.
+_WORK_KINDS = frozenset(
+    {CommandKind.CALLER, CommandKind.EXECUTE, CommandKind.STATUS}
+)
+
 
 class StatementLink:
     """One connection, its session values and its prepared statements.
@@ -18,10 +24,20 @@
     Parameters
     ----------
     connection : StatementConnection
+    now_ms : callable
+    on_way : callable
+        Called with the time that commands took which need no slot.
     """
 
-    def __init__(self, connection: StatementConnection):
+    def __init__(
+        self,
+        connection: StatementConnection,
+        now_ms: Callable[[], float],
+        on_way: Callable[[float], None],
+    ):
         self.connection = connection
+        self._now_ms = now_ms
+        self._on_way = on_way
         self.values: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
 
@@ -41,7 +57,14 @@
 
     def probe(self, on_probed):
         """Send something that needs no slot; report how it ended."""
-        self.connection.probe(on_probed)
+        started_ms = self._now_ms()
+
+        def end(is_good):
+            if is_good:
+                self._on_way(self._now_ms() - started_ms)
+            on_probed(is_good)
+
+        self.connection.probe(end)
 
     def close(self):
         """Close at once."""
@@ -55,7 +78,11 @@
         EndpointConnectionLost
             The replies are not complete.
         """
-        return await self.connection.run(commands)
+        started_ms = self._now_ms()
+        replies = await self.connection.run(commands)
+        if not any(command.kind in _WORK_KINDS for command in commands):
+            self._on_way(self._now_ms() - started_ms)
+        return replies
 
     def align(self, wanted: Values) -> list[Command]:
         """Return the commands that bring ``wanted`` in force.
--- a/waxwinglift/process/_peer_codec.py
+++ b/waxwinglift/process/_peer_codec.py
@@ -123,14 +123,19 @@
 
 
 def _encode_statement(wire, statement: Statement):
+    """Fill a Statement message with what its owner needs.
+
+    A prepared statement goes by its shape and arguments, any other by its
+    text, so that no data is sent twice.
+    """
     wire.verb = statement.verb.value
     wire.request = statement.request
-    wire.text = statement.text
-    wire.name = statement.name
+    if statement.shape is None:
+        wire.text = statement.text
+        return
     wire.arguments = statement.arguments
-    if statement.shape is not None:
-        wire.prepared_writes = statement.shape.is_write
-        wire.prepared_shape = statement.shape.shape
+    wire.prepared_writes = statement.shape.is_write
+    wire.prepared_shape = statement.shape.shape
 
 
 def _decode_statement(wire) -> Statement:
@@ -141,9 +146,8 @@
         StatementVerb(wire.verb),
         wire.request,
         wire.text,
-        wire.name,
-        wire.arguments,
-        shape,
+        arguments=wire.arguments,
+        shape=shape,
     )
 
 
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -18,6 +18,7 @@
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
 from waxwinglift.request._admission import AdmissionQueue
+from waxwinglift.request._flight import FlightLimit
 from waxwinglift.request._statement_stream import StatementStream
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import PoolName
@@ -130,6 +131,7 @@
     def _build(self, record):
         settings = self.settings
         self._seen_term = None
+        self._flight = FlightLimit()
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
@@ -165,7 +167,7 @@
 
     async def _open_link(self):
         connection = await self._open(self._address, self.group, self.endpoint)
-        return StatementLink(connection)
+        return StatementLink(connection, self.now_ms, self._flight.note_way)
 
     def _make_stream(self, header, request):
         return StatementStream(self, header, request)
@@ -206,8 +208,12 @@
         else:
             pool.limit_count = max(2, int(_STANDBY_PART * usable_count))
             pool.warm_count = _STANDBY_WARM_COUNT
-        slots_count = min(record.slots_count, pool.limit_count)
-        self.slots.queue.slots_count = slots_count
+        queue = self.slots.queue
+        slots_count = self._flight.limit_count(
+            record.slots_count, queue.service_ms
+        )
+        slots_count = min(slots_count, pool.limit_count)
+        queue.slots_count = slots_count
         # A single statement always finds a connection beside the blocks.
         blocks_count = max(1, pool.limit_count - slots_count)
         self.blocks.queue.slots_count = blocks_count
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -45,6 +45,11 @@
         """Slots in use."""
         return len(self._running)
 
+    @property
+    def service_ms(self):
+        """Moving average of the time that a ticket holds its slot."""
+        return self._service_ms
+
     @property
     def waiting_count(self):
         """Tickets without a slot."""
--- /dev/null
+++ b/waxwinglift/request/_flight.py
@@ -0,0 +1,42 @@
+"""How many statements an owner keeps on the way to an endpoint."""
+
+# Statements beyond the slots that may wait at the endpoint itself, where
+# ranks no longer count; servers queue at least twice as many.
+_EXTRA_LIMIT_COUNT = 8
+# Weight of a new sample in the moving average of the way.
+_WAY_WEIGHT = 0.2
+_LEAST_WORK_MS = 1.0
+
+
+class FlightLimit:
+    """Keeps the slots of a distant endpoint busy.
+
+    A slot that an owner counts is taken for the way there and back as well.
+    From another region that is longer than the work, and an owner that sends
+    no more statements than there are slots leaves most of them idle.
+    """
+
+    def __init__(self):
+        self._way_ms = None
+
+    def note_way(self, elapsed_ms: float):
+        """Record how long something took that needs no slot."""
+        if self._way_ms is None:
+            self._way_ms = elapsed_ms
+            return
+        self._way_ms += _WAY_WEIGHT * (elapsed_ms - self._way_ms)
+
+    def limit_count(self, slots_count: int, service_ms: float) -> int:
+        """Return how many statements may be on their way at once.
+
+        Parameters
+        ----------
+        slots_count : int
+            Statements that the endpoint runs at once.
+        service_ms : float
+            Mean time of a statement, the way included.
+        """
+        way_ms = self._way_ms or 0.0
+        work_ms = max(_LEAST_WORK_MS, service_ms - way_ms)
+        extra_count = int(slots_count * way_ms / work_ms)
+        return slots_count + min(extra_count, _EXTRA_LIMIT_COUNT)
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -68,6 +68,9 @@
         Longest time for which a primary that is reported down is kept while
         most proxies are out of control's reach; with fencing by the servers
         only.  A change then still ends within the 10 s that users allow.
+    most_lost_leave_limit_ms : int
+        The same for a primary that leaves; endpoints stop 7 s after control
+        has taken note, and the change itself takes up to 2 s.
     catch_up_lsn_count : int
         Distance at which a replica counts as close behind.
     fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
@@ -90,6 +93,7 @@
     catch_up_limit_ms: int = 1500
     leave_limit_ms: int = 3000
     most_lost_limit_ms: int = 8000
+    most_lost_leave_limit_ms: int = 4500
     catch_up_lsn_count: int = 20
     fence_limit_ms: int = 400
     read_limit_ms: int = 250
@@ -130,7 +134,7 @@
         # None until the leases were observed: an owner is not known to be
         # lost before.
         self.live_daemons = None
-        self.tally = DaemonTally()
+        self.tally = DaemonTally(self.settings.report_ttl_ms)
         self.passed_index = None
         self.observed_index = -1
         self.is_changing = False
@@ -330,6 +334,7 @@
             report.term, report.is_reachable, since_ms
         )
     planner.reports[event.daemon] = (down, now_ms)
+    planner.tally.note_report(event.daemon, now_ms)
     changed = [e for e in down if e not in known]
     return sorted(_groups_without_primary(fleet, changed))
 
--- a/waxwinglift/version/_failover_server_steps.py
+++ b/waxwinglift/version/_failover_server_steps.py
@@ -36,10 +36,9 @@
         progress.started_ms = None
         return None
     waited_ms = progress.age_ms(change.now_ms)
-    limit_ms = change.settings.most_lost_limit_ms
     if not _successors(change):
         return f"{reason}; no other server is known"
-    if _may_still_serve(change) and waited_ms < limit_ms:
+    if _may_still_serve(change, waited_ms):
         return f"{reason}; most proxies are out of reach and may still use it"
     if _leaves_in_order(change):
         _read_all(change)
@@ -119,15 +118,17 @@
     return change.why_down() is None
 
 
-def _may_still_serve(change):
+def _may_still_serve(change, waited_ms):
     """Return whether most proxies may use a primary that control misses.
 
-    On their side of a partition a new primary would serve nobody.
+    They would not learn of a new one, or could not reach it.
     """
     primary = change.fleet.endpoints[change.group.primary]
+    limit_ms = change.settings.most_lost_limit_ms
     if primary.state is EndpointState.LEAVING:
-        return False
-    return change.planner.tally.are_most_lost
+        limit_ms = change.settings.most_lost_leave_limit_ms
+    is_waiting = waited_ms < limit_ms
+    return is_waiting and change.planner.tally.are_most_silent(change.now_ms)
 
 
 def _read_all(change):
