--- a/waxwinglift/request/_knowledge.py
+++ b/waxwinglift/request/_knowledge.py
@@ -11,6 +11,10 @@
 from waxwinglift.version import ZERO_POSITION
 
 
+# Failures in a row that count; their delay is past any limit.
+_FAILURE_LIMIT_COUNT = 32
+
+
 @dataclasses.dataclass(slots=True)
 class _Record:
     position: Position = ZERO_POSITION
@@ -154,7 +158,9 @@
         if failure.code is FailureCode.REJECTED:
             self.primary_share.forget_read()
             return
-        record.failure_count += 1
+        record.failure_count = min(
+            record.failure_count + 1, _FAILURE_LIMIT_COUNT
+        )
         delay_ms = self.settings.backoff_ms * 2 ** (record.failure_count - 1)
         delay_ms = min(delay_ms, self.settings.backoff_limit_ms)
         record.avoided_until_ms = now_ms + delay_ms
--- a/waxwinglift/request/tests/test_routing_nearest.py
+++ b/waxwinglift/request/tests/test_routing_nearest.py
@@ -10,6 +10,7 @@
 from waxwinglift.process._policy_settings import RoutingSettings
 from waxwinglift.request import Access
 from waxwinglift.request import FailureCode
+from waxwinglift.request import not_run
 from waxwinglift.request._routing import choose_route
 from waxwinglift.request._routing import EndpointKnowledge
 from waxwinglift.request._routing import RouteRequest
@@ -129,6 +130,15 @@
     assert set(shares("a", make_knowledge("a"), fleet=fleet)) <= set("bc")
 
 
+def test_failures_without_end():
+    """An endpoint that is down for long must not break the sessions."""
+    knowledge = make_knowledge("b")
+    failure = not_run(FailureCode.UNAVAILABLE, "down")
+    for number in range(5000):
+        knowledge.observe_refusal("b", failure, NOW_MS + number)
+    assert knowledge.return_share("b", NOW_MS + 5000) == 0.0
+
+
 def test_nothing_to_read_from():
     """Without any endpoint the caller must be told that nothing ran."""
     fleet = make_fleet(GroupPhase.PROMOTING)
