Import only what a process of the platform needs

Cause: after all processes were killed a proxy listened 0.8 s after its machine was back, most of it imports: the codec of PostgreSQL, the recording of spans, statsd and the other role's program were imported by every process. Protocols are now imported when a process first asks for them, spans and statsd where they are set, and each program imports its own role. A cancel key between proxies no longer needs PostgreSQL's codec.

--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 import enum
 import functools
+from typing import Protocol
 
 from waxwinglift.connection import ConnectionId
-from waxwinglift.connection._backend import EndpointConnection
 from waxwinglift.connection._endpoint_errors import EndpointFull
 from waxwinglift.connection._endpoint_errors import EndpointRefused
 from waxwinglift.connection._endpoint_pool import CloseConnection
@@ -28,6 +28,22 @@
 _performs = _performers.register
 
 
+class Link(Protocol):
+    """Open connection to an endpoint, of any protocol."""
+
+    on_lost: Callable[[], None] | None
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether neither side has closed the connection."""
+
+    def probe(self, on_probed: Callable[[bool], None]):
+        """Send something that needs no slot; report how it ended."""
+
+    def close(self):
+        """Close at once."""
+
+
 class Opening(enum.Enum):
     """How the opening of a connection ended."""
 
@@ -56,7 +72,7 @@
     def __init__(
         self,
         pool: EndpointPool,
-        open_connection: Callable[[], Awaitable[EndpointConnection]],
+        open_connection: Callable[[], Awaitable[Link]],
         now_ms: Callable[[], float],
         on_life: Callable[[], None],
         on_silence: Callable[[ConnectionId], None],
@@ -69,7 +85,7 @@
         self._on_silence = on_silence
         self._on_attempt = on_attempt
         self._has_lost = False
-        self._connections: dict[ConnectionId, EndpointConnection] = {}
+        self._connections: dict[ConnectionId, Link] = {}
         self._tasks: dict[ConnectionId, asyncio.Task] = {}
         self._waiters: dict[RequestId, asyncio.Future] = {}
 
@@ -123,7 +139,7 @@
 
     async def acquire(
         self, holder: RequestId, timeout_ms: float
-    ) -> tuple[ConnectionId, EndpointConnection] | None:
+    ) -> tuple[ConnectionId, Link] | None:
         """Return an idle connection, None when there is none in time."""
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[holder] = waiter
--- a/waxwinglift/platform/__main__.py
+++ b/waxwinglift/platform/__main__.py
@@ -1,24 +1,17 @@
-"""Programs of the platform's roles: ``python3 -m waxwinglift.platform``."""
+"""Programs of the platform's roles: ``python3 -m waxwinglift.platform``.
+
+Each program imports its own role only, which makes its start shorter.
+"""
 
 import contextlib
-import logging
+import importlib
 import pathlib
 
 import click
-import mode
 
-from waxwinglift.platform import _control_http
-from waxwinglift.platform import _http
 from waxwinglift.platform import _roles
 from waxwinglift.platform import _settings
-from waxwinglift.process._control import ControlService
-from waxwinglift.process._proxy import ProxyService
-from waxwinglift.process.cli._daemons import run_daemon
-
-logger = logging.getLogger(__name__)
-
-# Time between two looks at the settings file, which may change unannounced.
-_RELOAD_INTERVAL_S = 1.0
+from waxwinglift.process._daemon import run_daemon
 
 _settings_option = click.option(
     "--settings",
@@ -29,90 +22,6 @@
 )
 
 
-class SettingsReloader(mode.Service):
-    """Takes the seeds of a settings file that changes, signalled or not.
-
-    Other settings need a restart.
-
-    Parameters
-    ----------
-    path : Path
-    set_seeds : callable
-        Called with the addresses of the control seeds after each change.
-    """
-
-    def __init__(self, path, set_seeds):
-        super().__init__()
-        self._path = path
-        self._set_seeds = set_seeds
-        self._seeds = None
-
-    def reload(self):
-        """Read the file again; one that is not valid changes nothing."""
-        loaded = _settings.load_platform_settings(self._path)
-        if loaded.is_err():
-            logger.warning("settings not reloaded: %s", loaded.err_value)
-            return
-        seeds = loaded.ok_value.control_seeds
-        if seeds == self._seeds:
-            return
-        if self._seeds is not None:
-            logger.info("settings reloaded: seeds are %s", _join(seeds))
-        self._seeds = seeds
-        self._set_seeds(seeds)
-
-    @mode.Service.task
-    async def _watch(self):
-        while not self.should_stop:
-            self.reload()
-            await self.sleep(_RELOAD_INTERVAL_S)
-
-
-class PlatformControl(mode.Service):
-    """A control daemon behind the platform's HTTP interface."""
-
-    def __init__(self, platform, settings, path, metrics, tracer):
-        super().__init__()
-        self.platform = platform
-        self.control = ControlService(settings, metrics, tracer)
-        self._reloader = SettingsReloader(path, self.control.set_seeds)
-
-    def reload(self):
-        """Read the settings again."""
-        self._reloader.reload()
-
-    async def on_start(self):
-        """Start the daemon, then listen for operators and servers."""
-        await self.add_runtime_dependency(self.control)
-        api = _control_http.ControlApi(self.control, self.platform.regions)
-        await self.add_async_context(
-            _http.serving_http(self.platform.listen.control, api.handle)
-        )
-        await self.add_runtime_dependency(self._reloader)
-
-
-class PlatformProxy(mode.Service):
-    """A proxy whose seeds follow the platform's settings file."""
-
-    def __init__(self, settings, path, metrics, tracer):
-        super().__init__()
-        self.proxy = ProxyService(settings, metrics, tracer)
-        self._reloader = SettingsReloader(path, self.proxy.link.set_control)
-
-    def reload(self):
-        """Read the settings again."""
-        self._reloader.reload()
-
-    async def on_start(self):
-        """Start the proxy."""
-        await self.add_runtime_dependency(self.proxy)
-        await self.add_runtime_dependency(self._reloader)
-
-
-def _join(addresses):
-    return ", ".join(str(address) for address in addresses)
-
-
 def _load(path):
     if path is None:
         raise click.ClickException(
@@ -134,10 +43,11 @@
 def control(path):
     """Run a control daemon."""
     platform = _load(path)
+    program = importlib.import_module("waxwinglift.platform._control_program")
     run_daemon(
         _roles.control_settings(platform),
         f"control {platform.machine}",
-        lambda settings, metrics, tracer: PlatformControl(
+        lambda settings, metrics, tracer: program.PlatformControl(
             platform, settings, path, metrics, tracer
         ),
     )
@@ -148,10 +58,11 @@
 def proxy(path):
     """Run a proxy."""
     platform = _load(path)
+    program = importlib.import_module("waxwinglift.platform._proxy_program")
     run_daemon(
         _roles.proxy_settings(platform),
         f"proxy {platform.machine}",
-        lambda settings, metrics, tracer: PlatformProxy(
+        lambda settings, metrics, tracer: program.PlatformProxy(
             settings, path, metrics, tracer
         ),
     )
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -6,9 +6,8 @@
 from grpclib.server import Server
 import mode
 
-from waxwinglift.connection._ports import ENDPOINT_PROTOCOLS
+from waxwinglift.connection._ports import find_endpoint_protocol
 from waxwinglift.process import _control_settings
-from waxwinglift.process import _postgresql
 from waxwinglift.process._control_join import AddressBook
 from waxwinglift.process._control_join import GroupJoiner
 from waxwinglift.process._control_join import running
@@ -27,9 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Modules whose import fills the registry of endpoint protocols.
-PROTOCOL_MODULES = (_postgresql,)
-
 LEARNER_INTERVAL_S = 1.0
 # Time between two looks at who should vote; a change takes a round trip.
 MEMBERSHIP_INTERVAL_S = 0.1
@@ -102,7 +98,7 @@
             channels,
             settings.listen,
         )
-        protocol = ENDPOINT_PROTOCOLS[settings.endpoint_protocol]
+        protocol = find_endpoint_protocol(settings.endpoint_protocol)
         self.node = ControlNode(
             settings,
             store,
--- /dev/null
+++ b/waxwinglift/process/_daemon.py
@@ -0,0 +1,40 @@
+"""Runs a daemon as a process: logs, metrics, traces and the exit code."""
+
+import click
+
+from waxwinglift.process import _observability
+from waxwinglift.process import _runner
+from waxwinglift.process._control_settings import EmptyFolderError
+from waxwinglift.version._store_records import StoreError
+
+# The daemon cannot start: a data folder or an address is not usable.
+START_ERRORS = (EmptyFolderError, StoreError, OSError)
+
+
+def run_daemon(settings, process_name, make_service):
+    """Run a daemon until it is stopped, then exit with its code.
+
+    Parameters
+    ----------
+    settings : ProxySettings or ControlSettings
+    process_name : str
+        Shown in each log line.
+    make_service : callable
+        Called with the settings, the metrics and the tracer.
+
+    Raises
+    ------
+    ClickException
+        The daemon could not start.
+    """
+    observability = settings.observability
+    _observability.configure_logging(observability, process_name)
+    metrics = _observability.make_metrics(observability)
+    with _observability.open_tracer(observability, process_name) as tracer:
+        try:
+            code = _runner.run_service(
+                lambda: make_service(settings, metrics, tracer)
+            )
+        except START_ERRORS as error:
+            raise click.ClickException(str(error)) from error
+    raise click.exceptions.Exit(int(code))
--- a/waxwinglift/process/_data_path.py
+++ b/waxwinglift/process/_data_path.py
@@ -9,8 +9,7 @@
 
 from waxwinglift.connection import SessionId
 from waxwinglift.connection._cancel_key import CancelKey
-from waxwinglift.connection._ports import CALLER_PROTOCOLS
-from waxwinglift.process import _postgresql_callers
+from waxwinglift.connection._ports import find_caller_protocol
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_route import EntryContext
 from waxwinglift.process._data_path_settings import EntrySettings
@@ -21,9 +20,6 @@
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._types import Address
 
-# Modules whose import fills the registry of caller protocols.
-PROTOCOL_MODULES = (_postgresql_callers,)
-
 _DRAIN_CHECK_S = 0.02
 
 
@@ -69,7 +65,7 @@
         self.is_draining = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._callers = CALLER_PROTOCOLS[settings.protocol](self)
+        self._callers = find_caller_protocol(settings.protocol)(self)
 
     @property
     def address(self) -> Address:
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -9,8 +9,7 @@
 from result import Result
 
 from waxwinglift.connection import HealthState
-from waxwinglift.connection._ports import ENDPOINT_PROTOCOLS
-from waxwinglift.process import _postgresql
+from waxwinglift.connection._ports import find_endpoint_protocol
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import Exchange
@@ -31,9 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Modules whose import fills the registry of endpoint protocols.
-PROTOCOL_MODULES = (_postgresql,)
-
 _NOT_HERE = "this proxy does not own the endpoint"
 
 # Time after which an endpoint is given up that only a lost owner brought.
@@ -196,7 +192,7 @@
             if self._owners[endpoint].is_released:
                 self._stop(self._owners.pop(endpoint))
         for endpoint in wanted - self._owners.keys():
-            protocol = ENDPOINT_PROTOCOLS[self._settings.protocol]
+            protocol = find_endpoint_protocol(self._settings.protocol)
             owner = protocol.owner_class(
                 endpoint,
                 self._settings,
--- a/waxwinglift/process/_peer_codec.py
+++ b/waxwinglift/process/_peer_codec.py
@@ -3,8 +3,6 @@
 import dataclasses
 import struct
 
-from pygwire.messages import CancelRequest
-
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._cancel_key import CancelKey
 from waxwinglift.connection._session_types import PreparedStatement
@@ -33,7 +31,8 @@
 from waxwinglift.version import Term
 
 _US_PER_MS = 1000
-_LENGTH_BYTES = 4
+# Process id in front of a cancel key's secret.
+_PROCESS_ID = struct.Struct("!i")
 
 
 def encode_position(wire, position: Position):
@@ -67,21 +66,17 @@
 
 
 def encode_cancel_key(key: CancelKey) -> peer_pb2.ExecuteFrame:
-    """Return the frame of a cancel request; it holds PostgreSQL's message."""
-    request = CancelRequest(
-        process_id=key.process_id, secret_key=key.secret_key
-    )
-    return peer_pb2.ExecuteFrame(cancel=True, messages=request.to_wire())
+    """Return the frame of a cancel request."""
+    packed = _PROCESS_ID.pack(key.process_id) + key.secret_key
+    return peer_pb2.ExecuteFrame(cancel=True, messages=packed)
 
 
 def decode_cancel_key(frame) -> CancelKey | None:
     """Return the key of a cancel request, None when it is malformed."""
-    payload = memoryview(frame.messages)[_LENGTH_BYTES:]
-    try:
-        request = CancelRequest.decode(payload)
-    except struct.error:
+    if len(frame.messages) <= _PROCESS_ID.size:
         return None
-    return CancelKey(request.process_id, request.secret_key)
+    (process_id,) = _PROCESS_ID.unpack_from(frame.messages)
+    return CancelKey(process_id, frame.messages[_PROCESS_ID.size :])
 
 
 def encode_exchange(
