--- a/waxwinglift/platform/tests/test_statement_path.py
+++ b/waxwinglift/platform/tests/test_statement_path.py
@@ -259,21 +259,37 @@
     assert run(scenario) == []
 
 
+class SilentOwner:
+    """Owner of a primary that does not answer."""
+
+    is_silent = False
+
+    def __init__(self):
+        self.is_asked = False
+
+    async def group_position(self, group, term):
+        self.is_asked = True
+        await asyncio.sleep(10)
+
+
 def test_reads_go_to_the_primary_when_its_position_is_unknown():
-    """Without a recent position a replica cannot be used, others can."""
+    """Without a recent position no replica can be used, the primary can.
+
+    The others would only wait for the same position again.
+    """
 
     async def scenario(fleet):
-        floors = [
-            fleet.proxies[0].owners.owner(name).positions.floors
-            for name in ("s2", "s3")
-        ]
-        for floor in floors:
-            floor._find_executor = lambda daemon: None
+        silent = {name: SilentOwner() for name in ("s2", "s3")}
+        for name, owner in silent.items():
+            floors = fleet.proxies[0].owners.owner(name).positions.floors
+            floors._find_executor = lambda daemon, owner=owner: owner
         async with fleet.connected("look") as caller:
-            answers = [await caller.query("READ 1a4") for _ in range(5)]
-            return [answer.error for answer in answers if answer.error]
+            answer = await caller.query("READ 1a4")
+        return answer.error, sum(owner.is_asked for owner in silent.values())
 
-    assert run(scenario) == []
+    error, asked_count = run(scenario)
+    assert error == b""
+    assert asked_count <= 1
 
 
 @pytest.mark.parametrize("has_control", [True, False])
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -338,6 +338,10 @@
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
             return True
+        if self._is_position_unknown(end, route):
+            view = self._context.group_view(self._session.table.group)
+            attempts.excluded.update(one.endpoint for one in view.replicas)
+            return True
         if self._is_rerouted(end, route):
             attempts.excluded.add(route.endpoint)
             return True
@@ -347,6 +351,11 @@
             return await self._wait_for_change(attempts, now_ms)
         return await self._wait_for_other(attempts, end, route)
 
+    def _is_position_unknown(self, end, route):
+        """Return whether no replica can be read for want of a position."""
+        is_replica = route is not None and route.role is EndpointRole.REPLICA
+        return is_replica and end.failure.code is FailureCode.BEHIND
+
     def _is_rerouted(self, end, route):
         """Return whether another endpoint may serve what a replica cannot.
 
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -260,9 +260,10 @@
                 )
         except TimeoutError:
             message = "no recent position of the primary in time"
-            found = Err(not_run(FailureCode.UNAVAILABLE, message))
+            found = Err(not_run(FailureCode.BEHIND, message))
         if isinstance(found, Err):
-            self._fail(found.err_value)
+            # No other replica knows it either.
+            self._fail(not_run(FailureCode.BEHIND, found.err_value.message))
         known = found.ok_value
         return known if floor is None else max(floor, known)
 
