--- /dev/null
+++ b/waxwinglift/process/_control_executors.py
@@ -0,0 +1,162 @@
+"""What the actions of a control member's cores do, by type of action."""
+
+import logging
+
+from waxwinglift.process import Registry
+from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.version import _consensus_types as consensus
+from waxwinglift.version import _control_core_messages as core_messages
+from waxwinglift.version import _failover_messages as failover
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import decode_fleet
+from waxwinglift.version._entry_codec import encode_fleet
+
+logger = logging.getLogger(__name__)
+
+# An executor takes ``(node, action)``.
+EXECUTORS = Registry()
+executes = EXECUTORS.register
+
+# A renewal that is decided within one step is answered by one of these.
+LEASE_ANSWERS = (core_messages.GrantLease, core_messages.RefuseLease)
+
+# Fields of an entry that its log line shows, where it has them.
+_LOGGED_FIELDS = (
+    "group",
+    "endpoint",
+    "daemon",
+    "term",
+    "primary",
+    "old_term_end_lsn",
+    "address",
+    "assignments",
+)
+
+
+@executes(consensus.Send)
+def _send(node, action):
+    node.send(action.recipient, action.message)
+
+
+@executes(consensus.Commit)
+def _commit(node, action):
+    for log_entry in action.entries:
+        entry = decode_entry(log_entry.payload)
+        event = core_messages.EntryCommitted(log_entry.index, entry)
+        actions = node.core.step(event, monotonic_ms())
+        node.proposals.commit(log_entry, node.core.last_outcome)
+        node.execute_all(actions)
+    node.metrics.incr("control.entries_committed", len(action.entries))
+    node.notify()
+    _take_snapshot_if_due(node)
+
+
+def _take_snapshot_if_due(node):
+    index = node.fleet.index
+    if index - node.snapshot_index < node.settings.snapshot_entry_count:
+        return
+    node.snapshot_index = index
+    data = encode_fleet(node.fleet)
+    node.step_consensus(consensus.SnapshotTaken(index, data))
+    logger.info("snapshot taken at log index %d", index)
+
+
+@executes(consensus.InstallSnapshot)
+def _install_snapshot(node, action):
+    fleet = decode_fleet(action.snapshot.data)
+    node.snapshot_index = action.snapshot.index
+    node.step_core(core_messages.StateInstalled(fleet))
+    node.notify()
+    logger.info("snapshot installed at log index %d", fleet.index)
+
+
+@executes(consensus.BecomeLeader)
+def _become_leader(node, action):
+    logger.info("elected control leader in term %d", action.term)
+    node.metrics.incr("control.elections_won")
+    node.step_core(core_messages.BecameLeader())
+
+
+@executes(consensus.StepDown)
+def _step_down(node, action):
+    logger.info("no longer control leader of term %d", action.term)
+    node.proposals.fail_all()
+    node.sessions.drop_waiting()
+    node.step_core(core_messages.SteppedDown())
+
+
+@executes(core_messages.GiveUpLeadership)
+def _give_up_leadership(node, action):
+    logger.warning("no server can be reached: giving up leadership")
+    node.metrics.incr("control.leadership_given_up")
+    node.step_consensus(consensus.Resign())
+
+
+@executes(consensus.Accepted)
+def _accepted(node, action):
+    node.proposals.accept(action)
+
+
+@executes(consensus.Refused)
+def _refused(node, action):
+    node.proposals.refuse(action)
+
+
+@executes(failover.Propose)
+def _propose(node, action):
+    logger.info(
+        "proposing an entry", extra=_describe_entry(node, action.entry)
+    )
+    node.propose_unwatched(action.entry)
+
+
+def _describe_entry(node, entry):
+    """Return the log fields of an entry and why it is proposed."""
+    fields = {"entry_kind": entry.kind.value, "log_index": node.fleet.index}
+    for name in _LOGGED_FIELDS:
+        value = getattr(entry, name, None)
+        if value is not None:
+            fields[name] = str(value)
+    status = node.core.statuses().get(getattr(entry, "group", None))
+    if status:
+        fields["reason"] = status
+    return fields
+
+
+@executes(*LEASE_ANSWERS)
+def _answer_renewal(node, action):
+    node.lease_answers.append(action)
+
+
+@executes(
+    failover.FenceServer,
+    failover.ReadPosition,
+    failover.PromoteServer,
+    failover.RepointServer,
+)
+def _run_server_action(node, action):
+    node.sessions.offer(action)
+    _start_sessions(node)
+
+
+def _start_sessions(node):
+    for action in node.sessions.start():
+        node.metrics.incr(f"control.{type(action).__name__}")
+        node.spawn(_report_outcome(node, action))
+
+
+async def _report_outcome(node, action):
+    try:
+        outcome = await node.run_step(action, node.promotion_right(action))
+    finally:
+        node.sessions.finish(action)
+        _start_sessions(node)
+    if isinstance(outcome, failover.ActionFailed):
+        logger.warning(
+            "%s of %s failed: %s",
+            type(action).__name__,
+            action.endpoint,
+            outcome.message,
+        )
+    if node.core.is_leader:
+        node.step_core(outcome)
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -1,8 +1,8 @@
 """Drives one member's consensus node and control core.
 
 The decisions are in ``version``; this module carries their actions out: it
-writes to the log store, hands messages to the transport, runs SQL steps and
-answers proposals and renewals.  Executors are registered by action type.
+keeps proposals and renewals that wait for an answer.  What each action does is
+in ``_control_executors``.
 """
 
 import asyncio
@@ -14,15 +14,14 @@
 from result import Ok
 
 from waxwinglift.process import _control_settings
-from waxwinglift.process import Registry
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._control_executors import EXECUTORS
 from waxwinglift.process._control_proposals import ConfirmationTable
 from waxwinglift.process._control_proposals import ProposalError
 from waxwinglift.process._control_proposals import ProposalFailure
 from waxwinglift.process._control_proposals import ProposalTable
 from waxwinglift.version import _consensus_types as consensus
 from waxwinglift.version import _control_core_messages as core_messages
-from waxwinglift.version import _failover_messages as failover
 from waxwinglift.version import FleetState
 from waxwinglift.version._action_queue import ActionQueue
 from waxwinglift.version._consensus_driver import MemberDriver
@@ -33,7 +32,6 @@
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import decode_fleet
 from waxwinglift.version._entry_codec import encode_entry
-from waxwinglift.version._entry_codec import encode_fleet
 from waxwinglift.version._membership import GroupContacts
 from waxwinglift.version._membership import MembershipPlanner
 from waxwinglift.version._promotion import promotion_right
@@ -41,13 +39,6 @@
 
 logger = logging.getLogger(__name__)
 
-# An executor takes ``(node, action)``.
-EXECUTORS = Registry()
-executes = EXECUTORS.register
-
-# A renewal that is decided within one step is answered by one of these.
-LEASE_ANSWERS = (core_messages.GrantLease, core_messages.RefuseLease)
-
 # Time between two appends of the leader's own entries.  Each append goes to
 # each follower twice, with the entries and with their commit; 1,900 entries
 # one by one took more than a core for seconds.
@@ -204,7 +195,7 @@
 
     def step_core(self, event):
         """Step the control core and carry out its actions."""
-        self._execute_all(self.core.step(event, monotonic_ms()))
+        self.execute_all(self.core.step(event, monotonic_ms()))
 
     def tick(self):
         """Let time pass for both cores."""
@@ -249,7 +240,7 @@
             return
         for row in self.consensus.members:
             if not row.is_voter:
-                self._propose_unwatched(MemberPromoted(row.member))
+                self.propose_unwatched(MemberPromoted(row.member))
 
     def note_join(self, request):
         """Record that a daemon asks to become a member."""
@@ -263,7 +254,7 @@
         entry = self._membership.plan(self._contacts(now_ms), now_ms)
         if entry is not None:
             logger.info("changing the control group: %s", entry)
-            self._propose_unwatched(entry)
+            self.propose_unwatched(entry)
 
     def _contacts(self, now_ms):
         node = self.consensus
@@ -290,7 +281,7 @@
         for task in self._tasks:
             task.cancel()
 
-    def _propose_unwatched(self, entry):
+    def propose_unwatched(self, entry):
         """Append an entry with the others of this step, or of 5 ms."""
         self._collected.append(entry)
         if self._append_timer is None:
@@ -309,14 +300,16 @@
         )
         self.step_consensus(consensus.ProposeBatch(proposals))
 
-    def _execute_all(self, actions):
+    def execute_all(self, actions):
+        """Carry out actions in order."""
         for action in actions:
             self._execute(action)
 
     def _execute(self, action):
         EXECUTORS[type(action)](self, action)
 
-    def _spawn(self, coroutine):
+    def spawn(self, coroutine):
+        """Run a coroutine until this member stops."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -325,117 +318,3 @@
         """Wake the watch streams."""
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
-
-
-@executes(consensus.Send)
-def _send(node, action):
-    node.send(action.recipient, action.message)
-
-
-@executes(consensus.Commit)
-def _commit(node, action):
-    for log_entry in action.entries:
-        entry = decode_entry(log_entry.payload)
-        event = core_messages.EntryCommitted(log_entry.index, entry)
-        actions = node.core.step(event, monotonic_ms())
-        node.proposals.commit(log_entry, node.core.last_outcome)
-        node._execute_all(actions)
-    node.metrics.incr("control.entries_committed", len(action.entries))
-    node.notify()
-    _take_snapshot_if_due(node)
-
-
-def _take_snapshot_if_due(node):
-    index = node.fleet.index
-    if index - node.snapshot_index < node.settings.snapshot_entry_count:
-        return
-    node.snapshot_index = index
-    data = encode_fleet(node.fleet)
-    node.step_consensus(consensus.SnapshotTaken(index, data))
-    logger.info("snapshot taken at log index %d", index)
-
-
-@executes(consensus.InstallSnapshot)
-def _install_snapshot(node, action):
-    fleet = decode_fleet(action.snapshot.data)
-    node.snapshot_index = action.snapshot.index
-    node.step_core(core_messages.StateInstalled(fleet))
-    node.notify()
-    logger.info("snapshot installed at log index %d", fleet.index)
-
-
-@executes(consensus.BecomeLeader)
-def _become_leader(node, action):
-    logger.info("elected control leader in term %d", action.term)
-    node.metrics.incr("control.elections_won")
-    node.step_core(core_messages.BecameLeader())
-
-
-@executes(consensus.StepDown)
-def _step_down(node, action):
-    logger.info("no longer control leader of term %d", action.term)
-    node.proposals.fail_all()
-    node.sessions.drop_waiting()
-    node.step_core(core_messages.SteppedDown())
-
-
-@executes(core_messages.GiveUpLeadership)
-def _give_up_leadership(node, action):
-    logger.warning("no server can be reached: giving up leadership")
-    node.metrics.incr("control.leadership_given_up")
-    node.step_consensus(consensus.Resign())
-
-
-@executes(consensus.Accepted)
-def _accepted(node, action):
-    node.proposals.accept(action)
-
-
-@executes(consensus.Refused)
-def _refused(node, action):
-    node.proposals.refuse(action)
-
-
-@executes(failover.Propose)
-def _propose(node, action):
-    logger.info("proposing %s", action.entry)
-    node._propose_unwatched(action.entry)
-
-
-@executes(*LEASE_ANSWERS)
-def _answer_renewal(node, action):
-    node.lease_answers.append(action)
-
-
-@executes(
-    failover.FenceServer,
-    failover.ReadPosition,
-    failover.PromoteServer,
-    failover.RepointServer,
-)
-def _run_server_action(node, action):
-    node.sessions.offer(action)
-    _start_sessions(node)
-
-
-def _start_sessions(node):
-    for action in node.sessions.start():
-        node.metrics.incr(f"control.{type(action).__name__}")
-        node._spawn(_report_outcome(node, action))
-
-
-async def _report_outcome(node, action):
-    try:
-        outcome = await node.run_step(action, node.promotion_right(action))
-    finally:
-        node.sessions.finish(action)
-        _start_sessions(node)
-    if isinstance(outcome, failover.ActionFailed):
-        logger.warning(
-            "%s of %s failed: %s",
-            type(action).__name__,
-            action.endpoint,
-            outcome.message,
-        )
-    if node.core.is_leader:
-        node.step_core(outcome)
--- a/waxwinglift/process/_postgresql_callers.py
+++ b/waxwinglift/process/_postgresql_callers.py
@@ -3,7 +3,7 @@
 The database name is the pool.  Callers are trusted, or give the pool's
 clear-text password, by ``EntrySettings.passwords``.  Every error that the
 proxy itself reports has the detail ``verdict=...``; errors of an endpoint
-are passed on as they came; docs/operations.md says what took effect.
+are passed on as they came; docs/OPERATIONS.md says what took effect.
 """
 
 import asyncio
--- a/waxwinglift/process/tests/test_endpoint_errors.py
+++ b/waxwinglift/process/tests/test_endpoint_errors.py
@@ -29,7 +29,7 @@
 @pytest.mark.parametrize("key", ["", "k"])
 def test_error_of_the_endpoint(statements, sqlstate, kept, key):
     # Callers tell from the missing verdict that the endpoint answered, and
-    # from the rules of docs/operations.md what took effect.
+    # from the rules of docs/OPERATIONS.md what took effect.
     async def scenario(servers, proxies):
         async with await connect(proxies[0], "access=write") as caller:
             await caller.execute("CREATE TABLE t (id int PRIMARY KEY)")
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -19,35 +19,19 @@
 from waxwinglift.request import not_run
 from waxwinglift.request import Verdict
 from waxwinglift.request._data_path_attempt import endpoint_failure
-from waxwinglift.request._retry import retry_delay_ms
 from waxwinglift.request._routing import Route
 from waxwinglift.request._routing import RouteRequest
 from waxwinglift.request._statement_attempts import final_outcome
 from waxwinglift.request._statement_attempts import judge_answer
 from waxwinglift.request._statement_attempts import StatementAttempts
+from waxwinglift.request._statement_retries import is_elsewhere
+from waxwinglift.request._statement_retries import StatementRetries
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
-from waxwinglift.version import EndpointRole
 from waxwinglift.version._types import Consistency
 
-# A newer fleet view usually arrives within this time; the request is tried
-# again then in any case.
-_CHANGE_WAIT_MS = 50.0
 # Time added to a statement's limit for the answer of its owner.
 _OWNER_GRACE_MS = 150.0
-# Part of its time for which a request may wait for a change of primary; a
-# caller that is refused in time can still come back.
-_CHANGE_WAIT_PART = 0.6
-# The daemon does not serve the endpoint any more; its standby owner does.
-_LEFT_CODES = frozenset({FailureCode.NOT_OWNER, FailureCode.SHUTTING_DOWN})
-_PASSING_CODES = _LEFT_CODES | {FailureCode.UNAVAILABLE}
-
-
-def _is_elsewhere(end):
-    """Return whether another daemon may serve the same endpoint."""
-    if end.failure is None:
-        return False
-    return end.is_unreached or end.failure.code in _LEFT_CODES
 
 
 async def _drop(data):
@@ -70,6 +54,7 @@
         # Whether the open block, or the last one, has written.
         self.block_writes = False
         self._stream: TransactionStream | None = None
+        self._retries = StatementRetries(context, session)
 
     @property
     def is_in_block(self) -> bool:
@@ -179,7 +164,9 @@
             end = judge_answer(statement, attempts, end)
             if end.failure is None:
                 return end
-            may_retry = await self._may_retry(statement, attempts, end, route)
+            may_retry = await self._retries.may_retry(
+                statement, attempts, end, route
+            )
             self._log_failure(statement, attempts, end, route, may_retry)
             if not may_retry:
                 return final_outcome(statement, attempts, end)
@@ -224,7 +211,7 @@
             self._header(attempts, route, daemon != route.owner)
         )
         end = await self._run_observed(route, statement, attempts)
-        if _is_elsewhere(end):
+        if is_elsewhere(end):
             attempts.unreached.add((route.endpoint, daemon))
         if end.failure is not None:
             await self.close()
@@ -323,85 +310,6 @@
             statement_timeout_ms=policy.statement_timeout_ms,
         )
 
-    async def _may_retry(self, statement, attempts, end, route):
-        """Decide on another attempt and wait for its time."""
-        now_ms = self._context.now_ms()
-        if now_ms >= attempts.deadline_ms or self._session.has_left:
-            return False
-        failure = end.failure
-        if failure.verdict is not Verdict.NOT_RUN:
-            if statement.is_write or attempts.is_block:
-                return False
-            attempts.last = end
-        if _is_elsewhere(end):
-            return True
-        if end.failed_position is not None:
-            attempts.excluded.add(route.endpoint)
-            return True
-        if self._is_position_unknown(end, route):
-            view = self._context.group_view(self._session.table.group)
-            attempts.excluded.update(one.endpoint for one in view.replicas)
-            return True
-        if self._is_rerouted(end, route):
-            attempts.excluded.add(route.endpoint)
-            return True
-        if end.is_stale_owner and route is not None:
-            self._context.note_lost_primary(self._session.table.group)
-        if self._waits_for_change(end, route):
-            return await self._wait_for_change(attempts, now_ms)
-        return await self._wait_for_other(attempts, end, route)
-
-    def _is_position_unknown(self, end, route):
-        """Return whether no replica can be read for want of a position."""
-        is_replica = route is not None and route.role is EndpointRole.REPLICA
-        return is_replica and end.failure.code is FailureCode.BEHIND
-
-    def _is_rerouted(self, end, route):
-        """Return whether another endpoint may serve what a replica cannot.
-
-        Nothing has run and no queue was full, so the load does not grow.
-        """
-        return (
-            route is not None
-            and route.role is EndpointRole.REPLICA
-            and end.failure.verdict is Verdict.NOT_RUN
-            and end.failure.code in _PASSING_CODES
-        )
-
-    def _waits_for_change(self, end, route):
-        """Return whether only a newer fleet view can help."""
-        if end.failure.verdict is not Verdict.NOT_RUN:
-            return False
-        return end.failure.code in _PASSING_CODES
-
-    async def _wait_for_change(self, attempts, now_ms):
-        limit_ms = attempts.deadline_ms - attempts.arrived_ms
-        until_ms = attempts.arrived_ms + _CHANGE_WAIT_PART * limit_ms
-        if now_ms >= until_ms or not self._context.view.lease_is_live():
-            # Without control no newer view will arrive; another proxy may
-            # have it.
-            return False
-        wait_ms = min(until_ms - now_ms, _CHANGE_WAIT_MS)
-        await self._context.view.wait_for_change(wait_ms)
-        attempts.excluded.clear()
-        attempts.unreached.clear()
-        return True
-
-    async def _wait_for_other(self, attempts, end, route):
-        limit_count = self._session.policy.attempt_limit_count
-        if attempts.count >= max(2, limit_count):
-            return False
-        if not self._context.budget(self._session.table.pool).try_spend():
-            return False
-        attempts.was_rejected = end.failure.code is FailureCode.REJECTED
-        if route is not None and route.role is EndpointRole.REPLICA:
-            attempts.excluded.add(route.endpoint)
-        self._context.metrics.incr("entry.retried")
-        settings = self._context.settings.retry
-        delay_ms = retry_delay_ms(attempts.count, settings, self._context.rng)
-        await asyncio.sleep(delay_ms / 1000)
-        return True
-
     def _note(self, end):
         metrics = self._context.metrics
         if end.failure is not None:
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -13,23 +13,21 @@
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._trace_context import context_of
+from waxwinglift.request import _statement_failures as failures
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
-from waxwinglift.request import may_have_run
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
-from waxwinglift.request import Verdict
 from waxwinglift.request._admission import Ticket
+from waxwinglift.request._idle_timer import IdleTimer
+from waxwinglift.request._lent_connection import LentConnection
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.request._statements import Reply
-from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import PoolName
 
-# Time for a rollback before the connection is given up.
-_ROLLBACK_TIMEOUT_MS = 500.0
 # Longest wait for a position of the primary, ten round trips between
 # regions; the read then goes to the primary itself.
 _FLOOR_WAIT_MS = 250.0
@@ -79,21 +77,21 @@
         self._is_started = False
         self._is_over = False
         self._is_sent = False
-        self._taken = None
+        self._lent = LentConnection(owner, request)
         self._block_ticket: Ticket | None = None
         self._block_started_ms = 0.0
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._idle_timer = IdleTimer(self._end_idle_block)
         self._queue_wait_ms = 0.0
         self._is_at_primary = False
-        self._values = _encode_values(header.settings)
+        self._lent.set_values(header.settings)
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Run one statement and return its outcome."""
         context = context_of(self.header.traceparent)
         span = self._owner.tracer.start_span("owner.execute", context)
-        self._stop_idle_timer()
+        self._idle_timer.stop()
         if exchange.settings is not None:
-            self._values = _encode_values(exchange.settings)
+            self._lent.set_values(exchange.settings)
         self._work = asyncio.current_task()
         try:
             end = await self._run_or_fail(exchange.statement, span)
@@ -113,7 +111,7 @@
 
     async def close(self):
         """End the transaction; an open block is rolled back."""
-        self._stop_idle_timer()
+        self._idle_timer.stop()
         self._end_block()
 
     async def _run_or_fail(self, statement, span):
@@ -124,19 +122,21 @@
             return failed.end
         except EndpointConnectionLost as error:
             self._give_up()
-            return self._end(failure=self._lost(statement, str(error)))
+            failure = failures.lost(self._work_state(statement), str(error))
+            return self._end(failure=failure)
         except TimeoutError:
             # The endpoint may still work on it: the connection is closed.
-            if self._taken is not None:
-                self._owner.note_silence(self._taken[0])
+            self._lent.note_silence()
             self._give_up()
-            return self._end(failure=self._timed_out(statement))
+            failure = failures.timed_out(self._work_state(statement))
+            return self._end(failure=failure)
         except asyncio.CancelledError:
             self._give_up()
             if not self._is_cancelled:
                 raise
             asyncio.current_task().uncancel()
-            return self._end(failure=self._cancelled())
+            failure = failures.cancelled(self._work_state(statement))
+            return self._end(failure=failure)
         except BaseException:
             self._give_up()
             raise
@@ -176,15 +176,15 @@
             if self._is_at_primary and not statement.is_write:
                 reply = await self._run_guarded(statement, deadline_ms)
             else:
-                commands = self._commands(statement, after)
+                commands = self._lent.commands(statement, after)
                 reply = (await self._send(commands, deadline_ms))[-1]
             self._check_reply(reply)
-            self._release_connection()
+            self._lent.release()
         return self._answer(reply)
 
     async def _run_guarded(self, statement, deadline_ms):
         """Run a read where only the primary accepts it."""
-        commands = self._commands(statement, None)
+        commands = self._lent.commands(statement, None)
         prepared, read = commands[:-1], commands[-1]
         begin = [*prepared, Command(CommandKind.BEGIN)]
         begun = (await self._send(begin, deadline_ms, is_own=True))[-1]
@@ -210,39 +210,16 @@
 
     async def _run_in_block(self, statement, deadline_ms):
         async with self._slot(deadline_ms):
-            commands = self._commands(statement, None)
+            commands = self._lent.commands(statement, None)
             reply = (await self._send(commands, deadline_ms))[-1]
         if reply.status is not TransactionStatus.IN_TRANSACTION:
             # It has ended, or can only be rolled back.
             self._end_block(is_idle=reply.status is TransactionStatus.IDLE)
         else:
-            self._start_idle_timer()
+            self._idle_timer.start(self._owner.idle_block_ms)
         self._note_error(reply)
         return self._answer(reply)
 
-    def _commands(self, statement: Statement, after):
-        """Return what brings the session in force, and the statement."""
-        link = self._taken[1]
-        commands = link.align(self._values)
-        if statement.verb is StatementVerb.EXECUTE:
-            name, prepared = link.prepare(statement.shape)
-            commands += prepared
-            command = Command(
-                CommandKind.EXECUTE,
-                statement.request,
-                name=name,
-                arguments=statement.arguments,
-                after=after,
-            )
-        else:
-            command = Command(
-                CommandKind.CALLER,
-                statement.request,
-                statement.text,
-                after=after,
-            )
-        return [*commands, command]
-
     async def _find_floor(self, deadline_ms):
         """Return the position that a read at a replica must state."""
         header = self.header
@@ -309,14 +286,10 @@
         )
 
     async def _take_connection(self, deadline_ms):
-        if self._taken is not None:
-            return
         left_ms = max(0.0, deadline_ms - self._owner.now_ms())
-        taken = await self._owner.connections.acquire(self._request, left_ms)
-        if taken is None:
+        if not await self._lent.take(left_ms):
             message = "no connection to the endpoint in time"
             self._fail(not_run(FailureCode.UNAVAILABLE, message))
-        self._taken = taken
 
     async def _send(self, commands, deadline_ms, is_own=False):
         """Send commands and return their replies.
@@ -332,7 +305,7 @@
             self._fail(not_run(FailureCode.REJECTED, message))
         self._is_sent = not is_own
         async with asyncio.timeout(left_ms / 1000):
-            replies = await self._taken[1].run(commands)
+            replies = await self._lent.run(commands)
         self._owner.monitor.note_life()
         return replies
 
@@ -347,7 +320,10 @@
         error = reply.answer.error
         if error is None or error.code not in _REROUTED:
             return
-        self._release_or_discard(reply.status)
+        if reply.status is TransactionStatus.IDLE:
+            self._lent.release()
+        else:
+            self._lent.discard()
         code = FailureCode.UNAVAILABLE
         if error.code is EndpointErrorCode.OVERLOADED:
             code = FailureCode.REJECTED
@@ -369,8 +345,8 @@
         self._owner.metrics.incr(f"endpoint.{error.code.value}")
         if error.code is EndpointErrorCode.READ_ONLY and self._is_at_primary:
             self._owner.note_lost_role()
-        if error.code is EndpointErrorCode.UNKNOWN_STATEMENT and self._taken:
-            self._taken[1].prepared.clear()
+        if error.code is EndpointErrorCode.UNKNOWN_STATEMENT:
+            self._lent.forget_prepared()
 
     def _answer(self, reply):
         return self._end(
@@ -381,44 +357,14 @@
             served_by_replica=not self._is_at_primary,
         )
 
-    def _release_or_discard(self, status):
-        if status is TransactionStatus.IDLE:
-            self._release_connection()
-        else:
-            self._discard_connection()
-
-    def _release_connection(self):
-        if self._taken is not None:
-            (connection, _), self._taken = self._taken, None
-            self._owner.connections.release(connection)
-
-    def _discard_connection(self):
-        if self._taken is not None:
-            (connection, _), self._taken = self._taken, None
-            self._owner.connections.discard(connection)
-
     def _end_block(self, is_idle=False):
         """Give the block's connection back, after a rollback if needed."""
         self._is_over = True
-        if self._taken is not None and is_idle:
-            self._release_connection()
-        elif self._taken is not None:
-            taken, self._taken = self._taken, None
-            self._owner.run_in_background(self._roll_back(taken))
-        self._leave_blocks()
-
-    async def _roll_back(self, taken):
-        connection, link = taken
-        try:
-            async with asyncio.timeout(_ROLLBACK_TIMEOUT_MS / 1000):
-                (reply,) = await link.run([_ROLLBACK])
-        except (TimeoutError, EndpointConnectionLost):
-            self._owner.connections.discard(connection)
-            return
-        if reply.status is TransactionStatus.IDLE:
-            self._owner.connections.release(connection)
+        if is_idle:
+            self._lent.release()
         else:
-            self._owner.connections.discard(connection)
+            self._lent.roll_back()
+        self._leave_blocks()
 
     def _leave_blocks(self):
         ticket, self._block_ticket = self._block_ticket, None
@@ -431,7 +377,7 @@
     def _give_up(self):
         """Close the connection: what runs on it is not known."""
         self._is_over = True
-        self._discard_connection()
+        self._lent.discard()
         self._leave_blocks()
 
     def _fail(self, failure: Failure):
@@ -440,56 +386,13 @@
     def _end(self, **fields):
         return ExchangeEnd(queue_wait_ms=self._queue_wait_ms, **fields)
 
-    def _lost(self, statement, reason):
-        if not self._is_sent:
-            message = f"connection lost before the statement: {reason}"
-            return not_run(FailureCode.UNAVAILABLE, message)
-        if self.header.in_block and not _may_commit(statement):
-            message = f"the transaction was lost: {reason}"
-            return not_run(FailureCode.ABORTED, message)
-        return may_have_run(f"the endpoint's answer was lost: {reason}")
-
-    def _timed_out(self, statement):
-        if not self._is_sent:
-            message = "the endpoint did not take the statement in time"
-            return not_run(FailureCode.UNAVAILABLE, message)
-        if self.header.in_block and not _may_commit(statement):
-            message = "a statement took too long; the transaction was ended"
-            return not_run(FailureCode.ABORTED, message)
-        message = "the endpoint did not answer in time"
-        return Failure(Verdict.MAY_HAVE_RUN, FailureCode.TIMED_OUT, message)
-
-    def _cancelled(self):
-        verdict = Verdict.MAY_HAVE_RUN if self._is_sent else Verdict.NOT_RUN
-        message = "the statement was cancelled"
-        return Failure(verdict, FailureCode.CANCELLED, message)
-
-    def _start_idle_timer(self):
-        limit_ms = self._owner.idle_block_ms
-        if limit_ms <= 0:
-            return
-        loop = asyncio.get_running_loop()
-        self._idle_timer = loop.call_later(
-            limit_ms / 1000, self._end_idle_block
+    def _work_state(self, statement):
+        return failures.WorkState(
+            is_sent=self._is_sent,
+            in_block=self.header.in_block,
+            may_commit=statement.verb is StatementVerb.COMMIT,
         )
 
     def _end_idle_block(self):
         self._owner.metrics.incr("owner.idle_block_ended")
         self._end_block()
-
-    def _stop_idle_timer(self):
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
-
-
-def _encode_values(settings):
-    """Return a session's values as the endpoint takes them."""
-    return {
-        name.encode("latin-1"): value.encode("latin-1")
-        for name, value in settings.items()
-    }
-
-
-def _may_commit(statement: Statement) -> bool:
-    return statement.verb is StatementVerb.COMMIT
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -7,8 +7,6 @@
 
 import dataclasses
 
-import pydantic
-
 from waxwinglift.process import Registry
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version import _failover_server_steps
@@ -16,91 +14,18 @@
 from waxwinglift.version._failover_progress import Progress
 from waxwinglift.version._failover_reach import ReachTable
 from waxwinglift.version._failover_scan import FleetScan
+from waxwinglift.version._failover_settings import FailoverSettings
 from waxwinglift.version._failover_steps import advance_group
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
 from waxwinglift.version._types import Term
 
+__all__ = ["FailoverPlanner", "FailoverSettings"]
+
 # Modules whose import fills the registry of steps.
 STEP_MODULES = (_failover_server_steps,)
 
 
-class FailoverSettings(pydantic.BaseModel):
-    """Times of a change of primary.
-
-    Parameters
-    ----------
-    report_ttl_ms : int
-        Age at which a health report no longer counts; four renewals.
-    handover_after_ms : int
-        Time for which only the owner finds an endpoint down before it loses
-        the endpoint.  Longer than two probes, so that the standby owner
-        finds a primary that is really down as well.
-    handover_report_ms : int
-        Age at which a standby owner's report no longer counts for that; two
-        renewals, because it may be cut off itself.
-    retry_interval_ms : int
-        Time between a failed action and its repetition.
-    lost_retry_ms : int
-        The same for a server whose announcements have stopped.
-    rechoose_after_ms : int
-        Time for which control cannot reach a chosen server, from the first
-        failed action, before another one is chosen.  Longer than the limit
-        of a promotion, so that one lost connection does not decide.
-    cut_off_after_ms : int
-        Time for which a leader that needs servers reaches none of them
-        before it may count as cut off; three attempts of a read.
-    cut_off_count : int
-        Servers that must be silent and found up by their owners; a single
-        one may be cut off itself.
-    propose_retry_ms : int
-        Time after which an entry that was not committed is proposed again.
-    settle_ms : int
-        Time for which a change waits for further servers once one of them
-        could take over; with fencing by the servers only.
-    catch_up_limit_ms : int
-        Longest time without writes in which the replicas of a primary that
-        leaves may receive what it still has.
-    leave_limit_ms : int
-        Longest time for which a leaving primary goes on because no replica
-        is close behind it.
-    most_lost_limit_ms : int
-        Longest time for which a primary that is reported down is kept while
-        most proxies are out of control's reach; with fencing by the servers
-        only.  A change then still ends within the 10 s that users allow.
-    most_lost_leave_limit_ms : int
-        The same for a primary that leaves; endpoints stop 7 s after control
-        has taken note, and the change itself takes up to 2 s.
-    catch_up_lsn_count : int
-        Distance at which a replica counts as close behind.
-    fence_limit_ms, read_limit_ms, promote_limit_ms, repoint_limit_ms : int
-        Time limits of the actions.  They bound what a silent connection
-        costs, because the action is then repeated on a new one.
-    """
-
-    model_config = pydantic.ConfigDict(frozen=True)
-
-    report_ttl_ms: int = 1000
-    handover_after_ms: int = 400
-    handover_report_ms: int = 500
-    retry_interval_ms: int = 100
-    lost_retry_ms: int = 500
-    rechoose_after_ms: int = 1500
-    cut_off_after_ms: int = 1000
-    cut_off_count: int = 2
-    propose_retry_ms: int = 500
-    settle_ms: int = 300
-    catch_up_limit_ms: int = 1500
-    leave_limit_ms: int = 3000
-    most_lost_limit_ms: int = 8000
-    most_lost_leave_limit_ms: int = 4500
-    catch_up_lsn_count: int = 20
-    fence_limit_ms: int = 400
-    read_limit_ms: int = 250
-    promote_limit_ms: int = 1000
-    repoint_limit_ms: int = 400
-
-
 # A handler takes ``(planner, fleet, event, now_ms)`` and returns the names of
 # the groups to advance.
 EVENT_HANDLERS = Registry()
