Let statements of open transactions go before the others of their rank

They now go first within their rank; how many there are is bounded by the connections for transactions. More urgent ranks still go before them.

--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -206,7 +206,7 @@
         rank = self._ranks[(ticket.pool, ticket.rank)]
         if not self._must_wait(rank):
             return 0.0
-        own_count = rank.ahead_count(ticket.caller) + 1
+        own_count = rank.ahead_count(ticket.caller, ticket.is_continued) + 1
         ahead_count = own_count
         for other in self._ranks.values():
             if other is not rank:
--- a/waxwinglift/request/_admission_types.py
+++ b/waxwinglift/request/_admission_types.py
@@ -26,6 +26,9 @@
     is_block : bool
         Whether the ticket covers a transaction block, which holds its slot
         until it ends.
+    is_continued : bool
+        Whether it is a later statement of an open block: it goes before the
+        others of its rank, because the work done so far would be lost.
     """
 
     request: RequestId
@@ -35,6 +38,7 @@
     arrival_ms: float
     deadline_ms: float
     is_block: bool = False
+    is_continued: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/request/_rank_queue.py
+++ b/waxwinglift/request/_rank_queue.py
@@ -8,7 +8,9 @@
 
 
 class RankQueue:
-    """Tickets of one rank, round robin over callers.
+    """Tickets of one rank: those of open blocks, then round robin.
+
+    The others take turns by caller.
 
     Parameters
     ----------
@@ -39,6 +41,8 @@
         self.running_count = 0
         self.is_retired = False
         self._by_caller = collections.OrderedDict()
+        # Statements of open blocks, in order of arrival.
+        self._continued = {}
         # Turns that a caller with waiting tickets has taken in advance.
         self._advances = collections.Counter()
         # Heap of (deadline, request, caller), also of tickets that have left.
@@ -61,6 +65,10 @@
 
     def push(self, ticket):
         """Append a ticket to its caller's line."""
+        if ticket.is_continued:
+            self._continued[ticket.request] = ticket
+            self._waiting_count += 1
+            return
         line = self._by_caller.setdefault(ticket.caller, {})
         line[ticket.request] = ticket
         self._waiting_count += 1
@@ -82,6 +90,9 @@
         advance_limit_count : int
             Most turns that a caller may be ahead of the others.
         """
+        if self._continued:
+            self._waiting_count -= 1
+            return self._continued.pop(next(iter(self._continued)))
         caller = None
         if advance_limit_count:
             caller = self._late_caller(now_ms, turn_ms, advance_limit_count)
@@ -98,6 +109,9 @@
 
     def remove(self, ticket):
         """Remove a waiting ticket; False when it is not waiting."""
+        if self._continued.pop(ticket.request, None) is not None:
+            self._waiting_count -= 1
+            return True
         line = self._by_caller.get(ticket.caller, {})
         if ticket.request not in line:
             return False
@@ -107,11 +121,14 @@
             self._drop(ticket.caller)
         return True
 
-    def ahead_count(self, caller):
+    def ahead_count(self, caller, is_continued=False):
         """Return how many tickets of this rank a new one would wait for."""
+        continued_count = len(self._continued)
+        if is_continued:
+            return continued_count
         turn_count = len(self._by_caller.get(caller, {})) + 1
         lines = self._by_caller.items()
-        return sum(
+        return continued_count + sum(
             min(len(line), turn_count - (name == caller))
             for name, line in lines
         )
@@ -119,9 +136,12 @@
     def tickets(self):
         """Return all waiting tickets, in no particular order."""
         return [
-            ticket
-            for line in self._by_caller.values()
-            for ticket in line.values()
+            *self._continued.values(),
+            *(
+                ticket
+                for line in self._by_caller.values()
+                for ticket in line.values()
+            ),
         ]
 
     def charge(self, used_ms, debt_cap_ms):
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -75,6 +75,7 @@
         self._work: asyncio.Task | None = None
         self._is_cancelled = False
         self._is_started = False
+        self._is_continued = False
         self._is_over = False
         self._is_sent = False
         self._lent = LentConnection(owner, request)
@@ -148,6 +149,7 @@
             self._fail(not_run(FailureCode.ABORTED, message))
         is_first = not self._is_started
         self._is_started = True
+        self._is_continued = not is_first
         limit_ms = self._limit_ms(is_first)
         deadline_ms = self._owner.now_ms() + limit_ms
         context = trace.set_span_in_context(span)
@@ -283,6 +285,7 @@
             arrival_ms=self._owner.now_ms(),
             deadline_ms=deadline_ms,
             is_block=is_block,
+            is_continued=self._is_continued,
         )
 
     async def _take_connection(self, deadline_ms):
