Add a demo on the platform's interfaces

`make demo-platform` runs three control daemons and two proxies as processes on loopback addresses of their own against the stand-in's servers, operator and callers, and lets the primary leave in the middle of payouts.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: help setup test lint format demo faults measure slopes proto clean
+.PHONY: help setup test lint format demo demo-platform faults measure slopes proto clean
 
 help:  ## Show the targets
-	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 demo: $(STAMP)  ## Payout run through two proxies with a failover
 	$(BIN)/python scripts/demo.py
 
+demo-platform: $(STAMP)  ## Payouts on the platform's interfaces while the primary leaves
+	$(BIN)/python scripts/demo_platform.py
+
 faults: $(STAMP)  ## Promise by fault table in virtual time
 	$(BIN)/python -m waxwinglift_bench faults
 
--- /dev/null
+++ b/scripts/demo_platform.py
@@ -0,0 +1,202 @@
+"""Demo on the platform's interfaces: payouts while the primary leaves.
+
+Starts control and proxies as processes, each on a loopback address of its
+own, against the stand-in's servers, operator and callers.  Prints what was
+acknowledged, what the servers hold and the longest pause between two
+acknowledgements; exits with 1 when a payout was lost or doubled.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from waxwinglift.platform._settings import SETTINGS_VARIABLE
+from waxwinglift_standin import platform
+
+CONTROL_IPS = ("127.0.71.1", "127.0.71.2", "127.0.71.3")
+PROXY_IPS = ("127.0.72.1", "127.0.72.2")
+SERVICE = "ledger"
+HOSTS = {"payouts": "primary", "balances": "bounded_staleness"}
+START_TIMEOUT_S = 30.0
+RUN_S = 8.0
+LEAVE_AFTER_S = 3.0
+ANNOUNCE_INTERVAL_S = 0.5
+CALLERS_COUNT = 4
+GAP_BOUND_MS = 3000
+STOP_TIMEOUT_S = 10.0
+
+
+class Ledger:
+    """What callers were told of their payouts."""
+
+    def __init__(self):
+        self.acknowledged = set()
+        self.refused = set()
+        self.unknown = set()
+        self.longest_ms = 0.0
+        self._last_s = None
+
+    def note(self, answer):
+        """Record the answer to one payout."""
+        word = answer.error.split(b" ")[0]
+        if answer.is_good:
+            now_s = time.monotonic()
+            if self._last_s is not None:
+                pause_ms = (now_s - self._last_s) * 1000
+                self.longest_ms = max(self.longest_ms, pause_ms)
+            self._last_s = now_s
+            self.acknowledged.add(answer.request)
+        elif word in (b"BUSY", b"ABORTED", b"LAGGING"):
+            self.refused.add(answer.request)
+        else:
+            self.unknown.add(answer.request)
+
+
+@contextlib.contextmanager
+def running_daemons(folder, promotions):
+    """Run control and the proxies as processes while the context is open."""
+    processes = []
+    roles = [("control", ip) for ip in CONTROL_IPS]
+    roles += [("proxy", ip) for ip in PROXY_IPS]
+    try:
+        for number, (role, ip) in enumerate(roles):
+            name = f"{role}-{number}"
+            path = folder / f"{name}.toml"
+            data = folder / name
+            data.mkdir()
+            platform.write_settings(
+                path,
+                name,
+                ip,
+                CONTROL_IPS,
+                role,
+                dataDir=str(data),
+                cloudApi={"address": str(promotions)},
+            )
+            log = (folder / f"{name}.log").open("wb")
+            processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "waxwinglift.platform", role],
+                    env={**os.environ, SETTINGS_VARIABLE: str(path)},
+                    stdout=log,
+                    stderr=subprocess.STDOUT,
+                )
+            )
+        yield processes
+    finally:
+        for process in processes:
+            process.send_signal(signal.SIGTERM)
+        for process in processes:
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+
+
+async def announce_forever(group):
+    """Let the servers announce themselves to control."""
+    addresses = [platform.control_address(ip) for ip in CONTROL_IPS]
+    for sequence in itertools.count(1):
+        for server in group.servers.values():
+            await platform.announce(server, sequence, addresses)
+        await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+
+async def wait_for(what, check):
+    """Await ``check`` every 200 ms until it returns a true value."""
+    until_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < until_s:
+        if await check():
+            return
+        await asyncio.sleep(0.2)
+    raise SystemExit(f"demo: timeout while waiting for {what}")
+
+
+async def can_pay():
+    """Return whether a payout goes through the last proxy."""
+    address = platform.caller_address(PROXY_IPS[-1])
+    with contextlib.suppress(OSError):
+        async with platform.Caller.connected(address, "payouts") as caller:
+            return (await caller.query("WRITE warmup 1")).is_good
+    return False
+
+
+async def pay(ledger, number, until_s):
+    """Write payouts one after another, at the proxies in turn."""
+    for count in itertools.count():
+        if time.monotonic() > until_s:
+            return
+        ip = PROXY_IPS[(number + count // 50) % len(PROXY_IPS)]
+        address = platform.caller_address(ip)
+        with contextlib.suppress(OSError):
+            async with platform.Caller.connected(address, "payouts") as caller:
+                for item in range(50):
+                    text = f"WRITE student-{number}-{count}-{item} 100"
+                    ledger.note(await caller.query(text))
+                    if time.monotonic() > until_s:
+                        return
+
+
+def judge(ledger, group):
+    """Print what was found; return the exit code."""
+    held = group.logs[group.primary].requests()
+    lost = ledger.acknowledged - set(held)
+    doubled = len(held) - len(set(held))
+    untrue = ledger.refused & set(held)
+    print(f"acknowledged payouts    {len(ledger.acknowledged)}")
+    print(f"refused as not run      {len(ledger.refused)}")
+    print(f"with unknown outcome    {len(ledger.unknown)}")
+    print(f"changes of primary      {group.promotions_count}")
+    print(f"longest pause           {ledger.longest_ms:.0f} ms")
+    print(
+        f"lost {len(lost)}, doubled {doubled}, untrue refusals {len(untrue)}"
+    )
+    is_kept = not (lost or doubled or untrue) and group.promotions_count == 1
+    is_kept = is_kept and 0 < ledger.longest_ms < GAP_BOUND_MS
+    print("kept" if is_kept else "BROKEN")
+    return 0 if is_kept else 1
+
+
+async def main():
+    """Run the demo and return its exit code."""
+    group = platform.ServerGroup(SERVICE)
+    for name in ("s1", "s2", "s3"):
+        await group.add(name, "dc-1")
+    tokens = itertools.count(1)
+    ledger = Ledger()
+    async with contextlib.AsyncExitStack() as stack:
+        folder = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        promotions = await stack.enter_async_context(
+            platform.serving_promotions({SERVICE: group}, tokens.__next__)
+        )
+        stack.callback(group.stop)
+        stack.enter_context(running_daemons(folder, promotions))
+        announcing = asyncio.ensure_future(announce_forever(group))
+        stack.callback(announcing.cancel)
+        document = platform.make_document(7, SERVICE, HOSTS)
+        addresses = [platform.control_address(ip) for ip in CONTROL_IPS]
+        await wait_for(
+            "the desired state",
+            lambda: platform.replace_desired_state(document, addresses),
+        )
+        await wait_for("the first payout", can_pay)
+        until_s = time.monotonic() + RUN_S
+        callers = [pay(ledger, n, until_s) for n in range(CALLERS_COUNT)]
+        running = asyncio.gather(*callers)
+        await asyncio.sleep(LEAVE_AFTER_S)
+        group.servers[group.primary].is_draining = True
+        await running
+        return judge(ledger, group)
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/waxwinglift_standin/platform/_operator.py
@@ -0,0 +1,114 @@
+"""The platform's operator of the stand-in, and its settings files."""
+
+import json
+import pathlib
+
+import tomli_w
+
+from waxwinglift.platform._http import call_http
+from waxwinglift.platform._http import HttpFailed
+from waxwinglift.platform._http import HttpRequest
+from waxwinglift.process import Address
+
+_CALL_TIMEOUT_S = 1.0
+# Ports that each machine of the stand-in uses.
+CONTROL_PORT = 8782
+CALLER_PORT = 8784
+READINESS_PORT = 8785
+_INTERNAL_PORTS = (7440, 7455)
+
+
+def make_document(version, service, hosts, idle_block_ms=3000):
+    """Return a desired state with one service and a route for each host.
+
+    Parameters
+    ----------
+    version : int
+    service : str
+    hosts : dict of str to str
+        Kind of route by the name of the database, the most urgent first.
+    idle_block_ms : int
+    """
+    routes = [
+        {
+            "name": f"r-{host}",
+            "host": host,
+            "pathPrefix": "/",
+            "kind": kind,
+            "timeoutMs": 2000,
+            "targetLatencyMs": 400,
+            "priority": priority,
+            "service": service,
+            "maxAttempts": 2,
+            "maxStalenessMs": 0 if kind == "primary" else 1500,
+        }
+        for priority, (host, kind) in enumerate(hosts.items())
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": service, "maxConns": 23, "syncReplicas": 0}],
+        "limits": {"txIdleMs": idle_block_ms},
+    }
+
+
+async def replace_desired_state(document, addresses) -> bool:
+    """Send a desired state to the daemons in turn until one accepts it."""
+    body = json.dumps(document).encode()
+    request = HttpRequest("POST", "/Config.Replace", body)
+    for address in addresses:
+        try:
+            response = await call_http(address, request, {}, _CALL_TIMEOUT_S)
+        except HttpFailed:
+            continue
+        if response.status == 200:
+            return True
+    return False
+
+
+def write_settings(path: pathlib.Path, name, ip, seeds, role, **more):
+    """Write a machine's settings file.
+
+    Parameters
+    ----------
+    path : Path
+    name, ip : str
+    seeds : sequence of str
+        IP numbers of the control machines.
+    role : str
+        control or proxy.
+    **more
+        Fields to add or replace.
+    """
+    listen = {"control": f"{ip}:{CONTROL_PORT}"}
+    if role == "proxy":
+        listen = {
+            "frontendAddr": f"{ip}:{CALLER_PORT}",
+            "readinessAddr": f"{ip}:{READINESS_PORT}",
+        }
+    values = {
+        "nodeName": name,
+        "ip": ip,
+        "zone": "dc-1",
+        "region": "region-1",
+        "internalPorts": list(_INTERNAL_PORTS),
+        "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+        "bootstrap": True,
+        "heartbeatMs": 500,
+        "zones": {"dc-1": "region-1"},
+        "bindAddrs": listen,
+        "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
+        "bounds": {"graceS": 6, "drainMs": 7000},
+        **more,
+    }
+    path.write_text(tomli_w.dumps(values), encoding="utf-8")
+
+
+def caller_address(ip) -> Address:
+    """Return where callers reach the proxy of a machine."""
+    return Address(ip, CALLER_PORT)
+
+
+def control_address(ip) -> Address:
+    """Return where operators and servers reach a control machine."""
+    return Address(ip, CONTROL_PORT)
