--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -205,9 +205,8 @@
         )
         await stream.send_message(request, end=True)
         while self._relays[0] == relay:
-            reply = await asyncio.wait_for(
-                stream.recv_message(), WATCH_TIMEOUT_S
-            )
+            async with asyncio.timeout(WATCH_TIMEOUT_S):
+                reply = await stream.recv_message()
             if reply is None:
                 raise WatchError("stream ended")
             self._is_watching = True
--- a/waxwinglift/process/_http_page.py
+++ b/waxwinglift/process/_http_page.py
@@ -33,7 +33,11 @@
     """
 
     async def answer(reader, writer):
-        with contextlib.suppress(OSError, asyncio.TimeoutError):
+        # asyncio reports a handler that ends cancelled as an error, although
+        # the server only stops.
+        with contextlib.suppress(
+            OSError, asyncio.TimeoutError, asyncio.CancelledError
+        ):
             await _answer(reader, writer, make_page)
         writer.close()
 
