--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -19,6 +19,7 @@
 from waxwinglift.process.rpc import control_pb2
 from waxwinglift.process.rpc._channels import CALL_ERRORS
 from waxwinglift.process.rpc._channels import open_channel
+from waxwinglift.process.rpc._channels import see_error
 from waxwinglift.process.rpc._convert import renewal_to_wire
 from waxwinglift.process.rpc._convert import unpack_snapshot
 from waxwinglift.version import LogIndex
@@ -166,6 +167,7 @@
         """
         with open_channel(relay) as channel:
             watch = asyncio.ensure_future(self._watch(channel))
+            watch.add_done_callback(see_error)
             change = asyncio.ensure_future(self._relay_changed.wait())
             try:
                 await asyncio.wait(
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -31,6 +31,7 @@
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process.rpc import peer_grpc
 from waxwinglift.process.rpc import peer_pb2
+from waxwinglift.process.rpc._channels import see_error
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import may_have_run
@@ -197,7 +198,8 @@
 
     def listen(self):
         self._incoming = asyncio.ensure_future(self._call.recv_message())
-        self._incoming.add_done_callback(_see_error)
+        # A stream that ends while it is idle is an error that concerns nobody.
+        self._incoming.add_done_callback(see_error)
 
     async def receive(self):
         incoming, self._incoming = self._incoming, None
@@ -217,12 +219,6 @@
         self._incoming.cancel()
 
 
-def _see_error(task):
-    """Mark the error of a stream that ended while idle as seen."""
-    if not task.cancelled():
-        task.exception()
-
-
 class PeerStream:
     """One transaction at another proxy."""
 
--- a/waxwinglift/process/rpc/_channels.py
+++ b/waxwinglift/process/rpc/_channels.py
@@ -27,6 +27,12 @@
         channel.close()
 
 
+def see_error(task):
+    """Mark the error of a task as seen that nobody awaits any more."""
+    if not task.cancelled():
+        task.exception()
+
+
 class ChannelCache:
     """Channels by address, opened on first use.
 
