Name the failure of each endpoint error in one table

The codes under which a request is tried elsewhere stood in a set and again in conditions. A group that vanishes during a read no longer raises in the choice of another replica. Found on reading the diff; nothing else changes.

--- a/waxwinglift/request/_statement_retries.py
+++ b/waxwinglift/request/_statement_retries.py
@@ -56,8 +56,9 @@
             return True
         if self._is_position_unknown(end, route):
             view = self._context.group_view(self._session.table.group)
-            attempts.excluded.update(one.endpoint for one in view.replicas)
-            return True
+            replicas = () if view is None else view.replicas
+            attempts.excluded.update(one.endpoint for one in replicas)
+            return view is not None
         if self._is_rerouted(end, route):
             attempts.excluded.add(route.endpoint)
             return True
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -34,14 +34,12 @@
 _GROUP_TABLE = PoolName("")
 _ROLLBACK = Command(CommandKind.ROLLBACK)
 # Errors after which another endpoint may serve the same request.
-_REROUTED = frozenset(
-    {
-        EndpointErrorCode.OVERLOADED,
-        EndpointErrorCode.BEHIND,
-        EndpointErrorCode.READ_ONLY,
-        EndpointErrorCode.UNKNOWN_STATEMENT,
-    }
-)
+_REROUTED = {
+    EndpointErrorCode.OVERLOADED: FailureCode.REJECTED,
+    EndpointErrorCode.BEHIND: FailureCode.BEHIND,
+    EndpointErrorCode.READ_ONLY: FailureCode.UNAVAILABLE,
+    EndpointErrorCode.UNKNOWN_STATEMENT: FailureCode.UNAVAILABLE,
+}
 
 
 class StreamFailed(Exception):
@@ -327,12 +325,8 @@
             self._lent.release()
         else:
             self._lent.discard()
-        code = FailureCode.UNAVAILABLE
-        if error.code is EndpointErrorCode.OVERLOADED:
-            code = FailureCode.REJECTED
-        is_behind = error.code is EndpointErrorCode.BEHIND
-        if is_behind:
-            code = FailureCode.BEHIND
+        code = _REROUTED[error.code]
+        is_behind = code is FailureCode.BEHIND
         end = self._end(
             failure=not_run(code, f"the endpoint is {error.code.value}"),
             failed_position=reply.position if is_behind else None,
