Limit the pauses of both kinds of transaction with one timer

The timer that ends an idle transaction was written again for typed statements; the streams of PostgreSQL now use the same class. Their limit is always above zero, so that class's "0 sets no limit" changes nothing there. Found on the last read of the change; behaviour is as before.

--- a/waxwinglift/request/_owner_stream.py
+++ b/waxwinglift/request/_owner_stream.py
@@ -22,6 +22,7 @@
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
 from waxwinglift.request import Verdict
+from waxwinglift.request._idle_timer import IdleTimer
 from waxwinglift.request._owner_answer import AnswerBuffer
 from waxwinglift.request._owner_answer import AnswerTooLarge
 from waxwinglift.request._owner_keyed import look_up_key
@@ -52,13 +53,13 @@
         self.slot = TransactionSlot(owner, header, request)
         self._is_cancelled = False
         self._work: asyncio.Task | None = None
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._idle_timer = IdleTimer(self.slot.discard)
 
     async def run(self, exchange: Exchange, sink: Sink) -> ExchangeEnd:
         """Run one exchange and return its outcome."""
         context = context_of(self.header.traceparent)
         span = self.owner.tracer.start_span("owner.execute", context)
-        self._stop_idle_timer()
+        self._idle_timer.stop()
         self._work = asyncio.current_task()
         try:
             end = await self._run_or_fail(exchange, sink, span)
@@ -78,7 +79,7 @@
 
     async def close(self):
         """End the transaction; an open block is rolled back."""
-        self._stop_idle_timer()
+        self._idle_timer.stop()
         self.slot.discard()
 
     async def _run_or_fail(self, exchange, sink, span):
@@ -166,7 +167,7 @@
         status = last_status(packet)
         if status is not TransactionStatus.IDLE:
             await buffer.flush()
-            self._start_idle_timer()
+            self._idle_timer.start(self.owner.settings.idle_block_timeout_ms)
             return self.end(
                 status=status,
                 has_error=has_error,
@@ -265,16 +266,6 @@
         message = "the statement was cancelled"
         return Failure(verdict, FailureCode.CANCELLED, message)
 
-    def _start_idle_timer(self):
-        delay_s = self.owner.settings.idle_block_timeout_ms / 1000
-        loop = asyncio.get_running_loop()
-        self._idle_timer = loop.call_later(delay_s, self.slot.discard)
-
-    def _stop_idle_timer(self):
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
-
 
 def last_status(packet: Packet) -> TransactionStatus:
     """Return the status after the caller's last answered message."""
