--- a/waxwinglift/platform/tests/statement_fleet.py
+++ b/waxwinglift/platform/tests/statement_fleet.py
@@ -142,9 +142,12 @@
 
 @contextlib.asynccontextmanager
 async def running_statement_fleet(
-    proxy_count=1, times=None, settings=None, idle_block_ms=3000
+    proxy_count=1, times=None, settings=None, idle_block_ms=3000, entry=None
 ):
-    """Yield a StatementFleet; the last proxy owns every server."""
+    """Yield a StatementFleet; the last proxy owns every server.
+
+    ``entry`` has further fields of EntrySettings.
+    """
     async with contextlib.AsyncExitStack() as stack:
         group = ServerGroup(GROUP, times)
         stack.callback(group.stop)
@@ -154,7 +157,12 @@
         state = fleet_state(group, names[-1], idle_block_ms)
         proxies = [
             await stack.enter_async_context(
-                running_proxy(name, state, entry=_PLATFORM, owner=_PLATFORM)
+                running_proxy(
+                    name,
+                    state,
+                    entry={**_PLATFORM, **(entry or {})},
+                    owner=_PLATFORM,
+                )
             )
             for name in names
         ]
--- a/waxwinglift/platform/tests/test_settings.py
+++ b/waxwinglift/platform/tests/test_settings.py
@@ -76,6 +76,26 @@
     assert settings.timing.drain_timeout_ms < 6000
 
 
+@pytest.mark.parametrize("grace_s", [3, 6, 12])
+def test_statements_finish_after_the_limit_for_open_transactions(
+    tmp_path, grace_s
+):
+    """Running statements get an answer well after that limit.
+
+    Without a limit of their own, a proxy that stops cuts statements that
+    were sent shortly before the half of the grace period.
+    """
+    values = _VALUES | {"bounds": {"graceS": grace_s, "drainMs": 7000}}
+    settings = _roles.proxy_settings(_load(tmp_path, values).ok_value)
+    entry = settings.entry
+    answered_ms = entry.drain_timeout_ms + entry.drain_answer_timeout_ms
+    assert entry.drain_timeout_ms == grace_s * 500
+    # The servers' work may be broken off only in the last sixth of the
+    # grace period.
+    assert answered_ms == pytest.approx(grace_s * 1000 * 5 / 6, abs=1)
+    assert answered_ms < settings.timing.drain_timeout_ms < grace_s * 1000
+
+
 def test_unknown_fields_are_ignored(tmp_path):
     """The platform may add fields at any time."""
     values = _VALUES | {"news": {"a": [1]}, "contracts": ["base"]}
--- /dev/null
+++ b/waxwinglift/process/tests/test_data_path_drain.py
@@ -0,0 +1,67 @@
+"""Tests that a stopping proxy answers the PostgreSQL requests it has read."""
+
+import asyncio
+
+import psycopg
+import pytest
+
+from waxwinglift.process.tests.test_data_path import connect
+from waxwinglift.process.tests.test_data_path import fetch
+from waxwinglift.process.tests.test_data_path import run
+
+# Shorter than the statements of these tests.
+_BLOCK_LIMIT_MS = 100.0
+
+
+async def _shut_down(proxy):
+    await proxy.entry.drain()
+    await proxy.entry.stop()
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+@pytest.mark.parametrize("is_in_block", [False, True])
+def test_query_that_outlasts_the_block_limit_of_a_drain_is_served(
+    is_in_block, proxy_count
+):
+    # The limit for open transactions must not cut a running statement: its
+    # caller lost the connection without an answer.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            if is_in_block:
+                await caller.execute("BEGIN")
+            work = asyncio.ensure_future(
+                fetch(caller, "SELECT 1, pg_sleep(0.3)")
+            )
+            await asyncio.sleep(0.05)
+            await _shut_down(proxies[0])
+            assert await work == [(1, "")]
+
+    run(
+        scenario,
+        proxy_count=proxy_count,
+        entry={"drain_timeout_ms": _BLOCK_LIMIT_MS},
+    )
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+@pytest.mark.parametrize("is_in_block", [False, True])
+def test_query_that_runs_when_the_proxy_stops_gets_a_verdict(
+    is_in_block, proxy_count
+):
+    # A session that is stopped must not close without an answer, and the
+    # answer must not claim that the statement has not run.
+    async def scenario(servers, proxies):
+        async with await connect(proxies[0]) as caller:
+            if is_in_block:
+                await caller.execute("BEGIN")
+            work = asyncio.ensure_future(
+                fetch(caller, "SELECT 1, pg_sleep(5)")
+            )
+            await asyncio.sleep(0.1)
+            await proxies[0].entry.stop()
+            with pytest.raises(psycopg.Error) as caught:
+                await work
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=may_have_run"
+
+    run(scenario, proxy_count=proxy_count)
