Answer the statements that run when a proxy shuts down

Cause: the limit of the drain, half of the grace period, is meant for open transactions, but EntryServer.stop cancelled every session at that limit, and a cancelled session closed its connection without a word. A statement of donor-balance may take 2.0 s, so one that was sent later than 1.0 s after SIGTERM could be cut. The class of fault: a deadline of one kind of work is applied to another kind, and the way out at the deadline gives no outcome. The sessions of PostgreSQL had the same fault.

Now the limit ends only transactions that wait for their caller, who gets a notice. Statements that run have until five sixths of the grace period, since the longest statement of the sites takes 2.15 s, and a session that is stopped all the same answers with the outcome: nothing kept for reads and inside transactions, unknown for a write or COMMIT that was sent. Local owners drain beside the sessions, so that the longer wait does not shorten theirs.

The in-block case of the PostgreSQL test used psycopg's own context, whose end sends a COMMIT to the closed connection; the test now closes the connection itself and still checks the answer.

--- a/waxwinglift/connection/_data_path_session.py
+++ b/waxwinglift/connection/_data_path_session.py
@@ -7,6 +7,7 @@
 
 from waxwinglift.connection import SessionId
 from waxwinglift.connection._cancel_key import SECRET_BYTES
+from waxwinglift.connection._drain_phase import DrainPhase
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._frontend import encode_parameter
@@ -23,6 +24,7 @@
 from waxwinglift.process._entry_context import EntryContext
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
+from waxwinglift.request import may_have_run
 from waxwinglift.request import not_run
 from waxwinglift.request._data_path_run import RequestRunner
 from waxwinglift.request._data_path_run import RunningExchange
@@ -32,6 +34,7 @@
 _SHUTTING_DOWN = not_run(
     FailureCode.SHUTTING_DOWN, "the proxy is shutting down"
 )
+_INTERRUPTED = may_have_run("the proxy was shut down before the answer")
 
 
 class EntrySession:
@@ -108,8 +111,16 @@
         self._caller.flush(encode_failure(failure, "FATAL"))
         self._caller.close()
 
-    def close_for_drain(self):
-        """End the session because the proxy is shutting down."""
+    def end_if_possible(self, phase: DrainPhase):
+        """End the session if the phase of the shutdown allows it now.
+
+        An open transaction is rolled back.
+        """
+        is_block_ended = (
+            phase is DrainPhase.ENDING_BLOCKS and not self._is_answering
+        )
+        if self._caller.is_closed or not (self.is_idle or is_block_ended):
+            return
         self.close_with(_SHUTTING_DOWN)
 
     async def _start(self, request: StartupRequest):
@@ -164,13 +175,16 @@
                     continue
                 await self._answer(request)
                 if self._is_draining() and self.is_idle:
-                    self.close_for_drain()
+                    self.close_with(_SHUTTING_DOWN)
                     return
 
     async def _answer(self, request: CallerRequest):
         self._is_answering = True
         try:
             failure = await self._answer_or_fail(request)
+        except asyncio.CancelledError:
+            self.close_with(_INTERRUPTED)
+            raise
         finally:
             self._is_answering = False
         parts = []
--- a/waxwinglift/connection/_statement_protocols.py
+++ b/waxwinglift/connection/_statement_protocols.py
@@ -96,6 +96,9 @@
     ):
         """Send a failure, then the state unless ``status`` is None."""
 
+    def notify_end(self, failure: Failure):
+        """Send a failure that ends the session, outside of an answer."""
+
     def close(self):
         """Close after the written data has been sent."""
 
--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -4,7 +4,11 @@
 COMMIT, so that no SQL is parsed.
 """
 
+import asyncio
+import contextlib
+
 from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._drain_phase import DrainPhase
 from waxwinglift.connection._statement_protocols import CallerEnd
 from waxwinglift.connection._statement_protocols import CallerFault
 from waxwinglift.connection._statement_protocols import InvalidCallerMessage
@@ -36,6 +40,10 @@
     FailureCode.FAILED_BLOCK,
     "the transaction failed; only COMMIT or ROLLBACK is accepted",
 )
+_BLOCK_ENDED = not_run(
+    FailureCode.ABORTED,
+    "the transaction was aborted: the proxy is shutting down",
+)
 _WRITE_IN_READ_BLOCK = not_run(
     FailureCode.ABORTED, "cannot write in a read-only transaction"
 )
@@ -76,6 +84,7 @@
         self._is_block_read_only = False
         self._have_settings_changed = False
         self._is_answering = False
+        self._is_ending = False
         self._runner = StatementRunner(context, self)
 
     @property
@@ -91,7 +100,12 @@
     @property
     def is_idle(self) -> bool:
         """Whether closing the session now loses no work."""
-        return self._status is _IDLE and not self._is_answering
+        return self._status is _IDLE and self._is_waiting
+
+    @property
+    def _is_waiting(self):
+        """Whether the caller has no request that waits for an answer."""
+        return not self._is_answering
 
     async def serve(self):
         """Serve the caller until it disconnects or the session ends."""
@@ -102,8 +116,17 @@
             await self._runner.close()
             self._connection.close()
 
-    def close_for_drain(self):
-        """End an idle session because the proxy is shutting down."""
+    def end_if_possible(self, phase: DrainPhase):
+        """End the session if the phase of the shutdown allows it now.
+
+        An open transaction is rolled back, and its caller is notified.
+        """
+        is_block_ended = phase is DrainPhase.ENDING_BLOCKS and self._is_waiting
+        if self._is_ending or not (self.is_idle or is_block_ended):
+            return
+        self._is_ending = True
+        if self._status is not _IDLE:
+            self._connection.notify_end(_BLOCK_ENDED)
         self._connection.close()
 
     async def _start(self):
@@ -250,6 +273,9 @@
         self._connection.set_disconnect_callback(self._runner.cancel)
         try:
             end = await self._run_at_endpoint(statement)
+        except asyncio.CancelledError:
+            await self._answer_interrupted(statement)
+            raise
         finally:
             self._connection.set_disconnect_callback(None)
         if end.failure is not None:
@@ -274,6 +300,16 @@
             return None
         return self._update_table(self.table.pool)
 
+    async def _answer_interrupted(self, statement):
+        """Send the outcome of a statement that is cancelled at shutdown."""
+        is_block = self._status is not _IDLE
+        failure = self._runner.interrupted_failure(statement, is_block)
+        self._status = _IDLE
+        with contextlib.suppress(TimeoutError):
+            # A caller that does not read must not delay the shutdown.
+            async with asyncio.timeout(0):
+                await self._send_failure(failure)
+
     async def _run_at_endpoint(self, statement):
         if self._status is _IDLE:
             return await self._runner.run_single(statement)
--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -211,6 +211,11 @@
             data += _lines.encode_ready(status, None)
         await self._send(data)
 
+    def notify_end(self, failure: Failure):
+        """Send a failure that ends the session, outside of an answer."""
+        if not self.is_ended:
+            self.transport.write(encode_failure(failure))
+
     async def _send(self, data):
         if self.is_ended:
             return
--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -19,6 +19,13 @@
 _MISSED_ANNOUNCEMENTS_COUNT = 4
 # The platform checks readiness each second and needs two failed checks.
 _BALANCER_DETECTION_MS = 2200.0
+# Parts of the grace period ``graceS``, after which the platform ends the
+# process.  Open transactions may continue for the first half; the work of a
+# server may be broken off in the last sixth.  The rest is left for the end of
+# the process.
+_BLOCK_FRACTION = 1 / 2
+_ANSWER_FRACTION = 5 / 6
+_DRAIN_FRACTION = 7 / 8
 _CONTROL_TIMING = ControlTimingSettings(
     lease_ms=2000,
     heartbeat_ms=120,
@@ -57,9 +64,8 @@
 def proxy_settings(platform: PlatformSettings) -> ProxySettings:
     """Return the settings of a proxy."""
     callers = platform.listen.callers
-    # Open transactions may continue for the first half of the grace period
-    # ``graceS``, after which the platform ends the process.
-    drain_ms = platform.bounds.grace_s * 1000 / 2
+    grace_ms = platform.bounds.grace_s * 1000
+    drain_ms = _BLOCK_FRACTION * grace_ms
     return ProxySettings(
         daemon=platform.machine,
         location=platform.location,
@@ -74,6 +80,7 @@
             # need no common secret.
             token_secret=secrets.token_hex(16),
             drain_timeout_ms=drain_ms,
+            drain_answer_timeout_ms=_ANSWER_FRACTION * grace_ms - drain_ms,
             drain_linger_ms=min(_BALANCER_DETECTION_MS, drain_ms),
         ),
         owner=OwnerSettings(
@@ -81,10 +88,8 @@
             drain_timeout_ms=drain_ms,
             pool=EndpointPoolSettings(keeps_surplus=True),
         ),
-        # The limit for the whole drain of a proxy is 1 s longer than those of
-        # its entry and its owners.
         timing=_PROXY_TIMING.model_copy(
-            update={"drain_timeout_ms": int(drain_ms) + 1000}
+            update={"drain_timeout_ms": int(_DRAIN_FRACTION * grace_ms)}
         ),
         observability=platform.observability,
     )
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -39,6 +39,10 @@
         the caller to read.
     drain_timeout_ms : float
         Longest time that a drain waits for open transactions.
+    drain_answer_timeout_ms : float
+        Longest time after ``drain_timeout_ms`` that a drain waits for
+        statements that still run; the callers of the others then get a
+        failure.
     drain_linger_ms : float
         Time at the start of a drain in which new callers are still accepted,
         because the load balancer has not noticed the drain yet.  Counts
@@ -59,6 +63,7 @@
     startup_timeout_ms: float = pydantic.Field(10_000.0, gt=0)
     write_buffer_bytes: int = pydantic.Field(2**18, ge=1024)
     drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
+    drain_answer_timeout_ms: float = pydantic.Field(10_000.0, ge=0)
     drain_linger_ms: float = pydantic.Field(0.0, ge=0)
     reported_parameters: dict[str, str] = pydantic.Field(
         default_factory=lambda: {
--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -9,6 +9,7 @@
 
 from waxwinglift.connection import SessionId
 from waxwinglift.connection._cancel_key import CancelKey
+from waxwinglift.connection._drain_phase import DrainPhase
 from waxwinglift.connection._protocol_registry import find_caller_protocol
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._entry_context import EntryContext
@@ -62,7 +63,7 @@
             rng or random.Random(),
         )
         self.sessions: dict = {}
-        self.is_draining = False
+        self.drain_phase = DrainPhase.SERVING
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._caller_protocol = find_caller_protocol(settings.protocol)(self)
@@ -73,6 +74,11 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the proxy shuts down and ends its sessions."""
+        return self.drain_phase is not DrainPhase.SERVING
+
     @property
     def session_count(self) -> int:
         """Number of open sessions."""
@@ -91,23 +97,26 @@
 
         New callers are accepted for ``drain_linger_ms``, because the load
         balancer sends them until it notices that the proxy is not ready.
-        Returns when no session is left or ``drain_timeout_ms`` has passed;
-        ``stop`` ends the remaining sessions.
+        Open transactions are ended after ``drain_timeout_ms``, but a statement
+        that runs then is still answered.  Returns when no session is left or
+        ``drain_answer_timeout_ms`` has passed too; ``stop`` ends the remaining
+        sessions.
         """
-        deadline_ms = self.context.now_ms() + self.settings.drain_timeout_ms
-        if self.settings.drain_linger_ms:
-            await asyncio.sleep(self.settings.drain_linger_ms / 1000)
+        settings = self.settings
+        limit_ms = self.context.now_ms() + settings.drain_timeout_ms
+        if settings.drain_linger_ms:
+            await asyncio.sleep(settings.drain_linger_ms / 1000)
             self._server.close()
-        self.is_draining = True
-        for session in list(self.sessions.values()):
-            if session.is_idle:
-                session.close_for_drain()
-        while self.sessions and self.context.now_ms() < deadline_ms:
-            await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
+        await self._end_sessions(DrainPhase.ENDING_IDLE, limit_ms)
+        limit_ms += settings.drain_answer_timeout_ms
+        await self._end_sessions(DrainPhase.ENDING_BLOCKS, limit_ms)
 
     async def stop(self):
-        """Close the listening socket and every session."""
-        self.is_draining = True
+        """Close the listening socket and every session.
+
+        The caller of a statement that runs gets a failure.
+        """
+        self.drain_phase = DrainPhase.ENDING_BLOCKS
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
@@ -116,6 +125,16 @@
             await asyncio.wait(list(self._tasks))
         self.context.close()
 
+    async def _end_sessions(self, phase, limit_ms):
+        """End the sessions of a phase until none is left or it is over."""
+        self.drain_phase = phase
+        while self.sessions:
+            for session in list(self.sessions.values()):
+                session.end_if_possible(phase)
+            if self.context.now_ms() >= limit_ms:
+                return
+            await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
+
     async def serve_connection(self, coroutine):
         """Serve one connection in the current task until it ends."""
         task = asyncio.current_task()
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -157,10 +157,7 @@
         limit_s = self.settings.timing.drain_timeout_ms / 1000
         try:
             async with asyncio.timeout(limit_s):
-                await asyncio.gather(
-                    self.entry.drain(), self._wait_for_handover()
-                )
-                await self.owners.drain()
+                await asyncio.gather(self.entry.drain(), self._drain_owners())
         except TimeoutError:
             logger.warning("drain timed out; aborting open transactions")
         await self.entry.stop()
@@ -169,6 +166,11 @@
         self.peers.close()
         logger.info("stopped")
 
+    async def _drain_owners(self):
+        """Finish the transactions of all proxies at the local owners."""
+        await self._wait_for_handover()
+        await self.owners.drain()
+
     async def _wait_for_handover(self):
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(HANDOVER_TIMEOUT_S):
--- a/waxwinglift/process/tests/test_data_path_drain.py
+++ b/waxwinglift/process/tests/test_data_path_drain.py
@@ -1,6 +1,7 @@
 """Tests that a stopping proxy answers the PostgreSQL requests it has read."""
 
 import asyncio
+import contextlib
 
 import psycopg
 import pytest
@@ -13,6 +14,16 @@
 _BLOCK_LIMIT_MS = 100.0
 
 
+@contextlib.asynccontextmanager
+async def _connected(proxy):
+    """Yield a connection; unlike psycopg's own context, send no COMMIT."""
+    caller = await connect(proxy)
+    try:
+        yield caller
+    finally:
+        await caller.close()
+
+
 async def _shut_down(proxy):
     await proxy.entry.drain()
     await proxy.entry.stop()
@@ -26,7 +37,7 @@
     # The limit for open transactions must not cut a running statement: its
     # caller lost the connection without an answer.
     async def scenario(servers, proxies):
-        async with await connect(proxies[0]) as caller:
+        async with _connected(proxies[0]) as caller:
             if is_in_block:
                 await caller.execute("BEGIN")
             work = asyncio.ensure_future(
--- a/waxwinglift/request/_statement_failures.py
+++ b/waxwinglift/request/_statement_failures.py
@@ -61,6 +61,18 @@
     return Failure(Verdict.MAY_HAVE_RUN, FailureCode.TIMED_OUT, message)
 
 
+def interrupted_failure(progress: StatementProgress) -> Failure:
+    """Return the failure for a statement that a shutdown interrupts.
+
+    ``progress.may_commit`` is False for a statement that changes nothing: a
+    read, or a COMMIT of a transaction without a write.
+    """
+    if progress.may_commit and progress.is_sent:
+        return may_have_run("the proxy was shut down before the answer")
+    message = "nothing was kept: the proxy is shutting down"
+    return not_run(FailureCode.ABORTED, message)
+
+
 def cancelled_failure(progress: StatementProgress) -> Failure:
     """Return the failure for a statement that was cancelled."""
     verdict = Verdict.MAY_HAVE_RUN if progress.is_sent else Verdict.NOT_RUN
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -14,6 +14,7 @@
 from waxwinglift.process._data_path_types import TransactionStream
 from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.request import Access
+from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import may_have_run
 from waxwinglift.request import not_run
@@ -24,6 +25,8 @@
 from waxwinglift.request._statement_attempts import final_outcome
 from waxwinglift.request._statement_attempts import mark_retryable_error
 from waxwinglift.request._statement_attempts import StatementAttempts
+from waxwinglift.request._statement_failures import interrupted_failure
+from waxwinglift.request._statement_failures import StatementProgress
 from waxwinglift.request._statement_retries import can_use_other_daemon
 from waxwinglift.request._statement_retries import StatementRetries
 from waxwinglift.request._statements import Statement
@@ -75,6 +78,30 @@
         if stream is not None:
             await stream.close()
 
+    def interrupted_failure(
+        self, statement: Statement, is_block: bool
+    ) -> Failure:
+        """Return the failure of a statement whose run was cancelled."""
+        may_commit = statement.is_write
+        if is_block:
+            is_commit = statement.verb is StatementVerb.COMMIT
+            may_commit = is_commit and self.has_block_written
+        progress = StatementProgress(
+            is_sent=self._stream is not None,
+            in_block=is_block,
+            may_commit=may_commit,
+        )
+        failure = interrupted_failure(progress)
+        self._context.request_log.write(
+            "request interrupted by the shutdown",
+            request_id=statement.request.decode("latin-1"),
+            pool=self._session.table.pool,
+            verb=statement.verb.value,
+            verdict=failure.verdict.value,
+        )
+        self._context.metrics.incr("entry.interrupted")
+        return failure
+
     async def run_single(self, statement: Statement) -> ExchangeEnd:
         """Run a statement outside of a block."""
         access = self._access(statement.is_write)
