Keep a session open whose next statement has arrived during a drain

A drain closes the sessions that are idle. With many sessions on a slow VM the time between arrival and task grows.

PostgreSQL sessions read from a StreamReader, whose buffer is private, so the moment between arrival and task remains there.

--- a/waxwinglift/connection/_statement_protocols.py
+++ b/waxwinglift/connection/_statement_protocols.py
@@ -72,6 +72,9 @@
     def is_disconnected(self) -> bool:
         """Return whether the caller has closed its side of the connection."""
 
+    def has_unread_message(self) -> bool:
+        """Return whether a message has arrived that `receive` has not read."""
+
     def set_disconnect_callback(self, listener: Callable[[], None] | None):
         """Call ``listener`` once when the caller closes its side.
 
--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -105,7 +105,10 @@
     @property
     def _is_waiting(self):
         """Whether the caller has no request that waits for an answer."""
-        return not self._is_answering
+        has_request = (
+            self._is_answering or self._connection.has_unread_message()
+        )
+        return not has_request
 
     async def serve(self):
         """Serve the caller until it disconnects or the session ends."""
--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -184,6 +184,10 @@
         """Return whether the caller has closed its side."""
         return self.is_ended
 
+    def has_unread_message(self) -> bool:
+        """Return whether a line has arrived that `receive` has not read."""
+        return self.has_unread_line
+
     def set_disconnect_callback(self, listener):
         """Call ``listener`` once when the caller disconnects."""
         self.on_ended = listener
--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -114,6 +114,11 @@
             self.transport.pause_reading()
         self._wake()
 
+    @property
+    def has_unread_line(self) -> bool:
+        """Whether a complete line has arrived that was not read yet."""
+        return bool(self._lines)
+
     async def read_line(self) -> bytes | None:
         """Return the next line without its end, None after the last one.
 
