--- a/waxwinglift/connection/_statement_protocols.py
+++ b/waxwinglift/connection/_statement_protocols.py
@@ -72,6 +72,9 @@
     def is_disconnected(self) -> bool:
         """Return whether the caller has closed its side of the connection."""
 
+    def has_unread_message(self) -> bool:
+        """Return whether a message has arrived that `receive` has not read."""
+
     def set_disconnect_callback(self, listener: Callable[[], None] | None):
         """Call ``listener`` once when the caller closes its side.
 
@@ -96,6 +99,9 @@
     ):
         """Send a failure, then the state unless ``status`` is None."""
 
+    def notify_end(self, failure: Failure):
+        """Send a failure that ends the session, outside of an answer."""
+
     def close(self):
         """Close after the written data has been sent."""
 
--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -184,6 +184,10 @@
         """Return whether the caller has closed its side."""
         return self.is_ended
 
+    def has_unread_message(self) -> bool:
+        """Return whether a line has arrived that `receive` has not read."""
+        return self.has_unread_line
+
     def set_disconnect_callback(self, listener):
         """Call ``listener`` once when the caller disconnects."""
         self.on_ended = listener
@@ -211,6 +215,11 @@
             data += _lines.encode_ready(status, None)
         await self._send(data)
 
+    def notify_end(self, failure: Failure):
+        """Send a failure that ends the session, outside of an answer."""
+        if not self.is_ended:
+            self.transport.write(encode_failure(failure))
+
     async def _send(self, data):
         if self.is_ended:
             return
