--- a/waxwinglift/platform/tests/test_announcements.py
+++ b/waxwinglift/platform/tests/test_announcements.py
@@ -11,6 +11,8 @@
 from waxwinglift.process import DataCentre
 from waxwinglift.process import Location
 from waxwinglift.process import Region
+from waxwinglift.process.rpc._convert import announcement_from_wire
+from waxwinglift.process.rpc._convert import announcement_to_wire
 
 _REGIONS = {"palermo-a": "palermo"}
 _GOOD = {
@@ -112,3 +114,93 @@
     deregistration = decode_deregistration("i-1", body)
     assert deregistration.is_gone
     assert deregistration.started_ms == started_ms
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"capacity": 2**32},
+        {"capacity": 10**400},
+        {"sequence": 2**64},
+        {"born": 2**64},
+        {"address": "10.1.0.9:0"},
+        {"address": "10.1.0.9:\u0663"},
+        {"address": "fe80::1%\ud800:8080"},
+        {"address": "fe80::1%a\0:8080"},
+        {"warmupLeftMs": float("nan")},
+    ],
+    ids=[
+        "capacity beyond 32 bits",
+        "capacity beyond a float",
+        "sequence beyond 64 bits",
+        "born beyond 64 bits",
+        "port 0",
+        "digit that is not ASCII",
+        "lone surrogate",
+        "null character",
+        "not a number",
+    ],
+)
+def test_heartbeat_that_cannot_be_stored_is_refused(change):
+    """A value that no message or calculation can hold must not be logged."""
+    assert isinstance(_decode(_GOOD | change), Err)
+
+
+@pytest.mark.parametrize("kind", ["lists", "objects"])
+def test_nesting_of_any_depth_is_decoded_or_refused(kind):
+    """Nesting near the interpreter's limit must not raise an exception."""
+    opened, closed = {"lists": ("[", "]"), "objects": ('{"a":', "}")}[kind]
+    for depth in (*range(900, 1000), 100_000):
+        nested = opened * depth + "0" + closed * depth
+        body = json.dumps(_GOOD)[:-1] + f',"news":{nested}}}'
+        decoded = _decode(body.encode())
+        assert decoded.is_ok() or decoded.is_err()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"capacity": 2**32 - 1},
+        {"sequence": 2**63},
+        {"born": 2**64 - 1},
+        {"address": "[::1]:65535"},
+        {"service": "s" * 100_000},
+    ],
+)
+def test_largest_values_are_accepted(change):
+    """A bound below what the fields hold would refuse a valid server."""
+    announcement = _decode(_GOOD | change).ok_value
+    message = announcement_to_wire(announcement)
+    assert announcement_from_wire(message) == announcement
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"not JSON",
+        b"\xff\xfe",
+        b"[" * 100_000,
+        b"[1]",
+        b'{"born": "x"}',
+        b'{"born": true}',
+        b'{"born": null}',
+        b'{"born": 1.5}',
+        b'{"born": -1}',
+        b'{"born": 18446744073709551616}',
+    ],
+    ids=[
+        "not JSON",
+        "not UTF-8",
+        "deeply nested",
+        "list",
+        "text",
+        "boolean",
+        "null",
+        "fraction",
+        "negative",
+        "beyond 64 bits",
+    ],
+)
+def test_unreadable_deregistration_is_refused(body):
+    """A deregistration of another writer must not remove a server."""
+    assert isinstance(decode_deregistration("i-1", body), Err)
--- a/waxwinglift/platform/tests/test_desired_state.py
+++ b/waxwinglift/platform/tests/test_desired_state.py
@@ -8,6 +8,7 @@
 
 from waxwinglift.platform._desired_state import decode_desired_state
 from waxwinglift.platform._desired_state import encode_document
+from waxwinglift.process.rpc import peer_pb2
 from waxwinglift.version._types import Consistency
 
 _ROUTE = {
@@ -99,3 +100,59 @@
     """A truncated document must be refused."""
     body = json.dumps(_DOCUMENT).encode()
     assert isinstance(_decode(body[:-missing_count]), Err)
+
+
+@pytest.mark.parametrize("kind", ["lists", "objects"])
+def test_nesting_of_any_depth_is_decoded_or_refused(kind):
+    """Nesting near the interpreter's limit must not raise an exception."""
+    opened, closed = {"lists": ("[", "]"), "objects": ('{"a":', "}")}[kind]
+    for depth in (*range(900, 1000), 100_000):
+        nested = opened * depth + "0" + closed * depth
+        body = json.dumps(_DOCUMENT)[:-1] + f',"news":{nested}}}'
+        decoded = _decode(body.encode())
+        assert decoded.is_ok() or decoded.is_err()
+
+
+@pytest.mark.parametrize("number", ["NaN", "Infinity", "-Infinity", "1e400"])
+def test_number_that_cannot_be_returned_is_refused(number):
+    """The document that is read must be JSON with the values that were sent.
+
+    Python's decoder accepts these words, and its encoder writes them, but no
+    other JSON decoder reads them.
+    """
+    body = json.dumps(_DOCUMENT)[:-1] + f',"news":{number}}}'
+    assert isinstance(_decode(body.encode()), Err)
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("routes", 0, "timeoutMs"),
+        ("routes", 0, "targetLatencyMs"),
+        ("routes", 0, "maxStalenessMs"),
+        ("services", 0, "maxConns"),
+        ("limits", "txIdleMs"),
+    ],
+    ids=lambda path: path[-1],
+)
+@pytest.mark.parametrize(
+    "value", [2**32, 10**400], ids=["33 bits", "beyond a float"]
+)
+def test_large_number_is_accepted_and_can_be_used(path, value):
+    """Proxies calculate with these numbers and send them in 32 bits.
+
+    A larger one must neither be refused nor raise an exception there.
+    """
+    document = _changed(path, value)
+    request = _decode(document).ok_value
+    assert json.loads(encode_document(request.document)) == document
+    policy = request.pools[0].policy
+    header = peer_pb2.ExecuteHeader()
+    header.statement_timeout_ms = policy.statement_timeout_ms
+    header.max_age_ms = policy.max_staleness_ms
+    used = (
+        policy.target_latency_ms,
+        request.groups[0].connection_limit_count,
+        request.limits.idle_block_ms,
+    )
+    assert all(0 < number < 2**32 for number in used)
--- a/waxwinglift/platform/tests/test_endpoint_connection.py
+++ b/waxwinglift/platform/tests/test_endpoint_connection.py
@@ -6,10 +6,13 @@
 
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.connection._endpoint_errors import EndpointRefused
 from waxwinglift.platform._endpoint_connection import encode_command
 from waxwinglift.platform._endpoint_connection import EndpointConnection
+from waxwinglift.platform._endpoint_connection import open_connection
 from waxwinglift.platform._protocols import decode_status
 from waxwinglift.platform.tests.test_lines import FakeTransport
+from waxwinglift.process import Address
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.request._statements import EndpointErrorCode
@@ -162,3 +165,27 @@
     """An unreadable row must not be taken for a position."""
     with pytest.raises(ValueError):
         decode_status(row)
+
+
+@pytest.mark.parametrize(
+    "host, port",
+    [
+        ("127.0.0.1", 65536),
+        ("127.0.0.1", 2**64),
+        ("h" * 100, 8080),
+        ("h\0", 8080),
+        ("\ud800", 8080),
+    ],
+    ids=[
+        "port beyond 16 bits",
+        "port beyond 64 bits",
+        "long name",
+        "null character",
+        "lone surrogate",
+    ],
+)
+def test_address_that_cannot_be_used_is_refused(host, port):
+    """A stored address of another writer must not end a task of a proxy."""
+    opened = open_connection(Address(host, port), "g", "i-1")
+    with pytest.raises(EndpointRefused):
+        asyncio.run(opened)
--- a/waxwinglift/platform/tests/test_lines.py
+++ b/waxwinglift/platform/tests/test_lines.py
@@ -124,6 +124,41 @@
         _lines.decode_position(field)
 
 
+@pytest.mark.parametrize(
+    "field",
+    [
+        b"-1.2",
+        b"1.-2",
+        b"+1.2",
+        b" 1.2",
+        b"1_0.2",
+        b"18446744073709551616.1",
+        b"1.18446744073709551616",
+        b"1." + b"9" * 5000,
+    ],
+    ids=[
+        "negative term",
+        "negative number",
+        "plus sign",
+        "blank",
+        "underscore",
+        "term beyond 64 bits",
+        "number beyond 64 bits",
+        "thousands of digits",
+    ],
+)
+def test_position_that_cannot_be_sent(field):
+    """A position that the proxies cannot exchange must not become a floor."""
+    with pytest.raises(ValueError):
+        _lines.decode_position(field)
+
+
+def test_largest_position():
+    """A bound below the storage of a position would close connections."""
+    field = b"18446744073709551615.18446744073709551615"
+    assert _lines.encode_position(_lines.decode_position(field)) == field
+
+
 @pytest.mark.parametrize(
     "status, line",
     [
--- a/waxwinglift/platform/tests/test_settings.py
+++ b/waxwinglift/platform/tests/test_settings.py
@@ -106,3 +106,36 @@
     path = tmp_path / "broken.toml"
     path.write_text("ip = ", encoding="utf-8")
     assert load_platform_settings(path).is_err()
+
+
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"internalPorts": [7440, 65536]}, "internalPorts"),
+        ({"internalPorts": [0, 10]}, "internalPorts"),
+        ({"internalPorts": [-1, 10]}, "internalPorts"),
+        ({"heartbeatMs": float("inf")}, "heartbeatMs"),
+        ({"heartbeatMs": float("nan")}, "heartbeatMs"),
+        ({"bounds": {"graceS": float("inf")}}, "bounds.graceS"),
+    ],
+    ids=[
+        "port beyond 16 bits",
+        "port 0",
+        "negative port",
+        "infinite interval",
+        "interval that is not a number",
+        "infinite grace period",
+    ],
+)
+def test_number_that_cannot_be_used_names_the_field(tmp_path, change, named):
+    """The process must not end later in a conversion of the number."""
+    loaded = _load(tmp_path, _VALUES | change)
+    assert isinstance(loaded, Err)
+    assert named in loaded.err_value
+
+
+def test_deeply_nested_file(tmp_path):
+    """A file that is reloaded must not end the process."""
+    path = tmp_path / "nested.toml"
+    path.write_text("a = " + "[" * 100_000, encoding="utf-8")
+    assert load_platform_settings(path).is_err()
--- a/waxwinglift/process/tests/test_settings.py
+++ b/waxwinglift/process/tests/test_settings.py
@@ -92,3 +92,40 @@
     # Error messages appear in logs and terminals.
     text = GOOD_PROXY.replace("0123456789abcdef", "abc")
     assert "abc" not in load(tmp_path, "proxy", text).unwrap_err()
+
+
+@pytest.mark.parametrize(
+    ("kind", "old", "new"),
+    [
+        ("proxy", "[location]", "[owner]\npassword = 987654\n[location]"),
+        (
+            "proxy",
+            "[location]",
+            "[entry.passwords]\npay = 987654\n[location]",
+        ),
+        ("proxy", "[entry]", "[entry]\npasswords = 987654"),
+        ("proxy", "[location]", "[owner]\npassword = [987654]\n[location]"),
+        ("proxy", "[location]", "[[owner]]\npassword = 987654\n[location]"),
+        ("control", "[[", "endpoint_password = 987654\n[["),
+    ],
+    ids=[
+        "owner's password",
+        "callers' password",
+        "callers' passwords",
+        "list of passwords",
+        "table that is a list",
+        "control's password",
+    ],
+)
+def test_password_is_not_shown(tmp_path, kind, old, new):
+    # Error messages appear in logs and terminals.  A password of digits that
+    # is not quoted is a number, which is refused.
+    text = MODELS[kind][1].replace(old, new, 1)
+    problem = load(tmp_path, kind, text).unwrap_err()
+    assert "password" in problem or "owner" in problem
+    assert "987654" not in problem
+
+
+def test_deeply_nested_file(tmp_path):
+    # It must not end the program with a traceback.
+    assert load(tmp_path, "proxy", "a = " + "[" * 100_000).is_err()
--- a/waxwinglift/version/tests/test_announcement_order.py
+++ b/waxwinglift/version/tests/test_announcement_order.py
@@ -50,6 +50,11 @@
             apply_entry(self.fleet, self.fleet.index + 1, entry)
         return found
 
+    def expire(self):
+        found = self.table.expire(self.fleet, self.now_ms)
+        for entry in found:
+            apply_entry(self.fleet, self.fleet.index + 1, entry)
+
 
 @pytest.mark.parametrize(
     "late",
@@ -124,3 +129,46 @@
     assert table.announce() == []
     plan_and_apply(table.fleet, request(1, pool("a")))
     assert table.announce(sequence=6) != []
+
+
+_FAR = 2**63
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"started_ms": _FAR},
+        {"sequence": _FAR},
+        {"endpoint": "s2", "started_ms": _FAR, "in_recovery": True},
+        {"started_ms": _FAR, "is_gone": True},
+    ],
+    ids=["start", "sequence", "start at the same address", "departure"],
+)
+@pytest.mark.parametrize("is_leader_new", [False, True])
+def test_an_announcement_from_the_future_is_forgotten(odd, is_leader_new):
+    # Another writer's announcement with a start or a sequence far above the
+    # server's own makes those of the server look outdated.  The server must
+    # come back once nothing has confirmed that announcement for a while.
+    table = Table()
+    table.announce()
+    table.announce(**odd)
+    if is_leader_new:
+        table.table.start_leadership(table.fleet, table.now_ms)
+    for sequence in range(6, 12):
+        table.expire()
+        table.announce(sequence=sequence)
+    assert table.fleet.endpoints["s1"].state is EndpointState.JOINED
+    assert table.fleet.endpoints["s1"].started_ms == BASE.started_ms
+
+
+def test_a_departed_server_stays_removed_after_its_time_to_live():
+    # A heartbeat that was delayed for longer than the time to live must not
+    # bring back the primary that has left.
+    table = Table()
+    table.announce()
+    table.announce(sequence=6)
+    table.announce(sequence=2**62, is_gone=True)
+    for sequence in range(7, 12):
+        table.expire()
+        table.announce(sequence=sequence)
+    assert table.fleet.endpoints["s1"].state is EndpointState.LOST
