Refuse heartbeats with values that nothing can hold

A heartbeat of another writer with a capacity or sequence too large, port 0, a null character or a lone surrogate in its address was accepted. At a follower the call then broke off without an answer; at the leader the entry went into the log, and proxies that calculate with a capacity above the range of a float raise OverflowError at each use.

Cause: the decoder checked the lower bounds only. The upper bounds are now those of the fields in control.proto, named in platform/_json.py, and the address must be ASCII with a port from 1.

Class of fault: input validated for type but not for range.

--- a/waxwinglift/platform/_announcements.py
+++ b/waxwinglift/platform/_announcements.py
@@ -1,6 +1,5 @@
 """Decoding of servers' heartbeats and deregistrations."""
 
-import json
 from typing import Annotated
 from typing import Literal
 
@@ -9,6 +8,9 @@
 from result import Ok
 from result import Result
 
+from waxwinglift.platform._json import decode_json
+from waxwinglift.platform._json import UINT32_MAX
+from waxwinglift.platform._json import UINT64_MAX
 from waxwinglift.process import _checks
 from waxwinglift.process import Address
 from waxwinglift.process import DataCentre
@@ -32,16 +34,16 @@
 
     service: str = pydantic.Field(min_length=1)
     address: Annotated[
-        Address, pydantic.BeforeValidator(_checks.check_address)
+        Address, pydantic.BeforeValidator(_checks.check_server_address)
     ]
     zone: str = pydantic.Field(min_length=1)
     # Statements that the server runs concurrently.
-    capacity: int = pydantic.Field(ge=1)
+    capacity: int = pydantic.Field(ge=1, le=UINT32_MAX)
     state: Literal["ready", "draining"]
     role: Literal["primary", "replica"] = pydantic.Field(alias="dbRole")
-    sequence: int = pydantic.Field(ge=0)
+    sequence: int = pydantic.Field(ge=0, le=UINT64_MAX)
     # Wall-clock milliseconds of the server's start.
-    born: int = pydantic.Field(0, ge=0)
+    born: int = pydantic.Field(0, ge=0, le=UINT64_MAX)
 
 
 def decode_announcement(
@@ -61,7 +63,7 @@
     if not endpoint:
         return Err("the path has no endpoint id")
     try:
-        heartbeat = _Heartbeat.model_validate(json.loads(body))
+        heartbeat = _Heartbeat.model_validate(decode_json(body))
     except (ValueError, RecursionError) as error:
         return Err(f"not a valid heartbeat: {error}")
     region = regions.get(heartbeat.zone, heartbeat.zone)
@@ -113,7 +115,7 @@
     """Return the announcement of a deregistration; the body may be empty."""
     started_ms = 0
     try:
-        values = json.loads(body) if body else {}
+        values = decode_json(body) if body else {}
         born = values.get("born", 0) if isinstance(values, dict) else 0
         if isinstance(born, int) and born > 0:
             started_ms = born
--- a/waxwinglift/process/_checks.py
+++ b/waxwinglift/process/_checks.py
@@ -7,6 +7,8 @@
 
 NAME_PATTERN = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")
 
+PORT_MAX = 65535
+
 
 def check_name(value):
     """Return ``value`` if it is a valid identifier.
@@ -52,15 +54,33 @@
     """
     if isinstance(value, Address):
         return value
-    host, separator, port_text = str(value).rpartition(":")
-    if not separator or not port_text.isdigit():
+    text = str(value)
+    host, separator, port_text = text.rpartition(":")
+    # The scope of an IPv6 address may be any text for ``ipaddress``, and
+    # ``isdigit`` is true for digits of all scripts.
+    is_plain = text.isascii() and text.isprintable()
+    if not is_plain or not separator or not port_text.isdigit():
         raise ValueError("must be <IP address>:<port>")
     port = int(port_text)
-    if port > 65535:
-        raise ValueError("port must be 0 to 65535")
+    if port > PORT_MAX:
+        raise ValueError(f"port must be 0 to {PORT_MAX}")
     return Address(check_ip_address(host.strip("[]")), port)
 
 
+def check_server_address(value):
+    """Return the `Address` of a text if a connection to it can be opened.
+
+    Raises
+    ------
+    ValueError
+        If `check_address` refuses the text, or the port is 0.
+    """
+    address = check_address(value)
+    if address.port == 0:
+        raise ValueError(f"port must be 1 to {PORT_MAX}")
+    return address
+
+
 def check_unique(values, what):
     """Return ``values`` if none occurs twice; ``what`` names their kind.
 
