Refuse deregistrations that cannot be read

A deregistration of another writer whose body could not be read, or whose "born" was no whole number, removed the server whatever its start, although the server still ran; its callers saw refused attempts until its next heartbeat. "born": true counted as the start 1.

Cause: the decoder turned every error into "start unknown", which removes any start. The body is now validated like a heartbeat, and the sender gets 400. A call without a body, or without "born", stays valid: servers of an earlier version send it, and the time to live would otherwise be the only sign of their end. The sequence of a removal is the largest that a heartbeat can have, so that none of the same start outranks it.

Class of fault: an error turned into a default with an effect.

--- a/waxwinglift/platform/_announcements.py
+++ b/waxwinglift/platform/_announcements.py
@@ -46,6 +46,14 @@
     born: int = pydantic.Field(0, ge=0, le=UINT64_MAX)
 
 
+class _Deregistration(pydantic.BaseModel):
+    """Body of a deregistration; other fields are ignored."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    born: int = pydantic.Field(0, ge=0, le=UINT64_MAX)
+
+
 def decode_announcement(
     endpoint: str, body: bytes, regions: dict[str, str]
 ) -> Result[Announcement, str]:
@@ -64,7 +72,7 @@
         return Err("the path has no endpoint id")
     try:
         heartbeat = _Heartbeat.model_validate(decode_json(body))
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         return Err(f"not a valid heartbeat: {error}")
     region = regions.get(heartbeat.zone, heartbeat.zone)
     return Ok(
@@ -104,23 +112,25 @@
         term=Term(0),
         in_recovery=True,
         started_ms=started_ms,
-        # Higher than the sequence of every heartbeat since the same start, so
+        # At least the sequence of every heartbeat since the same start, so
         # that none of them is processed later.
-        sequence=2**62,
+        sequence=UINT64_MAX,
         is_gone=True,
     )
 
 
-def decode_deregistration(endpoint: str, body: bytes) -> Announcement:
-    """Return the announcement of a deregistration; the body may be empty."""
-    started_ms = 0
+def decode_deregistration(
+    endpoint: str, body: bytes
+) -> Result[Announcement, str]:
+    """Return the announcement of a deregistration, or why it is invalid.
+
+    Without a body, or without ``born`` in it, the start time is unknown.
+    """
+    if not endpoint:
+        return Err("the path has no endpoint id")
     try:
         values = decode_json(body) if body else {}
-        born = values.get("born", 0) if isinstance(values, dict) else 0
-        if isinstance(born, int) and born > 0:
-            started_ms = born
-    except (ValueError, RecursionError):
-        # An unreadable body is accepted without a start time: the endpoint is
-        # removed whatever its start time was.
-        started_ms = 0
-    return make_deregistration(endpoint, started_ms)
+        started_ms = _Deregistration.model_validate(values).born
+    except ValueError as error:
+        return Err(f"not a valid deregistration: {error}")
+    return Ok(make_deregistration(endpoint, started_ms))
--- a/waxwinglift/platform/_control_http.py
+++ b/waxwinglift/platform/_control_http.py
@@ -50,18 +50,18 @@
 @_handles(("POST", _HEARTBEAT_PATH))
 async def _announce(api, request, endpoint):
     decoded = decode_announcement(endpoint, request.body, api.regions)
-    if isinstance(decoded, Err):
-        return _error(400, decoded.err_value)
-    if not api.service.announce(decoded.ok_value):
-        return _error(503, "no control leader is known")
-    return HttpResponse(200, b"{}")
+    return _forward(api, decoded)
 
 
 @_handles(("POST", _DEREGISTER_PATH))
 async def _deregister(api, request, endpoint):
-    if not endpoint:
-        return _error(400, "the path has no endpoint id")
-    if not api.service.announce(decode_deregistration(endpoint, request.body)):
+    return _forward(api, decode_deregistration(endpoint, request.body))
+
+
+def _forward(api, decoded):
+    if isinstance(decoded, Err):
+        return _error(400, decoded.err_value)
+    if not api.service.announce(decoded.ok_value):
         return _error(503, "no control leader is known")
     return HttpResponse(200, b"{}")
 
--- a/waxwinglift/process/_checks.py
+++ b/waxwinglift/process/_checks.py
@@ -54,11 +54,12 @@
     """
     if isinstance(value, Address):
         return value
-    text = str(value)
-    host, separator, port_text = text.rpartition(":")
+    if not isinstance(value, str):
+        raise ValueError("must be a text <IP address>:<port>")
+    host, separator, port_text = value.rpartition(":")
     # The scope of an IPv6 address may be any text for ``ipaddress``, and
     # ``isdigit`` is true for digits of all scripts.
-    is_plain = text.isascii() and text.isprintable()
+    is_plain = value.isascii() and value.isprintable()
     if not is_plain or not separator or not port_text.isdigit():
         raise ValueError("must be <IP address>:<port>")
     port = int(port_text)
