Count refused heartbeats and deregistrations

A writer that sends unreadable heartbeats got 400 each time, but nothing at the control member said so: an operator who looks for a server that does not appear saw neither a log line nor a counter.

Cause: the HTTP handlers answered the error without recording it. Both now go through one function that counts control.bad_announcements; a counter, so that the volume stays bounded whatever the writer sends.

Evidence: six parameters of test_odd_call_is_refused_and_counted failed before. Class of fault: an error without a trace of it.

--- a/waxwinglift/platform/_control_http.py
+++ b/waxwinglift/platform/_control_http.py
@@ -60,6 +60,7 @@
 
 def _forward(api, decoded):
     if isinstance(decoded, Err):
+        api.service.metrics.incr("control.bad_announcements")
         return _error(400, decoded.err_value)
     if not api.service.announce(decoded.ok_value):
         return _error(503, "no control leader is known")
