Let a server return after an announcement from the future

One heartbeat of another writer with a start or a sequence far above the server's own made all later announcements of that server look outdated. It expired and stayed lost, as did a server whose address such an entry named; with the start in the log, a change of control leader did not help either.

Cause: announcements were compared with the newest one ever seen, however long ago. Now only one counts that was announced again within the time to live; in the log, an endpoint that is lost no longer outranks an earlier start. A range check cannot find such an entry, since any start that the field holds may be a real one on a VM with a wrong clock. The departure of the same start still counts for ever, and an earlier departure still does not remove a later start.

A writer that repeats such an entry within each time to live still hides the server. Class of fault: trust in an ordering key that the sender chooses.

--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -142,7 +142,7 @@
         """Record an announcement; return the entries to propose."""
         name = announcement.endpoint
         record = self._records.setdefault(name, _Record(now_ms))
-        if _is_outdated(announcement, record, fleet):
+        if self._is_outdated(announcement, record, fleet, now_ms):
             return []
         if announcement.is_gone:
             return self._remove(announcement, record, fleet, now_ms)
@@ -158,6 +158,31 @@
             entries.append(formed)
         return entries
 
+    def _is_outdated(self, announcement, record, fleet, now_ms):
+        """Return whether newer information than this announcement is known.
+
+        The announcement may be from before the endpoint's last restart, or
+        from an endpoint whose address a later endpoint has taken over.  What
+        has not been announced again within the time to live does not count:
+        it may be from another writer, with a start or a sequence that the
+        endpoint itself never reaches.
+        """
+        if announcement.is_gone and not announcement.started_ms:
+            # Without a start time there is nothing to compare.
+            return False
+        last = record.announcement
+        if last is not None and announcement.order < last.order:
+            is_same_start = announcement.started_ms == last.started_ms
+            is_departed = last.is_gone and is_same_start
+            if is_departed or not self._is_expired(record, now_ms):
+                return True
+        if not announcement.started_ms:
+            return False
+        return _has_later_start(announcement, fleet)
+
+    def _is_expired(self, record, now_ms):
+        return now_ms - record.last_ms >= self.settings.ttl_ms
+
     def _remove(self, announcement, record, fleet, now_ms):
         """Return the removal of an endpoint that announced it has left."""
         record.announcement = announcement
@@ -193,7 +218,7 @@
         entries = []
         for name, endpoint in fleet.endpoints.items():
             record = self._records.setdefault(name, _Record(now_ms))
-            is_expired = now_ms - record.last_ms >= self.settings.ttl_ms
+            is_expired = self._is_expired(record, now_ms)
             if not is_expired or endpoint.state is EndpointState.LOST:
                 continue
             entry = EndpointLost(name)
@@ -208,7 +233,7 @@
         if len(self._records) == len(fleet.endpoints):
             return
         for name, record in list(self._records.items()):
-            is_expired = now_ms - record.last_ms >= self.settings.ttl_ms
+            is_expired = self._is_expired(record, now_ms)
             if is_expired and name not in fleet.endpoints:
                 del self._records[name]
 
@@ -291,29 +316,20 @@
         ]
 
 
-def _is_outdated(announcement, record, fleet):
-    """Return whether newer information than this announcement is known.
-
-    The announcement may be from before the endpoint's last restart, or from
-    an endpoint whose address a later endpoint has taken over.
-    """
-    if announcement.is_gone and not announcement.started_ms:
-        # Without a start time there is nothing to compare.
-        return False
-    last = record.announcement
-    if last is not None and announcement.order < last.order:
-        return True
-    known = fleet.endpoints.get(announcement.endpoint)
-    if not announcement.started_ms:
-        return False
-    if known is not None and announcement.started_ms < known.started_ms:
-        return True
-    return any(
-        endpoint.address == announcement.address
-        and endpoint.endpoint != announcement.endpoint
-        and endpoint.started_ms > announcement.started_ms
-        for endpoint in fleet.endpoints.values()
-    )
+def _has_later_start(announcement, fleet):
+    """Return whether the log has a later start at this name or address."""
+    for endpoint in fleet.endpoints.values():
+        is_same = endpoint.endpoint == announcement.endpoint
+        if not is_same and endpoint.address != announcement.address:
+            continue
+        # An endpoint that is lost can come back, but an earlier departure
+        # does not end its later start.
+        counts = (
+            announcement.is_gone or endpoint.state is not EndpointState.LOST
+        )
+        if counts and endpoint.started_ms > announcement.started_ms:
+            return True
+    return False
 
 
 def _find_update(announcement, fleet):
--- a/waxwinglift/version/tests/test_announcement_order.py
+++ b/waxwinglift/version/tests/test_announcement_order.py
@@ -172,3 +172,18 @@
         table.expire()
         table.announce(sequence=sequence)
     assert table.fleet.endpoints["s1"].state is EndpointState.LOST
+
+
+def test_an_earlier_departure_does_not_remove_a_lost_server():
+    # The later start of the server may only be out of reach, and its log is
+    # needed in a change of primary.
+    table = Table()
+    table.announce()
+    table.announce(
+        endpoint="s2", address=Address("10.0.0.2", 1), in_recovery=True
+    )
+    table.now_ms += 5000
+    table.expire()
+    assert table.fleet.endpoints["s2"].state is EndpointState.LOST
+    found = table.announce(endpoint="s2", started_ms=900, is_gone=True)
+    assert found == []
