Drop an entry that cannot be encoded, not its whole append

A control leader that was announced an address with a lone surrogate in its scope raised in the timer that appends queued entries. All entries of the same 5 ms were lost with it, among them other servers' joins and changes of owners, and again at each repetition.

Cause: the entries of an append were encoded in one expression, and the queue had been emptied before. Each entry is now encoded on its own; one that has no stored form is dropped with a log line and a counter.

Class of fault: one bad element fails a batch.

--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -305,11 +305,30 @@
         self._append_timer = None
         self._appended_ms = monotonic_ms()
         entries, self._pending_entries = self._pending_entries, []
+        payloads = [self._encode_or_drop(entry) for entry in entries]
         proposals = tuple(
-            consensus.Propose(self.proposals.open()[0], encode_entry(entry))
-            for entry in entries
+            consensus.Propose(self.proposals.open()[0], payload)
+            for payload in payloads
+            if payload is not None
         )
-        self.step_consensus(consensus.ProposeBatch(proposals))
+        if proposals:
+            self.step_consensus(consensus.ProposeBatch(proposals))
+
+    def _encode_or_drop(self, entry):
+        """Return the stored form of an entry, None if it has none.
+
+        Such an entry must not take the others of the same append with it.
+        """
+        try:
+            return encode_entry(entry)
+        except ValueError as error:
+            self.metrics.incr("control.entries_dropped")
+            logger.warning(
+                "dropped an entry of kind %s that cannot be encoded: %s",
+                entry.kind.value,
+                ascii(str(error)),
+            )
+            return None
 
     def execute_all(self, actions):
         """Execute actions in order."""
