Drop an announcement that a follower cannot encode

A number beyond the fields of control.proto raised ValueError in a follower between the check of a heartbeat and the relay. The sender got no answer. The relay's batch itself was never affected: it holds messages that were encoded one by one before they were queued.

Cause: the conversion trusted the decoder.

Class of fault: a check and a conversion that do not agree on the range.

--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -156,14 +156,27 @@
         )
 
     def announce(self, announcement):
-        """Process or forward an announcement; False if no leader is known."""
+        """Process or forward an announcement.
+
+        Returns False if no leader is known, or if the announcement cannot be
+        encoded; the decoder that accepted it should have refused it.
+        """
         if self.node.has_quorum:
             event = core_messages.AnnouncementReceived(announcement)
             self.node.step_core(event)
             return True
         if self.node.consensus.leader_hint is None:
             return False
-        self._relay.announce(announcement_to_wire(announcement))
+        try:
+            message = announcement_to_wire(announcement)
+        except ValueError as error:
+            self.metrics.incr("control.bad_announcements")
+            logger.warning(
+                "dropped an announcement that cannot be encoded: %s",
+                ascii(str(error)),
+            )
+            return False
+        self._relay.announce(message)
         return True
 
     def _seeds(self):
