Refuse addresses that no connection can use at the gRPC interface

Announcements, renewals, join requests and operators' new members were accepted with a port above 65535, a host name, or a null character in the host. Each process that then connected there raised OverflowError, ValueError or UnicodeError in a task that expects only OSError: the joiner of a control daemon ended for good, and a member added that way left "Task exception was never retrieved" for each message.

Cause: protobuf bounds a port at 32 bits, and nothing checked it after. The sender gets INVALID_ARGUMENT, a refused grant or an error with the reason, and a consensus message's sender with such an address is not recorded.

Class of fault: input validated for type but not for range.

--- a/waxwinglift/process/_checks.py
+++ b/waxwinglift/process/_checks.py
@@ -77,11 +77,29 @@
         If `check_address` refuses the text, or the port is 0.
     """
     address = check_address(value)
-    if address.port == 0:
-        raise ValueError(f"port must be 1 to {PORT_MAX}")
+    error = find_address_error(address)
+    if error:
+        raise ValueError(error)
     return address
 
 
+def find_address_error(address):
+    """Return the error in an `Address`, an empty text if it is valid.
+
+    A connection to an address that is not valid raises an error that is no
+    OSError.
+    """
+    try:
+        check_ip_address(address.host)
+    except ValueError as error:
+        return f"host {error}"
+    if not address.host.isascii() or not address.host.isprintable():
+        return "host must be plain text"
+    if not 1 <= address.port <= PORT_MAX:
+        return f"port must be 1 to {PORT_MAX}"
+    return ""
+
+
 def check_unique(values, what):
     """Return ``values`` if none occurs twice; ``what`` names their kind.
 
--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -6,7 +6,9 @@
 from grpclib.const import Status as GrpcStatus
 from grpclib.exceptions import GRPCError
 
+from waxwinglift.process._checks import find_address_error
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._control_relay import make_refused_grant
 from waxwinglift.process._operator_service import ReplaceOutcome
 from waxwinglift.process._trace_context import extract_context
 from waxwinglift.process._trace_context import current_traceparent
@@ -132,7 +134,11 @@
             return self._decide_renewal(message)
 
     def _decide_renewal(self, message):
-        answer = self._node.renew(renewal_from_wire(message))
+        renewal = renewal_from_wire(message)
+        problem = find_address_error(renewal.address)
+        if problem:
+            return make_refused_grant(message, problem)
+        answer = self._node.renew(renewal)
         is_granted = isinstance(answer, core_messages.GrantLease)
         return control_pb2.Grant(
             granted=is_granted,
@@ -210,8 +216,8 @@
         await stream.send_message(control_pb2.ConsensusAck())
         if envelope.recipient != self._node.member:
             return
-        if envelope.sender_host:
-            address = Address(envelope.sender_host, envelope.sender_port)
+        address = Address(envelope.sender_host, envelope.sender_port)
+        if not find_address_error(address):
             self._address_book.record_sender(
                 DaemonId(envelope.sender), address
             )
@@ -225,9 +231,12 @@
     async def Join(self, stream):  # noqa: N802
         """Record a request to become a member, here or at the leader."""
         request = await stream.recv_message()
+        address = Address(request.host, request.port)
+        problem = find_address_error(address)
+        if problem:
+            raise GRPCError(GrpcStatus.INVALID_ARGUMENT, problem)
         is_accepted = self._node.has_quorum
         if is_accepted:
-            address = Address(request.host, request.port)
             self._node.record_join_request(
                 JoinRequest(DaemonId(request.member), address)
             )
@@ -287,6 +296,10 @@
             return control_pb2.ProposeReply(
                 error=f"operators may not propose {type(entry).__name__}"
             )
+        if isinstance(entry, _entries.MemberAdded):
+            problem = find_address_error(entry.address)
+            if problem:
+                return control_pb2.ProposeReply(error=problem)
         if not self._node.has_quorum:
             return await self._forward_proposal(request)
         outcome = await self._node.propose(entry, self._timing.rpc_timeout_ms)
--- a/waxwinglift/process/rpc/_convert.py
+++ b/waxwinglift/process/rpc/_convert.py
@@ -8,6 +8,7 @@
 
 import pydantic
 
+from waxwinglift.process._checks import find_address_error
 from waxwinglift.process._types import Address
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process._types import DataCentre
@@ -115,8 +116,9 @@
     """Return the error in an announcement, an empty text if it is valid."""
     if not announcement.endpoint or not announcement.group:
         return "endpoint and group must be named"
-    if not announcement.address.host or not announcement.address.port:
-        return "address must be an IP address and a port"
+    address_error = find_address_error(announcement.address)
+    if address_error:
+        return address_error
     if announcement.slots_count < 1:
         return "slots_count must be at least 1"
     if announcement.connection_limit_count < 3:
