Treat an address that no socket can use as a refused connection

A proxy or control leader that opened a connection to a port above 65535, a host with a null character or a label too long got OverflowError, ValueError or UnicodeError. Its callers expect EndpointRefused, so the task of the health monitor, the pool or the change of primary ended: the endpoint was never tried again, and a step of a change of primary had no outcome.

Cause: both protocols turned only OSError into EndpointRefused. Such addresses are refused at the entrance now, but the control log on disk may still hold one, so both protocols share a list of the exceptions that opening a socket raises.

Class of fault: an error of another type than the expected one ends the task that would handle it.

--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -21,6 +21,7 @@
 from waxwinglift.connection._backend_probe import Prober
 from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
 from waxwinglift.connection._endpoint_errors import EndpointRefused
+from waxwinglift.connection._endpoint_errors import OPEN_ERRORS
 from waxwinglift.connection._wire import FrameSplitter
 from waxwinglift.connection._wire import PacketStep
 from waxwinglift.connection._wire import ReplyFilter
@@ -170,7 +171,7 @@
     """
     try:
         reader, writer = await _open_streams(address)
-    except OSError as error:
+    except OPEN_ERRORS as error:
         raise EndpointRefused(str(error)) from error
     try:
         key = await _start_session(reader, writer, account, limit_bytes)
@@ -201,7 +202,7 @@
     request = CancelRequest(
         process_id=key.process_id, secret_key=key.secret_key
     )
-    with contextlib.suppress(OSError):
+    with contextlib.suppress(*OPEN_ERRORS):
         _, writer = await asyncio.open_connection(address.host, address.port)
         writer.write(request.to_wire())
         writer.close()
--- a/waxwinglift/connection/_endpoint_errors.py
+++ b/waxwinglift/connection/_endpoint_errors.py
@@ -1,5 +1,10 @@
 """Errors of connections to endpoints, independent of the protocol."""
 
+# Exceptions that opening a socket may raise.  The last two are raised for an
+# address that no socket can use, such as a port beyond 16 bits; the control
+# log may hold one from before they were refused.
+OPEN_ERRORS = (OSError, OverflowError, ValueError)
+
 
 class EndpointConnectionLost(Exception):
     """The connection ended or was closed before the answer was complete."""
--- a/waxwinglift/platform/_endpoint_connection.py
+++ b/waxwinglift/platform/_endpoint_connection.py
@@ -11,6 +11,7 @@
 from waxwinglift.connection._endpoint_errors import EndpointFull
 from waxwinglift.connection._endpoint_errors import EndpointMismatch
 from waxwinglift.connection._endpoint_errors import EndpointRefused
+from waxwinglift.connection._endpoint_errors import OPEN_ERRORS
 from waxwinglift.platform import _lines
 from waxwinglift.process import Address
 from waxwinglift.process import Registry
@@ -259,7 +260,7 @@
         transport, connection = await loop.create_connection(
             EndpointConnection, address.host, address.port
         )
-    except OSError as error:
+    except OPEN_ERRORS as error:
         raise EndpointRefused(str(error)) from error
     try:
         await _start(connection, group, endpoint)
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -173,7 +173,7 @@
             self.metrics.incr("control.bad_announcements")
             logger.warning(
                 "dropped an announcement that cannot be encoded: %s",
-                ascii(str(error)),
+                error,
             )
             return False
         self._relay.announce(message)
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -326,7 +326,7 @@
             logger.warning(
                 "dropped an entry of kind %s that cannot be encoded: %s",
                 entry.kind.value,
-                ascii(str(error)),
+                error,
             )
             return None
 
