Refuse positions that the proxies cannot exchange

A server that reported a position with a negative number or one beyond 64 bits was believed. The position became the floor of its group's sessions, and each message with it to another proxy raised ValueError in the encoder of peer.proto, so that reads failed until the position was replaced, which for a number that large is never.

Cause: positions were read with int(), which takes signs, blanks, underscores and any size. Only decimal digits up to the uint64 of peer.proto are accepted now; the connection is closed as for any other line that cannot be read, and a status row is an error of that step.

Evidence: seven parameters of test_position_that_cannot_be_sent failed before; test_largest_position guards the bound from the other side. Class of fault: input validated for type but not for range.

--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -5,6 +5,7 @@
 import enum
 
 from waxwinglift.connection import TransactionStatus
+from waxwinglift.platform._json import UINT64_MAX
 from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
@@ -192,7 +193,17 @@
     if field == EMPTY_FIELD:
         return None
     term, _, number = field.partition(b".")
-    return Position(Term(int(term)), Lsn(int(number)))
+    return Position(Term(_decode_number(term)), Lsn(_decode_number(number)))
+
+
+def _decode_number(field):
+    # Unlike ``int``, refuses signs, blanks and underscores.
+    if not field.isdigit():
+        raise ValueError("expected a number in decimal digits")
+    number = int(field)
+    if number > UINT64_MAX:
+        raise ValueError("a number is larger than 64 bits")
+    return number
 
 
 def encode_ready(status: TransactionStatus, position) -> bytes:
