Refuse desired states that cannot be returned as JSON

A desired state nested just below the limit of Python's decoder was accepted by it and then raised RecursionError in the encoder: the operator got no answer and sent the change again and again, to every control member. One with NaN, Infinity or 1e400 in a field that the product ignores was acknowledged, and read back with a word that is not JSON.

Cause: what the decoder accepts is more than what the encoder can write. The document is now encoded before it is accepted, and numbers that JSON or a 64-bit float cannot hold are refused with 400 and the reason.

Class of fault: a decoder that accepts more than its encoder.

--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -9,6 +9,7 @@
 from result import Ok
 from result import Result
 
+from waxwinglift.platform._json import decode_json
 from waxwinglift.version import GroupName
 from waxwinglift.version import PoolName
 from waxwinglift.version import PoolTable
@@ -73,21 +74,25 @@
 def decode_desired_state(body: bytes) -> Result[DesiredStateRequest, str]:
     """Return the request of an operator's document, or why it is invalid."""
     try:
-        values = json.loads(body)
+        values = decode_json(body)
         document = _Document.model_validate(values)
+        lines = _split_into_lines(values)
     except pydantic.ValidationError as error:
         first = error.errors(include_url=False)[0]
         key = ".".join(str(part) for part in first["loc"])
         return Err(f"{key}: {first['msg']}")
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         return Err(f"not JSON: {error}")
+    except RecursionError:
+        # The encoder refuses nesting that the decoder has just accepted.
+        return Err("not JSON: the document is nested too deeply")
     problem = _find_problem(document)
     if problem is not None:
         return Err(problem)
     return Ok(
         DesiredStateRequest(
             version=DesiredVersion(document.version),
-            document=_split_into_lines(values),
+            document=lines,
             pools=tuple(_make_pool(route) for route in document.routes),
             groups=tuple(
                 _make_group_settings(one) for one in document.services
