Limit durations and counts of the desired state in force

A valid desired state with a timeoutMs, maxStalenessMs or txIdleMs above 32 bits was acknowledged. Each statement that was then sent to another proxy raised ValueError in the encoder of peer.proto, and above the range of a float each statement and admission queue raised OverflowError: the route's callers lost their sessions until the next change.

Cause: the decoder has no upper bounds, and a valid large value must not be refused. The durations in force are now limited to 2**31 - 1 ms and the connections to the range of a uint32; both act like any larger value. The document that is read back keeps the values that were sent.

Class of fault: a value that is wider than the field that carries it later.

--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from waxwinglift.platform._json import decode_json
+from waxwinglift.platform._json import UINT32_MAX
 from waxwinglift.version import GroupName
 from waxwinglift.version import PoolName
 from waxwinglift.version import PoolTable
@@ -21,6 +22,11 @@
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
 
+# Longest duration in force.  The proxies send durations in uint32 fields and
+# may round them up, so it stays below UINT32_MAX.  The document that operators
+# read keeps the value that was sent.
+_DURATION_LIMIT_MS = 2**31 - 1
+
 _CONSISTENCIES = {
     "primary": Consistency.PRIMARY,
     "bounded_staleness": Consistency.BOUNDED_STALENESS,
@@ -97,7 +103,9 @@
             groups=tuple(
                 _make_group_settings(one) for one in document.services
             ),
-            limits=ServingLimits(document.limits.idle_block_ms),
+            limits=ServingLimits(
+                _clip_duration(document.limits.idle_block_ms)
+            ),
         )
     )
 
@@ -147,13 +155,17 @@
     return json.dumps(value, separators=(",", ":"))
 
 
+def _clip_duration(value_ms):
+    return min(value_ms, _DURATION_LIMIT_MS)
+
+
 def _make_pool(route):
     policy = PoolPolicy(
         consistency=_CONSISTENCIES[route.kind],
         urgency_index=route.priority,
-        statement_timeout_ms=route.timeout_ms,
-        target_latency_ms=route.target_latency_ms,
-        max_staleness_ms=route.max_staleness_ms,
+        statement_timeout_ms=_clip_duration(route.timeout_ms),
+        target_latency_ms=_clip_duration(route.target_latency_ms),
+        max_staleness_ms=_clip_duration(route.max_staleness_ms),
         attempt_limit_count=route.max_attempts,
     )
     return PoolTable(
@@ -167,6 +179,6 @@
 def _make_group_settings(service):
     return GroupSettings(
         group=GroupName(service.name),
-        connection_limit_count=service.max_conns,
+        connection_limit_count=min(service.max_conns, UINT32_MAX),
         sync_replicas_count=service.sync_replicas,
     )
