Treat a response that is too large as a failed call

A service for changes of primary that answered with more than 1 MiB raised BodyTooLarge in the control leader. No caller expects it: the task of the step ended without an outcome, and the change of primary waited for the step's time limit.

Cause: the exception is made for requests, and call_http translates only errors of the connection and of the protocol. It now becomes HttpFailed, the same as any response that did not arrive in full.

Evidence: test_odd_response_is_a_failed_call failed before. Class of fault: an error of another type than the expected one ends the task that would handle it.

--- a/waxwinglift/platform/_http.py
+++ b/waxwinglift/platform/_http.py
@@ -171,6 +171,8 @@
     try:
         async with asyncio.timeout(timeout_s):
             return await _call(address, request, headers)
+    except BodyTooLarge as error:
+        raise HttpFailed("the response is too large") from error
     except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
         raise HttpFailed(str(error) or "no response in time") from error
 
