Refuse settings of the platform that no process can use

A settings file with an infinite heartbeatMs or graceS, or with internal ports outside 1 to 65535, was accepted. The process then ended with OverflowError, when it converted the number or opened the port, in place of the message that names the file and the field.

Cause: TOML has inf and nan as numbers, both of which pass "greater than 0" or any check of the type, and the ports were plain integers. The models refuse both now.

Class of fault: input validated for type but not for range.

--- a/waxwinglift/platform/_settings.py
+++ b/waxwinglift/platform/_settings.py
@@ -22,6 +22,8 @@
 # Both are fixed, because ``deploy/system.toml`` names them.
 _METRICS_PORT = 9464
 
+_Port = Annotated[int, pydantic.Field(ge=1, le=_checks.PORT_MAX)]
+
 SocketAddress = Annotated[
     Address, pydantic.BeforeValidator(_checks.check_address)
 ]
@@ -34,7 +36,11 @@
     """
 
     model_config = pydantic.ConfigDict(
-        extra="ignore", frozen=True, arbitrary_types_allowed=True
+        extra="ignore",
+        frozen=True,
+        arbitrary_types_allowed=True,
+        # TOML has both as numbers, and no duration can be one of them.
+        allow_inf_nan=False,
     )
 
 
@@ -77,7 +83,7 @@
     data_centre: str = pydantic.Field(min_length=1, alias="zone")
     region: str = pydantic.Field(min_length=1)
     # First and last port for internal use by the machine's processes.
-    internal_ports: tuple[int, int] = pydantic.Field(alias="internalPorts")
+    internal_ports: tuple[_Port, _Port] = pydantic.Field(alias="internalPorts")
     # Control addresses of a few machines, possibly outdated.
     seeds: tuple[SocketAddress, ...] = ()
     is_first_start: bool = pydantic.Field(False, alias="bootstrap")
