Refuse settings files that are nested too deeply

A settings file with very deep nesting raised RecursionError in the decoder. On the platform the file is read again each second, so a process that was serving ended when such a file was written.

Cause: both loaders expected only the decoder's own errors, and tomllib has no limit of its own. The error now names the file, and a reload that finds such a file keeps the settings that it has.

Evidence: test_deeply_nested_file failed before in both folders. Class of fault: recursion over input of another writer.

--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -278,6 +278,8 @@
         return Err(f"{path}: cannot be read: {error.strerror}")
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Err(f"{path}: not valid TOML: {error}")
+    except RecursionError:
+        return Err(f"{path}: nested too deeply")
     try:
         return Ok(model.model_validate(values))
     except pydantic.ValidationError as error:
