Keep passwords out of the errors of settings

A password of digits that is not quoted in the settings file is a number, which is refused, and the message showed it: "owner.password: Input should be a valid string (got 987654)". The message goes to terminals and logs. A table written as a list, such as [[owner]], showed all of its values.

Cause: a value was hidden only if its key contains "secret". Keys with "password" are hidden too, and only plain values are shown, never a table or a list, which may hold a private value below another key.

Class of fault: a list of private names that does not grow with the models.

--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -19,6 +19,11 @@
 from waxwinglift.version._control_core import ControlCoreSettings
 from waxwinglift.version._membership import MembershipSettings
 
+# Words in the keys of values that must not appear in error messages.
+_PRIVATE_WORDS = ("secret", "password")
+# Types of values that error messages show.
+_SHOWN_TYPES = (str, int, float, bool)
+
 Name = Annotated[str, pydantic.AfterValidator(_checks.check_name)]
 SocketAddress = Annotated[
     Address, pydantic.BeforeValidator(_checks.check_address)
@@ -300,6 +305,9 @@
 
 def _show_input(problem):
     value = problem.get("input")
-    if isinstance(value, dict) or "secret" in str(problem["loc"]):
+    key = str(problem["loc"])
+    is_private = any(word in key for word in _PRIVATE_WORDS)
+    # A table or list may contain a private value below another key.
+    if is_private or not isinstance(value, _SHOWN_TYPES):
         return ""
     return f" (got {value!r})"
