--- a/waxwinglift/process/tests/test_odd_entries.py
+++ b/waxwinglift/process/tests/test_odd_entries.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import types
 
 from grpclib.exceptions import GRPCError
+from grpclib.server import Server
 import pytest
 
 from waxwinglift.process import Address
@@ -115,3 +117,59 @@
             assert "m-9" not in member.node.fleet.daemons
 
     asyncio.run(work())
+
+
+class OddRelay(control_grpc.ControlBase):
+    """Sends an odd reply in the first watch stream, a good one later."""
+
+    def __init__(self, reply):
+        self._replies = [reply]
+        self._good = control_pb2.WatchReply(
+            first_index=1, entries=[encode_entry(NoOperation())]
+        )
+
+    async def Watch(self, stream):  # noqa: N802
+        await stream.recv_message()
+        reply = self._replies.pop() if self._replies else self._good
+        await stream.send_message(reply)
+        await asyncio.sleep(10)
+
+    async def Renew(self, stream):  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(control_pb2.Grant())
+
+    async def _unused(self, stream):
+        raise NotImplementedError
+
+    Announce = Relay = Consensus = Propose = Status = _unused
+    Join = ConfirmIndex = ReplaceDesiredState = _unused
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        control_pb2.WatchReply(first_index=1, entries=[b"\xff"]),
+        control_pb2.WatchReply(first_index=1, entries=[b'{"kind":"new"}']),
+        control_pb2.WatchReply(first_index=1, entries=[b'{"a":' * 10_000]),
+        control_pb2.WatchReply(snapshot=b"\xff", snapshot_index=1),
+    ],
+    ids=["bytes", "unknown kind", "deeply nested", "snapshot"],
+)
+def test_proxy_goes_on_after_an_entry_that_it_cannot_read(reply):
+    # Its process would end, and again after each restart, while the entry is
+    # in the log of the control member that it happens to use.
+    async def work():
+        (address,) = control.free_addresses(1)
+        server = Server([OddRelay(reply)])
+        await server.start(address.host, address.port)
+        settings = types.SimpleNamespace(listen=address)
+        member = types.SimpleNamespace(settings=settings)
+        try:
+            async with control.running_link([member]) as link:
+                await control.wait_until(lambda: link.view.applied_index == 1)
+                assert not link.should_stop
+        finally:
+            server.close()
+            await server.wait_closed()
+
+    asyncio.run(work())
--- a/waxwinglift/version/tests/test_announcements.py
+++ b/waxwinglift/version/tests/test_announcements.py
@@ -130,3 +130,14 @@
     assert log.fleet.endpoints["g-a"].state is EndpointState.JOINED
     log.expire(6500)
     assert isinstance(log.entries[-1], entries.EndpointLost)
+
+
+def test_names_of_undeclared_groups_are_forgotten():
+    # Another writer that names a new group each time must not fill the
+    # leader's memory.
+    log = Log()
+    for number in range(50):
+        announcement = make_announcement(f"s{number}", started_ms=1)
+        log.announce(dataclasses.replace(announcement, group=f"g{number}"), 0)
+    log.expire(10_000)
+    assert "g49" not in repr(vars(log.table))
