Keep no index of announced group names at the leader

A writer that announces a new service name each time filled the control leader's memory: each name stayed for the whole leadership, although no operator had declared the group and no server joined.

Cause: the table kept a set of members for each announced group and never removed one. The fleet state has the endpoints of a group already, and the plan for a new group uses only those that are in it, so the index is gone.

Class of fault: memory that grows with the input of any client.

--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -4,7 +4,6 @@
 the log.  Joins of a flapping endpoint are delayed with exponential back-off.
 """
 
-import collections
 import dataclasses
 import math
 
@@ -129,13 +128,11 @@
     def __init__(self, settings):
         self.settings = settings
         self._records = {}
-        self._group_members = collections.defaultdict(set)
         self._formation_proposed_ms = {}
 
     def start_leadership(self, fleet, now_ms):
         """Restart the time to live of each known endpoint."""
         self._records = {e: _Record(now_ms) for e in fleet.endpoints}
-        self._group_members.clear()
         self._formation_proposed_ms = {}
 
     def announce(self, announcement, fleet, now_ms):
@@ -148,7 +145,6 @@
             return self._remove(announcement, record, fleet, now_ms)
         record.last_ms = now_ms
         record.announcement = announcement
-        self._group_members[announcement.group].add(name)
         entry = _find_update(announcement, fleet)
         entries = self._remove_predecessors(announcement, fleet, now_ms)
         if entry is not None and self._may_propose(record, entry, now_ms):
@@ -306,13 +302,15 @@
         return GroupFormed(primary.group, term, primary.endpoint)
 
     def _fresh_announcements(self, group, fleet, now_ms):
+        names = sorted(
+            endpoint.endpoint
+            for endpoint in fleet.endpoints_of(group)
+            if endpoint.state is EndpointState.JOINED
+        )
         return [
             self._records[name].announcement
-            for name in sorted(self._group_members[group])
+            for name in names
             if self.is_fresh(name, now_ms)
-            and name in fleet.endpoints
-            and fleet.endpoints[name].group == group
-            and fleet.endpoints[name].state is EndpointState.JOINED
         ]
 
 
