Watch again after an entry that a proxy cannot read

Cause: the watch expected errors of the connection only. An unreadable reply now counts as a failure of that stream: it is logged and counted as control.watch_failures, and the proxy tries the next control member. It serves with the state that it has until its lease is refused, and entries before the unreadable one are in force.

Class of fault: an unexpected error ends the task that follows the log.

--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -221,19 +221,25 @@
             if reply is None:
                 raise WatchError("stream ended")
             self._is_watching = True
-            self._apply(reply)
+            try:
+                self._apply(reply)
+            except ValueError as error:
+                raise WatchError(f"unreadable reply: {error}") from error
 
     def _apply(self, reply):
         if reply.snapshot:
             self._apply_snapshot(reply)
         if not reply.entries:
             return
-        for offset, payload in enumerate(reply.entries):
-            self._apply_entry(reply.first_index + offset, payload)
-        self.view.notify()
-        self._update_draining()
-        self._update_relays()
-        self._renew_for_entries()
+        try:
+            for offset, payload in enumerate(reply.entries):
+                self._apply_entry(reply.first_index + offset, payload)
+        finally:
+            # The entries before one that cannot be read are in force.
+            self.view.notify()
+            self._update_draining()
+            self._update_relays()
+            self._renew_for_entries()
 
     def _renew_for_entries(self):
         """Report the applied index, at once or after the minimum time."""
