--- a/waxwinglift/version/tests/test_announcement_order.py
+++ b/waxwinglift/version/tests/test_announcement_order.py
@@ -187,3 +187,19 @@
     assert table.fleet.endpoints["s2"].state is EndpointState.LOST
     found = table.announce(endpoint="s2", started_ms=900, is_gone=True)
     assert found == []
+
+
+@pytest.mark.parametrize(
+    "late",
+    [{"sequence": 4}, {"started_ms": 900, "sequence": 99}],
+    ids=["overtaken", "earlier start"],
+)
+def test_one_late_announcement_does_not_bring_back_a_lost_server(late):
+    # The network may deliver it long after its sender has crashed; requests
+    # would be sent there until it expires again.
+    table = Table()
+    table.announce()
+    table.now_ms += 5000
+    table.expire()
+    assert table.announce(**late) == []
+    assert table.fleet.endpoints["s1"].state is EndpointState.LOST
