Let an overtaken server return only if it goes on to announce itself

A server that had crashed could come back for a time to live by one announcement that the network delivered late; requests would have been sent to it, and a change of primary delayed.

Cause: a single announcement cannot be told from a late one. A server that runs sends more of them, so the first one after the time to live is only remembered, and a later one of the same start counts.

Class of fault: a relaxed check that also admits the case it was made for.

--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -105,7 +105,7 @@
     or, without one, of the record's creation.  ``changes_count`` is the number
     of proposed changes without a steady period between them, ``changed_ms``
     the time of the last one, and ``repeats_count`` the number of repetitions
-    of ``proposed``.
+    of ``proposed``.  ``outdated`` is the last announcement that was ignored.
     """
 
     last_ms: float
@@ -115,6 +115,14 @@
     repeats_count: int = 0
     proposed: object = None
     proposed_ms: float = 0.0
+    outdated: Announcement | None = None
+
+    def has_outdated_before(self, announcement):
+        """Return whether an earlier one of the same start was ignored."""
+        before = self.outdated
+        if before is None or before.started_ms != announcement.started_ms:
+            return False
+        return before.sequence < announcement.sequence
 
 
 class AnnouncementTable:
@@ -140,6 +148,7 @@
         name = announcement.endpoint
         record = self._records.setdefault(name, _Record(now_ms))
         if self._is_outdated(announcement, record, fleet, now_ms):
+            record.outdated = announcement
             return []
         if announcement.is_gone:
             return self._remove(announcement, record, fleet, now_ms)
@@ -158,23 +167,31 @@
         """Return whether newer information than this announcement is known.
 
         The announcement may be from before the endpoint's last restart, or
-        from an endpoint whose address a later endpoint has taken over.  What
-        has not been announced again within the time to live does not count:
-        it may be from another writer, with a start or a sequence that the
-        endpoint itself never reaches.
+        from an endpoint whose address a later endpoint has taken over.  The
+        newer information may be from another writer, with a start or a
+        sequence that the endpoint itself never reaches.  It no longer counts
+        if it was not announced again within the time to live, and the
+        endpoint goes on to announce itself.
         """
         if announcement.is_gone and not announcement.started_ms:
             # Without a start time there is nothing to compare.
             return False
         last = record.announcement
-        if last is not None and announcement.order < last.order:
-            is_same_start = announcement.started_ms == last.started_ms
-            is_departed = last.is_gone and is_same_start
-            if is_departed or not self._is_expired(record, now_ms):
-                return True
-        if not announcement.started_ms:
+        is_overtaken = last is not None and announcement.order < last.order
+        later = _find_later_starts(announcement, fleet)
+        if not is_overtaken and not later:
             return False
-        return _has_later_start(announcement, fleet)
+        if announcement.is_gone:
+            return True
+        if is_overtaken and last.is_gone:
+            # A departure ends its own start for ever.
+            if announcement.started_ms == last.started_ms:
+                return True
+        if is_overtaken and not self._is_expired(record, now_ms):
+            return True
+        if any(one.state is not EndpointState.LOST for one in later):
+            return True
+        return not record.has_outdated_before(announcement)
 
     def _is_expired(self, record, now_ms):
         return now_ms - record.last_ms >= self.settings.ttl_ms
@@ -314,20 +331,22 @@
         ]
 
 
-def _has_later_start(announcement, fleet):
-    """Return whether the log has a later start at this name or address."""
-    for endpoint in fleet.endpoints.values():
-        is_same = endpoint.endpoint == announcement.endpoint
-        if not is_same and endpoint.address != announcement.address:
-            continue
-        # An endpoint that is lost can come back, but an earlier departure
-        # does not end its later start.
-        counts = (
-            announcement.is_gone or endpoint.state is not EndpointState.LOST
+def _find_later_starts(announcement, fleet):
+    """Return the endpoints in the log that have started later.
+
+    They have the announcement's name or address.
+    """
+    if not announcement.started_ms:
+        return []
+    return [
+        endpoint
+        for endpoint in fleet.endpoints.values()
+        if endpoint.started_ms > announcement.started_ms
+        and (
+            endpoint.endpoint == announcement.endpoint
+            or endpoint.address == announcement.address
         )
-        if counts and endpoint.started_ms > announcement.started_ms:
-            return True
-    return False
+    ]
 
 
 def _find_update(announcement, fleet):
