--- a/waxwinglift/process/_checks.py
+++ b/waxwinglift/process/_checks.py
@@ -7,6 +7,8 @@
 
 NAME_PATTERN = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")
 
+PORT_MAX = 65535
+
 
 def check_name(value):
     """Return ``value`` if it is a valid identifier.
@@ -52,15 +54,52 @@
     """
     if isinstance(value, Address):
         return value
-    host, separator, port_text = str(value).rpartition(":")
-    if not separator or not port_text.isdigit():
+    if not isinstance(value, str):
+        raise ValueError("must be a text <IP address>:<port>")
+    host, separator, port_text = value.rpartition(":")
+    # The scope of an IPv6 address may be any text for ``ipaddress``, and
+    # ``isdigit`` is true for digits of all scripts.
+    is_plain = value.isascii() and value.isprintable()
+    if not is_plain or not separator or not port_text.isdigit():
         raise ValueError("must be <IP address>:<port>")
     port = int(port_text)
-    if port > 65535:
-        raise ValueError("port must be 0 to 65535")
+    if port > PORT_MAX:
+        raise ValueError(f"port must be 0 to {PORT_MAX}")
     return Address(check_ip_address(host.strip("[]")), port)
 
 
+def check_server_address(value):
+    """Return the `Address` of a text if a connection to it can be opened.
+
+    Raises
+    ------
+    ValueError
+        If `check_address` refuses the text, or the port is 0.
+    """
+    address = check_address(value)
+    error = find_address_error(address)
+    if error:
+        raise ValueError(error)
+    return address
+
+
+def find_address_error(address):
+    """Return the error in an `Address`, an empty text if it is valid.
+
+    A connection to an address that is not valid raises an error that is no
+    OSError.
+    """
+    try:
+        check_ip_address(address.host)
+    except ValueError as error:
+        return f"host {error}"
+    if not address.host.isascii() or not address.host.isprintable():
+        return "host must be plain text"
+    if not 1 <= address.port <= PORT_MAX:
+        return f"port must be 1 to {PORT_MAX}"
+    return ""
+
+
 def check_unique(values, what):
     """Return ``values`` if none occurs twice; ``what`` names their kind.
 
--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -4,7 +4,6 @@
 the log.  Joins of a flapping endpoint are delayed with exponential back-off.
 """
 
-import collections
 import dataclasses
 import math
 
@@ -106,7 +105,7 @@
     or, without one, of the record's creation.  ``changes_count`` is the number
     of proposed changes without a steady period between them, ``changed_ms``
     the time of the last one, and ``repeats_count`` the number of repetitions
-    of ``proposed``.
+    of ``proposed``.  ``outdated`` is the last announcement that was ignored.
     """
 
     last_ms: float
@@ -116,6 +115,14 @@
     repeats_count: int = 0
     proposed: object = None
     proposed_ms: float = 0.0
+    outdated: Announcement | None = None
+
+    def has_outdated_before(self, announcement):
+        """Return whether an earlier one of the same start was ignored."""
+        before = self.outdated
+        if before is None or before.started_ms != announcement.started_ms:
+            return False
+        return before.sequence < announcement.sequence
 
 
 class AnnouncementTable:
@@ -129,26 +136,24 @@
     def __init__(self, settings):
         self.settings = settings
         self._records = {}
-        self._group_members = collections.defaultdict(set)
         self._formation_proposed_ms = {}
 
     def start_leadership(self, fleet, now_ms):
         """Restart the time to live of each known endpoint."""
         self._records = {e: _Record(now_ms) for e in fleet.endpoints}
-        self._group_members.clear()
         self._formation_proposed_ms = {}
 
     def announce(self, announcement, fleet, now_ms):
         """Record an announcement; return the entries to propose."""
         name = announcement.endpoint
         record = self._records.setdefault(name, _Record(now_ms))
-        if _is_outdated(announcement, record, fleet):
+        if self._is_outdated(announcement, record, fleet, now_ms):
+            record.outdated = announcement
             return []
         if announcement.is_gone:
             return self._remove(announcement, record, fleet, now_ms)
         record.last_ms = now_ms
         record.announcement = announcement
-        self._group_members[announcement.group].add(name)
         entry = _find_update(announcement, fleet)
         entries = self._remove_predecessors(announcement, fleet, now_ms)
         if entry is not None and self._may_propose(record, entry, now_ms):
@@ -158,6 +163,39 @@
             entries.append(formed)
         return entries
 
+    def _is_outdated(self, announcement, record, fleet, now_ms):
+        """Return whether newer information than this announcement is known.
+
+        The announcement may be from before the endpoint's last restart, or
+        from an endpoint whose address a later endpoint has taken over.  The
+        newer information may be from another writer, with a start or a
+        sequence that the endpoint itself never reaches.  It no longer counts
+        if it was not announced again within the time to live, and the
+        endpoint goes on to announce itself.
+        """
+        if announcement.is_gone and not announcement.started_ms:
+            # Without a start time there is nothing to compare.
+            return False
+        last = record.announcement
+        is_overtaken = last is not None and announcement.order < last.order
+        later = _find_later_starts(announcement, fleet)
+        if not is_overtaken and not later:
+            return False
+        if announcement.is_gone:
+            return True
+        if is_overtaken and last.is_gone:
+            # A departure ends its own start for ever.
+            if announcement.started_ms == last.started_ms:
+                return True
+        if is_overtaken and not self._is_expired(record, now_ms):
+            return True
+        if any(one.state is not EndpointState.LOST for one in later):
+            return True
+        return not record.has_outdated_before(announcement)
+
+    def _is_expired(self, record, now_ms):
+        return now_ms - record.last_ms >= self.settings.ttl_ms
+
     def _remove(self, announcement, record, fleet, now_ms):
         """Return the removal of an endpoint that announced it has left."""
         record.announcement = announcement
@@ -193,7 +231,7 @@
         entries = []
         for name, endpoint in fleet.endpoints.items():
             record = self._records.setdefault(name, _Record(now_ms))
-            is_expired = now_ms - record.last_ms >= self.settings.ttl_ms
+            is_expired = self._is_expired(record, now_ms)
             if not is_expired or endpoint.state is EndpointState.LOST:
                 continue
             entry = EndpointLost(name)
@@ -208,7 +246,7 @@
         if len(self._records) == len(fleet.endpoints):
             return
         for name, record in list(self._records.items()):
-            is_expired = now_ms - record.last_ms >= self.settings.ttl_ms
+            is_expired = self._is_expired(record, now_ms)
             if is_expired and name not in fleet.endpoints:
                 del self._records[name]
 
@@ -281,39 +319,34 @@
         return GroupFormed(primary.group, term, primary.endpoint)
 
     def _fresh_announcements(self, group, fleet, now_ms):
+        names = sorted(
+            endpoint.endpoint
+            for endpoint in fleet.endpoints_of(group)
+            if endpoint.state is EndpointState.JOINED
+        )
         return [
             self._records[name].announcement
-            for name in sorted(self._group_members[group])
+            for name in names
             if self.is_fresh(name, now_ms)
-            and name in fleet.endpoints
-            and fleet.endpoints[name].group == group
-            and fleet.endpoints[name].state is EndpointState.JOINED
         ]
 
 
-def _is_outdated(announcement, record, fleet):
-    """Return whether newer information than this announcement is known.
+def _find_later_starts(announcement, fleet):
+    """Return the endpoints in the log that have started later.
 
-    The announcement may be from before the endpoint's last restart, or from
-    an endpoint whose address a later endpoint has taken over.
+    They have the announcement's name or address.
     """
-    if announcement.is_gone and not announcement.started_ms:
-        # Without a start time there is nothing to compare.
-        return False
-    last = record.announcement
-    if last is not None and announcement.order < last.order:
-        return True
-    known = fleet.endpoints.get(announcement.endpoint)
     if not announcement.started_ms:
-        return False
-    if known is not None and announcement.started_ms < known.started_ms:
-        return True
-    return any(
-        endpoint.address == announcement.address
-        and endpoint.endpoint != announcement.endpoint
-        and endpoint.started_ms > announcement.started_ms
+        return []
+    return [
+        endpoint
         for endpoint in fleet.endpoints.values()
-    )
+        if endpoint.started_ms > announcement.started_ms
+        and (
+            endpoint.endpoint == announcement.endpoint
+            or endpoint.address == announcement.address
+        )
+    ]
 
 
 def _find_update(announcement, fleet):
