--- a/waxwinglift/connection/tests/test_endpoint_pool.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool.py
@@ -116,6 +116,41 @@
     assert 20 < attempts < 100
 
 
+@pytest.mark.parametrize("waiting_count", [1, 5, 20])
+def test_failed_openings_are_retried_with_few_connections(waiting_count):
+    # An endpoint that refuses connections got all missing ones again at each
+    # retry: 219 a second at a server that had just restarted, each of which
+    # takes a slot and processor time of the owner.
+    pool = EndpointPool(SETTINGS, 91, 4)
+    opened = connections_of(OpenConnection, pool.enable(0.0))
+    for number in range(waiting_count):
+        opened += connections_of(OpenConnection, pool.acquire(number, 0.0))
+    for connection in opened:
+        pool.on_open_failed(connection, 1.0)
+    retries = connections_of(OpenConnection, pool.tick(5000.0))
+    assert 1 <= len(retries) <= 2
+    # After a success, the others follow.
+    assert connections_of(OpenConnection, pool.on_opened(retries[0], 5001.0))
+
+
+@pytest.mark.parametrize("opening_limit_count", [1, 2, 4])
+def test_connections_that_open_occupy_few_slots(opening_limit_count):
+    # Opening a connection takes a slot of the endpoint, so that a burst of
+    # openings delays the statements of every rank.
+    settings = EndpointPoolSettings(opening_limit_count=opening_limit_count)
+    pool = EndpointPool(settings, 91, 4)
+    opening = connections_of(OpenConnection, pool.enable(0.0))
+    for number in range(30):
+        opening += connections_of(OpenConnection, pool.acquire(number, 0.0))
+    served = 0
+    while opening:
+        assert len(opening) <= opening_limit_count
+        actions = pool.on_opened(opening.pop(0), 1.0)
+        opening += connections_of(OpenConnection, actions)
+        served += len(connections_of(UseConnection, actions))
+    assert served == 30
+
+
 def test_health_monitor_opens_one_within_the_limit():
     # Health checks of an endpoint must not use more than half of its
     # connections.
