Open few connections at a time to an endpoint

Cause: when openings fail, the pool waits for a backoff and then opens all missing connections again, up to 43, and nothing limits the openings in progress, although each takes a slot of the server and processor time of the owner. The class of fault: a retry that is as large as the work that failed.

After a failure the pool now opens two at a time until one succeeds. A new setting limits the openings in progress; it is 2 on the platform, where an opening occupies a slot, and unlimited for PostgreSQL.

--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -8,6 +8,11 @@
 from waxwinglift.connection._types import ConnectionState
 
 
+# Connections opened at a time after a failure, until one succeeds.  An
+# endpoint that refuses connections would refuse all missing ones too.
+_RETRY_LIMIT_COUNT = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenConnection:
     """Open a connection with this id."""
@@ -309,9 +314,19 @@
         missing_count = min(
             self._wanted_count() - self._usable_count(),
             self.limit_count - len(self._connections),
+            self._openings_left_count(),
         )
         return [self._open(now_ms) for _ in range(missing_count)]
 
+    def _openings_left_count(self):
+        """Return how many further connections may open at the same time."""
+        limits = [self.limit_count]
+        if self._open_failure_count:
+            limits.append(_RETRY_LIMIT_COUNT)
+        if self.settings.opening_limit_count:
+            limits.append(self.settings.opening_limit_count)
+        return min(limits) - self._count(ConnectionState.OPENING)
+
     def _probe_or_close_idle(self, connection, now_ms):
         # When a suspect turns out healthy, its replacement is surplus.
         is_surplus = self._usable_count() > self._wanted_count()
--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -17,6 +17,8 @@
 
 # Missing announcements after which an endpoint counts as lost.
 _MISSED_ANNOUNCEMENTS_COUNT = 4
+# A connection that opens occupies a slot of the server, which has two or more.
+_OPENING_LIMIT_COUNT = 2
 # The platform checks readiness each second and needs two failed checks.
 _BALANCER_DETECTION_MS = 2200.0
 # Parts of the grace period ``graceS``, after which the platform ends the
@@ -86,7 +88,9 @@
         owner=OwnerSettings(
             protocol=PROTOCOL,
             drain_timeout_ms=drain_ms,
-            pool=EndpointPoolSettings(keeps_surplus=True),
+            pool=EndpointPoolSettings(
+                keeps_surplus=True, opening_limit_count=_OPENING_LIMIT_COUNT
+            ),
         ),
         timing=_PROXY_TIMING.model_copy(
             update={"drain_timeout_ms": int(_DRAIN_FRACTION * grace_ms)}
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -158,6 +158,9 @@
     keeps_surplus : bool
         Whether connections beyond these stay open when demand has fallen;
         for endpoints where opening a connection is expensive.
+    opening_limit_count : int
+        Connections that may open at the same time, for endpoints where an
+        opening occupies a slot; 0 for no limit.
     open_timeout_ms, probe_timeout_ms : float
         Timeouts for opening a connection and for the answer to a probe.
     idle_probe_ms : float
@@ -170,6 +173,7 @@
 
     spare_count: int = pydantic.Field(2, ge=0)
     keeps_surplus: bool = False
+    opening_limit_count: int = pydantic.Field(0, ge=0)
     open_timeout_ms: float = pydantic.Field(600.0, gt=0)
     probe_timeout_ms: float = pydantic.Field(300.0, gt=0)
     idle_probe_ms: float = pydantic.Field(1000.0, gt=0)
