Refuse less urgent requests while an owner is short of processor time

Cause: an owner spends 3.5 ms or more on a statement, work waits in its sockets in order of arrival, where it has no rank, and a refusal costs nearly half of a service. Callers repeat what was refused, so that the owner stays full: a metastable overload. No log or metric showed it.

An owner now measures how late its event loop is (metric process.loop_lag, a log line at each change) and refuses new work of the less urgent ranks, the least urgent first and each down to its floor, until the lag is back at 20 ms. The entry proxies send no request of that rank to the endpoint for the advised second; they use another one or refuse at once, without the hop.

--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -21,6 +21,7 @@
 _FAILURE_CODES = {
     FailureCode.UNAVAILABLE: b"BUSY",
     FailureCode.REJECTED: b"BUSY",
+    FailureCode.OVERLOADED: b"BUSY",
     FailureCode.SHUTTING_DOWN: b"BUSY",
     FailureCode.NOT_OWNER: b"BUSY",
     FailureCode.BEHIND: b"LAGGING",
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -9,6 +9,7 @@
 from waxwinglift.process._policy_settings import PolicySettings
 from waxwinglift.process._policy_settings import RetrySettings
 from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift.process._policy_settings import SheddingSettings
 
 
 class EntrySettings(PolicySettings):
@@ -130,6 +131,7 @@
     commit_wait : CommitWaitSettings
     pool : EndpointPoolSettings
     health : HealthSettings
+    shedding : SheddingSettings
     """
 
     protocol: str = "postgresql"
@@ -159,3 +161,6 @@
         default_factory=EndpointPoolSettings
     )
     health: HealthSettings = pydantic.Field(default_factory=HealthSettings)
+    shedding: SheddingSettings = pydantic.Field(
+        default_factory=SheddingSettings
+    )
--- a/waxwinglift/process/_entry_context.py
+++ b/waxwinglift/process/_entry_context.py
@@ -15,6 +15,7 @@
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
+from waxwinglift.request._overload_backoff import OverloadBackoff
 from waxwinglift.request._retry import RetryBudget
 from waxwinglift.request._routing import build_group_view
 from waxwinglift.request._routing import choose_route
@@ -64,6 +65,7 @@
         self.tracer = tracer
         self.rng = rng
         self.request_log = RequestLog(now_ms)
+        self.overload_backoff = OverloadBackoff(rng)
         self._endpoint_stats: dict[GroupName, EndpointStats] = {}
         self._primary_refused_ms: dict[GroupName, float] = {}
         self._retry_budgets: dict[PoolName, RetryBudget] = {}
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -21,6 +21,7 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
+from waxwinglift.request._load_shedder import LoadShedder
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import GroupPhase
@@ -39,6 +40,9 @@
     requests until the fleet's state names it as the owner.  A StatementOwner
     also serves requests of proxies that cannot reach the owner.
 
+    ``load_shedder`` is that of the process; only a StatementOwner refuses
+    requests by it.
+
     Parameters
     ----------
     endpoint : EndpointId
@@ -55,6 +59,8 @@
         Called once the serving connections are closed.
     """
 
+    load_shedder: LoadShedder | None = None
+
     def __init__(
         self,
         endpoint: EndpointId,
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import random
 
 from opentelemetry import trace
 from result import Err
@@ -16,13 +17,16 @@
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Metrics
+from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._data_path_types import TransactionStream
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._loop_lag import LoopLag
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
+from waxwinglift.request._load_shedder import LoadShedder
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
@@ -78,6 +82,10 @@
         self._stopping: set[asyncio.Task] = set()
         self._is_draining = False
         self._now_ms = now_ms
+        self.load_shedder = LoadShedder(settings.shedding, random.Random())
+        self._loop_lag = LoopLag(
+            self.load_shedder, now_ms, metrics or NoMetrics()
+        )
         # Endpoints that this proxy serves although they are assigned to other
         # proxies, and the time of their last request.
         self._temporary_endpoints: dict[EndpointId, float] = {}
@@ -147,12 +155,14 @@
         settings = self._settings
         is_busy = any(owner.is_busy for owner in self._owners.values())
         interval_ms = settings.tick_ms if is_busy else settings.idle_tick_ms
+        self._loop_lag.expect(interval_ms)
         loop = asyncio.get_running_loop()
         self._tick_timer = loop.call_later(interval_ms / 1000, self._tick)
 
     def _tick(self):
         # All endpoints share one timer, because waking the process up is most
         # of the cost of an idle endpoint.
+        self._loop_lag.observe()
         self._schedule_tick()
         if self._temporary_endpoints:
             self._release_temporary_endpoints()
@@ -207,6 +217,7 @@
                 **self._options,
             )
             owner.is_temporary_owner = self._temporary_endpoints.__contains__
+            owner.load_shedder = self.load_shedder
             protocol.attach(owner, self.find_executor)
             self._owners[endpoint] = owner
             owner.start()
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -99,7 +99,7 @@
     primary_least_saving_ms: float = pydantic.Field(15.0, ge=0)
     distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
     latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
-    lag_weight: float = pydantic.Field(0.6, gt=0, le=1)
+    lag_weight: float = pydantic.Field(0.5, gt=0, le=1)
     stale_after_ms: float = pydantic.Field(500.0, gt=0)
     backoff_ms: float = pydantic.Field(200.0, gt=0)
     backoff_limit_ms: float = pydantic.Field(5000.0, gt=0)
@@ -130,6 +130,33 @@
     backoff_ms: float = pydantic.Field(5.0, ge=0)
 
 
+class SheddingSettings(PolicySettings):
+    """Settings of the refusals by a process that lacks processor time.
+
+    Parameters
+    ----------
+    target_lag_ms : float
+        Lateness of the timers up to which a process has enough processor
+        time.  A statement takes about ten turns of the event loop, each as
+        long as the mean lateness or longer.
+    lag_weight : float
+        Weight of a new observation in the moving average of the lateness.
+    gain : float
+        Change of the number of refused ranks at each observation, for a
+        lateness of twice the target.
+    excess_limit : float
+        Largest counted excess over the target, in multiples of it.
+    retry_after_ms : float
+        Delay that a refusal advises.
+    """
+
+    target_lag_ms: float = pydantic.Field(20.0, gt=0)
+    lag_weight: float = pydantic.Field(0.5, gt=0, le=1)
+    gain: float = pydantic.Field(0.1, gt=0)
+    excess_limit: float = pydantic.Field(2.0, gt=0)
+    retry_after_ms: float = pydantic.Field(1000.0, gt=0)
+
+
 class CommitWaitSettings(PolicySettings):
     """Settings of the wait for a commit quorum.
 
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import math
 
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._endpoint_pool import EndpointPool
@@ -9,6 +10,7 @@
 from waxwinglift.connection._owner_connections import SlotQueue
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.connection._statement_monitor import StatementMonitor
+from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
 from waxwinglift.process._statement_positions import GroupFloors
@@ -101,6 +103,25 @@
             return refuse("the endpoint is down")
         return None
 
+    def find_admission_refusal(self, header):
+        """Return the refusal of new work, or None if it may run.
+
+        The process also refuses new work that it lacks processor time for.
+        """
+        return self.find_refusal(header) or self._find_overload(header)
+
+    def _find_overload(self, header):
+        if self.load_shedder is None:
+            return None
+        index, floor_share = self._ranks.get(header.rank, (0, 0.0))
+        delay_ms = self.load_shedder.refusal_ms(index, floor_share)
+        if delay_ms is None:
+            return None
+        self.metrics.incr(f"owner.shed.{header.rank}")
+        message = "the endpoint's owner is short of processor time"
+        failure = not_run(FailureCode.OVERLOADED, message, math.ceil(delay_ms))
+        return ExchangeEnd(failure=failure)
+
     @property
     def idle_block_ms(self) -> float:
         """Longest idle time of a transaction block; 0 for no limit."""
@@ -138,6 +159,8 @@
     def _build(self, record):
         settings = self.settings
         self._last_term_and_phase = None
+        # Index of each rank by urgency, and its floor share.
+        self._ranks = {}
         self._in_flight_limit = InFlightLimit()
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
@@ -240,6 +263,14 @@
             if policy is not None:
                 rows[policy.urgency_index] = pool.table.rows[0]
         ordered = tuple(rows[index] for index in sorted(rows))
+        self._ranks = {
+            row.rank: (index, row.floor_percent / 100)
+            for index, row in enumerate(ordered)
+        }
+        if self.load_shedder is not None:
+            self.load_shedder.ranks_count = max(
+                self.load_shedder.ranks_count, len(ordered)
+            )
         table = PoolTable(_GROUP_QUEUE_POOL, self.group, ordered)
         self.slots.queue.set_tables([table] if ordered else [])
         blocks_count = self.blocks.queue.slots_count
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -305,13 +305,34 @@
             )
 
     def _route(self, attempts):
+        """Return the route, or why there is none.
+
+        Endpoints whose owner recently refused the rank for lack of processor
+        time are used by no route.
+        """
+        now_ms = self._context.now_ms()
+        backoff = self._context.overload_backoff
+        index = self._session.policy.urgency_index
+        overloaded = backoff.endpoints(index, now_ms)
+        routed = self._choose_route(attempts, overloaded)
+        if not overloaded or not isinstance(routed, Err):
+            return routed
+        without_backoff = self._choose_route(attempts, ())
+        if isinstance(without_backoff, Err):
+            return routed
+        endpoint = without_backoff.ok_value.endpoint
+        delay_ms = math.ceil(backoff.left_ms(endpoint, index, now_ms))
+        message = "the owners of all usable endpoints are overloaded"
+        return Err(not_run(FailureCode.OVERLOADED, message, delay_ms))
+
+    def _choose_route(self, attempts, overloaded):
         session = self._session
         request = RouteRequest(
             access=attempts.access,
             floor=session.floor,
             max_age_ms=None,
             deadline_ms=attempts.deadline_ms,
-            excluded=frozenset(attempts.excluded),
+            excluded=frozenset(attempts.excluded).union(overloaded),
             is_urgent=session.policy.urgency_index == 0,
             was_rejected=attempts.was_rejected,
             age_limit_ms=session.policy.max_staleness_ms,
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -170,7 +170,7 @@
         return self.header.statement_timeout_ms
 
     async def _run_single(self, statement, deadline_ms):
-        self._raise_if_refused()
+        self._raise_if_refused(self._owner.find_admission_refusal)
         after = await self._find_floor(deadline_ms)
         async with self._slot(deadline_ms):
             # The assignment and the role may have changed during the waits.
@@ -199,7 +199,7 @@
         return Reply(reply.answer, ended.status, reply.position)
 
     async def _begin_block(self, deadline_ms):
-        self._raise_if_refused()
+        self._raise_if_refused(self._owner.find_admission_refusal)
         after = await self._find_floor(deadline_ms)
         await self._enter_block_queue(deadline_ms)
         self._raise_if_refused()
@@ -315,8 +315,8 @@
         self._owner.monitor.record_response()
         return replies
 
-    def _raise_if_refused(self):
-        refusal = self._owner.find_refusal(self.header)
+    def _raise_if_refused(self, find=None):
+        refusal = (find or self._owner.find_refusal)(self.header)
         if refusal is not None:
             raise StreamFailed(refusal)
 
--- a/waxwinglift/request/_types.py
+++ b/waxwinglift/request/_types.py
@@ -31,6 +31,7 @@
 
     UNAVAILABLE = "57P03"
     REJECTED = "53400"
+    OVERLOADED = "53000"
     SHUTTING_DOWN = "57P01"
     OUTCOME_UNKNOWN = "08007"
     ALREADY_RAN = "WX001"
--- a/waxwinglift/request/tests/test_owner_overload.py
+++ b/waxwinglift/request/tests/test_owner_overload.py
@@ -13,6 +13,11 @@
 
 import pytest
 
+from waxwinglift.process._policy_settings import SheddingSettings
+from waxwinglift.request._load_shedder import LoadShedder
+from waxwinglift.request._overload_backoff import OverloadBackoff
+from waxwinglift.version import EndpointId
+
 # Processor time of the owner for each second, and for a request that is
 # refused or served.
 _CAPACITY_MS_PER_S = 516.0
@@ -23,6 +28,8 @@
 _ATTEMPT_LIMIT_COUNT = 3
 _TICK_MS = 50.0
 _RANKS_COUNT = 3
+_FLOOR_SHARE = 0.1
+_ENDPOINT = EndpointId("server")
 _ENTRIES_COUNT = 40
 _BURST_MS = (2000.0, 7000.0)
 _END_MS = 14_000.0
@@ -37,27 +44,40 @@
     first_ms: float = dataclasses.field(compare=False, default=0.0)
 
 
-class NoPolicy:
-    """Serves every request, as an owner does that only has its slots."""
+class SheddingPolicy:
+    """Decisions of the product: shedding by rank and backoff."""
+
+    def __init__(self):
+        self._shedder = LoadShedder(SheddingSettings(), random.Random(5))
+        self._shedder.ranks_count = _RANKS_COUNT
+        self._backoffs = [
+            OverloadBackoff(random.Random(number))
+            for number in range(_ENTRIES_COUNT)
+        ]
 
     def observe_lag(self, lag_ms):
-        """Do nothing."""
+        """Adapt the shedding."""
+        self._shedder.observe_lag(lag_ms)
 
     def refusal_ms(self, urgency_index):
         """Return the advised delay of a refused request, None if served."""
-        return None
+        return self._shedder.refusal_ms(urgency_index, _FLOOR_SHARE)
 
     def may_send(self, entry, urgency_index, now_ms):
         """Return whether an entry proxy sends the request to the owner."""
-        return True
+        backoff = self._backoffs[entry]
+        return backoff.left_ms(_ENDPOINT, urgency_index, now_ms) == 0
 
     def on_refused(self, entry, urgency_index, now_ms, retry_after_ms):
         """Record at the entry proxy that the owner refused a request."""
+        self._backoffs[entry].record(
+            _ENDPOINT, urgency_index, now_ms, retry_after_ms
+        )
 
 
 def make_policy():
     """Return the policy of the product."""
-    return NoPolicy()
+    return SheddingPolicy()
 
 
 class Owner:
