Do not count the time of a late process as silence of its endpoints

Cause: the answers waited in the sockets of the late process itself, whose timers counted that time as silence. The class of fault: a failure detector that cannot tell its own stall from that of the other side. The detectors and the connection pools of an owner now use a clock that stands still while the event loop is late.

--- a/waxwinglift/process/_loop_lag.py
+++ b/waxwinglift/process/_loop_lag.py
@@ -33,8 +33,17 @@
         self._now_ms = now_ms
         self._metrics = metrics
         self._due_ms: float | None = None
+        self._lost_ms = 0.0
         self._is_shedding = False
 
+    def awake_ms(self) -> float:
+        """Return the time of a clock that stands still while the loop is late.
+
+        Detectors of unresponsive endpoints use it: an answer that waits in
+        the process's own sockets is not missing.
+        """
+        return self._now_ms() - self._lost_ms
+
     def expect(self, interval_ms: float):
         """Record that the timer was set."""
         self._due_ms = self._now_ms() + interval_ms
@@ -44,6 +53,7 @@
         if self._due_ms is None:
             return
         lag_ms = max(0.0, self._now_ms() - self._due_ms)
+        self._lost_ms += lag_ms
         self._metrics.timing("process.loop_lag", lag_ms)
         self._load_shedder.observe_lag(lag_ms)
         self._log_change()
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -51,6 +51,9 @@
     view : FleetView
     now_ms : callable
         Monotonic clock.
+    awake_ms : callable, optional
+        Clock of the failure detectors, which may stand still while this
+        process is late.
     metrics : Metrics
     tracer : opentelemetry.trace.Tracer
     on_health : callable
@@ -68,6 +71,7 @@
         view: FleetView,
         *,
         now_ms: Callable[[], float] = monotonic_ms,
+        awake_ms: Callable[[], float] | None = None,
         metrics: Metrics | None = None,
         tracer: trace.Tracer | None = None,
         on_health: Callable[[EndpointId, HealthState], None] | None = None,
@@ -79,6 +83,7 @@
         self.settings = settings
         self.view = view
         self.now_ms = now_ms
+        self.awake_ms = awake_ms or now_ms
         self.metrics = metrics or NoMetrics()
         self.tracer = tracer or trace.NoOpTracer()
         self._address = record.address
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -86,6 +86,7 @@
         self._loop_lag = LoopLag(
             self.load_shedder, now_ms, metrics or NoMetrics()
         )
+        self._options["awake_ms"] = self._loop_lag.awake_ms
         # Endpoints that this proxy serves although they are assigned to other
         # proxies, and the time of their last request.
         self._temporary_endpoints: dict[EndpointId, float] = {}
--- a/waxwinglift/process/_postgresql_owner.py
+++ b/waxwinglift/process/_postgresql_owner.py
@@ -53,7 +53,7 @@
         self.monitor = EndpointMonitor(
             settings.health,
             self._open_monitor_connection,
-            self.now_ms,
+            self.awake_ms,
             self._mark_others_suspect,
             self._change_health,
             self._probe_idle_connection,
@@ -64,7 +64,7 @@
         self.connections = ConnectionManager(
             pool,
             self._open_serving_connection,
-            self.now_ms,
+            self.awake_ms,
             self.monitor.record_response,
             self.monitor.record_timeout,
         )
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -165,12 +165,12 @@
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
-            settings.health, self.now_ms, self._change_health
+            settings.health, self.awake_ms, self._change_health
         )
         self.connections = ConnectionManager(
             pool,
             self._open_link,
-            self.now_ms,
+            self.awake_ms,
             self.monitor.record_response,
             self.monitor.record_timeout,
             self.monitor.record_attempt,
