Keep the queue of an overloaded endpoint short enough to answer in time

In the trial of the shedding on the small twin half of the requests still failed with "the endpoint's owner did not answer in time", about 950 ms after their arrival, at four of ten endpoints, with no endpoint or owner lost.

Cause: the admission queue accepts a request whenever it is expected to start before its deadline. Under a lasting overload the queue therefore fills up until each request starts just before its deadline, and every answer is late: the slots work, and nobody is served. The class of fault: a bound on the wait that leaves no time for the work itself.

AdmissionSettings.wait_fraction limits the expected wait to a part of the time until the deadline, and refuses a request that has waited too long to be answered.

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -6,6 +6,7 @@
 from waxwinglift.platform._settings import PlatformSettings
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_settings import OwnerSettings
+from waxwinglift.process._policy_settings import AdmissionSettings
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 from waxwinglift.process._settings import ControlSettings
 from waxwinglift.process._settings import ControlTimingSettings
@@ -17,6 +18,8 @@
 
 # Missing announcements after which an endpoint counts as lost.
 _MISSED_ANNOUNCEMENTS_COUNT = 4
+# Part of a statement's time that it may wait for a slot.
+_WAIT_FRACTION = 0.5
 # A connection that opens occupies a slot of the server, which has two or more.
 _OPENING_LIMIT_COUNT = 2
 # The platform checks readiness each second and needs two failed checks.
@@ -88,6 +91,7 @@
         owner=OwnerSettings(
             protocol=PROTOCOL,
             drain_timeout_ms=drain_ms,
+            admission=AdmissionSettings(wait_fraction=_WAIT_FRACTION),
             pool=EndpointPoolSettings(
                 keeps_surplus=True, opening_limit_count=_OPENING_LIMIT_COUNT
             ),
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -34,6 +34,10 @@
         this.
     is_floor_expected : bool
         Whether the expected wait of a rank is based on its floor share.
+    wait_fraction : float
+        Part of the time until its deadline that a request may be expected
+        to wait.  The rest is for its execution and the way of its answer;
+        a request that has waited for half of the rest too is refused.
     advance_limit_count : int
         Maximum number of turns that a caller may be ahead of the others of
         its rank, for requests that would miss their deadline if they waited
@@ -46,6 +50,7 @@
     debt_window_ms: float = pydantic.Field(0.0, ge=0)
     flood_depth: int = pydantic.Field(2, ge=0)
     is_floor_expected: bool = True
+    wait_fraction: float = pydantic.Field(1.0, gt=0, le=1)
     advance_limit_count: int = pydantic.Field(4, ge=0)
 
 
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -125,7 +125,7 @@
         if not len(rank):
             rank.virtual_ms = max(rank.virtual_ms, self._virtual_ms)
         rank.push(ticket)
-        expiry = (ticket.deadline_ms, ticket.request, ticket)
+        expiry = (self._latest_start_ms(ticket), ticket.request, ticket)
         heapq.heappush(self._expiries, expiry)
         return self._start_next(now_ms)
 
@@ -171,7 +171,7 @@
         return []
 
     def expire(self, now_ms):
-        """Refuse the waiting tickets whose deadline has passed.
+        """Refuse the waiting tickets that would start too late.
 
         Returns
         -------
@@ -245,11 +245,18 @@
             message = f"queue of rank {ticket.rank} is full ({len(rank)} wait)"
             return [_refuse(ticket, FailureCode.REJECTED, message, wait_ms)]
         wait_ms = self.expected_wait_ms(ticket)
-        if now_ms + wait_ms > ticket.deadline_ms:
+        left_ms = ticket.deadline_ms - now_ms
+        if wait_ms > self.settings.wait_fraction * left_ms:
             message = f"expected wait of {wait_ms:.0f} ms exceeds the deadline"
             return [_refuse(ticket, FailureCode.REJECTED, message, wait_ms)]
         return []
 
+    def _latest_start_ms(self, ticket):
+        """Return when it is too late to start, although time is left."""
+        limit_ms = ticket.deadline_ms - ticket.arrival_ms
+        reserve_ms = (1 - self.settings.wait_fraction) / 2 * limit_ms
+        return ticket.deadline_ms - reserve_ms
+
     def _usable_slots_count(self, rank):
         limit_count = rank.row.limit_count or self.slots_count
         return min(limit_count, self.slots_count)
