Let the standby owner serve while an owner is short of processor time

With the shedding alone, requests of the less urgent ranks are refused although the proxies around the owner are nearly idle: on the grown sites twelve owners stand at their processor limit and the median proxy uses 5 to 9%.

The backoff of the entry proxies now belongs to a pair of endpoint and owner. After a refusal for lack of processor time the standby owner, which already serves when the owner cannot be reached, gets the requests, with its own connections and its own shedding; only if both refuse is the endpoint closed for the rank, and the caller refused at once with a time to come back.

The choice of the proxy moves to a module of its own.

--- a/waxwinglift/request/_overload_backoff.py
+++ b/waxwinglift/request/_overload_backoff.py
@@ -1,8 +1,9 @@
-"""Endpoints whose owner has refused a rank for lack of processor time."""
+"""Owners that have refused a rank for lack of processor time."""
 
 import collections
 import random
 
+from waxwinglift.process import DaemonId
 from waxwinglift.version import EndpointId
 
 # Limits of the random factor on the advised delay.  Without it, all proxies
@@ -15,7 +16,8 @@
 
     Even a refusal costs an owner nearly half of the processor time of a
     request that it serves.  After a refusal of one rank, the proxy sends
-    neither this rank nor a less urgent one to the endpoint for a time.
+    neither this rank nor a less urgent one to the owner for a time.  The
+    standby owner of the endpoint may serve it meanwhile.
 
     Parameters
     ----------
@@ -30,28 +32,50 @@
     def record(
         self,
         endpoint: EndpointId,
+        daemon: DaemonId,
         urgency_index: int,
         now_ms: float,
         retry_after_ms: float,
     ):
-        """Record that the owner of an endpoint refused a request."""
+        """Record that an owner or standby owner refused a request."""
         delay_ms = retry_after_ms * self._rng.uniform(*_SPREAD)
-        self._until_ms[endpoint][urgency_index] = now_ms + delay_ms
+        until_ms = self._until_ms[endpoint, daemon]
+        until_ms[urgency_index] = now_ms + delay_ms
 
     def left_ms(
-        self, endpoint: EndpointId, urgency_index: int, now_ms: float
+        self,
+        endpoint: EndpointId,
+        daemon: DaemonId | None,
+        urgency_index: int,
+        now_ms: float,
     ) -> float:
         """Return for how long no request of a rank is sent; 0 for none."""
-        until_ms = self._until_ms.get(endpoint)
+        until_ms = self._until_ms.get((endpoint, daemon))
         if until_ms is None:
             return 0.0
         ends_ms = [ms for i, ms in until_ms.items() if i <= urgency_index]
         return max(0.0, max(ends_ms, default=now_ms) - now_ms)
 
-    def endpoints(self, urgency_index: int, now_ms: float) -> set[EndpointId]:
-        """Return the endpoints that must not get requests of a rank."""
-        return {
-            endpoint
-            for endpoint in self._until_ms
-            if self.left_ms(endpoint, urgency_index, now_ms) > 0
-        }
+    def closed_endpoints(
+        self, views, urgency_index: int, now_ms: float
+    ) -> dict[EndpointId, float]:
+        """Return the endpoints without an owner that takes requests of a rank.
+
+        The values are the times, in ms, after which one may take them.
+
+        Parameters
+        ----------
+        views : iterable of EndpointView
+        urgency_index : int
+        now_ms : float
+        """
+        closed = {}
+        for view in views:
+            daemons = (view.owner, view.standby or view.owner)
+            left_ms = min(
+                self.left_ms(view.endpoint, daemon, urgency_index, now_ms)
+                for daemon in daemons
+            )
+            if left_ms > 0:
+                closed[view.endpoint] = left_ms
+        return closed
--- a/waxwinglift/request/_statement_retries.py
+++ b/waxwinglift/request/_statement_retries.py
@@ -56,7 +56,8 @@
         if can_use_other_daemon(end):
             return True
         if failure.code is FailureCode.OVERLOADED:
-            return self._can_avoid_overload(failure, route, now_ms)
+            # Without a route, no other owner is left: refuse at once.
+            return route is not None
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
             return True
@@ -74,22 +75,6 @@
             return await self._wait_for_change(attempts, now_ms)
         return await self._wait_for_retry(attempts, end, route)
 
-    def _can_avoid_overload(self, failure, route, now_ms):
-        """Record an overloaded owner; return whether to look for another.
-
-        Without a route, no endpoint is left, and the caller is refused at
-        once.
-        """
-        if route is None:
-            return False
-        self._context.overload_backoff.record(
-            route.endpoint,
-            self._session.policy.urgency_index,
-            now_ms,
-            failure.retry_after_ms or 0,
-        )
-        return True
-
     def _is_position_unknown(self, end, route):
         """Return whether replicas lack a recent position of the primary."""
         is_replica = route is not None and route.role is EndpointRole.REPLICA
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -25,9 +25,9 @@
 from waxwinglift.request._statement_attempts import final_outcome
 from waxwinglift.request._statement_attempts import mark_retryable_error
 from waxwinglift.request._statement_attempts import StatementAttempts
+from waxwinglift.request._statement_daemons import StatementDaemons
 from waxwinglift.request._statement_failures import interrupted_failure
 from waxwinglift.request._statement_failures import StatementProgress
-from waxwinglift.request._statement_retries import can_use_other_daemon
 from waxwinglift.request._statement_retries import StatementRetries
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
@@ -61,6 +61,7 @@
         self.has_block_written = False
         self._stream: TransactionStream | None = None
         self._retries = StatementRetries(context, session)
+        self._daemons = StatementDaemons(context, session)
 
     @property
     def is_in_block(self) -> bool:
@@ -227,7 +228,7 @@
         if isinstance(routed, Err):
             return ExchangeEnd(failure=routed.err_value), None
         route = routed.ok_value
-        daemon, executor = self._choose_daemon(route, attempts)
+        daemon, executor = self._daemons.choose(route, attempts)
         if executor is None:
             message = "no owner of the endpoint can be reached"
             failure = not_run(FailureCode.UNAVAILABLE, message)
@@ -241,31 +242,11 @@
             self._header(attempts, route, daemon != route.owner)
         )
         end = await self._run_and_record_stats(route, statement, attempts)
-        if can_use_other_daemon(end):
-            attempts.unreachable.add((route.endpoint, daemon))
+        self._daemons.record_outcome(end, route, daemon, attempts)
         if end.failure is not None:
             await self.close()
         return end, route
 
-    def _choose_daemon(self, route, attempts):
-        """Return the daemon to send the statement to, and its executor.
-
-        The owner comes first, then the standby owner, then this proxy.  The
-        last two may serve without an assignment by control, because the
-        servers fence themselves.
-        """
-        executors = self._context.executors
-        this_daemon = self._context.view.daemon
-        daemons = dict.fromkeys((route.owner, route.standby, this_daemon))
-        for daemon in daemons:
-            pair = (route.endpoint, daemon)
-            if daemon is None or pair in attempts.unreachable:
-                continue
-            executor = executors.executor_for(daemon)
-            if executor is not None and not executor.is_unresponsive:
-                return daemon, executor
-        return None, None
-
     async def _run_and_record_stats(self, route, statement, attempts):
         endpoint_stats = self._context.endpoint_stats(
             self._session.table.group
@@ -310,21 +291,26 @@
         Endpoints whose owner recently refused the rank for lack of processor
         time are used by no route.
         """
-        now_ms = self._context.now_ms()
-        backoff = self._context.overload_backoff
-        index = self._session.policy.urgency_index
-        overloaded = backoff.endpoints(index, now_ms)
+        overloaded = self._find_overloaded()
         routed = self._choose_route(attempts, overloaded)
         if not overloaded or not isinstance(routed, Err):
             return routed
-        without_backoff = self._choose_route(attempts, ())
-        if isinstance(without_backoff, Err):
+        if isinstance(self._choose_route(attempts, ()), Err):
             return routed
-        endpoint = without_backoff.ok_value.endpoint
-        delay_ms = math.ceil(backoff.left_ms(endpoint, index, now_ms))
         message = "the owners of all usable endpoints are overloaded"
+        delay_ms = math.ceil(min(overloaded.values()))
         return Err(not_run(FailureCode.OVERLOADED, message, delay_ms))
 
+    def _find_overloaded(self):
+        group_view = self._context.group_view(self._session.table.group)
+        if group_view is None:
+            return {}
+        primary = group_view.primary
+        views = [*group_view.replicas, *([primary] if primary else [])]
+        return self._context.overload_backoff.closed_endpoints(
+            views, self._session.policy.urgency_index, self._context.now_ms()
+        )
+
     def _choose_route(self, attempts, overloaded):
         session = self._session
         request = RouteRequest(
--- a/waxwinglift/request/tests/test_owner_overload.py
+++ b/waxwinglift/request/tests/test_owner_overload.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from waxwinglift.process import DaemonId
 from waxwinglift.process._policy_settings import SheddingSettings
 from waxwinglift.request._load_shedder import LoadShedder
 from waxwinglift.request._overload_backoff import OverloadBackoff
@@ -30,6 +31,7 @@
 _RANKS_COUNT = 3
 _FLOOR_SHARE = 0.1
 _ENDPOINT = EndpointId("server")
+_OWNER = DaemonId("proxy-1")
 _ENTRIES_COUNT = 40
 _BURST_MS = (2000.0, 7000.0)
 _END_MS = 14_000.0
@@ -66,12 +68,13 @@
     def may_send(self, entry, urgency_index, now_ms):
         """Return whether an entry proxy sends the request to the owner."""
         backoff = self._backoffs[entry]
-        return backoff.left_ms(_ENDPOINT, urgency_index, now_ms) == 0
+        left_ms = backoff.left_ms(_ENDPOINT, _OWNER, urgency_index, now_ms)
+        return left_ms == 0
 
     def on_refused(self, entry, urgency_index, now_ms, retry_after_ms):
         """Record at the entry proxy that the owner refused a request."""
         self._backoffs[entry].record(
-            _ENDPOINT, urgency_index, now_ms, retry_after_ms
+            _ENDPOINT, _OWNER, urgency_index, now_ms, retry_after_ms
         )
 
 
