--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -21,6 +21,7 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
+from waxwinglift.request._load_shedder import LoadShedder
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import GroupPhase
@@ -39,6 +40,9 @@
     requests until the fleet's state names it as the owner.  A StatementOwner
     also serves requests of proxies that cannot reach the owner.
 
+    ``load_shedder`` is that of the process; only a StatementOwner refuses
+    requests by it.
+
     Parameters
     ----------
     endpoint : EndpointId
@@ -47,6 +51,9 @@
     view : FleetView
     now_ms : callable
         Monotonic clock.
+    awake_ms : callable, optional
+        Clock of the failure detectors, which may stand still while this
+        process is late.
     metrics : Metrics
     tracer : opentelemetry.trace.Tracer
     on_health : callable
@@ -55,6 +62,8 @@
         Called once the serving connections are closed.
     """
 
+    load_shedder: LoadShedder | None = None
+
     def __init__(
         self,
         endpoint: EndpointId,
@@ -62,6 +71,7 @@
         view: FleetView,
         *,
         now_ms: Callable[[], float] = monotonic_ms,
+        awake_ms: Callable[[], float] | None = None,
         metrics: Metrics | None = None,
         tracer: trace.Tracer | None = None,
         on_health: Callable[[EndpointId, HealthState], None] | None = None,
@@ -73,6 +83,7 @@
         self.settings = settings
         self.view = view
         self.now_ms = now_ms
+        self.awake_ms = awake_ms or now_ms
         self.metrics = metrics or NoMetrics()
         self.tracer = tracer or trace.NoOpTracer()
         self._address = record.address
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -34,6 +34,10 @@
         this.
     is_floor_expected : bool
         Whether the expected wait of a rank is based on its floor share.
+    wait_fraction : float
+        Part of the time until its deadline that a request may be expected
+        to wait.  The rest is for its execution and the way of its answer;
+        a request that has waited for half of the rest too is refused.
     advance_limit_count : int
         Maximum number of turns that a caller may be ahead of the others of
         its rank, for requests that would miss their deadline if they waited
@@ -46,6 +50,7 @@
     debt_window_ms: float = pydantic.Field(0.0, ge=0)
     flood_depth: int = pydantic.Field(2, ge=0)
     is_floor_expected: bool = True
+    wait_fraction: float = pydantic.Field(1.0, gt=0, le=1)
     advance_limit_count: int = pydantic.Field(4, ge=0)
 
 
@@ -99,7 +104,7 @@
     primary_least_saving_ms: float = pydantic.Field(15.0, ge=0)
     distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
     latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
-    lag_weight: float = pydantic.Field(0.6, gt=0, le=1)
+    lag_weight: float = pydantic.Field(0.5, gt=0, le=1)
     stale_after_ms: float = pydantic.Field(500.0, gt=0)
     backoff_ms: float = pydantic.Field(200.0, gt=0)
     backoff_limit_ms: float = pydantic.Field(5000.0, gt=0)
@@ -130,6 +135,33 @@
     backoff_ms: float = pydantic.Field(5.0, ge=0)
 
 
+class SheddingSettings(PolicySettings):
+    """Settings of the refusals by a process that lacks processor time.
+
+    Parameters
+    ----------
+    target_lag_ms : float
+        Lateness of the timers up to which a process has enough processor
+        time.  A statement takes about ten turns of the event loop, each as
+        long as the mean lateness or longer.
+    lag_weight : float
+        Weight of a new observation in the moving average of the lateness.
+    gain : float
+        Change of the number of refused ranks at each observation, for a
+        lateness of twice the target.
+    excess_limit : float
+        Largest counted excess over the target, in multiples of it.
+    retry_after_ms : float
+        Delay that a refusal advises.
+    """
+
+    target_lag_ms: float = pydantic.Field(20.0, gt=0)
+    lag_weight: float = pydantic.Field(0.5, gt=0, le=1)
+    gain: float = pydantic.Field(0.1, gt=0)
+    excess_limit: float = pydantic.Field(2.0, gt=0)
+    retry_after_ms: float = pydantic.Field(1000.0, gt=0)
+
+
 class CommitWaitSettings(PolicySettings):
     """Settings of the wait for a commit quorum.
 
@@ -158,6 +190,9 @@
     keeps_surplus : bool
         Whether connections beyond these stay open when demand has fallen;
         for endpoints where opening a connection is expensive.
+    opening_limit_count : int
+        Connections that may open at the same time, for endpoints where an
+        opening occupies a slot; 0 for no limit.
     open_timeout_ms, probe_timeout_ms : float
         Timeouts for opening a connection and for the answer to a probe.
     idle_probe_ms : float
@@ -170,6 +205,7 @@
 
     spare_count: int = pydantic.Field(2, ge=0)
     keeps_surplus: bool = False
+    opening_limit_count: int = pydantic.Field(0, ge=0)
     open_timeout_ms: float = pydantic.Field(600.0, gt=0)
     probe_timeout_ms: float = pydantic.Field(300.0, gt=0)
     idle_probe_ms: float = pydantic.Field(1000.0, gt=0)
--- a/waxwinglift/request/_statement_retries.py
+++ b/waxwinglift/request/_statement_retries.py
@@ -55,6 +55,9 @@
             attempts.last_outcome_after_run = end
         if can_use_other_daemon(end):
             return True
+        if failure.code is FailureCode.OVERLOADED:
+            # Without a route, no other owner is left: refuse at once.
+            return route is not None
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
             return True
