Count an owner that does not answer in time as overloaded

Cause: the backoff of the entry proxies waited for a refusal, but an owner whose sockets are full cannot refuse in time either, so that the entries went on to send it everything. The class of fault: a feedback that is carried by the resource that is exhausted.

An owner that does not answer in time, or cannot be reached, now gets no request of the rank for half a second; the standby owner serves meanwhile. The test with a silent owner failed before: each statement waited for it again.

--- a/waxwinglift/platform/tests/test_statement_overload.py
+++ b/waxwinglift/platform/tests/test_statement_overload.py
@@ -96,3 +96,38 @@
 
     first, last = run(scenario)
     assert first == last == 2
+
+
+@pytest.mark.parametrize("pool", ["pay", "refill"])
+def test_owner_that_does_not_answer_gets_no_further_requests(pool):
+    """An owner with full sockets cannot refuse; its silence must count.
+
+    Without that, the entry proxies went on to send it all requests.
+    """
+
+    async def scenario(fleet):
+        silent = fleet.proxies[_OWNER].owners
+        opened = []
+        silent.open = lambda header: opened.append(header) or _SilentStream()
+        async with fleet.connected(pool) as caller:
+            first = await caller.query("WRITE 1a4 coal")
+            others = [await caller.query("WRITE 1a4 coal") for _ in range(3)]
+        return first, others, len(opened)
+
+    first, others, opened_count = run(scenario)
+    assert first.error.split(b" ")[0] == b"INDOUBT"
+    assert [answer.error for answer in others] == [b""] * 3
+    assert opened_count == 1
+
+
+class _SilentStream:
+    """Stream of an owner that does not answer."""
+
+    async def run(self, exchange, sink):
+        await asyncio.sleep(60)
+
+    def cancel(self):
+        """Do nothing."""
+
+    async def close(self):
+        """Do nothing."""
--- a/waxwinglift/request/_statement_daemons.py
+++ b/waxwinglift/request/_statement_daemons.py
@@ -5,6 +5,11 @@
 from waxwinglift.request._statement_retries import can_use_other_daemon
 
 
+# Time for which an owner that did not answer in time gets no request of the
+# rank.  An owner whose sockets are full cannot even refuse in time.
+_NO_ANSWER_BACKOFF_MS = 500.0
+
+
 class StatementDaemons:
     """Chooses among the owner, the standby owner and this proxy.
 
@@ -58,15 +63,15 @@
         """
         if can_use_other_daemon(end):
             attempts.unreachable.add((route.endpoint, daemon))
-        failure = end.failure
-        if failure is None or failure.code is not FailureCode.OVERLOADED:
+        delay_ms = _backoff_ms(end)
+        if delay_ms is None:
             return
         self._context.overload_backoff.record(
             route.endpoint,
             daemon,
             self._session.policy.urgency_index,
             self._context.now_ms(),
-            failure.retry_after_ms or 0,
+            delay_ms,
         )
 
     def _is_overloaded(self, endpoint, daemon):
@@ -75,3 +80,12 @@
             endpoint, daemon, index, self._context.now_ms()
         )
         return left_ms > 0
+
+
+def _backoff_ms(end):
+    """Return how long to keep requests from a daemon, None for not at all."""
+    if end.failure is None:
+        return None
+    if end.failure.code is FailureCode.OVERLOADED:
+        return end.failure.retry_after_ms or 0
+    return _NO_ANSWER_BACKOFF_MS if end.is_owner_unreachable else None
