--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -34,7 +34,6 @@
 START_TIMEOUT_S = 30.0
 STATEMENTS_COUNT = 3000
 KILL_AFTER_S = 4.0
-GAP_BOUND_MS = 3000
 
 
 def wait_for(description, condition):
--- a/scripts/live_faults.py
+++ b/scripts/live_faults.py
@@ -32,7 +32,6 @@
 STATEMENTS_COUNT = 1500
 FAULT_AFTER_S = 2.0
 PAUSE_S = 4.0
-ENDPOINTS_COUNT = 3
 ROW = "{:28} {:>7} {:>6} {:>8} {:>6} {:>7} {:>8} {:>8}"
 
 # Coroutine functions by the name of the fault that they inject in a Target.
--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -12,7 +12,6 @@
 from waxwinglift.version import Term
 
 LINE_LIMIT_BYTES = 2**20
-END = b"\r\n"
 # Field without a value: no position, no receipt or no request id.
 EMPTY_FIELD = b"-"
 # Number of unread lines above which reading from the peer is paused.
--- a/waxwinglift/process/_metrics_page.py
+++ b/waxwinglift/process/_metrics_page.py
@@ -7,7 +7,7 @@
 from waxwinglift.process._http_page import Page
 
 # Upper bounds of the histogram buckets, in milliseconds: from a statement
-# within the data centre to the longest statement timeout.
+# within the data centre to one that runs for seconds.
 _BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1600, 3200, 6400)
 _UNSAFE = re.compile("[^a-zA-Z0-9_]")
 
--- a/waxwinglift_bench/process/_load.py
+++ b/waxwinglift_bench/process/_load.py
@@ -28,8 +28,6 @@
 RETRY_DELAY_S = 0.1
 CONNECT_TIMEOUT_S = 3
 
-UNKNOWN_SQLSTATE = "08007"
-
 
 def _now_ms():
     return time.monotonic() * 1000.0
--- a/waxwinglift_standin/platform/_server.py
+++ b/waxwinglift_standin/platform/_server.py
@@ -66,8 +66,6 @@
         self.slots = asyncio.Semaphore(settings.slots_count)
         self.waiting_count = 0
         self.receipt_numbers = itertools.count(1)
-        # Whether statements run but their results are not sent.
-        self.drops_results = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
--- a/waxwinglift_standin/platform/_session.py
+++ b/waxwinglift_standin/platform/_session.py
@@ -102,8 +102,6 @@
 
     def _send_result(self, receipt=b"-", rows=()):
         rows = [b"DATAROW " + row for row in rows]
-        if self.server.drops_results:
-            return
         self._send(*rows, b"COMPLETE " + receipt)
 
     def _make_receipt(self, request):
