Send statements between proxies in frames instead of gRPC streams

Callers of a busy group waited because the owners of its endpoints used 0.35 ms of processor time for each exchange of the hop alone. Profiles show HTTP/2 framing and flow control, and a task for each exchange and each pending read.

One TCP connection for each pair of proxies now carries frames of many streams, as asyncio protocols at both ends. An exchange runs in the task of its stream; the end of the stream or the connection interrupts it, and cancels reach it by a callback, so no read is pending beside it.

What HTTP/2 gave stays: a window for each stream's answers, with grants, and waiting writers bound the memory; pings each second on a quiet connection reveal an isolated peer; the end of a connection fails its exchanges at once; the server closes its connections when it stops. New limits: a larger exchange than 64 MiB is NOT_RUN, a larger answer is MAY_HAVE_RUN, a malformed frame ends its connection with a log line. An exchange whose stream has ended before it starts does not run any more. Proxies with frames and proxies with gRPC cannot forward to each other.

--- a/waxwinglift/process/_peer_cancel.py
+++ b/waxwinglift/process/_peer_cancel.py
@@ -13,9 +13,11 @@
 from waxwinglift.connection._cancel_key import CancelKey
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import RunningStatement
+from waxwinglift.process._peer_client_connection import PeerConnector
 from waxwinglift.process._peer_codec import decode_cancel_key
 from waxwinglift.process._peer_codec import encode_cancel_key
 from waxwinglift.process._peer_codec import encode_end
+from waxwinglift.process._peer_frames import FrameKind
 from waxwinglift.process.rpc import peer_pb2
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
@@ -48,7 +50,7 @@
         await _reply(stream, ExchangeEnd())
 
 
-async def send_cancel_request(stream, key: CancelKey):
+async def send_cancel_request(connector: PeerConnector, key: CancelKey):
     """Cancel the running statement of a session over a new stream.
 
     Raises
@@ -56,15 +58,26 @@
     TimeoutError
         The proxy did not answer in time.  If the second frame has been sent,
         it may still cancel the statement; otherwise nothing is cancelled.
+    OSError
+        The proxy cannot be reached.
     """
     async with asyncio.timeout(CANCEL_TIMEOUT_S):
-        await stream.open()
-        await stream.send(encode_cancel_key(key))
-        reply = await stream.receive()
-        if reply is None or reply.end.HasField("failure"):
-            return
-        await stream.send(peer_pb2.ExecuteFrame(cancel=True))
-        await stream.receive()
+        connection = await connector.connect()
+        stream = connection.open_stream(FrameKind.RESULT)
+        try:
+            await _request_cancel(stream, key)
+        finally:
+            stream.finish()
+
+
+async def _request_cancel(stream, key):
+    await stream.send(FrameKind.EXECUTE, encode_cancel_key(key))
+    reply = await stream.receive()
+    if reply is None or reply.end.HasField("failure"):
+        return
+    confirmation = peer_pb2.ExecuteFrame(cancel=True)
+    await stream.send(FrameKind.EXECUTE, confirmation)
+    await stream.receive()
 
 
 async def _reply(stream, end):
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -3,11 +3,6 @@
 import asyncio
 import contextlib
 
-from grpclib.client import Channel
-from grpclib.config import Configuration
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
 from result import Err
 from result import Ok
 from result import Result
@@ -22,16 +17,19 @@
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._peer_cancel import send_cancel_request
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._peer_client_connection import ClientStream
+from waxwinglift.process._peer_client_connection import OPEN_TIMEOUT_S
+from waxwinglift.process._peer_client_connection import PeerConnector
 from waxwinglift.process._peer_codec import decode_failure
 from waxwinglift.process._peer_codec import decode_position
 from waxwinglift.process._peer_codec import decode_result
 from waxwinglift.process._peer_codec import encode_exchange
+from waxwinglift.process._peer_frames import FrameKind
+from waxwinglift.process._peer_frames import FrameTooLargeError
 from waxwinglift.process._peer_health import PeerHealth
 from waxwinglift.process._types import Address
 from waxwinglift.process._types import DaemonId
-from waxwinglift.process.rpc import peer_grpc
 from waxwinglift.process.rpc import peer_pb2
-from waxwinglift.process.rpc._channels import retrieve_exception
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import may_have_run
@@ -40,29 +38,17 @@
 from waxwinglift.version import Position
 from waxwinglift.version import Term
 
-# Interval of the HTTP/2 keep-alive pings, and time limit for their answers.  A
-# missing answer reveals an isolated peer.
-_KEEPALIVE_S = 1.0
 # Idle streams kept open per peer.
 _IDLE_LIMIT_COUNT = 64
 _POSITION_TIMEOUT_S = 2.0
-# Time limit for opening a stream, including a new connection.  Two round trips
-# between regions take 48 ms.
-_OPEN_TIMEOUT_MS = 400.0
-_CONNECTION_ERRORS = (
-    OSError,
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    asyncio.TimeoutError,
-)
+_CONNECTION_ERRORS = (OSError, asyncio.TimeoutError)
 
 
 class PeerClient:
     """Executor of one other proxy.
 
-    A gRPC stream serves one transaction at a time and is reused for the next
-    one, because opening a stream costs more than a small exchange.
+    A stream serves one transaction at a time and is reused for the next one,
+    which saves the peer a task for each transaction.
 
     Parameters
     ----------
@@ -72,9 +58,9 @@
     def __init__(self, address: Address):
         self.address = address
         self.health = PeerHealth(self._ping, self._reconnect, monotonic_ms)
-        self._idle_streams: list[_GrpcStream] = []
+        self._connector = PeerConnector(address)
+        self._idle_streams: list[ClientStream] = []
         self._background_tasks: set[asyncio.Task] = set()
-        self._connect()
 
     @property
     def is_unresponsive(self) -> bool:
@@ -92,9 +78,8 @@
         request = peer_pb2.GroupPositionRequest(group=group, term=term)
         self.health.record_request()
         try:
-            reply = await self._stub.GroupPosition(
-                request, timeout=_POSITION_TIMEOUT_S
-            )
+            async with asyncio.timeout(_POSITION_TIMEOUT_S):
+                reply = await self._request_position(request)
         except _CONNECTION_ERRORS as error:
             return Err(_unreachable(error))
         finally:
@@ -106,68 +91,41 @@
 
     async def cancel(self, key: CancelKey):
         """Cancel the running statement of a session, ignoring errors."""
-        stream = _GrpcStream(self._stub.Execute.open())
-        try:
-            with contextlib.suppress(*_CONNECTION_ERRORS):
-                await send_cancel_request(stream, key)
-        finally:
-            self.run_in_background(stream.finish())
+        with contextlib.suppress(*_CONNECTION_ERRORS):
+            await send_cancel_request(self._connector, key)
 
     def close(self):
         """Close the connection; open transactions are rolled back."""
+        self._connector.close()
         self.health.close()
-        self._discard_idle_streams()
+        self._idle_streams.clear()
         for task in self._background_tasks:
             task.cancel()
-        self._channel.close()
-
-    def _connect(self):
-        self._channel = Channel(
-            self.address.host,
-            self.address.port,
-            config=Configuration(
-                _keepalive_time=_KEEPALIVE_S,
-                _keepalive_timeout=_KEEPALIVE_S,
-                _http2_max_pings_without_data=0,
-            ),
-        )
-        self._stub = peer_grpc.PeerStub(self._channel)
 
-    def _reconnect(self):
-        """Replace an unresponsive connection; running exchanges fail."""
-        self._discard_idle_streams()
-        self._channel.close()
-        self._connect()
+    def record_connection_failure(self):
+        """Record that the connection could not be opened."""
+        if not self._connector.is_closed:
+            self.health.record_connection_failure()
 
-    def _discard_idle_streams(self):
-        for stream in self._idle_streams:
-            stream.stop_reading()
-        self._idle_streams.clear()
-
-    async def _ping(self, timeout_ms):
-        try:
-            message = peer_pb2.PingMessage()
-            await self._stub.Ping(message, timeout=timeout_ms / 1000)
-        except _CONNECTION_ERRORS:
-            return False
-        return True
-
-    def acquire(self) -> "_GrpcStream":
-        """Return an idle stream that is still open, or a new one."""
+    def take_idle_stream(self) -> ClientStream | None:
+        """Return an idle stream that is still open, or None."""
         while self._idle_streams:
             stream = self._idle_streams.pop()
-            if stream.is_usable:
+            if not stream.is_ended:
                 return stream
-            stream.stop_reading()
-        return _GrpcStream(self._stub.Execute.open())
+        return None
 
-    def release(self, stream: "_GrpcStream"):
+    async def open_stream(self) -> ClientStream:
+        """Return a new stream, after connecting if necessary."""
+        connection = await self._connector.connect()
+        return connection.open_stream(FrameKind.RESULT)
+
+    def release(self, stream: ClientStream):
         """Make an idle stream available to the next transaction."""
         if len(self._idle_streams) >= _IDLE_LIMIT_COUNT:
-            self.run_in_background(stream.finish())
-            return
-        stream.start_reading()
-        self._idle_streams.append(stream)
+            stream.finish()
+        elif not stream.is_ended:
+            self._idle_streams.append(stream)
 
     def run_in_background(self, coroutine):
         """Run a coroutine in a task of its own and return the task."""
@@ -176,51 +134,31 @@
         task.add_done_callback(self._background_tasks.discard)
         return task
 
+    def _reconnect(self):
+        """Replace an unresponsive connection; running exchanges fail."""
+        self._idle_streams.clear()
+        self._connector.discard()
 
-class _GrpcStream:
-    """One gRPC stream; reads while idle in order to detect its end."""
-
-    def __init__(self, call):
-        self.is_open = False
-        self._call = call
-        self._pending_reply: asyncio.Task | None = None
-
-    @property
-    def is_usable(self) -> bool:
-        return (
-            self._pending_reply is not None and not self._pending_reply.done()
-        )
-
-    async def open(self):
-        await self._call.__aenter__()
-        await self._call.send_request()
-        self.is_open = True
-
-    async def send(self, frame):
-        await self._call.send_message(frame)
-
-    def start_reading(self):
-        self._pending_reply = asyncio.ensure_future(self._call.recv_message())
-        # No task awaits this read while the stream is idle, so asyncio would
-        # log its error.
-        self._pending_reply.add_done_callback(retrieve_exception)
-
-    async def receive(self):
-        pending_reply, self._pending_reply = self._pending_reply, None
-        if pending_reply is not None:
-            return await pending_reply
-        return await self._call.recv_message()
-
-    async def finish(self):
-        """End the stream; an open transaction is rolled back."""
-        with contextlib.suppress(*_CONNECTION_ERRORS):
-            if self.is_open:
-                await self._call.end()
-            await self._call.__aexit__(None, None, None)
+    async def _request_position(self, request):
+        connection = await self._connector.connect()
+        stream = connection.open_stream(FrameKind.POSITION_REPLY)
+        try:
+            await stream.send(FrameKind.POSITION_REQUEST, request)
+            reply = await stream.receive()
+        finally:
+            stream.finish()
+        if reply is None:
+            raise ConnectionResetError("the stream ended without an answer")
+        return reply
 
-    def stop_reading(self):
-        """Cancel the pending read of a stream that is no longer used."""
-        self._pending_reply.cancel()
+    async def _ping(self, timeout_ms):
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                connection = await self._connector.connect()
+                await connection.ping()
+        except _CONNECTION_ERRORS:
+            return False
+        return True
 
 
 class PeerTransaction:
@@ -229,7 +167,7 @@
     def __init__(self, client: PeerClient, header: ExecuteHeader):
         self._client = client
         self._header = header
-        self._stream: _GrpcStream | None = None
+        self._stream: ClientStream | None = None
         self._is_started = False
         # Whether the transaction may still be open at the other proxy.
         self._may_be_open = False
@@ -252,7 +190,7 @@
             try:
                 await self._open()
             except _CONNECTION_ERRORS as error:
-                self._client.health.record_connection_failure()
+                self._client.record_connection_failure()
                 return ExchangeEnd(
                     failure=_unreachable(error), is_owner_unreachable=True
                 )
@@ -266,8 +204,12 @@
             await asyncio.wait([self._cancel_task])
         try:
             self._may_be_open = True
-            await self._stream.send(encode_exchange(exchange, header))
+            frame = encode_exchange(exchange, header)
+            await self._stream.send(FrameKind.EXECUTE, frame)
             return await self._receive(sink)
+        except FrameTooLargeError as error:
+            failure = not_run(FailureCode.TOO_LARGE, str(error))
+            return ExchangeEnd(failure=failure)
         except _CONNECTION_ERRORS as error:
             message = f"the connection to the endpoint's owner ended: {error}"
             return ExchangeEnd(
@@ -278,7 +220,7 @@
         """Cancel the running exchange."""
         # The cancel may arrive late, so the stream is not reused.
         self._is_cancelled = True
-        if self._stream is not None and self._stream.is_open:
+        if self._stream is not None:
             coroutine = self._send_cancel(self._stream)
             self._cancel_task = self._client.run_in_background(coroutine)
 
@@ -288,28 +230,28 @@
         if stream is None:
             return
         is_reusable = not self._may_be_open and not self._is_cancelled
-        if not is_reusable or not stream.is_open:
-            self._client.run_in_background(stream.finish())
-        else:
+        if is_reusable:
             self._client.release(stream)
+        else:
+            stream.finish()
 
     async def _open(self):
-        self._stream = self._client.acquire()
-        if self._stream.is_open:
+        self._stream = self._client.take_idle_stream()
+        if self._stream is not None:
             return
-        limit_ms = min(self._header.deadline_left_ms, _OPEN_TIMEOUT_MS)
+        deadline_left_s = self._header.deadline_left_ms / 1000
         # A network partition causes no error, so the attempt needs a limit.
-        async with asyncio.timeout(limit_ms / 1000):
-            await self._stream.open()
+        async with asyncio.timeout(min(deadline_left_s, OPEN_TIMEOUT_S)):
+            self._stream = await self._client.open_stream()
 
     async def _receive(self, sink):
         while True:
             reply = await self._stream.receive()
-            self._client.health.record_answer()
             if reply is None:
                 raise ConnectionResetError(
                     "the stream ended before the answer was complete"
                 )
+            self._client.health.record_answer()
             if reply.messages:
                 await sink(reply.messages)
             if reply.HasField("end"):
@@ -326,7 +268,8 @@
 
     async def _send_cancel(self, stream):
         with contextlib.suppress(*_CONNECTION_ERRORS):
-            await stream.send(peer_pb2.ExecuteFrame(cancel=True))
+            frame = peer_pb2.ExecuteFrame(cancel=True)
+            await stream.send(FrameKind.EXECUTE, frame)
 
 
 class PeerClients:
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -1,12 +1,10 @@
-"""Runs transactions for other proxies, one at a time per gRPC stream."""
+"""Runs transactions for other proxies, one at a time per stream."""
 
 import asyncio
 
-from grpclib.protocol import H2Protocol
-from grpclib.server import Server
-from h2.settings import SettingCodes
 from result import Ok
 
+from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import Executor
 from waxwinglift.process._peer_cancel import is_cancel_request
 from waxwinglift.process._peer_cancel import serve_cancel
@@ -17,20 +15,26 @@
 from waxwinglift.process._peer_codec import encode_end
 from waxwinglift.process._peer_codec import encode_failure
 from waxwinglift.process._peer_codec import encode_position
-from waxwinglift.process.rpc import peer_grpc
+from waxwinglift.process._peer_frames import FrameKind
+from waxwinglift.process._peer_frames import FrameTooLargeError
+from waxwinglift.process._peer_server_connection import ServerConnection
+from waxwinglift.process._peer_server_connection import StreamMethods
+from waxwinglift.process._registry import Registry
 from waxwinglift.process.rpc import peer_pb2
+from waxwinglift.request import may_have_run
 from waxwinglift.version import GroupName
 from waxwinglift.version import Term
 
-# A transaction uses its stream while it waits in the owner's queue.  With the
-# library's limit of 100 streams, urgent requests would wait at the entry
-# proxy.
-_STREAM_LIMIT_COUNT = 100_000
 # Largest part of an answer that is buffered to be sent with the next frame.
 _BUFFER_LIMIT_BYTES = 2**14
+# Size of the frames into which an answer is divided, so that a stream does not
+# delay the others of its connection.
+_PART_BYTES = 2**16
+# Methods that serve a stream, by the kind of its frames.
+_METHODS = Registry()
 
 
-class PeerService(peer_grpc.PeerBase):
+class PeerService:
     """Runs transactions for other proxies.
 
     Parameters
@@ -45,25 +49,31 @@
         self._executor = executor
         self._find_statement = find_statement
 
+    @property
+    def methods(self) -> StreamMethods:
+        """Methods that serve a stream, by the kind of its frames."""
+        return {
+            kind: getattr(self, method.__name__)
+            for kind, method in _METHODS.items()
+        }
+
+    @_METHODS.register(FrameKind.EXECUTE)
     async def Execute(self, stream):
         """Serve transactions one after another, or a cancel request."""
         frame = await stream.recv_message()
         if frame is not None and is_cancel_request(frame):
             await serve_cancel(stream, frame, self._find_statement)
-        elif frame is not None:
+        elif frame is not None and frame.HasField("header"):
             await _StreamServer(stream, self._executor).serve(frame)
 
-    async def Ping(self, stream):
-        """Answer at once."""
-        await stream.recv_message()
-        await stream.send_message(peer_pb2.PingMessage())
-
+    @_METHODS.register(FrameKind.POSITION_REQUEST)
     async def GroupPosition(self, stream):
         """Answer with a position that includes every acknowledged write."""
         request = await stream.recv_message()
-        outcome = await self._executor.group_position(
-            GroupName(request.group), Term(request.term)
-        )
+        with stream.interruptible():
+            outcome = await self._executor.group_position(
+                GroupName(request.group), Term(request.term)
+            )
         reply = peer_pb2.GroupPositionReply()
         if isinstance(outcome, Ok):
             encode_position(reply.position, outcome.ok_value)
@@ -72,56 +82,50 @@
         await stream.send_message(reply)
 
 
-class PeerServer(Server):
-    """gRPC server that accepts many concurrent streams per connection.
-
-    ``close`` also ends the open connections, so that peers detect it at once.
+class PeerServer:
+    """Accepts connections from other proxies, with many streams on each.
 
     Parameters
     ----------
-    handlers : list
-        Services, PeerService among them.
+    services : list of PeerService
     """
 
-    def __init__(self, handlers):
-        super().__init__(handlers)
-        self._protocols = set()
-
-    def close(self):
-        """Stop listening and end the open connections."""
-        super().close()
-        for protocol in list(self._protocols):
-            protocol.connection.close()
-
-    def _protocol_factory(self):
-        protocol = super()._protocol_factory()
-        return _PeerProtocol(
-            self._protocols,
-            protocol.handler,
-            protocol.config,
-            protocol.h2_config,
+    def __init__(self, services):
+        self._methods = {}
+        for service in services:
+            self._methods.update(service.methods)
+        self._server: asyncio.Server | None = None
+        self._connections: set[ServerConnection] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self, host=None, port=None, *, sock=None):
+        """Listen on an address or a bound socket."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_connection, host, port, sock=sock
         )
 
+    def close(self):
+        """Stop listening and end the open connections.
 
-class _PeerProtocol(H2Protocol):
-    def __init__(self, protocols, handler, config, h2_config):
-        super().__init__(handler, config, h2_config)
-        self._protocols = protocols
+        Peers then detect the end at once.
+        """
+        self._server.close()
+        for connection in list(self._connections):
+            connection.close()
 
-    def connection_made(self, transport):
-        super().connection_made(transport)
-        limits = {SettingCodes.MAX_CONCURRENT_STREAMS: _STREAM_LIMIT_COUNT}
-        self.connection._connection.update_settings(limits)
-        self.connection.flush()
-        self._protocols.add(self)
+    async def wait_closed(self):
+        """Wait until the open transactions have been rolled back."""
+        await self._server.wait_closed()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
 
-    def connection_lost(self, exc):
-        super().connection_lost(exc)
-        self._protocols.discard(self)
+    def _make_connection(self):
+        return ServerConnection(self._methods, self._connections, self._tasks)
 
 
 class _StreamServer:
-    """Runs the exchanges of a stream, and reads cancels while they run.
+    """Runs the exchanges of a stream.
 
     A frame with a header starts a new transaction.
     """
@@ -130,8 +134,6 @@
         self._stream = stream
         self._executor = executor
         self._transaction = None
-        self._pending_frame = None
-        self._running = None
         self._buffered = b""
 
     async def serve(self, frame):
@@ -139,17 +141,9 @@
             while frame is not None:
                 if frame.HasField("header"):
                     await self._start(frame.header)
-                self._running = asyncio.ensure_future(self._run(frame))
-                if not await self._finish_exchange():
-                    return
-                frame = await self._next_frame()
-                while frame is not None and frame.cancel:
-                    # The exchange had ended before the cancel arrived.
-                    frame = await self._next_frame()
+                await self._run(frame)
+                frame = await self._next_exchange()
         finally:
-            for task in (self._running, self._pending_frame):
-                if task is not None:
-                    task.cancel()
             if self._transaction is not None:
                 await self._transaction.close()
 
@@ -158,43 +152,32 @@
             await self._transaction.close()
         self._transaction = self._executor.open(decode_header(header))
 
-    async def _finish_exchange(self):
-        """Wait for the end of the exchange; False if the peer disconnects."""
-        while not self._running.done():
-            pending_frame = self._start_reading()
-            await asyncio.wait(
-                {self._running, pending_frame},
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not pending_frame.done() or self._running.done():
-                continue
-            frame = await self._next_frame()
-            if frame is None:
-                return False
-            if frame.cancel:
-                self._transaction.cancel()
-        await self._running
-        return True
-
-    def _start_reading(self):
-        if self._pending_frame is None:
-            receive = self._stream.recv_message()
-            self._pending_frame = asyncio.ensure_future(receive)
-        return self._pending_frame
-
-    async def _next_frame(self):
-        frame = await self._start_reading()
-        self._pending_frame = None
+    async def _next_exchange(self):
+        frame = await self._stream.recv_message()
+        while frame is not None and frame.cancel:
+            # The exchange had ended before the cancel arrived.
+            frame = await self._stream.recv_message()
         return frame
 
     async def _run(self, frame):
-        end = await self._transaction.run(decode_exchange(frame), self._sink)
+        exchange = decode_exchange(frame)
+        with self._stream.interruptible(self._transaction.cancel):
+            end = await self._transaction.run(exchange, self._sink)
         # A small answer is sent in one frame with its end.
         reply = peer_pb2.ResultFrame(messages=self._buffered)
         self._buffered = b""
         encode_end(reply.end, end)
         if end.answer is not None:
             encode_answer(reply.answer, end.answer)
+        try:
+            await self._stream.send_message(reply)
+        except FrameTooLargeError as error:
+            await self._fail(may_have_run(str(error)))
+
+    async def _fail(self, failure):
+        await self._transaction.close()
+        reply = peer_pb2.ResultFrame()
+        encode_end(reply.end, ExchangeEnd(failure=failure))
         await self._stream.send_message(reply)
 
     async def _sink(self, data):
@@ -202,6 +185,8 @@
         buffered, self._buffered = self._buffered, data
         if len(data) > _BUFFER_LIMIT_BYTES:
             buffered, self._buffered = buffered + data, b""
-        if buffered:
-            reply = peer_pb2.ResultFrame(messages=buffered)
-            await self._stream.send_message(reply)
+        for start in range(0, len(buffered), _PART_BYTES):
+            part = buffered[start : start + _PART_BYTES]
+            await self._stream.send_message(
+                peer_pb2.ResultFrame(messages=part)
+            )
