--- /dev/null
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -0,0 +1,159 @@
+"""Tests that each way out of a statement or a session gives its outcome."""
+
+import asyncio
+import time
+import types
+
+import pytest
+
+from waxwinglift.platform.tests import statement_fleet
+from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
+from waxwinglift.process import _proxy
+from waxwinglift.version import Epoch
+from waxwinglift.version import OwnerAssignment
+from waxwinglift_standin.platform import ServerSettings
+
+# A tenth of the phases that a grace period of 6 s gives.
+_ENTRY = {
+    "drain_timeout_ms": 300.0,
+    "drain_answer_timeout_ms": 200.0,
+    "drain_linger_ms": 220.0,
+}
+_WHOLE_LIMIT_MS = 525.0
+# Codes that promise that nothing of the request is kept.
+_PROMISES = frozenset({b"BUSY", b"ABORTED", b"LAGGING", b"READONLY"})
+# Longer than a stop takes, shorter than any statement of these tests.
+_STOP_LIMIT_S = 0.1
+
+_WRITE = ((), "WRITE 1a4 coal")
+_BLOCK_WRITE = (("BEGIN",), "WRITE 1a4 coal")
+_COMMIT = (("BEGIN", "WRITE 1a4 coal"), "COMMIT")
+_READ = ((), "READ 1a4")
+
+
+def run(scenario, **options):
+    """Run a scenario with a fleet, within a time limit."""
+
+    async def work():
+        async with asyncio.timeout(15):
+            async with running_statement_fleet(**options) as fleet:
+                return await scenario(fleet)
+
+    return asyncio.run(work())
+
+
+async def _code_of(answer):
+    """Return the answer's state and its error code, empty after a success."""
+    result = await answer
+    return result.state, result.error.split(b" ")[0]
+
+
+async def _begin(caller, block):
+    for text in block:
+        assert (await caller.query(text)).is_success
+
+
+def _assign(fleet, owner, standby=None):
+    """Assign all endpoints, as control does when a proxy drains."""
+    for name in fleet.state.owners:
+        assignment = OwnerAssignment(name, owner, standby, Epoch(2))
+        fleet.state.owners[name] = assignment
+    for proxy in fleet.proxies:
+        proxy.view.notify()
+
+
+async def _shut_down(proxy):
+    """Run the shutdown of a ProxyService with the parts of a test proxy."""
+
+    async def stop_link():
+        pass
+
+    service = object.__new__(_proxy.ProxyService)
+    service.settings = types.SimpleNamespace(
+        timing=types.SimpleNamespace(drain_timeout_ms=_WHOLE_LIMIT_MS)
+    )
+    service.link = types.SimpleNamespace(
+        is_draining=False, request_renewal=lambda: None, stop=stop_link
+    )
+    service.view, service.owners = proxy.view, proxy.owners
+    service.entry, service.peers = proxy.entry, proxy.peers
+    await service.on_stop()
+
+
+@pytest.fixture
+def _short_owner_limit(monkeypatch):
+    """Give owners the limit for open transactions that the entries have."""
+    running_proxy = statement_fleet.running_proxy
+
+    def running_limited_proxy(name, state, *, owner, **options):
+        limit_ms = _ENTRY["drain_timeout_ms"]
+        owner = {**owner, "drain_timeout_ms": limit_ms}
+        return running_proxy(name, state, owner=owner, **options)
+
+    monkeypatch.setattr(
+        statement_fleet, "running_proxy", running_limited_proxy
+    )
+
+
+async def _remove_daemon(fleet):
+    fleet.state.daemons.pop(fleet.proxies[-1].view.daemon)
+    for proxy in fleet.proxies:
+        proxy.view.notify()
+
+
+async def _close_peer_server(fleet):
+    fleet.proxies[-1].peer_server.close()
+
+
+async def _end_peer_connections(fleet):
+    for client in fleet.proxies[0].peers._clients.values():
+        client._reconnect()
+
+
+async def _stop_owners(fleet):
+    await fleet.proxies[-1].owners.stop()
+
+
+async def _crash_servers(fleet):
+    for server in fleet.group.servers.values():
+        server.crash()
+
+
+async def _stop_entry(fleet):
+    await fleet.proxies[0].entry.stop()
+
+
+@pytest.mark.parametrize("block, statement", [_WRITE, _BLOCK_WRITE, _COMMIT])
+@pytest.mark.parametrize(
+    "end_statement",
+    [
+        _remove_daemon,
+        _close_peer_server,
+        _end_peer_connections,
+        _stop_owners,
+        _crash_servers,
+        _stop_entry,
+    ],
+)
+def test_promise_that_nothing_is_kept_is_true(end_statement, block, statement):
+    """A statement whose way out is cut gets an answer, and a true one.
+
+    Its attempt may still run at the other proxy after the caller's answer.
+    """
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            await _begin(caller, block)
+            answer = asyncio.ensure_future(_code_of(caller.query(statement)))
+            await asyncio.sleep(0.1)
+            await end_statement(fleet)
+            outcome = await answer
+            # The attempt may still take effect.
+            await asyncio.sleep(0.3)
+        logs = fleet.group.logs.values()
+        return *outcome, any(log.requests() for log in logs)
+
+    settings = ServerSettings(work_ms=200.0)
+    state, code, is_kept = run(scenario, proxy_count=2, settings=settings)
+    assert state
+    assert not (is_kept and code in _PROMISES)
