--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -11,6 +11,7 @@
 from waxwinglift.process import _proxy
 from waxwinglift.version import Epoch
 from waxwinglift.version import OwnerAssignment
+from waxwinglift_standin.platform import Caller
 from waxwinglift_standin.platform import ServerSettings
 
 # A tenth of the phases that a grace period of 6 s gives.
@@ -157,3 +158,42 @@
     state, code, is_kept = run(scenario, proxy_count=2, settings=settings)
     assert state
     assert not (is_kept and code in _PROMISES)
+
+
+@pytest.mark.usefixtures("_short_owner_limit")
+@pytest.mark.parametrize(
+    "caller_proxy", [0, 1], ids=["peer", "stopping proxy"]
+)
+@pytest.mark.parametrize(
+    "block, statement",
+    [
+        (("BEGIN", "WRITE 1a4 coal"), "READ 1a4"),
+        (("BEGIN", "WRITE 1a4 coal"), "COMMIT"),
+    ],
+    ids=["read", "commit"],
+)
+def test_statement_of_a_block_outlasts_the_block_limit_of_its_old_owner(
+    block, statement, caller_proxy
+):
+    """The old owner's limit for open transactions must not cut statements.
+
+    A statement that runs when a handover has lasted that long loses its
+    connection to the endpoint, before the limit for answers.
+    """
+
+    async def scenario(fleet):
+        stopping = fleet.proxies[1]
+        entry = fleet.proxies[caller_proxy].entry
+        async with Caller.connected(entry.address, "pay") as caller:
+            await _begin(caller, block)
+            _assign(fleet, fleet.proxies[0].view.daemon)
+            stopped = asyncio.ensure_future(_shut_down(stopping))
+            await asyncio.sleep(0.22)
+            outcome = await _code_of(caller.query(statement))
+            await stopped
+            return outcome
+
+    settings = ServerSettings(work_ms=180.0)
+    options = {"settings": settings, "entry": _ENTRY, "proxy_count": 2}
+    _, code = run(scenario, **options)
+    assert code == b""
