--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -197,3 +197,30 @@
     options = {"settings": settings, "entry": _ENTRY, "proxy_count": 2}
     _, code = run(scenario, **options)
     assert code == b""
+
+
+@pytest.mark.usefixtures("_short_owner_limit")
+@pytest.mark.parametrize("block, statement", [_WRITE, _COMMIT])
+def test_owner_without_successor_does_not_cut_statements_it_accepted(
+    block, statement, monkeypatch
+):
+    """The wait for a handover must leave time for the drain of the owners.
+
+    Without an answer from control, an owner accepts statements until nearly
+    the end of the whole drain, and then cuts them.
+    """
+    monkeypatch.setattr(_proxy, "HANDOVER_TIMEOUT_S", 0.5)
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            await _begin(caller, block)
+            stopped = asyncio.ensure_future(_shut_down(fleet.proxies[1]))
+            await asyncio.sleep(0.4)
+            outcome = await _code_of(caller.query(statement))
+            await stopped
+            return outcome
+
+    settings = ServerSettings(work_ms=200.0)
+    _, code = run(scenario, proxy_count=2, settings=settings, entry=_ENTRY)
+    # A refusal is as good: the caller can try again.
+    assert code in {b"", *_PROMISES}
