--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -9,6 +9,7 @@
 from waxwinglift.platform.tests import statement_fleet
 from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
 from waxwinglift.process import _proxy
+from waxwinglift.process import DaemonId
 from waxwinglift.version import Epoch
 from waxwinglift.version import OwnerAssignment
 from waxwinglift_standin.platform import Caller
@@ -224,3 +225,24 @@
     _, code = run(scenario, proxy_count=2, settings=settings, entry=_ENTRY)
     # A refusal is as good: the caller can try again.
     assert code in {b"", *_PROMISES}
+
+
+def test_standby_owner_serves_callers_while_its_proxy_drains():
+    """A proxy that drains must still reach endpoints whose owner is gone.
+
+    The drain of its standby owners begins with the shutdown, while its
+    callers are still served.
+    """
+
+    async def scenario(fleet):
+        (proxy,) = fleet.proxies
+        _assign(fleet, DaemonId("gone"), proxy.view.daemon)
+        async with fleet.connected("pay") as caller:
+            assert (await caller.query("READ 1a4")).is_success
+            stopped = asyncio.ensure_future(_shut_down(proxy))
+            await asyncio.sleep(0.1)
+            outcome = await _code_of(caller.query("READ 1a4"))
+            await stopped
+            return outcome
+
+    assert run(scenario, entry=_ENTRY) == (b"I", b"")
