--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -246,3 +246,24 @@
             return outcome
 
     assert run(scenario, entry=_ENTRY) == (b"I", b"")
+
+
+@pytest.mark.parametrize(
+    "requests", [(b"x",), (b"x", b"y")], ids=["arrived", "pipelined"]
+)
+def test_stop_answers_a_statement_that_no_task_has_read(requests):
+    """A stop must not drop a statement that is in the session's buffer."""
+
+    async def scenario(fleet):
+        async with fleet.connected("look") as caller:
+            entry = fleet.proxies[0].entry
+            (session,) = entry.sessions.values()
+            lines = [b"QUERY %s READ 1a4\r\n" % name for name in requests]
+            session._connection.data_received(b"".join(lines))
+            await entry.stop()
+            answers = [_code_of(caller.answer(name)) for name in requests]
+            return [await answer for answer in answers]
+
+    for state, code in run(scenario):
+        assert state == b"I"
+        assert code in {b"", *_PROMISES}
