--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -267,3 +267,19 @@
     for state, code in run(scenario):
         assert state == b"I"
         assert code in {b"", *_PROMISES}
+
+
+def test_stop_notifies_the_caller_of_an_idle_transaction():
+    """A transaction that ends with its proxy must not end without a word.
+
+    Between the end of a drain and the stop, a statement of a block may end,
+    so that its transaction waits for the caller when the stop comes.
+    """
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            await _begin(caller, ("BEGIN", "WRITE 1a4 coal"))
+            await fleet.proxies[0].entry.stop()
+            return (await caller.answer(b"")).error.split(b" ")[0]
+
+    assert run(scenario) == b"ABORTED"
