--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -7,10 +7,12 @@
 import pytest
 
 from waxwinglift.platform.tests import statement_fleet
+from waxwinglift.platform.tests.statement_fleet import GROUP
 from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
 from waxwinglift.process import _proxy
 from waxwinglift.process import DaemonId
 from waxwinglift.version import Epoch
+from waxwinglift.version import GroupPhase
 from waxwinglift.version import OwnerAssignment
 from waxwinglift_standin.platform import Caller
 from waxwinglift_standin.platform import ServerSettings
@@ -283,3 +285,48 @@
             return (await caller.answer(b"")).error.split(b" ")[0]
 
     assert run(scenario) == b"ABORTED"
+
+
+async def _notify_of_change(fleet):
+    fleet.proxies[0].view.notify()
+
+
+@pytest.mark.parametrize(
+    "phase, proxy_count, pool, statement, end_wait",
+    [
+        (GroupPhase.ACTIVE, 2, "look", "READ 1a4", _end_peer_connections),
+        (None, 1, "pay", "WRITE 1a4 coal", _notify_of_change),
+    ],
+    ids=["peer connection ends", "fleet changes"],
+)
+def test_stop_does_not_wait_for_a_retry(
+    phase, proxy_count, pool, statement, end_wait
+):
+    """A stop must end a session although its wait ends at the same moment.
+
+    grpclib, and `asyncio.wait_for` of Python 3.11, then discard the
+    cancellation, and the session tries again until its time limit.
+    """
+
+    async def scenario(fleet):
+        async with fleet.connected(pool) as caller:
+            assert (await caller.query("READ 1a4")).is_success
+            if phase is None:
+                others = [p for p in GroupPhase if p is not GroupPhase.ACTIVE]
+                fleet.state.groups[GROUP].phase = others[0]
+                fleet.proxies[0].view.notify()
+            answer = asyncio.ensure_future(_code_of(caller.query(statement)))
+            await asyncio.sleep(0.12)
+            await end_wait(fleet)
+            started_s = time.monotonic()
+            await fleet.proxies[0].entry.stop()
+            stopped_s = time.monotonic() - started_s
+            state, _ = await answer
+            return state, stopped_s
+
+    settings = ServerSettings(work_ms=300.0)
+    state, stopped_s = run(
+        scenario, proxy_count=proxy_count, settings=settings
+    )
+    assert state == b"I"
+    assert stopped_s < _STOP_LIMIT_S
