--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -330,3 +330,44 @@
     )
     assert state == b"I"
     assert stopped_s < _STOP_LIMIT_S
+
+
+class _FaultyExecutor:
+    """Executor whose streams raise an exception that nothing expects."""
+
+    is_unresponsive = False
+
+    def open(self, header):
+        """Return a stream, this object."""
+        return self
+
+    async def run(self, exchange, sink):
+        """Raise the exception."""
+        raise RuntimeError("fault of a test")
+
+    def cancel(self):
+        """Do nothing."""
+
+    async def close(self):
+        """Do nothing."""
+
+
+@pytest.mark.parametrize(
+    "statement, expected_code",
+    [("READ 1a4", b"ABORTED"), ("WRITE 1a4 coal", b"INDOUBT")],
+)
+def test_statement_that_meets_an_unexpected_error_gets_its_outcome(
+    statement, expected_code
+):
+    """A fault in a session must not close it without an answer."""
+
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        async with fleet.connected("pay") as caller:
+            executors = fleet.proxies[0].entry.context.executors
+            executors.executor_for = lambda daemon: _FaultyExecutor()
+            return await _code_of(caller.query(statement))
+
+    _, code = run(scenario)
+    assert code == expected_code
