--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from waxwinglift.platform import _roles
 from waxwinglift.platform.tests import statement_fleet
 from waxwinglift.platform.tests.statement_fleet import GROUP
 from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
+from waxwinglift.platform.tests.test_settings import _VALUES
+from waxwinglift.platform.tests.test_settings import _load
 from waxwinglift.process import _proxy
 from waxwinglift.process import DaemonId
 from waxwinglift.version import Epoch
@@ -371,3 +374,14 @@
 
     _, code = run(scenario)
     assert code == expected_code
+
+
+@pytest.mark.parametrize("grace_s", [3, 6, 12])
+def test_shutdown_with_an_unresponsive_control_fits_the_grace_period(
+    tmp_path, grace_s
+):
+    """The last renewal comes after the drain and may take its time limit."""
+    values = _VALUES | {"bounds": {"graceS": grace_s, "drainMs": 7000}}
+    timing = _roles.proxy_settings(_load(tmp_path, values).ok_value).timing
+    whole_ms = timing.drain_timeout_ms + timing.rpc_timeout_ms
+    assert whole_ms < grace_s * 1000
