--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -14,6 +14,8 @@
 from waxwinglift.platform.tests.test_settings import _load
 from waxwinglift.process import _proxy
 from waxwinglift.process import DaemonId
+from waxwinglift.process._data_path_settings import EntrySettings
+from waxwinglift.process._settings import ProxyTimingSettings
 from waxwinglift.version import Epoch
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import OwnerAssignment
@@ -385,3 +387,13 @@
     timing = _roles.proxy_settings(_load(tmp_path, values).ok_value).timing
     whole_ms = timing.drain_timeout_ms + timing.rpc_timeout_ms
     assert whole_ms < grace_s * 1000
+
+
+def test_default_limit_of_the_whole_drain_includes_the_answers():
+    """Defaults must not end the whole drain with its first phase.
+
+    Otherwise statements are cut at the limit for open transactions.
+    """
+    entry = EntrySettings(token_secret="0" * 32)
+    answered_ms = entry.drain_timeout_ms + entry.drain_answer_timeout_ms
+    assert answered_ms < ProxyTimingSettings().drain_timeout_ms
