Give statements at an owner a limit of their own in a drain

A COMMIT that ran when a handover had lasted drain_timeout_ms was answered INDOUBT, a read in a block ABORTED, although the entry still waited for them.

Cause: EndpointOwner applied the limit for open transactions to all of its connections. Now it ends at this limit only the transactions that wait for their caller, at each tick, and closes the others after a second limit, OwnerSettings.drain_answer_timeout_ms; proxies of the platform use that of the entry side for both.

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -65,6 +65,7 @@
     callers = platform.listen.callers
     grace_ms = platform.bounds.grace_s * 1000
     drain_ms = _BLOCK_FRACTION * grace_ms
+    answer_ms = _ANSWER_FRACTION * grace_ms - drain_ms
     return ProxySettings(
         daemon=platform.machine,
         location=platform.location,
@@ -79,12 +80,13 @@
             # need no common secret.
             token_secret=secrets.token_hex(16),
             drain_timeout_ms=drain_ms,
-            drain_answer_timeout_ms=_ANSWER_FRACTION * grace_ms - drain_ms,
+            drain_answer_timeout_ms=answer_ms,
             drain_linger_ms=min(_BALANCER_DETECTION_MS, drain_ms),
         ),
         owner=OwnerSettings(
             protocol=PROTOCOL,
             drain_timeout_ms=drain_ms,
+            drain_answer_timeout_ms=answer_ms,
             pool=EndpointPoolSettings(keeps_surplus=True),
         ),
         timing=_PROXY_TIMING.model_copy(
--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -207,6 +207,20 @@
     assert code == b""
 
 
+@pytest.mark.usefixtures("_short_owner_limit")
+def test_handover_ends_an_idle_transaction_at_the_block_limit():
+    """The limit for answers must not extend the one for open transactions."""
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            await _begin(caller, ("BEGIN", "WRITE 1a4 coal"))
+            _assign(fleet, fleet.proxies[0].view.daemon)
+            await asyncio.sleep(0.45)
+            return await _code_of(caller.query("READ 1a4"))
+
+    assert run(scenario, proxy_count=2) == (b"I", b"ABORTED")
+
+
 @pytest.mark.usefixtures("_short_owner_limit")
 @pytest.mark.parametrize("block, statement", [_WRITE, _COMMIT])
 def test_owner_without_successor_does_not_cut_statements_it_accepted(
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -125,7 +125,10 @@
         Largest number of statements prepared on one connection; a connection
         with more is replaced.
     drain_timeout_ms : float
-        Longest time that a drain waits for open transactions.
+        Longest time that a drain or a handover waits for open transactions.
+    drain_answer_timeout_ms : float
+        Longest time after ``drain_timeout_ms`` that it waits for statements
+        that still run; their connections are then closed.
     admission : AdmissionSettings
     commit_wait : CommitWaitSettings
     pool : EndpointPoolSettings
@@ -149,6 +152,7 @@
     replica_buffer_bytes: int = pydantic.Field(2**14, ge=0)
     prepared_limit_count: int = pydantic.Field(1000, ge=1)
     drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
+    drain_answer_timeout_ms: float = pydantic.Field(10_000.0, ge=0)
     admission: AdmissionSettings = pydantic.Field(
         default_factory=AdmissionSettings
     )
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -124,8 +124,10 @@
     async def drain(self):
         """Refuse new transactions and wait for those that are open."""
         self._is_draining = True
-        deadline_ms = self.now_ms() + self.settings.drain_timeout_ms
-        while self._has_work() and self.now_ms() < deadline_ms:
+        started_ms = self.now_ms()
+        while self._has_work():
+            if self._end_overdue_work(self.now_ms() - started_ms):
+                return
             await asyncio.sleep(self.settings.tick_ms / 1000)
 
     @property
@@ -296,10 +298,22 @@
             self._ownership_lost_ms = self.now_ms()
             self._refuse_waiting("the endpoint has another owner")
         waited_ms = self.now_ms() - self._ownership_lost_ms
-        is_overdue = waited_ms >= self.settings.drain_timeout_ms
+        is_overdue = self._end_overdue_work(waited_ms)
         if is_overdue or not self._has_work():
             self._disable("the endpoint has another owner")
 
+    def _end_overdue_work(self, waited_ms):
+        """End idle transactions once the time limit for them has passed.
+
+        Return whether the limit for running statements has passed too.
+        """
+        limit_ms = self.settings.drain_timeout_ms
+        if waited_ms < limit_ms:
+            return False
+        for slot in list(self._running):
+            slot.end_if_idle()
+        return waited_ms >= limit_ms + self.settings.drain_answer_timeout_ms
+
     def _has_work(self):
         """Return whether transactions run or answers wait for a quorum."""
         return bool(self._running or self.positions.commit_wait.held_count)
--- a/waxwinglift/request/_owner_slot.py
+++ b/waxwinglift/request/_owner_slot.py
@@ -32,6 +32,7 @@
 class TransactionSlot:
     """Checks a transaction and occupies its slot and connection.
 
+    ``is_running`` is True while an exchange of the transaction runs.
     ``is_sent`` is True once a byte of the caller's statement may have reached
     the endpoint.  ``is_replica`` is True if the endpoint was a replica at the
     start of the transaction, even if its role has changed since.
@@ -46,6 +47,7 @@
 
     def __init__(self, owner, header: ExecuteHeader, request: RequestId):
         self.connection: EndpointConnection | None = None
+        self.is_running = False
         self.is_sent = False
         self.is_ended = False
         self.is_replica = False
@@ -208,6 +210,11 @@
             self._owner.connections.discard(self._connection_id)
             self._connection_id, self.connection = None, None
 
+    def end_if_idle(self):
+        """Close the connection if the transaction waits for its caller."""
+        if not self.is_running:
+            self.discard()
+
     def cancel_and_discard(self):
         """Cancel the statement at the endpoint and close the connection."""
         if self.connection is not None and self.is_sent:
--- a/waxwinglift/request/_owner_stream.py
+++ b/waxwinglift/request/_owner_stream.py
@@ -61,10 +61,12 @@
         span = self.owner.tracer.start_span("owner.execute", context)
         self._idle_timer.stop()
         self._task = asyncio.current_task()
+        self.slot.is_running = True
         try:
             end = await self._run_or_fail(exchange, sink, span)
         finally:
             self._task = None
+            self.slot.is_running = False
             span.end()
         if end.failure is not None:
             verdict = end.failure.verdict.value
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -73,14 +73,13 @@
         self._request = request
         self._task: asyncio.Task | None = None
         self._is_cancelled = False
-        self._is_started = False
-        self._is_later_statement = False
+        self._statements_count = 0
         self._is_ended = False
         self._is_sent = False
         self._connection = TransactionConnection(owner, request)
         self._block_ticket: Ticket | None = None
         self._block_started_ms = 0.0
-        self._idle_timer = IdleTimer(self._end_idle_block)
+        self._idle_timer = IdleTimer(self.end_if_idle)
         self._queue_wait_ms = 0.0
         self._is_at_primary = False
         self._connection.set_values(header.settings)
@@ -148,9 +147,8 @@
         if self._is_ended:
             message = "the transaction block has ended"
             self._fail(not_run(FailureCode.ABORTED, message))
-        is_first = not self._is_started
-        self._is_started = True
-        self._is_later_statement = not is_first
+        self._statements_count += 1
+        is_first = self._statements_count == 1
         limit_ms = self._limit_ms(is_first)
         deadline_ms = self._owner.now_ms() + limit_ms
         context = trace.set_span_in_context(span)
@@ -286,7 +284,7 @@
             arrival_ms=self._owner.now_ms(),
             deadline_ms=deadline_ms,
             is_block=is_block,
-            is_continued=self._is_later_statement,
+            is_continued=self._statements_count > 1,
         )
 
     async def _acquire_connection(self, deadline_ms):
@@ -395,6 +393,8 @@
             may_commit=statement.verb is StatementVerb.COMMIT,
         )
 
-    def _end_idle_block(self):
-        self._owner.metrics.incr("owner.idle_block_ended")
-        self._end_block()
+    def end_if_idle(self):
+        """End an open block that waits for its caller."""
+        if self._task is None:
+            self._owner.metrics.incr("owner.idle_block_ended")
+            self._end_block()
