Drain the owners only after the entry side has lingered

A proxy that drained answered ABORTED (no owner can be reached) for endpoints whose owner was gone, although it was their standby owner and the balancer still sent it callers.

Cause: drains the owners together with the entry side. A proxy that owns nothing has no handover to wait for, so its standby owners refused statements at once. They now do so after the linger time and the handover. OwnerSet._is_draining was never read: an owner that was started later, such as a temporary one, took statements that the stop then cut. It now refuses them.

--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -269,6 +269,21 @@
     assert run(scenario, entry=_ENTRY) == (b"I", b"")
 
 
+def test_owner_that_starts_during_a_drain_refuses_statements():
+    """A temporary owner must not start work that the stop would cut."""
+
+    async def scenario(fleet):
+        (proxy,) = fleet.proxies
+        async with fleet.connected("pay") as caller:
+            assert (await caller.query("READ 1a4")).is_success
+            await proxy.owners.drain()
+            _assign(fleet, DaemonId("gone"))
+            await asyncio.sleep(0.2)
+            return await _code_of(caller.query("READ 1a4"))
+
+    assert run(scenario) == (b"I", b"BUSY")
+
+
 @pytest.mark.parametrize(
     "requests", [(b"x",), (b"x", b"y")], ids=["arrived", "pipelined"]
 )
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -121,9 +121,13 @@
         self.monitor.stop()
         await asyncio.sleep(0)
 
+    def start_drain(self):
+        """Refuse new transactions."""
+        self._is_draining = True
+
     async def drain(self):
         """Refuse new transactions and wait for those that are open."""
-        self._is_draining = True
+        self.start_drain()
         started_ms = self.now_ms()
         while self._has_work():
             if self._end_overdue_work(self.now_ms() - started_ms):
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -102,7 +102,10 @@
             await owner.stop()
 
     async def drain(self):
-        """Refuse new transactions and wait for those that are open."""
+        """Refuse new transactions and wait for those that are open.
+
+        Owners that are started afterwards refuse transactions too.
+        """
         self._is_draining = True
         owners = list(self._owners.values())
         await asyncio.gather(*(owner.drain() for owner in owners))
@@ -209,6 +212,8 @@
             owner.is_temporary_owner = self._temporary_endpoints.__contains__
             protocol.attach(owner, self.find_executor)
             self._owners[endpoint] = owner
+            if self._is_draining:
+                owner.start_drain()
             owner.start()
 
     def _required_endpoints(self):
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -167,8 +167,15 @@
         logger.info("stopped")
 
     async def _drain_owners(self):
-        """Finish the transactions of all proxies at the local owners."""
-        await self._wait_for_handover()
+        """Finish the transactions of all proxies at the local owners.
+
+        New callers still come while the entry lingers, and a standby owner or
+        temporary owner may be the only one that serves them.
+        """
+        linger_s = self.entry.settings.drain_linger_ms / 1000
+        await asyncio.gather(
+            asyncio.sleep(linger_s), self._wait_for_handover()
+        )
         await self.owners.drain()
 
     async def _wait_for_handover(self):
