Leave time for the drain of the owners after a late handover

Without an answer from control, a proxy that shut down took statements of its peers until nearly the end of the whole drain and then cut them: INDOUBT for a write and for a COMMIT.

Cause: the wait for the handover had a fixed limit of 5 s, the whole drain has 5 s at a grace period of 6 s and 2.5 s at one of 3 s. The wait now also ends at the limit for open transactions, and the time that it took counts towards the limits of the owners, so their second limit lies inside the whole drain.

--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -125,10 +125,14 @@
         """Refuse new transactions."""
         self._is_draining = True
 
-    async def drain(self):
-        """Refuse new transactions and wait for those that are open."""
+    async def drain(self, waited_ms: float = 0.0):
+        """Refuse new transactions and wait for those that are open.
+
+        ``waited_ms`` is the time since the start of the shutdown, which counts
+        towards the time limits.
+        """
         self.start_drain()
-        started_ms = self.now_ms()
+        started_ms = self.now_ms() - waited_ms
         while self._has_work():
             if self._end_overdue_work(self.now_ms() - started_ms):
                 return
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -101,14 +101,16 @@
         for owner in owners:
             await owner.stop()
 
-    async def drain(self):
+    async def drain(self, waited_ms: float = 0.0):
         """Refuse new transactions and wait for those that are open.
 
         Owners that are started afterwards refuse transactions too.
+        ``waited_ms`` is the time since the start of the shutdown, which counts
+        towards the time limits.
         """
         self._is_draining = True
         owners = list(self._owners.values())
-        await asyncio.gather(*(owner.drain() for owner in owners))
+        await asyncio.gather(*(owner.drain(waited_ms) for owner in owners))
 
     def owner(self, endpoint: EndpointId) -> EndpointOwner | None:
         """Return the local owner or standby owner of an endpoint, or None."""
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -172,15 +172,23 @@
         New callers still come while the entry lingers, and a standby owner or
         temporary owner may be the only one that serves them.
         """
+        started_ms = monotonic_ms()
         linger_s = self.entry.settings.drain_linger_ms / 1000
         await asyncio.gather(
             asyncio.sleep(linger_s), self._wait_for_handover()
         )
-        await self.owners.drain()
+        await self.owners.drain(monotonic_ms() - started_ms)
 
     async def _wait_for_handover(self):
+        """Wait for the endpoints to move to other proxies.
+
+        At most until the limit for open transactions: the time after it is
+        left for the statements that run at the owners.
+        """
+        block_limit_s = self.entry.settings.drain_timeout_ms / 1000
+        limit_s = min(HANDOVER_TIMEOUT_S, block_limit_s)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(HANDOVER_TIMEOUT_S):
+            async with asyncio.timeout(limit_s):
                 while self._owns_any():
                     await self.view.wait_for_change(100)
 
