Bound the stop of the entry side and end retries in it

A stop waited up to the time limit of a statement (0.31 s and 0.36 s in the tests) for a session that had discarded its cancellation and tried again; a session that never ends would have blocked it until the process is killed.

Cause: asyncio.wait_for of Python 3.11 and the Wrapper of grpclib discard a cancellation that comes together with the event that they wait for, the stop cancelled only once, and it waited without a limit. wait_for_change uses asyncio.timeout, the stop cancels again every 50 ms for at most 250 ms, and nothing is retried once it has begun.

--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -1,6 +1,7 @@
 """Tests that each way out of a statement or a session gives its outcome."""
 
 import asyncio
+import contextlib
 import time
 import types
 
@@ -366,6 +367,31 @@
     assert stopped_s < _STOP_LIMIT_S
 
 
+def test_stop_has_a_limit_for_a_session_that_does_not_end():
+    """A session that discards its cancellations must not block a shutdown."""
+
+    async def scenario(fleet):
+        is_released = False
+
+        async def serve():
+            while not is_released:
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.sleep(0.01)
+
+        entry = fleet.proxies[0].entry
+        session = asyncio.ensure_future(entry.serve_connection(serve()))
+        await asyncio.sleep(0)
+        started_s = time.monotonic()
+        await entry.stop()
+        stopped_s = time.monotonic() - started_s
+        is_released = True
+        await session
+        return stopped_s
+
+    # The last sixth of the shortest grace period of the tests, 3 s.
+    assert run(scenario) < 0.5
+
+
 class _FaultyExecutor:
     """Executor whose streams raise an exception that nothing expects."""
 
--- a/waxwinglift/process/_entry_context.py
+++ b/waxwinglift/process/_entry_context.py
@@ -64,6 +64,8 @@
         self.tracer = tracer
         self.rng = rng
         self.request_log = RequestLog(now_ms)
+        # Whether the sessions are being ended, so that nothing is retried.
+        self.is_stopping = False
         self._endpoint_stats: dict[GroupName, EndpointStats] = {}
         self._primary_refused_ms: dict[GroupName, float] = {}
         self._retry_budgets: dict[PoolName, RetryBudget] = {}
--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import logging
 import random
 
 from opentelemetry import trace
@@ -22,6 +23,13 @@
 from waxwinglift.process._types import Address
 
 _DRAIN_CHECK_INTERVAL_S = 0.02
+# A session that has not ended after this time is cancelled again, because
+# grpclib discards a cancellation that comes together with the end of a stream.
+_CANCEL_INTERVAL_S = 0.05
+# Longest time that a stop waits for the sessions.
+_STOP_TIMEOUT_S = 0.25
+
+logger = logging.getLogger(__name__)
 
 
 class EntryServer:
@@ -119,12 +127,21 @@
         self.drain_phase = DrainPhase.ENDING_BLOCKS
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        if self._tasks:
-            await asyncio.wait(list(self._tasks))
+        self.context.is_stopping = True
+        await self._cancel_sessions()
         self.context.close()
 
+    async def _cancel_sessions(self):
+        """Cancel the tasks of all sessions until they end, or time is up."""
+        limit_ms = self.context.now_ms() + 1000 * _STOP_TIMEOUT_S
+        while self._tasks and self.context.now_ms() < limit_ms:
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=_CANCEL_INTERVAL_S)
+        if self._tasks:
+            logger.warning("%d sessions did not end", len(self._tasks))
+
     async def _end_sessions(self, phase, limit_ms):
         """End the sessions of a phase until none is left or it is over."""
         self.drain_phase = phase
--- a/waxwinglift/process/_fleet_view.py
+++ b/waxwinglift/process/_fleet_view.py
@@ -74,9 +74,12 @@
 
     async def wait_for_change(self, timeout_ms: float) -> bool:
         """Wait for a change; return False on timeout."""
+        # asyncio.wait_for of Python 3.11 discards a cancellation that comes
+        # together with the change.
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout_ms / 1000)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await self._changed.wait()
+        except TimeoutError:
             return False
         return True
 
--- a/waxwinglift/request/_statement_retries.py
+++ b/waxwinglift/request/_statement_retries.py
@@ -48,6 +48,8 @@
         now_ms = self._context.now_ms()
         if now_ms >= attempts.deadline_ms or self._session.is_disconnected:
             return False
+        if self._context.is_stopping:
+            return False
         failure = end.failure
         if failure.verdict is not Verdict.NOT_RUN:
             if statement.is_write or attempts.is_block:
