Answer every caller when the entry side stops

A statement in the buffer of a session was dropped by a stop, and a transaction that waited for its caller ended without a notice; PostgreSQL callers without a running statement also saw only the end of the connection.

Cause: the stop cancelled the tasks of the sessions, and only a running statement was answered. It now ends all sessions that wait as the drain does, and a cancelled session refuses what it has not read; nothing of that has run. A PostgreSQL session no longer runs frames that arrive together with its end, because its caller was told that they have not run.

--- a/waxwinglift/connection/_data_path_session.py
+++ b/waxwinglift/connection/_data_path_session.py
@@ -167,7 +167,9 @@
     async def _serve_requests(self):
         while not self._caller.is_closed:
             frames = await self._caller.read_frames()
-            if frames is None:
+            if frames is None or self._caller.is_closed:
+                # Frames that arrive together with the end of the session were
+                # reported as not run.
                 return
             for kind, frame in frames:
                 request = self._builder.add_message(kind, frame)
--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -118,6 +118,9 @@
         try:
             if await self._start():
                 await self._serve_statements()
+        except asyncio.CancelledError:
+            await self._refuse_unread()
+            raise
         finally:
             await self._runner.close()
             self._connection.close()
@@ -316,10 +319,7 @@
         is_block = self._status is not _IDLE
         failure = self._runner.interrupted_failure(statement, is_block)
         self._status = _IDLE
-        with contextlib.suppress(TimeoutError):
-            # A caller that does not read must not delay the shutdown.
-            async with asyncio.timeout(0):
-                await self._send_failure(failure)
+        await self._send_at_once(failure, _IDLE)
 
     async def _run_at_endpoint(self, statement):
         if self._status is _IDLE:
@@ -346,6 +346,22 @@
         ):
             self.floor = advance_floor(self.floor, end.position)
 
+    async def _refuse_unread(self):
+        """Answer the messages that have arrived but are not read yet."""
+        is_block = self._status is not _IDLE
+        failure = _BLOCK_ENDED if is_block else _SHUTTING_DOWN
+        status = None if self.table is None else _IDLE
+        while self._connection.has_unread_message():
+            if await self._connection.receive() is CallerEnd.LEFT:
+                return
+            await self._send_at_once(failure, status)
+
+    async def _send_at_once(self, failure, status):
+        """Send a failure; do not wait for a caller that does not read."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0):
+                await self._connection.send_failure(failure, status)
+
     async def _end_block_with(self, failure):
         await self._runner.close()
         self._status = _IDLE
--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -306,6 +306,25 @@
         assert code in {b"", *_PROMISES}
 
 
+def test_stop_answers_the_statements_behind_a_running_one():
+    """A stop must not drop what follows the statement that it interrupts."""
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            entry = fleet.proxies[0].entry
+            (session,) = entry.sessions.values()
+            data = b"QUERY x WRITE 1a4 coal\r\nQUERY y READ 1a4\r\n"
+            session._connection.data_received(data)
+            await asyncio.sleep(0.05)
+            await entry.stop()
+            answers = [_code_of(caller.answer(name)) for name in (b"x", b"y")]
+            return [await answer for answer in answers]
+
+    settings = ServerSettings(work_ms=300.0)
+    answers = run(scenario, settings=settings)
+    assert answers == [(b"I", b"INDOUBT"), (b"I", b"BUSY")]
+
+
 def test_stop_notifies_the_caller_of_an_idle_transaction():
     """A transaction that ends with its proxy must not end without a word.
 
--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -122,12 +122,15 @@
     async def stop(self):
         """Close the listening socket and every session.
 
-        The caller of a statement that runs gets a failure.
+        The callers of open transactions and of statements that run, or that
+        have not been read, get a failure.
         """
         self.drain_phase = DrainPhase.ENDING_BLOCKS
         if self._server is not None:
             self._server.close()
         self.context.is_stopping = True
+        for session in list(self.sessions.values()):
+            session.end_if_possible(self.drain_phase)
         await self._cancel_sessions()
         self.context.close()
 
--- a/waxwinglift/process/tests/test_data_path_drain.py
+++ b/waxwinglift/process/tests/test_data_path_drain.py
@@ -76,3 +76,18 @@
             assert detail == "verdict=may_have_run"
 
     run(scenario, proxy_count=proxy_count)
+
+
+@pytest.mark.parametrize("is_in_block", [False, True])
+def test_stop_notifies_the_caller_of_an_idle_session(is_in_block):
+    # A session that waits for its caller must not end without a message.
+    async def scenario(servers, proxies):
+        async with _connected(proxies[0]) as caller:
+            if is_in_block:
+                await caller.execute("BEGIN")
+                await caller.execute("SELECT 1")
+            await proxies[0].entry.stop()
+            with pytest.raises(psycopg.errors.AdminShutdown):
+                await caller.execute("SELECT 1")
+
+    run(scenario)
