Answer a statement whose session meets an unexpected error

An exception that nothing expects closed the caller's connection without an answer; PostgreSQL sessions did the same.

Cause: only a cancellation was answered. The session now logs the exception, counts entry.interrupted.internal_error, sends the outcome (nothing was kept, or unknown for a write that may have run) and ends. The counter of interrupted statements is now entry.interrupted.shutdown, and its log line has the reason. A PostgreSQL session runs no more requests once its connection closes.

--- a/waxwinglift/connection/_data_path_session.py
+++ b/waxwinglift/connection/_data_path_session.py
@@ -1,6 +1,7 @@
 """One PostgreSQL caller's session at the proxy that it is connected to."""
 
 import asyncio
+import logging
 import secrets
 
 from result import Err
@@ -30,11 +31,16 @@
 from waxwinglift.request._data_path_run import RunningExchange
 from waxwinglift.version import PoolName
 
+logger = logging.getLogger(__name__)
+
 _TOKEN_PARAMETER = "waxwinglift.token"
 _SHUTTING_DOWN = not_run(
     FailureCode.SHUTTING_DOWN, "the proxy is shutting down"
 )
 _INTERRUPTED = may_have_run("the proxy was shut down before the answer")
+_INTERNAL_ERROR = may_have_run(
+    "the proxy met an internal error before the answer"
+)
 
 
 class EntrySession:
@@ -176,6 +182,8 @@
                 if request is None:
                     continue
                 await self._answer(request)
+                if self._caller.is_closed:
+                    return
                 if self._is_draining() and self.is_idle:
                     self.close_with(_SHUTTING_DOWN)
                     return
@@ -187,6 +195,13 @@
         except asyncio.CancelledError:
             self.close_with(_INTERRUPTED)
             raise
+        except (OSError, WireError):
+            raise
+        except Exception:
+            logger.exception("the session of %s failed", self._peer_host)
+            self._context.metrics.incr("entry.interrupted.internal_error")
+            self.close_with(_INTERNAL_ERROR)
+            return
         finally:
             self._is_answering = False
         parts = []
--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import logging
 
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._drain_phase import DrainPhase
@@ -20,6 +21,7 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request._floors import advance_floor
+from waxwinglift.request._statement_failures import Interruption
 from waxwinglift.request._statement_run import StatementRunner
 from waxwinglift.request._statements import PreparedShape
 from waxwinglift.request._statements import Statement
@@ -27,6 +29,8 @@
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import Position
 
+logger = logging.getLogger(__name__)
+
 _IDLE = TransactionStatus.IDLE
 _IN_TRANSACTION = TransactionStatus.IN_TRANSACTION
 _FAILED = TransactionStatus.FAILED
@@ -286,8 +290,16 @@
         try:
             end = await self._run_at_endpoint(statement)
         except asyncio.CancelledError:
-            await self._answer_interrupted(statement)
+            await self._answer_interrupted(statement, Interruption.SHUTDOWN)
             raise
+        except Exception:
+            # The state of the session is unknown, so it ends.
+            logger.exception("the session of %s failed", self.caller)
+            self._is_ending = True
+            await self._answer_interrupted(
+                statement, Interruption.INTERNAL_ERROR
+            )
+            return
         finally:
             self._connection.set_disconnect_callback(None)
         if end.failure is not None:
@@ -314,10 +326,12 @@
             return None
         return self._update_table(self.table.pool)
 
-    async def _answer_interrupted(self, statement):
-        """Send the outcome of a statement that is cancelled at shutdown."""
+    async def _answer_interrupted(self, statement, interruption):
+        """Send the outcome of a statement that ends without an answer."""
         is_block = self._status is not _IDLE
-        failure = self._runner.interrupted_failure(statement, is_block)
+        failure = self._runner.interrupted_failure(
+            statement, is_block, interruption
+        )
         self._status = _IDLE
         await self._send_at_once(failure, _IDLE)
 
--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -431,12 +431,13 @@
         """Do nothing."""
 
 
+@pytest.mark.parametrize("executor_class", [_FaultyExecutor])
 @pytest.mark.parametrize(
     "statement, expected_code",
     [("READ 1a4", b"ABORTED"), ("WRITE 1a4 coal", b"INDOUBT")],
 )
 def test_statement_that_meets_an_unexpected_error_gets_its_outcome(
-    statement, expected_code
+    statement, expected_code, executor_class
 ):
     """A fault in a session must not close it without an answer."""
 
@@ -445,7 +446,7 @@
         loop.set_exception_handler(lambda loop, context: None)
         async with fleet.connected("pay") as caller:
             executors = fleet.proxies[0].entry.context.executors
-            executors.executor_for = lambda daemon: _FaultyExecutor()
+            executors.executor_for = lambda daemon: executor_class()
             return await _code_of(caller.query(statement))
 
     _, code = run(scenario)
--- a/waxwinglift/process/tests/test_data_path_drain.py
+++ b/waxwinglift/process/tests/test_data_path_drain.py
@@ -91,3 +91,23 @@
                 await caller.execute("SELECT 1")
 
     run(scenario)
+
+
+def test_query_that_meets_an_unexpected_error_gets_a_verdict():
+    # A fault in a session must not close it without an answer.
+    async def scenario(servers, proxies):
+        def find_executor(daemon):
+            raise RuntimeError("fault of a test")
+
+        async with _connected(proxies[0]) as caller:
+            executors = proxies[0].entry.context.executors
+            executors.executor_for = find_executor
+            with pytest.raises(psycopg.Error) as caught:
+                await caller.execute("SELECT 1")
+            assert "internal error" in caught.value.diag.message_primary
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=may_have_run"
+            counts = proxies[0].metrics.counts
+            assert counts["entry.interrupted.internal_error"] == 1
+
+    run(scenario)
--- a/waxwinglift/request/_statement_failures.py
+++ b/waxwinglift/request/_statement_failures.py
@@ -1,6 +1,7 @@
 """Failures that callers get for statements without a complete answer."""
 
 import dataclasses
+import enum
 
 from waxwinglift.request._types import Failure
 from waxwinglift.request._types import FailureCode
@@ -9,6 +10,23 @@
 from waxwinglift.request._types import Verdict
 
 
+class Interruption(enum.Enum):
+    """Reason why a proxy ends a statement without waiting for its answer.
+
+    SHUTDOWN: the proxy is shut down.
+    INTERNAL_ERROR: the proxy has met an error that it does not expect.
+    """
+
+    SHUTDOWN = "shutdown"
+    INTERNAL_ERROR = "internal_error"
+
+
+_INTERRUPTION_TEXTS = {
+    Interruption.SHUTDOWN: "the proxy was shut down",
+    Interruption.INTERNAL_ERROR: "the proxy met an internal error",
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatementProgress:
     """Progress of a statement up to its failure.
@@ -61,16 +79,18 @@
     return Failure(Verdict.MAY_HAVE_RUN, FailureCode.TIMED_OUT, message)
 
 
-def interrupted_failure(progress: StatementProgress) -> Failure:
-    """Return the failure for a statement that a shutdown interrupts.
+def interrupted_failure(
+    progress: StatementProgress, interruption: Interruption
+) -> Failure:
+    """Return the failure for a statement that the proxy interrupts.
 
     ``progress.may_commit`` is False for a statement that changes nothing: a
     read, or a COMMIT of a transaction without a write.
     """
+    reason = _INTERRUPTION_TEXTS[interruption]
     if progress.may_commit and progress.is_sent:
-        return may_have_run("the proxy was shut down before the answer")
-    message = "nothing was kept: the proxy is shutting down"
-    return not_run(FailureCode.ABORTED, message)
+        return may_have_run(f"{reason} before the answer")
+    return not_run(FailureCode.ABORTED, f"nothing was kept: {reason}")
 
 
 def cancelled_failure(progress: StatementProgress) -> Failure:
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -26,6 +26,7 @@
 from waxwinglift.request._statement_attempts import mark_retryable_error
 from waxwinglift.request._statement_attempts import StatementAttempts
 from waxwinglift.request._statement_failures import interrupted_failure
+from waxwinglift.request._statement_failures import Interruption
 from waxwinglift.request._statement_failures import StatementProgress
 from waxwinglift.request._statement_retries import can_use_other_daemon
 from waxwinglift.request._statement_retries import StatementRetries
@@ -79,9 +80,9 @@
             await stream.close()
 
     def interrupted_failure(
-        self, statement: Statement, is_block: bool
+        self, statement: Statement, is_block: bool, interruption: Interruption
     ) -> Failure:
-        """Return the failure of a statement whose run was cancelled."""
+        """Return the failure of a statement whose run was interrupted."""
         may_commit = statement.is_write
         if is_block:
             is_commit = statement.verb is StatementVerb.COMMIT
@@ -91,15 +92,16 @@
             in_block=is_block,
             may_commit=may_commit,
         )
-        failure = interrupted_failure(progress)
+        failure = interrupted_failure(progress, interruption)
         self._context.request_log.write(
-            "request interrupted by the shutdown",
+            "request interrupted",
             request_id=statement.request.decode("latin-1"),
             pool=self._session.table.pool,
             verb=statement.verb.value,
             verdict=failure.verdict.value,
+            reason=failure.message,
         )
-        self._context.metrics.incr("entry.interrupted")
+        self._context.metrics.incr(f"entry.interrupted.{interruption.value}")
         return failure
 
     async def run_single(self, statement: Statement) -> ExchangeEnd:
