Record whether an interrupted statement may have run

A write that a server had carried out could be answered ABORTED (nothing was kept) if its session was interrupted while the stream to the owner was closed.

Cause: a statement counted as sent while the runner had a stream, and the runner forgets the stream before it closes it. A flag now says that an attempt was started, and only an outcome that the statement has not run clears it.

The new case of the test for unexpected errors, with a stream whose close fails, gave ABORTED for a write before and gives INDOUBT now.

--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -17,9 +17,14 @@
 from waxwinglift.process import DaemonId
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._settings import ProxyTimingSettings
+from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.request._statements import StatementAnswer
 from waxwinglift.version import Epoch
 from waxwinglift.version import GroupPhase
+from waxwinglift.version import Lsn
 from waxwinglift.version import OwnerAssignment
+from waxwinglift.version import Position
+from waxwinglift.version import Term
 from waxwinglift_standin.platform import Caller
 from waxwinglift_standin.platform import ServerSettings
 
@@ -32,6 +37,7 @@
 _WHOLE_LIMIT_MS = 525.0
 # Codes that promise that nothing of the request is kept.
 _PROMISES = frozenset({b"BUSY", b"ABORTED", b"LAGGING", b"READONLY"})
+_POSITION = Position(Term(1), Lsn(1))
 # Longer than a stop takes, shorter than any statement of these tests.
 _STOP_LIMIT_S = 0.1
 
@@ -431,7 +437,21 @@
         """Do nothing."""
 
 
-@pytest.mark.parametrize("executor_class", [_FaultyExecutor])
+class _FaultyCloseExecutor(_FaultyExecutor):
+    """Executor whose streams answer and raise when they are closed."""
+
+    async def run(self, exchange, sink):
+        """Return an answer."""
+        return ExchangeEnd(answer=StatementAnswer(), position=_POSITION)
+
+    async def close(self):
+        """Raise the exception."""
+        raise RuntimeError("fault of a test")
+
+
+@pytest.mark.parametrize(
+    "executor_class", [_FaultyExecutor, _FaultyCloseExecutor]
+)
 @pytest.mark.parametrize(
     "statement, expected_code",
     [("READ 1a4", b"ABORTED"), ("WRITE 1a4 coal", b"INDOUBT")],
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -60,6 +60,8 @@
         self._session = session
         # Whether the open block, or the last one, contains a write.
         self.has_block_written = False
+        # Whether the running statement may have reached an endpoint.
+        self._may_have_run = False
         self._stream: TransactionStream | None = None
         self._retries = StatementRetries(context, session)
 
@@ -88,7 +90,7 @@
             is_commit = statement.verb is StatementVerb.COMMIT
             may_commit = is_commit and self.has_block_written
         progress = StatementProgress(
-            is_sent=self._stream is not None,
+            is_sent=self._may_have_run,
             in_block=is_block,
             may_commit=may_commit,
         )
@@ -131,6 +133,7 @@
         ``settings`` are the session's values, or None if unchanged.
         """
         self.has_block_written = self.has_block_written or statement.is_write
+        self._may_have_run = True
         exchange = Exchange(b"", statement=statement, settings=settings)
         limit_ms = self._session.policy.statement_timeout_ms
         end = await self._run_with_timeout(exchange, limit_ms)
@@ -185,6 +188,7 @@
         return Access.READ
 
     def _attempts(self, access, is_block):
+        self._may_have_run = False
         now_ms = self._context.now_ms()
         limit_ms = self._session.policy.statement_timeout_ms
         self._context.retry_budget(self._session.table.pool).record_request()
@@ -239,6 +243,7 @@
         if route.catch_up_ms > 0:
             # The endpoint would refuse a read before it reaches the floor.
             await asyncio.sleep(route.catch_up_ms / 1000)
+        self._may_have_run = True
         self._stream = executor.open(
             self._header(attempts, route, daemon != route.owner)
         )
@@ -246,6 +251,7 @@
         if can_use_other_daemon(end):
             attempts.unreachable.add((route.endpoint, daemon))
         if end.failure is not None:
+            self._may_have_run = end.failure.verdict is not Verdict.NOT_RUN
             await self.close()
         return end, route
 
