Check the limits of a drain against each other

With default settings the whole drain ended after 30 s, together with the limit for open transactions, so statements that ran then were cut: the 10 s for their answers never began.

Cause: the limits stand in three settings models and nothing compared them. The whole drain now has 45 s by default, and settings are rejected whose whole limit is not above the two limits of the entry side and of the owner side. The error names the keys and both values.

--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -208,13 +208,14 @@
     rpc_timeout_ms : int
         Time limit for the answer to a renewal.
     drain_timeout_ms : int
-        Longest time that a shutdown waits for open transactions and for the
-        handover of endpoints.
+        Longest time that a shutdown waits for open transactions, for running
+        statements and for the handover of endpoints.  Must be above the sum
+        of both limits for them in `EntrySettings` and in `OwnerSettings`.
     """
 
     renew_interval_ms: Annotated[int, pydantic.Field(ge=50, le=2000)] = 250
     rpc_timeout_ms: Annotated[int, pydantic.Field(ge=50, le=10_000)] = 600
-    drain_timeout_ms: Annotated[int, pydantic.Field(ge=0, le=600_000)] = 30_000
+    drain_timeout_ms: Annotated[int, pydantic.Field(ge=0, le=600_000)] = 45_000
 
 
 class ProxySettings(SettingsModel):
@@ -255,6 +256,20 @@
             raise ValueError(f"host {error}") from error
         return entry
 
+    @pydantic.model_validator(mode="after")
+    def _check_drain_limits(self):
+        sides = {"entry": self.entry, "owner": self.owner}
+        whole_ms = self.timing.drain_timeout_ms
+        for name, side in sides.items():
+            used_ms = side.drain_timeout_ms + side.drain_answer_timeout_ms
+            if whole_ms <= used_ms:
+                raise ValueError(
+                    f"timing.drain_timeout_ms ({whole_ms}) must be above "
+                    f"{name}.drain_timeout_ms + {name}.drain_answer_timeout_ms"
+                    f" ({used_ms:g})"
+                )
+        return self
+
 
 def load_settings(path, model):
     """Read and validate a TOML file.
--- a/waxwinglift/process/tests/test_settings.py
+++ b/waxwinglift/process/tests/test_settings.py
@@ -67,6 +67,20 @@
             "timing.renew_interval_ms: Input should be greater than or "
             "equal to 50 (got 9)",
         ),
+        (
+            "proxy",
+            "[location]",
+            "[timing]\ndrain_timeout_ms = 40000\n[location]",
+            "timing.drain_timeout_ms (40000) must be above "
+            "entry.drain_timeout_ms + entry.drain_answer_timeout_ms (40000)",
+        ),
+        (
+            "proxy",
+            "[location]",
+            "[owner]\ndrain_timeout_ms = 40000\n[location]",
+            "timing.drain_timeout_ms (45000) must be above "
+            "owner.drain_timeout_ms + owner.drain_answer_timeout_ms (50000)",
+        ),
         ("control", 'member = "control-0"\nl', 'member = "x"\nl', "join"),
         (
             "control",
