Limit the last renewal of a proxy to the rest of its grace period

With a control daemon that does not answer, a proxy with a grace period of 3 s was still running at 3.3 s, so the platform killed it.

Cause: the renewal that reports the end of the proxy comes after the drain and had rpc_timeout_ms. It now has timing.last_renewal_timeout_ms, by default 600 ms; proxies of the platform use a fifteenth of the grace period.

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -25,6 +25,8 @@
 _BLOCK_FRACTION = 1 / 2
 _ANSWER_FRACTION = 3 / 4
 _DRAIN_FRACTION = 5 / 6
+# The last renewal comes after the drain and the stop of the sessions.
+_LAST_RENEWAL_FRACTION = 1 / 15
 _CONTROL_TIMING = ControlTimingSettings(
     lease_ms=2000,
     heartbeat_ms=120,
@@ -89,8 +91,15 @@
             drain_answer_timeout_ms=answer_ms,
             pool=EndpointPoolSettings(keeps_surplus=True),
         ),
-        timing=_PROXY_TIMING.model_copy(
-            update={"drain_timeout_ms": int(_DRAIN_FRACTION * grace_ms)}
-        ),
+        timing=_proxy_timing(grace_ms),
         observability=platform.observability,
     )
+
+
+def _proxy_timing(grace_ms):
+    return _PROXY_TIMING.model_copy(
+        update={
+            "drain_timeout_ms": int(_DRAIN_FRACTION * grace_ms),
+            "last_renewal_timeout_ms": int(_LAST_RENEWAL_FRACTION * grace_ms),
+        }
+    )
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -145,8 +145,14 @@
         self._is_stopped = True
         if self._entries_timer is not None:
             self._entries_timer.cancel()
-        with open_channel(self._relays[0]) as channel:
-            await self._renew_once(channel)
+        timeout_ms = self.settings.timing.last_renewal_timeout_ms
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                with open_channel(self._relays[0]) as channel:
+                    await self._renew_once(channel)
+        except TimeoutError:
+            # Control notices the end of the proxy when its lease expires.
+            self.metrics.incr("control.renewals_lost")
 
     def request_renewal(self):
         """Send the next renewal now, for instance after a health change."""
--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -27,7 +27,7 @@
 # grpclib discards a cancellation that comes together with the end of a stream.
 _CANCEL_INTERVAL_S = 0.05
 # Longest time that a stop waits for the sessions.
-_STOP_TIMEOUT_S = 0.25
+STOP_TIMEOUT_S = 0.25
 
 logger = logging.getLogger(__name__)
 
@@ -136,7 +136,7 @@
 
     async def _cancel_sessions(self):
         """Cancel the tasks of all sessions until they end, or time is up."""
-        limit_ms = self.context.now_ms() + 1000 * _STOP_TIMEOUT_S
+        limit_ms = self.context.now_ms() + 1000 * STOP_TIMEOUT_S
         while self._tasks and self.context.now_ms() < limit_ms:
             tasks = list(self._tasks)
             for task in tasks:
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -207,6 +207,9 @@
         Interval between renewals of the lease.
     rpc_timeout_ms : int
         Time limit for the answer to a renewal.
+    last_renewal_timeout_ms : int
+        Time limit for the last renewal, which comes after the drain; at most
+        ``rpc_timeout_ms`` is used.
     drain_timeout_ms : int
         Longest time that a shutdown waits for open transactions, for running
         statements and for the handover of endpoints.  Must be above the sum
@@ -215,6 +218,9 @@
 
     renew_interval_ms: Annotated[int, pydantic.Field(ge=50, le=2000)] = 250
     rpc_timeout_ms: Annotated[int, pydantic.Field(ge=50, le=10_000)] = 600
+    last_renewal_timeout_ms: Annotated[
+        int, pydantic.Field(ge=50, le=10_000)
+    ] = 600
     drain_timeout_ms: Annotated[int, pydantic.Field(ge=0, le=600_000)] = 45_000
 
 
