Do not count an ended transaction as idle a second time

The timer for idle transactions keeps running when a drain ends a transaction at its limit, and then counted owner.idle_block_ended again. A transaction that has ended is now left alone. Nothing but the counter was affected.

--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -395,6 +395,6 @@
 
     def end_if_idle(self):
         """End an open block that waits for its caller."""
-        if self._task is None:
+        if self._task is None and not self._is_ended:
             self._owner.metrics.incr("owner.idle_block_ended")
             self._end_block()
