Refuse what a session has not read when it fails

A session that ended after an unexpected error dropped the statements that stood behind the failed one in its buffer, without an answer.

Cause: only a cancelled session refused what it had not read. A failed one now does so too, with a message of its own. Nothing of these statements has run. The new test failed before (the second of two statements had no answer).

--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -51,6 +51,10 @@
     FailureCode.ABORTED,
     "the transaction was aborted: the proxy is shutting down",
 )
+_SESSION_FAILED = not_run(
+    FailureCode.UNAVAILABLE,
+    "the session has ended: the proxy met an internal error",
+)
 _WRITE_IN_READ_BLOCK = not_run(
     FailureCode.ABORTED, "cannot write in a read-only transaction"
 )
@@ -123,7 +127,10 @@
             if await self._start():
                 await self._serve_statements()
         except asyncio.CancelledError:
-            await self._refuse_unread()
+            is_block = self._status is not _IDLE
+            await self._refuse_unread(
+                _BLOCK_ENDED if is_block else _SHUTTING_DOWN
+            )
             raise
         finally:
             await self._runner.close()
@@ -299,6 +306,7 @@
             await self._answer_interrupted(
                 statement, Interruption.INTERNAL_ERROR
             )
+            await self._refuse_unread(_SESSION_FAILED)
             return
         finally:
             self._connection.set_disconnect_callback(None)
@@ -360,10 +368,8 @@
         ):
             self.floor = advance_floor(self.floor, end.position)
 
-    async def _refuse_unread(self):
+    async def _refuse_unread(self, failure):
         """Answer the messages that have arrived but are not read yet."""
-        is_block = self._status is not _IDLE
-        failure = _BLOCK_ENDED if is_block else _SHUTTING_DOWN
         status = None if self.table is None else _IDLE
         while self._connection.has_unread_message():
             if await self._connection.receive() is CallerEnd.LEFT:
--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -237,6 +237,22 @@
         """Do nothing."""
 
 
+def test_statements_behind_an_unexpected_error_are_refused():
+    """A session that ends must not drop what it has not read."""
+
+    async def scenario(fleet):
+        async with fleet.connected("pay") as caller:
+            entry = fleet.proxies[0].entry
+            entry.context.executors.executor_for = lambda _: _FaultyExecutor()
+            (session,) = entry.sessions.values()
+            data = b"QUERY x WRITE 1a4 coal\r\nQUERY y READ 1a4\r\n"
+            session._connection.data_received(data)
+            answers = [code_of(caller.answer(name)) for name in (b"x", b"y")]
+            return [await answer for answer in answers]
+
+    assert run(scenario) == [(b"I", b"INDOUBT"), (b"I", b"BUSY")]
+
+
 class _FaultyCloseExecutor(_FaultyExecutor):
     """Executor whose streams answer and raise when they are closed."""
 
