Test the drain of a PostgreSQL owner with an idle transaction

The new limits of an owner were tested with typed statements only. The test has an idle transaction and a query that outlasts the limit at one owner: the transaction ends, the query is answered.

--- a/waxwinglift/process/tests/test_data_path_drain.py
+++ b/waxwinglift/process/tests/test_data_path_drain.py
@@ -111,3 +111,31 @@
             assert counts["entry.interrupted.internal_error"] == 1
 
     run(scenario)
+
+
+def test_drain_of_an_owner_ends_idle_transactions_before_queries():
+    # The limit for open transactions must end those that wait for their
+    # caller, and must not cut a query that runs at the owner.
+    async def scenario(servers, proxies):
+        async with (
+            _connected(proxies[0]) as idle,
+            _connected(proxies[0]) as busy,
+        ):
+            await idle.execute("BEGIN")
+            await idle.execute("SELECT 1")
+            work = asyncio.ensure_future(
+                fetch(busy, "SELECT 1, pg_sleep(0.4)")
+            )
+            await asyncio.sleep(0.1)
+            async with asyncio.timeout(2):
+                await proxies[1].owners.drain()
+            assert await work == [(1, "")]
+            with pytest.raises(psycopg.Error) as caught:
+                await idle.execute("SELECT 1")
+            assert caught.value.diag.message_detail == "verdict=not_run"
+
+    run(
+        scenario,
+        proxy_count=2,
+        owner={"drain_timeout_ms": _BLOCK_LIMIT_MS},
+    )
