--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import logging
 
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._drain_phase import DrainPhase
@@ -20,6 +21,7 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request._floors import advance_floor
+from waxwinglift.request._statement_failures import Interruption
 from waxwinglift.request._statement_run import StatementRunner
 from waxwinglift.request._statements import PreparedShape
 from waxwinglift.request._statements import Statement
@@ -27,6 +29,8 @@
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import Position
 
+logger = logging.getLogger(__name__)
+
 _IDLE = TransactionStatus.IDLE
 _IN_TRANSACTION = TransactionStatus.IN_TRANSACTION
 _FAILED = TransactionStatus.FAILED
@@ -40,10 +44,17 @@
     FailureCode.FAILED_BLOCK,
     "the transaction failed; only COMMIT or ROLLBACK is accepted",
 )
+_SHUTTING_DOWN = not_run(
+    FailureCode.SHUTTING_DOWN, "the proxy is shutting down"
+)
 _BLOCK_ENDED = not_run(
     FailureCode.ABORTED,
     "the transaction was aborted: the proxy is shutting down",
 )
+_SESSION_FAILED = not_run(
+    FailureCode.UNAVAILABLE,
+    "the session has ended: the proxy met an internal error",
+)
 _WRITE_IN_READ_BLOCK = not_run(
     FailureCode.ABORTED, "cannot write in a read-only transaction"
 )
@@ -64,12 +75,12 @@
     ----------
     context : EntryContext
     connection : StatementCaller
-    is_draining : callable
-        Returns whether the session must end as soon as it is idle.
+    drain_phase : callable
+        Returns the `DrainPhase` of the proxy.
     """
 
     def __init__(
-        self, context: EntryContext, connection: StatementCaller, is_draining
+        self, context: EntryContext, connection: StatementCaller, drain_phase
     ):
         # Name of the caller with its address, for the request header.
         self.caller = ""
@@ -78,7 +89,7 @@
         self.settings: dict[str, str] = {}
         self._context = context
         self._connection = connection
-        self._is_draining = is_draining
+        self._drain_phase = drain_phase
         self._prepared: dict[bytes, PreparedShape] = {}
         self._status = _IDLE
         self._is_block_read_only = False
@@ -115,6 +126,12 @@
         try:
             if await self._start():
                 await self._serve_statements()
+        except asyncio.CancelledError:
+            is_block = self._status is not _IDLE
+            await self._refuse_unread(
+                _BLOCK_ENDED if is_block else _SHUTTING_DOWN
+            )
+            raise
         finally:
             await self._runner.close()
             self._connection.close()
@@ -125,7 +142,9 @@
         An open transaction is rolled back, and its caller is notified.
         """
         is_block_ended = phase is DrainPhase.ENDING_BLOCKS and self._is_waiting
-        if self._is_ending or not (self.is_idle or is_block_ended):
+        if self._is_ending or phase is DrainPhase.SERVING:
+            return
+        if not (self.is_idle or is_block_ended):
             return
         self._is_ending = True
         if self._status is not _IDLE:
@@ -170,7 +189,8 @@
                 await self._serve_message(message)
             finally:
                 self._is_answering = False
-            if self._is_draining() and self.is_idle:
+            self.end_if_possible(self._drain_phase())
+            if self._is_ending:
                 return
 
     async def _serve_message(self, message):
@@ -277,8 +297,17 @@
         try:
             end = await self._run_at_endpoint(statement)
         except asyncio.CancelledError:
-            await self._answer_interrupted(statement)
+            await self._answer_interrupted(statement, Interruption.SHUTDOWN)
             raise
+        except Exception:
+            # The state of the session is unknown, so it ends.
+            logger.exception("the session of %s failed", self.caller)
+            self._is_ending = True
+            await self._answer_interrupted(
+                statement, Interruption.INTERNAL_ERROR
+            )
+            await self._refuse_unread(_SESSION_FAILED)
+            return
         finally:
             self._connection.set_disconnect_callback(None)
         if end.failure is not None:
@@ -297,21 +326,22 @@
 
     def _find_refusal(self, statement):
         """Return the failure if refused; outside a block, update the table."""
+        if self._drain_phase() is DrainPhase.ENDING_BLOCKS:
+            return _SHUTTING_DOWN if self._status is _IDLE else _BLOCK_ENDED
         if self._status is _IN_TRANSACTION:
             if self._is_block_read_only and statement.is_write:
                 return _WRITE_IN_READ_BLOCK
             return None
         return self._update_table(self.table.pool)
 
-    async def _answer_interrupted(self, statement):
-        """Send the outcome of a statement that is cancelled at shutdown."""
+    async def _answer_interrupted(self, statement, interruption):
+        """Send the outcome of a statement that ends without an answer."""
         is_block = self._status is not _IDLE
-        failure = self._runner.interrupted_failure(statement, is_block)
+        failure = self._runner.interrupted_failure(
+            statement, is_block, interruption
+        )
         self._status = _IDLE
-        with contextlib.suppress(TimeoutError):
-            # A caller that does not read must not delay the shutdown.
-            async with asyncio.timeout(0):
-                await self._send_failure(failure)
+        await self._send_at_once(failure, _IDLE)
 
     async def _run_at_endpoint(self, statement):
         if self._status is _IDLE:
@@ -338,6 +368,20 @@
         ):
             self.floor = advance_floor(self.floor, end.position)
 
+    async def _refuse_unread(self, failure):
+        """Answer the messages that have arrived but are not read yet."""
+        status = None if self.table is None else _IDLE
+        while self._connection.has_unread_message():
+            if await self._connection.receive() is CallerEnd.LEFT:
+                return
+            await self._send_at_once(failure, status)
+
+    async def _send_at_once(self, failure, status):
+        """Send a failure; do not wait for a caller that does not read."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0):
+                await self._connection.send_failure(failure, status)
+
     async def _end_block_with(self, failure):
         await self._runner.close()
         self._status = _IDLE
--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -25,12 +25,13 @@
 # The platform checks readiness each second and needs two failed checks.
 _BALANCER_DETECTION_MS = 2200.0
 # Parts of the grace period ``graceS``, after which the platform ends the
-# process.  Open transactions may continue for the first half; the work of a
-# server may be broken off in the last sixth.  The rest is left for the end of
-# the process.
+# process.  Open transactions may continue for the first half.  The last sixth
+# is left for the end of a process that may be short of processor time.
 _BLOCK_FRACTION = 1 / 2
-_ANSWER_FRACTION = 5 / 6
-_DRAIN_FRACTION = 7 / 8
+_ANSWER_FRACTION = 3 / 4
+_DRAIN_FRACTION = 5 / 6
+# The last renewal comes after the drain and the stop of the sessions.
+_LAST_RENEWAL_FRACTION = 1 / 15
 _CONTROL_TIMING = ControlTimingSettings(
     lease_ms=2000,
     heartbeat_ms=120,
@@ -71,6 +72,7 @@
     callers = platform.listen.callers
     grace_ms = platform.bounds.grace_s * 1000
     drain_ms = _BLOCK_FRACTION * grace_ms
+    answer_ms = _ANSWER_FRACTION * grace_ms - drain_ms
     return ProxySettings(
         daemon=platform.machine,
         location=platform.location,
@@ -85,19 +87,27 @@
             # need no common secret.
             token_secret=secrets.token_hex(16),
             drain_timeout_ms=drain_ms,
-            drain_answer_timeout_ms=_ANSWER_FRACTION * grace_ms - drain_ms,
+            drain_answer_timeout_ms=answer_ms,
             drain_linger_ms=min(_BALANCER_DETECTION_MS, drain_ms),
         ),
         owner=OwnerSettings(
             protocol=PROTOCOL,
             drain_timeout_ms=drain_ms,
+            drain_answer_timeout_ms=answer_ms,
             admission=AdmissionSettings(wait_fraction=_WAIT_FRACTION),
             pool=EndpointPoolSettings(
                 keeps_surplus=True, opening_limit_count=_OPENING_LIMIT_COUNT
             ),
         ),
-        timing=_PROXY_TIMING.model_copy(
-            update={"drain_timeout_ms": int(_DRAIN_FRACTION * grace_ms)}
-        ),
+        timing=_proxy_timing(grace_ms),
         observability=platform.observability,
     )
+
+
+def _proxy_timing(grace_ms):
+    return _PROXY_TIMING.model_copy(
+        update={
+            "drain_timeout_ms": int(_DRAIN_FRACTION * grace_ms),
+            "last_renewal_timeout_ms": int(_LAST_RENEWAL_FRACTION * grace_ms),
+        }
+    )
--- a/waxwinglift/process/_entry_context.py
+++ b/waxwinglift/process/_entry_context.py
@@ -66,6 +66,8 @@
         self.rng = rng
         self.request_log = RequestLog(now_ms)
         self.overload_backoff = OverloadBackoff(rng)
+        # Whether the sessions are being ended, so that nothing is retried.
+        self.is_stopping = False
         self._endpoint_stats: dict[GroupName, EndpointStats] = {}
         self._primary_refused_ms: dict[GroupName, float] = {}
         self._retry_budgets: dict[PoolName, RetryBudget] = {}
--- a/waxwinglift/process/tests/test_data_path_drain.py
+++ b/waxwinglift/process/tests/test_data_path_drain.py
@@ -76,3 +76,66 @@
             assert detail == "verdict=may_have_run"
 
     run(scenario, proxy_count=proxy_count)
+
+
+@pytest.mark.parametrize("is_in_block", [False, True])
+def test_stop_notifies_the_caller_of_an_idle_session(is_in_block):
+    # A session that waits for its caller must not end without a message.
+    async def scenario(servers, proxies):
+        async with _connected(proxies[0]) as caller:
+            if is_in_block:
+                await caller.execute("BEGIN")
+                await caller.execute("SELECT 1")
+            await proxies[0].entry.stop()
+            with pytest.raises(psycopg.errors.AdminShutdown):
+                await caller.execute("SELECT 1")
+
+    run(scenario)
+
+
+def test_query_that_meets_an_unexpected_error_gets_a_verdict():
+    # A fault in a session must not close it without an answer.
+    async def scenario(servers, proxies):
+        def find_executor(daemon):
+            raise RuntimeError("fault of a test")
+
+        async with _connected(proxies[0]) as caller:
+            executors = proxies[0].entry.context.executors
+            executors.executor_for = find_executor
+            with pytest.raises(psycopg.Error) as caught:
+                await caller.execute("SELECT 1")
+            assert "internal error" in caught.value.diag.message_primary
+            detail = caught.value.diag.message_detail
+            assert detail == "verdict=may_have_run"
+            counts = proxies[0].metrics.counts
+            assert counts["entry.interrupted.internal_error"] == 1
+
+    run(scenario)
+
+
+def test_drain_of_an_owner_ends_idle_transactions_before_queries():
+    # The limit for open transactions must end those that wait for their
+    # caller, and must not cut a query that runs at the owner.
+    async def scenario(servers, proxies):
+        async with (
+            _connected(proxies[0]) as idle,
+            _connected(proxies[0]) as busy,
+        ):
+            await idle.execute("BEGIN")
+            await idle.execute("SELECT 1")
+            work = asyncio.ensure_future(
+                fetch(busy, "SELECT 1, pg_sleep(0.4)")
+            )
+            await asyncio.sleep(0.1)
+            async with asyncio.timeout(2):
+                await proxies[1].owners.drain()
+            assert await work == [(1, "")]
+            with pytest.raises(psycopg.Error) as caught:
+                await idle.execute("SELECT 1")
+            assert caught.value.diag.message_detail == "verdict=not_run"
+
+    run(
+        scenario,
+        proxy_count=2,
+        owner={"drain_timeout_ms": _BLOCK_LIMIT_MS},
+    )
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -27,6 +27,7 @@
 from waxwinglift.request._statement_attempts import StatementAttempts
 from waxwinglift.request._statement_daemons import StatementDaemons
 from waxwinglift.request._statement_failures import interrupted_failure
+from waxwinglift.request._statement_failures import Interruption
 from waxwinglift.request._statement_failures import StatementProgress
 from waxwinglift.request._statement_retries import StatementRetries
 from waxwinglift.request._statements import Statement
@@ -59,6 +60,8 @@
         self._session = session
         # Whether the open block, or the last one, contains a write.
         self.has_block_written = False
+        # Whether the running statement may have reached an endpoint.
+        self._may_have_run = False
         self._stream: TransactionStream | None = None
         self._retries = StatementRetries(context, session)
         self._daemons = StatementDaemons(context, session)
@@ -80,27 +83,28 @@
             await stream.close()
 
     def interrupted_failure(
-        self, statement: Statement, is_block: bool
+        self, statement: Statement, is_block: bool, interruption: Interruption
     ) -> Failure:
-        """Return the failure of a statement whose run was cancelled."""
+        """Return the failure of a statement whose run was interrupted."""
         may_commit = statement.is_write
         if is_block:
             is_commit = statement.verb is StatementVerb.COMMIT
             may_commit = is_commit and self.has_block_written
         progress = StatementProgress(
-            is_sent=self._stream is not None,
+            is_sent=self._may_have_run,
             in_block=is_block,
             may_commit=may_commit,
         )
-        failure = interrupted_failure(progress)
+        failure = interrupted_failure(progress, interruption)
         self._context.request_log.write(
-            "request interrupted by the shutdown",
+            "request interrupted",
             request_id=statement.request.decode("latin-1"),
             pool=self._session.table.pool,
             verb=statement.verb.value,
             verdict=failure.verdict.value,
+            reason=failure.message,
         )
-        self._context.metrics.incr("entry.interrupted")
+        self._context.metrics.incr(f"entry.interrupted.{interruption.value}")
         return failure
 
     async def run_single(self, statement: Statement) -> ExchangeEnd:
@@ -130,6 +134,7 @@
         ``settings`` are the session's values, or None if unchanged.
         """
         self.has_block_written = self.has_block_written or statement.is_write
+        self._may_have_run = True
         exchange = Exchange(b"", statement=statement, settings=settings)
         limit_ms = self._session.policy.statement_timeout_ms
         end = await self._run_with_timeout(exchange, limit_ms)
@@ -184,6 +189,7 @@
         return Access.READ
 
     def _attempts(self, access, is_block):
+        self._may_have_run = False
         now_ms = self._context.now_ms()
         limit_ms = self._session.policy.statement_timeout_ms
         self._context.retry_budget(self._session.table.pool).record_request()
@@ -238,12 +244,14 @@
         if route.catch_up_ms > 0:
             # The endpoint would refuse a read before it reaches the floor.
             await asyncio.sleep(route.catch_up_ms / 1000)
+        self._may_have_run = True
         self._stream = executor.open(
             self._header(attempts, route, daemon != route.owner)
         )
         end = await self._run_and_record_stats(route, statement, attempts)
         self._daemons.record_outcome(end, route, daemon, attempts)
         if end.failure is not None:
+            self._may_have_run = end.failure.verdict is not Verdict.NOT_RUN
             await self.close()
         return end, route
 
