Do not start owners again while the owner set stops

Cause: an owner that is disabled calls on_released in the next iteration of the loop, and that is OwnerSet._reconcile. OwnerSet.stop had removed the owners by then, so the set found its assigned endpoints without an owner and started new ones.

_reconcile now does nothing once the set is stopped, and stop also waits for owners that were stopping already.

--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -77,6 +77,7 @@
         self._owners: dict[EndpointId, EndpointOwner] = {}
         self._stopping: set[asyncio.Task] = set()
         self._is_draining = False
+        self._is_stopped = False
         self._now_ms = now_ms
         # Endpoints that this proxy serves although they are assigned to other
         # proxies, and the time of their last request.
@@ -93,6 +94,7 @@
 
     async def stop(self):
         """Close all connections at once."""
+        self._is_stopped = True
         self._view.remove_listener(self._reconcile)
         if self._tick_timer is not None:
             self._tick_timer.cancel()
@@ -100,6 +102,8 @@
         self._owners.clear()
         for owner in owners:
             await owner.stop()
+        if self._stopping:
+            await asyncio.wait(self._stopping)
 
     async def drain(self):
         """Refuse new transactions and wait for those that are open."""
@@ -192,6 +196,9 @@
             self._reconcile()
 
     def _reconcile(self):
+        # An owner that stops reports that it has released its connections.
+        if self._is_stopped:
+            return
         required = self._required_endpoints()
         for endpoint in [e for e in self._owners if e not in required]:
             # An owner that is still finishing transactions is stopped later.
