Disconnect callers that are accepted while the entry server stops

A caller that connected within the last iterations of the loop before EntryServer.stop stayed connected: the proxy read its start-up message and served it after the stop, until the start-up timeout or the end of the process, or never looked at the socket again.

A connection's task registers itself in its first step, so stop could not cancel a task that had not run yet. And Server.close of Python 3.11 detaches the sockets at once, while a connection that has just been accepted gets its transport in the next iteration; that fails on an assertion, and the socket stays open without a reader.

--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -19,6 +19,7 @@
 from waxwinglift.process._data_path_types import NoMetrics
 from waxwinglift.process._data_path_types import RunningStatement
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._listener import close_listener
 from waxwinglift.process._types import Address
 
 _DRAIN_CHECK_INTERVAL_S = 0.02
@@ -64,6 +65,7 @@
         )
         self.sessions: dict = {}
         self.drain_phase = DrainPhase.SERVING
+        self._is_stopped = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._caller_protocol = find_caller_protocol(settings.protocol)(self)
@@ -106,7 +108,7 @@
         limit_ms = self.context.now_ms() + settings.drain_timeout_ms
         if settings.drain_linger_ms:
             await asyncio.sleep(settings.drain_linger_ms / 1000)
-            self._server.close()
+            await close_listener(self._server)
         await self._end_sessions(DrainPhase.ENDING_IDLE, limit_ms)
         limit_ms += settings.drain_answer_timeout_ms
         await self._end_sessions(DrainPhase.ENDING_BLOCKS, limit_ms)
@@ -117,8 +119,9 @@
         The caller of a statement that runs gets a failure.
         """
         self.drain_phase = DrainPhase.ENDING_BLOCKS
+        self._is_stopped = True
         if self._server is not None:
-            self._server.close()
+            await close_listener(self._server)
         for task in list(self._tasks):
             task.cancel()
         if self._tasks:
@@ -136,7 +139,14 @@
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
 
     async def serve_connection(self, coroutine):
-        """Serve one connection in the current task until it ends."""
+        """Serve one connection in the current task until it ends.
+
+        A connection that was accepted just before ``stop`` is not served; the
+        code that calls this closes it.
+        """
+        if self._is_stopped:
+            coroutine.close()
+            return
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
--- a/waxwinglift/process/_statement_callers.py
+++ b/waxwinglift/process/_statement_callers.py
@@ -45,6 +45,7 @@
         task = asyncio.ensure_future(
             self._entry.serve_connection(self._serve(connection))
         )
+        task.add_done_callback(lambda _: connection.close())
         task.add_done_callback(_report_error)
 
     async def _serve(self, connection):
--- a/waxwinglift/process/tests/test_descriptors.py
+++ b/waxwinglift/process/tests/test_descriptors.py
@@ -4,6 +4,7 @@
 import contextlib
 import gc
 import os
+import socket
 import struct
 
 from pygwire.messages import AuthenticationOk
@@ -15,15 +16,22 @@
 from waxwinglift.connection._endpoint_pool import EndpointPool
 from waxwinglift.connection._owner_connections import ConnectionManager
 from waxwinglift.process import Address
+from waxwinglift.process import DaemonId
 from waxwinglift.process import Registry
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._data_path_settings import EntrySettings
+from waxwinglift.process._entry_server import EntryServer
+from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._peer_client import PeerClient
 from waxwinglift.process._peer_service import PeerServer
 from waxwinglift.process._peer_service import PeerService
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 from waxwinglift.process.tests.data_path_fleet import GROUP
+from waxwinglift.process.tests.data_path_fleet import LOCATION
 from waxwinglift.process.tests.data_path_fleet import POOL
+from waxwinglift.process.tests.data_path_fleet import SECRET
 from waxwinglift.process.tests.data_path_fleet import running_fleet
+from waxwinglift.version import FleetState
 from waxwinglift.version import Term
 
 ROUNDS_COUNT = 20
@@ -236,6 +244,40 @@
     asyncio.run(work())
 
 
+def _is_ended(caller):
+    """Return whether the other side has closed a socket's connection."""
+    try:
+        return caller.recv(1) == b""
+    except BlockingIOError:
+        return False
+    except ConnectionResetError:
+        return True
+
+
+async def stop_while_accepting(protocol, steps_count):
+    """Stop an entry server a few steps after a caller has connected."""
+    settings = EntrySettings(token_secret=SECRET, protocol=protocol)
+    view = FleetView(DaemonId("p"), LOCATION, lambda: True, FleetState())
+    async with unchanged_descriptors():
+        entry = EntryServer(settings, view, None)
+        await entry.start()
+        address = (entry.address.host, entry.address.port)
+        with socket.create_connection(address) as caller:
+            caller.setblocking(False)
+            for _ in range(steps_count):
+                await asyncio.sleep(0)
+            await entry.stop()
+            await _wait_until(lambda: _is_ended(caller))
+            assert _is_ended(caller)
+
+
+@pytest.mark.parametrize("steps_count", range(6))
+def test_caller_accepted_during_a_stop_is_disconnected(steps_count):
+    # A caller whose connection is accepted just before the stop would stay
+    # connected to a proxy that no longer serves it.
+    asyncio.run(stop_while_accepting("postgresql", steps_count))
+
+
 @contextlib.asynccontextmanager
 async def running_peer():
     """Yield the address of a peer service without owners."""
