Close connections that the stand-in accepts while it stops

Cause: kill cancels the tasks of the connections, and a task that is cancelled before its first step never enters the block that closes the stream. A connection accepted after kill had listed the tasks was served, and one whose transport did not exist yet was dropped with an open socket.

The stream is now closed when the connection's task ends, connections are refused after the stop, and the listening sockets are closed one iteration after the last accept, as in the entry server.

--- a/waxwinglift/process/tests/test_descriptors.py
+++ b/waxwinglift/process/tests/test_descriptors.py
@@ -63,13 +63,14 @@
     before_count = count_descriptors()
     try:
         yield
-        await _wait_until(lambda: count_descriptors() <= before_count)
+        await wait_until(lambda: count_descriptors() <= before_count)
         assert count_descriptors() == before_count
     finally:
         gc.enable()
 
 
-async def _wait_until(is_true):
+async def wait_until(is_true):
+    """Wait until a function returns true, or for a limited time."""
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(SETTLE_TIMEOUT_S):
             while not is_true():
@@ -130,7 +131,7 @@
 
 @_endpoint_ending("closed")
 async def _close_open(manager, number):
-    await _wait_until(lambda: len(manager.process_ids()) > 0)
+    await wait_until(lambda: len(manager.process_ids()) > 0)
     manager.close_all()
 
 
@@ -244,7 +245,7 @@
     asyncio.run(work())
 
 
-def _is_ended(caller):
+def is_ended(caller):
     """Return whether the other side has closed a socket's connection."""
     try:
         return caller.recv(1) == b""
@@ -267,8 +268,8 @@
             for _ in range(steps_count):
                 await asyncio.sleep(0)
             await entry.stop()
-            await _wait_until(lambda: _is_ended(caller))
-            assert _is_ended(caller)
+            await wait_until(lambda: is_ended(caller))
+            assert is_ended(caller)
 
 
 @pytest.mark.parametrize("steps_count", range(6))
--- a/waxwinglift_standin/process/_server.py
+++ b/waxwinglift_standin/process/_server.py
@@ -10,6 +10,7 @@
 from pygwire import messages as pg
 from waxwinglift.connection import SessionId
 from waxwinglift.process import Address
+from waxwinglift.process._listener import close_listener
 from waxwinglift_standin.connection import ReplicationReceiver
 from waxwinglift_standin.connection import ReplicationSender
 from waxwinglift_standin.connection import Session
@@ -55,6 +56,7 @@
         self.state = None
         self._executor = Executor()
         self._listener = None
+        self._is_stopped = False
         self._tasks = set()
         self._next_id = 0
         self._files = contextlib.ExitStack()
@@ -77,6 +79,7 @@
 
     async def start(self):
         """Load the log and start to listen."""
+        self._is_stopped = False
         executor = self._executor
         database = Database(executor.install, executor.function_calls)
         store = self._files.enter_context(open_store(self.settings.data_file))
@@ -101,7 +104,8 @@
 
     async def kill(self):
         """Stop without a report to the sessions, as in a crash."""
-        self._listener.close()
+        self._is_stopped = True
+        await close_listener(self._listener)
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -122,22 +126,27 @@
             _LOG.error("background task failed", exc_info=task.exception())
 
     def _accept(self, reader, writer):
-        self.start_task(self._serve(reader, writer))
+        if self._is_stopped:
+            writer.close()
+            return
+        task = self.start_task(self._serve(reader, writer))
+        # A task that is cancelled before its first step cannot close the
+        # connection itself.
+        task.add_done_callback(lambda _: writer.close())
 
     async def _serve(self, reader, writer):
-        with contextlib.closing(writer):
-            try:
-                await self.state.unfrozen.wait()
-                started = await read_startup(reader, writer)
-                await self.state.unfrozen.wait()
-                await self._serve_first_message(reader, writer, started)
-            except pygwire.PygwireError as error:
-                failure = SqlError(SqlState.PROTOCOL_VIOLATION, str(error))
-                writer.write(error_message(failure, "FATAL").to_wire())
-            except ConnectionError as error:
-                _LOG.debug("connection lost", extra={"reason": str(error)})
-            except Exception:
-                _LOG.exception("connection ended by an unexpected error")
+        try:
+            await self.state.unfrozen.wait()
+            started = await read_startup(reader, writer)
+            await self.state.unfrozen.wait()
+            await self._serve_first_message(reader, writer, started)
+        except pygwire.PygwireError as error:
+            failure = SqlError(SqlState.PROTOCOL_VIOLATION, str(error))
+            writer.write(error_message(failure, "FATAL").to_wire())
+        except ConnectionError as error:
+            _LOG.debug("connection lost", extra={"reason": str(error)})
+        except Exception:
+            _LOG.exception("connection ended by an unexpected error")
 
     async def _serve_first_message(self, reader, writer, started):
         message = started.message
