Keep a closed channel from opening a connection

A proxy whose peer left the fleet, or was replaced because it did not answer, could open a connection to it after it had closed the client. The connection stayed open, with its keep-alive pings, until the last stream of the old channel was collected, and calls on the closed client waited for their whole time limit (2 s for a position) instead of failing at once.

Cause: Channel.close of grpclib closes the connection that exists. A call that is still connecting, or that starts later, opens one on the same channel, and no one closes the channel again.

ClosableChannel cancels an opening when it is closed and refuses later calls with ConnectionAbortedError, which all callers already treat as an unreachable peer. An opening that finishes in the same iteration is closed. Peer clients and the channels between control daemons use it.

--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 
-from grpclib.client import Channel
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import ProtocolError
@@ -31,6 +30,7 @@
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process.rpc import peer_grpc
 from waxwinglift.process.rpc import peer_pb2
+from waxwinglift.process.rpc._channels import ClosableChannel
 from waxwinglift.process.rpc._channels import retrieve_exception
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
@@ -122,9 +122,8 @@
         self._channel.close()
 
     def _connect(self):
-        self._channel = Channel(
-            self.address.host,
-            self.address.port,
+        self._channel = ClosableChannel(
+            self.address,
             config=Configuration(
                 _keepalive_time=_KEEPALIVE_S,
                 _keepalive_timeout=_KEEPALIVE_S,
--- a/waxwinglift/process/rpc/_channels.py
+++ b/waxwinglift/process/rpc/_channels.py
@@ -17,10 +17,61 @@
 )
 
 
+class ClosableChannel(Channel):
+    """Channel that has no connection once it is closed.
+
+    A call on a closed channel, and one whose connection is still opening when
+    the channel is closed, fails with ConnectionAbortedError.  The base class
+    opens a connection for such calls, which nothing closes.
+
+    Parameters
+    ----------
+    address : Address
+    config : grpclib.config.Configuration, optional
+    """
+
+    def __init__(self, address, config=None):
+        super().__init__(address.host, address.port, config=config)
+        self._is_closed = False
+        self._opening = None
+
+    def close(self):
+        """Close the connection, or stop opening it."""
+        self._is_closed = True
+        if self._opening is not None:
+            self._opening.cancel()
+        super().close()
+
+    async def _create_connection(self):
+        self._check_open()
+        opening = asyncio.ensure_future(super()._create_connection())
+        self._opening = opening
+        try:
+            await asyncio.wait([opening])
+            self._check_open()
+        except BaseException:
+            opening.cancel()
+            opening.add_done_callback(_close_connection)
+            raise
+        finally:
+            self._opening = None
+        return opening.result()
+
+    def _check_open(self):
+        if self._is_closed:
+            raise ConnectionAbortedError("the channel is closed")
+
+
+def _close_connection(opening):
+    """Close the connection of an opening that ended after it was abandoned."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result().processor.close()
+
+
 @contextlib.contextmanager
 def open_channel(address):
     """Yield a channel to ``address`` and close it afterwards."""
-    channel = Channel(host=address.host, port=address.port)
+    channel = ClosableChannel(address)
     try:
         yield channel
     finally:
@@ -48,7 +99,7 @@
         """Return the channel to ``address``."""
         channel = self._channels.get(address)
         if channel is None:
-            channel = Channel(host=address.host, port=address.port)
+            channel = ClosableChannel(address)
             self._channels[address] = channel
         return channel
 
