Close the connection of a page that could not be made

A client of the metrics or readiness page whose page raised an error got neither an answer nor the end of the connection: a health check waited for its own time limit, and the process kept the descriptor until the collector ran.

Cause: the handler closed its stream only after a page was written or one of the expected errors occurred. Python 3.11 does not close the stream of a handler that raises.

The stream is now closed in a finally block; the error is still reported to the loop's exception handler.

Evidence: the new test, whose page raises an error, waited for its limit of 1 s before and now reads the end of the connection at once.

--- a/waxwinglift/process/_http_page.py
+++ b/waxwinglift/process/_http_page.py
@@ -35,11 +35,13 @@
     async def answer(reader, writer):
         # asyncio would report a cancelled handler as an error, although the
         # server is only being stopped.
-        with contextlib.suppress(
-            OSError, asyncio.TimeoutError, asyncio.CancelledError
-        ):
-            await _answer(reader, writer, make_page)
-        writer.close()
+        try:
+            with contextlib.suppress(
+                OSError, asyncio.TimeoutError, asyncio.CancelledError
+            ):
+                await _answer(reader, writer, make_page)
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(answer, address.host, address.port)
     async with server:
--- a/waxwinglift/process/tests/test_metrics_page.py
+++ b/waxwinglift/process/tests/test_metrics_page.py
@@ -57,6 +57,28 @@
     assert answer.startswith(b"HTTP/1.0 405")
 
 
+def test_failed_page_ends_the_connection():
+    """A client must not wait for a page that could not be made."""
+
+    def fail():
+        raise ValueError("no page")
+
+    async def work():
+        async with (
+            asyncio.timeout(1),
+            serving_page(Address("127.0.0.1", 0), fail) as server,
+        ):
+            asyncio.get_running_loop().set_exception_handler(
+                lambda loop, context: errors.append(context["exception"])
+            )
+            address = server.sockets[0].getsockname()[:2]
+            return await _fetch(address, b"GET / HTTP/1.1\r\n\r\n")
+
+    errors = []
+    assert asyncio.run(work()) == b""
+    assert [str(error) for error in errors] == ["no page"]
+
+
 @pytest.mark.parametrize(
     "settings, kind",
     [
