Open no monitoring connection after a monitor has stopped

An owner that stopped while a statement was about to time out opened one more monitoring connection to the endpoint. Nobody closed it: it counted against the endpoint's connection limit until the process ended.

Cause: a timeout that is recorded after stop makes the health monitor ask for a new connection, and EndpointMonitor opened it although its owner was gone.

_try_new, the only place that starts an attempt, now does nothing after stop.

Evidence: test_stopped_monitor_opens_no_connection counted 20 descriptors where 18 were open before; it passes now.

--- a/waxwinglift/connection/_owner_monitor.py
+++ b/waxwinglift/connection/_owner_monitor.py
@@ -63,6 +63,7 @@
         self._on_health = on_health
         self._probe_serving = probe_serving
         self._connection: EndpointConnection | None = None
+        self._is_stopped = False
         self._lock = asyncio.Lock()
         self._attempt: asyncio.Task | None = None
         self._attempt_ms = float("-inf")
@@ -75,6 +76,7 @@
 
     def stop(self):
         """Close the connection and cancel a pending attempt to open one."""
+        self._is_stopped = True
         if self._attempt is not None:
             self._attempt.cancel()
         if self._connection is not None:
@@ -157,6 +159,9 @@
         self._on_health(action.state)
 
     def _try_new(self):
+        # A statement may time out after the owner has stopped.
+        if self._is_stopped:
+            return
         if self._is_attempting():
             self._attempt.cancel()
         self._attempt_ms = self._now_ms()
