Close the monitoring connection of a lost endpoint at the next tick

While an endpoint was down, its owner and its standby owner kept the socket of the monitoring connection that the endpoint had ended: one descriptor for each endpoint that is down, closed only when the endpoint came back.

Cause: asyncio keeps a stream open for writing after the other side has ended it, and the monitor closed its old connection only once it had a new one.

The tick that finds the connection unusable now closes it, unless a statement is still reading its last bytes.

Evidence: test_monitor_closes_its_connection_to_a_lost_endpoint counted 18 descriptors where 17 were open before; it passes now.

--- a/waxwinglift/connection/_owner_monitor.py
+++ b/waxwinglift/connection/_owner_monitor.py
@@ -90,6 +90,7 @@
         self._close_if_probe_is_late(now_ms)
         if self._is_usable():
             return
+        self._close_lost()
         attempt_age_ms = now_ms - self._attempt_ms
         is_due = attempt_age_ms >= self._settings.probe_interval_ms
         if is_due and not self._is_attempting():
@@ -216,6 +217,11 @@
             return
         self._close_after_timeout(self._connection)
 
+    def _close_lost(self):
+        # A running statement may still have to read the last bytes.
+        if self._connection is not None and not self._lock.locked():
+            self._connection.close()
+
     def _close(self, connection):
         connection.close()
         if connection is self._connection:
