Give up cancel requests that an endpoint does not accept in time

A proxy that cancelled statements at an unreachable endpoint kept a descriptor for each request until the kernel gave the connection up, which takes about two minutes, although the statements' connections were long closed.

Cause: send_cancel had no time limit. An address that does not answer refuses no connection, so the ignored connection errors never occurred.

A cancel request is now given up after the time in which a connection of the pool must open (``open_timeout_ms``); a later cancel would be of no use.

--- a/waxwinglift/connection/_backend.py
+++ b/waxwinglift/connection/_backend.py
@@ -193,16 +193,22 @@
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
-async def send_cancel(address: Address, key: BackendKeyData):
+async def send_cancel(
+    address: Address, key: BackendKeyData, timeout_ms: float
+):
     """Request cancellation of the statement on another connection.
 
-    Connection errors are ignored.
+    Connection errors are ignored, and so is an endpoint that accepts no
+    connection within ``timeout_ms``.
     """
     request = CancelRequest(
         process_id=key.process_id, secret_key=key.secret_key
     )
     with contextlib.suppress(OSError):
-        _, writer = await asyncio.open_connection(address.host, address.port)
+        async with asyncio.timeout(timeout_ms / 1000):
+            _, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
         writer.write(request.to_wire())
         writer.close()
 
--- a/waxwinglift/process/_postgresql_owner.py
+++ b/waxwinglift/process/_postgresql_owner.py
@@ -32,7 +32,8 @@
 
     def cancel_statement(self, key: BackendKeyData):
         """Send a cancel request for the statement of a connection."""
-        self._start_task(send_cancel(self._address, key))
+        timeout_ms = self.settings.pool.open_timeout_ms
+        self._start_task(send_cancel(self._address, key, timeout_ms))
 
     def _make_stream(self, header, request):
         return OwnerStream(self, header, request)
