Cancel the tasks of an owner when it stops

An owner that stopped while it was sending cancel requests left the requests' connections to an endpoint that no longer concerned it, until their time limit had passed or the loop was closed under them.

Cause: EndpointOwner.stop closed the pool and the monitor, but never looked at the tasks that the owner had started itself.

stop now cancels these tasks and waits for them. Those that roll back a transaction or check a lost answer would find their connections closed anyway.

Evidence: test_cancel_requests_leave_no_descriptor[True] stops an owner 50 ms after 50 requests to an address with a full backlog; 69 descriptors were open where 19 were before, and now 19 are again.

--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -119,6 +119,10 @@
         self._disable("the owner is stopping")
         self.positions.stop()
         self.monitor.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Cancelled openings close their connections in the next iteration.
         await asyncio.sleep(0)
 
     async def drain(self):
