Give up connections of callers that do not read their last answer

A caller that was frozen, or that had leaked its connection, while the answer of its session's last request was partly unsent kept a descriptor and the unsent bytes (up to ``write_buffer_bytes``) at the proxy for as long as its own side of the connection existed, although the session had long ended.

Cause: closing a transport waits until its buffer has been sent, without a limit. Both the PostgreSQL and the platform's caller connections only closed.

A slow caller that reads at all still gets the whole answer.

--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -5,6 +5,7 @@
 import enum
 
 from waxwinglift.connection import TransactionStatus
+from waxwinglift.connection._unread_close import close_transport
 from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.version import Lsn
 from waxwinglift.version import Position
@@ -149,7 +150,7 @@
     def close(self):
         """Close once all written bytes have been sent."""
         if self.transport is not None:
-            self.transport.close()
+            close_transport(self.transport)
 
     def _append_line(self, line):
         if self._is_skipping or len(line) > LINE_LIMIT_BYTES:
--- a/waxwinglift/process/_postgresql_callers.py
+++ b/waxwinglift/process/_postgresql_callers.py
@@ -19,6 +19,7 @@
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._protocol_registry import caller_protocol
+from waxwinglift.connection._unread_close import close_transport
 from waxwinglift.connection._wire import WireError
 from waxwinglift.process._cancel_router import CancelRouter
 from waxwinglift.process._data_path_types import RunningStatement
@@ -66,7 +67,7 @@
         try:
             await self._entry.serve_connection(self._serve(reader, writer))
         finally:
-            writer.close()
+            close_transport(writer.transport)
 
     async def _serve(self, reader, writer):
         settings = self._entry.settings
--- a/waxwinglift/process/tests/test_descriptors.py
+++ b/waxwinglift/process/tests/test_descriptors.py
@@ -11,6 +11,7 @@
 from pygwire.messages import ReadyForQuery
 import pytest
 
+from waxwinglift.connection import _unread_close
 from waxwinglift.connection._backend import EndpointAccount
 from waxwinglift.connection._backend import open_connection
 from waxwinglift.connection._endpoint_pool import EndpointPool
@@ -43,6 +44,9 @@
 READY = AuthenticationOk().to_wire() + ReadyForQuery().to_wire()
 _PARAMETERS = b"user\0u\0database\0" + POOL.encode() + b"\0\0"
 STARTUP = struct.pack("!II", 8 + len(_PARAMETERS), 3 << 16) + _PARAMETERS
+# The stand-in answers with 8 MB, more than the buffers of the kernel hold.
+_LARGE_TEXT = b"SELECT hex(zeroblob(4000000))\0"
+LARGE_QUERY = b"Q" + struct.pack("!I", 4 + len(_LARGE_TEXT)) + _LARGE_TEXT
 TERMINATE = b"X" + struct.pack("!I", 4)
 
 
@@ -52,19 +56,21 @@
 
 
 @contextlib.asynccontextmanager
-async def unchanged_descriptors():
+async def unchanged_descriptors(added_count=0):
     """Fail if descriptors that were opened in the context stay open.
 
+    Except for ``added_count`` that the test still needs.
+
     The collector is off, because finalizers of lost streams would close the
     descriptors.
     """
     gc.collect()
     gc.disable()
-    before_count = count_descriptors()
+    expected_count = count_descriptors() + added_count
     try:
         yield
-        await wait_until(lambda: count_descriptors() <= before_count)
-        assert count_descriptors() == before_count
+        await wait_until(lambda: count_descriptors() <= expected_count)
+        assert count_descriptors() == expected_count
     finally:
         gc.enable()
 
@@ -255,6 +261,39 @@
         return True
 
 
+async def _leave_answers_unread(address):
+    """Return a caller's socket with a large answer that it does not read."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.connect((address.host, address.port))
+    caller.sendall(STARTUP + LARGE_QUERY + TERMINATE)
+    return caller
+
+
+def test_callers_that_do_not_read_leave_no_descriptor(monkeypatch):
+    # A frozen caller reads neither its answer nor the end of the connection,
+    # and never closes its side.
+    monkeypatch.setattr(_unread_close, "UNREAD_TIMEOUT_S", 0.1)
+
+    async def work():
+        entry = {"write_buffer_bytes": 2**24}
+        async with running_fleet(size=1, entry=entry) as (_, (proxy,)):
+            await _call(proxy.entry.address, "closed")
+            await asyncio.sleep(0.2)
+            async with unchanged_descriptors(added_count=3):
+                callers = [
+                    await _leave_answers_unread(proxy.entry.address)
+                    for _ in range(3)
+                ]
+                await wait_until(lambda: proxy.entry.session_count == 3)
+                await wait_until(lambda: proxy.entry.session_count == 0)
+                assert proxy.entry.session_count == 0
+            for caller in callers:
+                caller.close()
+
+    asyncio.run(work())
+
+
 async def stop_while_accepting(protocol, steps_count):
     """Stop an entry server a few steps after a caller has connected."""
     settings = EntrySettings(token_secret=SECRET, protocol=protocol)
