Disconnect peers that are accepted while the peer server closes

A proxy that connected to a peer within the last iterations of the loop before the peer's server closed stayed connected to it: its calls were not answered until the keep-alive ping failed or the process was gone.

Two causes, as at the entry server. PeerServer.close ended the connections that it knew, and a connection that was made afterwards was registered and kept. A connection that had no transport yet was dropped with an open socket, because asyncio.Server.close detaches the sockets at once.

The server now stops accepting first, closes one iteration later, and closes connections that are made after the close.

--- a/waxwinglift/process/_listener.py
+++ b/waxwinglift/process/_listener.py
@@ -10,8 +10,13 @@
     iteration of the loop, and leaves the socket open if the server is closed
     by then.  So the sockets are closed one iteration after the last accept.
     """
+    stop_accepting(server)
+    await asyncio.sleep(0)
+    server.close()
+
+
+def stop_accepting(server: asyncio.Server):
+    """Accept no further connections; close the server one iteration later."""
     loop = asyncio.get_running_loop()
     for listener in server.sockets:
         loop.remove_reader(listener)
-    await asyncio.sleep(0)
-    server.close()
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from waxwinglift.process._data_path_types import Executor
+from waxwinglift.process._listener import stop_accepting
 from waxwinglift.process._peer_cancel import is_cancel_request
 from waxwinglift.process._peer_cancel import serve_cancel
 from waxwinglift.process._peer_cancel import StatementFinder
@@ -86,17 +87,32 @@
     def __init__(self, handlers):
         super().__init__(handlers)
         self._protocols = set()
+        self._is_closed = False
 
     def close(self):
         """Stop listening and end the open connections."""
-        super().close()
+        self._is_closed = True
+        stop_accepting(self._server)
+        # Connections that were just accepted have no protocol yet.
+        asyncio.get_running_loop().call_soon(super().close)
         for protocol in list(self._protocols):
             protocol.connection.close()
 
+    def add(self, protocol):
+        """Register a connection, or close it if the server is closed."""
+        if self._is_closed:
+            protocol.connection.close()
+        else:
+            self._protocols.add(protocol)
+
+    def remove(self, protocol):
+        """Remove a connection that has ended."""
+        self._protocols.discard(protocol)
+
     def _protocol_factory(self):
         protocol = super()._protocol_factory()
         return _PeerProtocol(
-            self._protocols,
+            self,
             protocol.handler,
             protocol.config,
             protocol.h2_config,
@@ -104,20 +120,20 @@
 
 
 class _PeerProtocol(H2Protocol):
-    def __init__(self, protocols, handler, config, h2_config):
+    def __init__(self, server, handler, config, h2_config):
         super().__init__(handler, config, h2_config)
-        self._protocols = protocols
+        self._server = server
 
     def connection_made(self, transport):
         super().connection_made(transport)
         limits = {SettingCodes.MAX_CONCURRENT_STREAMS: _STREAM_LIMIT_COUNT}
         self.connection._connection.update_settings(limits)
         self.connection.flush()
-        self._protocols.add(self)
+        self._server.add(self)
 
     def connection_lost(self, exc):
         super().connection_lost(exc)
-        self._protocols.discard(self)
+        self._server.remove(self)
 
 
 class _StreamServer:
--- a/waxwinglift/process/tests/test_descriptors.py
+++ b/waxwinglift/process/tests/test_descriptors.py
@@ -254,7 +254,9 @@
 def is_ended(caller):
     """Return whether the other side has closed a socket's connection."""
     try:
-        return caller.recv(1) == b""
+        while caller.recv(1024):
+            pass
+        return True
     except BlockingIOError:
         return False
     except ConnectionResetError:
@@ -335,6 +337,23 @@
         await server.wait_closed()
 
 
+@pytest.mark.parametrize("steps_count", range(6))
+def test_peer_accepted_during_a_stop_is_disconnected(steps_count):
+    # A peer would wait for the answers of a proxy that has stopped.
+    async def work():
+        async with unchanged_descriptors():
+            async with running_peer() as address:
+                peer = socket.create_connection((address.host, address.port))
+                for _ in range(steps_count):
+                    await asyncio.sleep(0)
+            with peer:
+                peer.setblocking(False)
+                await wait_until(lambda: is_ended(peer))
+                assert is_ended(peer)
+
+    asyncio.run(work())
+
+
 @pytest.mark.parametrize("steps_count", range(8))
 def test_closed_peer_client_leaves_no_descriptor(steps_count):
     # The connection may still be opening when its proxy leaves the fleet.
