Close the statsd socket when the process ends

Cause: make_metrics returned the backend, and StatsdMetrics had no close.

open_metrics is a context manager like open_tracer; a daemon closes its metrics after its service has stopped.

Evidence: test_settings_select_the_metrics_backends with both backends ended with a ResourceWarning before and has none now; the new test counts the descriptors before, in and after the context.

--- a/waxwinglift/process/_daemon.py
+++ b/waxwinglift/process/_daemon.py
@@ -29,8 +29,10 @@
     """
     observability = settings.observability
     _observability.configure_logging(observability, process_name)
-    metrics = _observability.make_metrics(observability)
-    with _observability.open_tracer(observability, process_name) as tracer:
+    with (
+        _observability.open_metrics(observability) as metrics,
+        _observability.open_tracer(observability, process_name) as tracer,
+    ):
         try:
             code = _runner.run_service(
                 lambda: make_service(settings, metrics, tracer)
--- a/waxwinglift/process/_observability.py
+++ b/waxwinglift/process/_observability.py
@@ -18,17 +18,21 @@
 LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
-def make_metrics(settings):
-    """Return the metrics backend that the settings select."""
+@contextlib.contextmanager
+def open_metrics(settings):
+    """Yield the metrics backend that the settings select."""
     backends = []
-    if settings.statsd is not None:
-        module = importlib.import_module("waxwinglift.process._statsd")
-        backends.append(module.StatsdMetrics(settings))
-    if settings.metrics_listen is not None:
-        backends.append(PageMetrics(settings.statsd_prefix))
-    if len(backends) == 1:
-        return backends[0]
-    return CombinedMetrics(*backends) if backends else NoMetrics()
+    with contextlib.ExitStack() as stack:
+        if settings.statsd is not None:
+            module = importlib.import_module("waxwinglift.process._statsd")
+            statsd = contextlib.closing(module.StatsdMetrics(settings))
+            backends.append(stack.enter_context(statsd))
+        if settings.metrics_listen is not None:
+            backends.append(PageMetrics(settings.statsd_prefix))
+        if len(backends) == 1:
+            yield backends[0]
+        else:
+            yield CombinedMetrics(*backends) if backends else NoMetrics()
 
 
 @contextlib.asynccontextmanager
--- a/waxwinglift/process/_statsd.py
+++ b/waxwinglift/process/_statsd.py
@@ -20,3 +20,7 @@
     def timing(self, name, value_ms):
         """Record a duration in milliseconds."""
         self._client.timing(name, value_ms)
+
+    def close(self):
+        """Close the socket."""
+        self._client.close()
--- a/waxwinglift/process/tests/test_metrics_page.py
+++ b/waxwinglift/process/tests/test_metrics_page.py
@@ -8,8 +8,9 @@
 from waxwinglift.process._http_page import serving_page
 from waxwinglift.process._metrics_page import CombinedMetrics
 from waxwinglift.process._metrics_page import PageMetrics
-from waxwinglift.process._observability import make_metrics
+from waxwinglift.process._observability import open_metrics
 from waxwinglift.process._settings import ObservabilitySettings
+from waxwinglift.process.tests.test_descriptors import count_descriptors
 
 
 async def _fetch(address, request):
@@ -91,7 +92,17 @@
 )
 def test_settings_select_the_metrics_backends(settings, kind):
     """If both backends are configured, both receive the metrics."""
-    metrics = make_metrics(ObservabilitySettings(**settings))
-    assert isinstance(metrics, kind)
-    metrics.incr("entry.session")
-    assert b"entry_session_total 1.0" in metrics.make_page().body
+    with open_metrics(ObservabilitySettings(**settings)) as metrics:
+        assert isinstance(metrics, kind)
+        metrics.incr("entry.session")
+        assert b"entry_session_total 1.0" in metrics.make_page().body
+
+
+def test_statsd_socket_is_closed():
+    """The process closes the socket itself, not the collector."""
+    settings = ObservabilitySettings(statsd="127.0.0.1:8125")
+    before_count = count_descriptors()
+    with open_metrics(settings) as metrics:
+        metrics.incr("entry.session")
+        assert count_descriptors() > before_count
+    assert count_descriptors() == before_count
