Close the log file when a store cannot be opened

A control member whose folder has a log but no vote refuses to start, and kept the log file open until the error was discarded: whoever handles the error, for example to restore the folder, still had a writable descriptor of the log.

Cause: LogStore opens the log in its constructor, and open_log_store registers the close only once the constructor has returned.

The constructor now closes the log before it raises.

Evidence: with resource warnings as errors, a whole run failed in test_store_with_damaged_or_missing_file_is_not_opened[remove-vote] (unclosed file). The test now also counts the descriptors while the error is held; that case failed before the change, and all nine pass.

--- a/waxwinglift/version/_log_store.py
+++ b/waxwinglift/version/_log_store.py
@@ -96,9 +96,13 @@
         self._snapshot = self._read_snapshot()
         self._base = (0, 0)
         self._entries = []
-        self._open_log()
-        if vote is None:
-            self._create_vote()
+        try:
+            self._open_log()
+            if vote is None:
+                self._create_vote()
+        except BaseException:
+            self._close()
+            raise
 
     def load(self):
         """Return the stored state from which a node starts."""
--- a/waxwinglift/version/tests/test_log_store.py
+++ b/waxwinglift/version/tests/test_log_store.py
@@ -1,6 +1,7 @@
 """Tests of the store after crashes, write errors and file damage."""
 
 import errno
+import os
 import random
 
 import pytest
@@ -122,7 +123,8 @@
     tmp_path, name, damage
 ):
     # Without its vote, the member could vote twice in a term; without its log,
-    # it would lack entries that it has confirmed.
+    # it would lack entries that it has confirmed.  The error must not keep
+    # the files open.
     vote_and_snapshot = Persist(2, vote=VOTE, snapshot=snapshot(3))
     write_and_reopen(tmp_path, FIVE_ENTRIES, vote_and_snapshot)
     path = tmp_path / name
@@ -131,8 +133,12 @@
     path.write_bytes(bytes(data) if damage == "flip" else data[:9])
     if damage == "remove":
         path.unlink()
-    with pytest.raises(records.StoreCorruptError):
+    descriptors_count = len(os.listdir("/dev/fd"))
+    # The exception holds the frames and thereby the store.
+    with pytest.raises(records.StoreCorruptError) as caught:
         reopen(tmp_path)
+    assert len(os.listdir("/dev/fd")) == descriptors_count
+    assert caught.value.__traceback__ is not None
 
 
 def test_crash_between_snapshot_and_compaction(tmp_path):
