Close the streams of two tests of callers

Two tests that write a raw packet to a proxy left their stream to its finalizer, which closed it when the test's function ended.

What the tests check is unchanged.

--- a/waxwinglift/process/tests/test_data_path_callers.py
+++ b/waxwinglift/process/tests/test_data_path_callers.py
@@ -142,6 +142,7 @@
         writer.write(_STARTUP + cycle + cycle)
         writer.write(Sync().to_wire() + Sync().to_wire() + _message(b"X", b""))
         answer = await reader.read()
+        writer.close()
         assert answer.count(b"C42P01\0") == 1
         # One after the start-up messages and one for each Sync.
         assert answer.count(b"Z\0\0\0\x05I") == 3
@@ -160,6 +161,7 @@
         call = _message(b"F", struct.pack("!IHHH", 1, 0, 0, 0))
         writer.write(_STARTUP + call + _message(b"X", b""))
         answer = await reader.read()
+        writer.close()
         assert answer.count(b"C0A000\0") == 1
         assert answer.count(b"Z\0\0\0\x05I") == 2
 
