--- a/waxwinglift/connection/_owner_monitor.py
+++ b/waxwinglift/connection/_owner_monitor.py
@@ -63,6 +63,7 @@
         self._on_health = on_health
         self._probe_serving = probe_serving
         self._connection: EndpointConnection | None = None
+        self._is_stopped = False
         self._lock = asyncio.Lock()
         self._attempt: asyncio.Task | None = None
         self._attempt_ms = float("-inf")
@@ -75,6 +76,7 @@
 
     def stop(self):
         """Close the connection and cancel a pending attempt to open one."""
+        self._is_stopped = True
         if self._attempt is not None:
             self._attempt.cancel()
         if self._connection is not None:
@@ -88,6 +90,7 @@
         self._close_if_probe_is_late(now_ms)
         if self._is_usable():
             return
+        self._close_lost()
         attempt_age_ms = now_ms - self._attempt_ms
         is_due = attempt_age_ms >= self._settings.probe_interval_ms
         if is_due and not self._is_attempting():
@@ -157,6 +160,9 @@
         self._on_health(action.state)
 
     def _try_new(self):
+        # A statement may time out after the owner has stopped.
+        if self._is_stopped:
+            return
         if self._is_attempting():
             self._attempt.cancel()
         self._attempt_ms = self._now_ms()
@@ -211,6 +217,11 @@
             return
         self._close_after_timeout(self._connection)
 
+    def _close_lost(self):
+        # A running statement may still have to read the last bytes.
+        if self._connection is not None and not self._lock.locked():
+            self._connection.close()
+
     def _close(self, connection):
         connection.close()
         if connection is self._connection:
--- a/waxwinglift/process/_peer_server_connection.py
+++ b/waxwinglift/process/_peer_server_connection.py
@@ -157,8 +157,8 @@
     ----------
     methods : mapping of FrameKind to coroutine function
         Serves a stream whose first frame is of this kind.
-    connections : set of ServerConnection
-        Open connections of the server.
+    connections : PeerServer
+        Registers the open connections, with ``add`` and ``discard``.
     tasks : set of asyncio.Task
         Tasks of all streams of the server.
     """
@@ -166,7 +166,7 @@
     def __init__(
         self,
         methods: StreamMethods,
-        connections: set["ServerConnection"],
+        connections,
         tasks: set[asyncio.Task],
     ):
         super().__init__()
--- a/waxwinglift/process/tests/peer_pair.py
+++ b/waxwinglift/process/tests/peer_pair.py
@@ -162,6 +162,13 @@
     finally:
         client.close()
         server.close()
+        await server.wait_closed()
+        await settle()
+
+
+async def settle():
+    """Let closed transports release their sockets before the loop ends."""
+    await asyncio.sleep(0.02)
 
 
 class Received:
--- a/waxwinglift/process/tests/test_peer_failures.py
+++ b/waxwinglift/process/tests/test_peer_failures.py
@@ -19,6 +19,7 @@
 from waxwinglift.process._peer_frames import StreamId
 from waxwinglift.process.tests.peer_pair import header
 from waxwinglift.process.tests.peer_pair import Received
+from waxwinglift.process.tests.peer_pair import settle
 from waxwinglift.process.tests.test_peer_streams import run
 from waxwinglift.process.tests.test_peer_streams import run_one
 from waxwinglift.request import Verdict
@@ -191,6 +192,7 @@
     finally:
         client.close()
         server.close()
+        await settle()
 
 
 def test_idle_connection_to_an_isolated_peer_is_closed(monkeypatch):
@@ -199,7 +201,8 @@
     monkeypatch.setattr(_peer_client_connection, "KEEPALIVE_S", 0.05)
 
     async def stay_silent(reader, writer):
-        await reader.read()
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read()
         writer.close()
 
     async def scenario():
@@ -227,7 +230,8 @@
 def test_frozen_peer_fails_its_exchanges():
     # Health pings must end the wait for an owner that accepts but is frozen.
     async def stay_silent(reader, writer):
-        await reader.read()
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read()
         writer.close()
 
     async def scenario():
@@ -299,7 +303,8 @@
     async def answer(reader, writer):
         await reader.read(1)
         writer.write(MALFORMED_ANSWERS[name])
-        await reader.read()
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read()
         writer.close()
 
     async def scenario():
