Start the drain of the owner test when its query runs

The error was not recorded; each failing run took 2.7 s longer.

Probable cause: the test gave the query 0.1 s to reach the owner. With no time at all it fails with "this proxy is shutting down" and takes 2.7 s longer, since the query is refused until its deadline. The test now waits until both transactions run at the owner.

--- a/waxwinglift/process/tests/test_data_path_drain.py
+++ b/waxwinglift/process/tests/test_data_path_drain.py
@@ -113,6 +113,14 @@
     run(scenario)
 
 
+async def _wait_for_running(proxy, count):
+    """Wait until ``count`` transactions run at the owners of a proxy."""
+    owners = proxy.owners._owners.values()
+    async with asyncio.timeout(2):
+        while sum(len(owner._running) for owner in owners) < count:
+            await asyncio.sleep(0.01)
+
+
 def test_drain_of_an_owner_ends_idle_transactions_before_queries():
     # The limit for open transactions must end those that wait for their
     # caller, and must not cut a query that runs at the owner.
@@ -126,7 +134,7 @@
             work = asyncio.ensure_future(
                 fetch(busy, "SELECT 1, pg_sleep(0.4)")
             )
-            await asyncio.sleep(0.1)
+            await _wait_for_running(proxies[1], count=2)
             async with asyncio.timeout(2):
                 await proxies[1].owners.drain()
             assert await work == [(1, "")]
