Say when a server that stops accepting must be closed

The doc comment of stop_accepting read as if the function closed the server itself one iteration later, which is up to its caller.

It now says what the caller has to do: to close the server in the next iteration of the loop or later. No behaviour changes.

--- a/waxwinglift/process/_listener.py
+++ b/waxwinglift/process/_listener.py
@@ -16,7 +16,10 @@
 
 
 def stop_accepting(server: asyncio.Server):
-    """Accept no further connections; close the server one iteration later."""
+    """Accept no further connections until the server is closed.
+
+    Close it in the next iteration of the loop or later.
+    """
     loop = asyncio.get_running_loop()
     for listener in server.sockets:
         loop.remove_reader(listener)
