Do not take owners that cannot be reached for overloaded ones

Found on rereading the change that counts silence as overload: if neither the owner nor the standby owner could be reached, both counted as overloaded, and the caller was refused (BUSY), although the entry proxy then serves the endpoint itself. The class of fault: two conditions with different remedies in one flag.

Only an owner that has taken the statement and does not answer counts as overloaded, and an endpoint is closed for a rank only by owners that can be reached. test_entry_serves_while_no_owner_can_be_reached failed before with "the owners of all usable endpoints are overloaded".

--- a/waxwinglift/platform/tests/test_statement_overload.py
+++ b/waxwinglift/platform/tests/test_statement_overload.py
@@ -120,6 +120,22 @@
     assert opened_count == 1
 
 
+def test_entry_serves_while_no_owner_can_be_reached():
+    """Owners that cannot be reached must not count as overloaded.
+
+    The statement was then refused although the entry proxy can serve it.
+    """
+
+    async def scenario(fleet):
+        for number in (_OWNER, _STANDBY):
+            fleet.proxies[number].peer_server.close()
+        await asyncio.sleep(0.05)
+        async with fleet.connected("pay") as caller:
+            return await caller.query("WRITE 1a4 coal")
+
+    assert run(scenario).error == b""
+
+
 class _SilentStream:
     """Stream of an owner that does not answer."""
 
--- a/waxwinglift/request/_overload_backoff.py
+++ b/waxwinglift/request/_overload_backoff.py
@@ -1,6 +1,7 @@
 """Owners that have refused a rank for lack of processor time."""
 
 import collections
+from collections.abc import Sequence
 import random
 
 from waxwinglift.process import DaemonId
@@ -45,7 +46,7 @@
     def left_ms(
         self,
         endpoint: EndpointId,
-        daemon: DaemonId | None,
+        daemon: DaemonId,
         urgency_index: int,
         now_ms: float,
     ) -> float:
@@ -56,26 +57,20 @@
         ends_ms = [ms for i, ms in until_ms.items() if i <= urgency_index]
         return max(0.0, max(ends_ms, default=now_ms) - now_ms)
 
-    def closed_endpoints(
-        self, views, urgency_index: int, now_ms: float
-    ) -> dict[EndpointId, float]:
-        """Return the endpoints without an owner that takes requests of a rank.
-
-        The values are the times, in ms, after which one may take them.
+    def endpoint_left_ms(
+        self,
+        endpoint: EndpointId,
+        daemons: Sequence[DaemonId],
+        urgency_index: int,
+        now_ms: float,
+    ) -> float:
+        """Return after which time a daemon takes requests of a rank.
 
-        Parameters
-        ----------
-        views : iterable of EndpointView
-        urgency_index : int
-        now_ms : float
+        0 if one takes them now, or if ``daemons``, the owners of the endpoint
+        that can be reached, is empty.
         """
-        closed = {}
-        for view in views:
-            daemons = (view.owner, view.standby or view.owner)
-            left_ms = min(
-                self.left_ms(view.endpoint, daemon, urgency_index, now_ms)
-                for daemon in daemons
-            )
-            if left_ms > 0:
-                closed[view.endpoint] = left_ms
-        return closed
+        times_ms = [
+            self.left_ms(endpoint, daemon, urgency_index, now_ms)
+            for daemon in daemons
+        ]
+        return min(times_ms, default=0.0)
--- a/waxwinglift/request/_statement_daemons.py
+++ b/waxwinglift/request/_statement_daemons.py
@@ -2,7 +2,9 @@
 
 from waxwinglift.process._entry_context import EntryContext
 from waxwinglift.request import FailureCode
+from waxwinglift.request import Verdict
 from waxwinglift.request._statement_retries import can_use_other_daemon
+from waxwinglift.version import EndpointId
 
 
 # Time for which an owner that did not answer in time gets no request of the
@@ -46,7 +48,7 @@
             executor = executors.executor_for(daemon)
             if executor is None or executor.is_unresponsive:
                 continue
-            if not self._is_overloaded(*pair):
+            if not self._left_ms(route.endpoint, [daemon]):
                 return daemon, executor
             overloaded = (daemon, executor)
         return overloaded
@@ -74,12 +76,43 @@
             delay_ms,
         )
 
-    def _is_overloaded(self, endpoint, daemon):
-        index = self._session.policy.urgency_index
-        left_ms = self._context.overload_backoff.left_ms(
-            endpoint, daemon, index, self._context.now_ms()
+    def find_overloaded(self) -> dict[EndpointId, float]:
+        """Return the endpoints whose reachable owners are all overloaded.
+
+        The values are the times, in ms, after which one may take the session's
+        rank.  An endpoint whose owners cannot be reached is not among them:
+        this proxy serves it itself.
+        """
+        group_view = self._context.group_view(self._session.table.group)
+        if group_view is None:
+            return {}
+        views = [*group_view.replicas, group_view.primary]
+        left_ms = {
+            view.endpoint: self._left_ms(
+                view.endpoint, self._reachable_owners(view)
+            )
+            for view in views
+            if view is not None
+        }
+        return {e: ms for e, ms in left_ms.items() if ms > 0}
+
+    def _reachable_owners(self, view):
+        found = []
+        for daemon in (view.owner, view.standby):
+            if daemon is None:
+                continue
+            executor = self._context.executors.executor_for(daemon)
+            if executor is not None and not executor.is_unresponsive:
+                found.append(daemon)
+        return found
+
+    def _left_ms(self, endpoint, daemons):
+        return self._context.overload_backoff.endpoint_left_ms(
+            endpoint,
+            daemons,
+            self._session.policy.urgency_index,
+            self._context.now_ms(),
         )
-        return left_ms > 0
 
 
 def _backoff_ms(end):
@@ -88,4 +121,6 @@
         return None
     if end.failure.code is FailureCode.OVERLOADED:
         return end.failure.retry_after_ms or 0
-    return _NO_ANSWER_BACKOFF_MS if end.is_owner_unreachable else None
+    is_sent = end.failure.verdict is not Verdict.NOT_RUN
+    is_silent = end.is_owner_unreachable and is_sent
+    return _NO_ANSWER_BACKOFF_MS if is_silent else None
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -299,7 +299,7 @@
         Endpoints whose owner recently refused the rank for lack of processor
         time are used by no route.
         """
-        overloaded = self._find_overloaded()
+        overloaded = self._daemons.find_overloaded()
         routed = self._choose_route(attempts, overloaded)
         if not overloaded or not isinstance(routed, Err):
             return routed
@@ -309,16 +309,6 @@
         delay_ms = math.ceil(min(overloaded.values()))
         return Err(not_run(FailureCode.OVERLOADED, message, delay_ms))
 
-    def _find_overloaded(self):
-        group_view = self._context.group_view(self._session.table.group)
-        if group_view is None:
-            return {}
-        primary = group_view.primary
-        views = [*group_view.replicas, *([primary] if primary else [])]
-        return self._context.overload_backoff.closed_endpoints(
-            views, self._session.policy.urgency_index, self._context.now_ms()
-        )
-
     def _choose_route(self, attempts, overloaded):
         session = self._session
         request = RouteRequest(
