--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -81,6 +81,7 @@
         self._owners: dict[EndpointId, EndpointOwner] = {}
         self._stopping: set[asyncio.Task] = set()
         self._is_draining = False
+        self._is_stopped = False
         self._now_ms = now_ms
         self.load_shedder = LoadShedder(settings.shedding, random.Random())
         self._loop_lag = LoopLag(
@@ -102,6 +103,7 @@
 
     async def stop(self):
         """Close all connections at once."""
+        self._is_stopped = True
         self._view.remove_listener(self._reconcile)
         if self._tick_timer is not None:
             self._tick_timer.cancel()
@@ -109,6 +111,8 @@
         self._owners.clear()
         for owner in owners:
             await owner.stop()
+        if self._stopping:
+            await asyncio.wait(self._stopping)
 
     async def drain(self, waited_ms: float = 0.0):
         """Refuse new transactions and wait for those that are open.
@@ -208,6 +212,9 @@
             self._reconcile()
 
     def _reconcile(self):
+        # An owner that stops reports that it has released its connections.
+        if self._is_stopped:
+            return
         required = self._required_endpoints()
         for endpoint in [e for e in self._owners if e not in required]:
             # An owner that is still finishing transactions is stopped later.
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -6,6 +6,7 @@
 
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import Executor
+from waxwinglift.process._listener import stop_accepting
 from waxwinglift.process._peer_cancel import is_cancel_request
 from waxwinglift.process._peer_cancel import serve_cancel
 from waxwinglift.process._peer_cancel import StatementFinder
@@ -97,6 +98,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._tasks: set[asyncio.Task] = set()
+        self._is_closed = False
 
     async def start(self, host=None, port=None, *, sock=None):
         """Listen on an address or a bound socket."""
@@ -110,10 +112,24 @@
 
         Peers then detect the end at once.
         """
-        self._server.close()
+        self._is_closed = True
+        stop_accepting(self._server)
+        # Connections that were just accepted have no transport yet.
+        asyncio.get_running_loop().call_soon(self._server.close)
         for connection in list(self._connections):
             connection.close()
 
+    def add(self, connection: ServerConnection):
+        """Register a connection, or close it if the server is closed."""
+        if self._is_closed:
+            connection.close()
+        else:
+            self._connections.add(connection)
+
+    def discard(self, connection: ServerConnection):
+        """Remove a connection that has ended."""
+        self._connections.discard(connection)
+
     async def wait_closed(self):
         """Wait until the open transactions have been rolled back."""
         await self._server.wait_closed()
@@ -121,7 +137,7 @@
             await asyncio.wait(self._tasks)
 
     def _make_connection(self):
-        return ServerConnection(self._methods, self._connections, self._tasks)
+        return ServerConnection(self._methods, self, self._tasks)
 
 
 class _StreamServer:
