Keep the connection of an interrupted statement

Cause: when a caller gives up, an entry proxy's time is over, or the owner refuses after it has taken a connection, the owner closed the connection, because the state of its session was unknown. The class of fault: an overload that destroys what it needs. The state need not be unknown: replies arrive in the order of commands, so a ROLLBACK behind the statement tells it.

--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -117,7 +117,7 @@
         try:
             return await self._run(statement, span)
         except StreamFailed as failed:
-            self._abort()
+            self._end_block()
             return failed.end
         except EndpointConnectionLost as error:
             self._abort()
@@ -132,7 +132,7 @@
             failure = failures.timeout_failure(self._progress(statement))
             return self._make_end(failure=failure)
         except asyncio.CancelledError:
-            self._abort()
+            self._end_block()
             if not self._is_cancelled:
                 raise
             asyncio.current_task().uncancel()
