Close a connection with unsent commands instead of keeping it

Cause, by reading: session values and prepared statements are recorded on a connection when the commands are built. If the time limit of the statement passes before they are sent, the commands are dropped and the record stays.

A rollback now closes a connection whose commands were built but not sent. A statement that was sent keeps its connection: replies arrive in the order of commands, so the values were applied before the rollback was answered.

--- a/waxwinglift/request/_transaction_connection.py
+++ b/waxwinglift/request/_transaction_connection.py
@@ -35,6 +35,8 @@
         # Pair of the ConnectionId and the TrackedConnection.
         self._acquired = None
         self._values: dict[bytes, bytes] = {}
+        # Whether commands were recorded as successful, but not sent yet.
+        self._has_unsent_commands = False
 
     def set_values(self, settings: dict[str, str]):
         """Set the session values to apply before the next statement."""
@@ -59,13 +61,19 @@
         EndpointConnectionLost
             The replies are not complete.
         """
+        self._has_unsent_commands = False
         return await self._acquired[1].run(commands)
 
     def build_commands(
         self, statement: Statement, after: Position | None
     ) -> list[Command]:
-        """Return the commands for the session's values and the statement."""
+        """Return the commands for the session's values and the statement.
+
+        Values and prepared statements are recorded before they are sent, so
+        the connection must run the commands or be closed.
+        """
         connection = self._acquired[1]
+        self._has_unsent_commands = True
         commands = connection.commands_to_apply(self._values)
         if statement.verb is not StatementVerb.EXECUTE:
             command = Command(
@@ -106,7 +114,12 @@
             self._owner.connections.discard(self._detach()[0])
 
     def roll_back(self):
-        """Roll back the open transaction without delaying the caller."""
+        """Roll back the open transaction without delaying the caller.
+
+        A connection with commands that were not sent is closed.
+        """
+        if self._has_unsent_commands:
+            self.discard()
         if self._acquired is not None:
             self._owner.run_in_background(self._roll_back(*self._detach()))
 
