Close a connection whose recorded values the endpoint has not confirmed

What callers may see: a statement that runs with other session values than the session has set, or a prepared statement that its server does not know.

Cause: the record of a connection counts SET, RESET and PREPARE as successful when they are built, and says that a connection on which one fails is closed, but no code did that. Only the last reply of a batch was read. A server that has lost the lead may refuse every statement of an open transaction.

The transaction's connection now reads the replies to these commands. Until all of them have succeeded, a release or a rollback closes the connection. Interrupted statements without such commands keep their connection.

A statement that was sent behind a refused SET has run with old values all the same; that remains open.

--- a/waxwinglift/request/_transaction_connection.py
+++ b/waxwinglift/request/_transaction_connection.py
@@ -15,6 +15,10 @@
 # Longest wait for a rollback before the connection is closed.
 _ROLLBACK_TIMEOUT_MS = 500.0
 _ROLLBACK = Command(CommandKind.ROLLBACK)
+# Kinds of commands that TrackedConnection records as successful.
+_RECORDED_KINDS = frozenset(
+    {CommandKind.RESET, CommandKind.SET, CommandKind.PREPARE}
+)
 
 
 class TransactionConnection:
@@ -35,8 +39,8 @@
         # Pair of the ConnectionId and the TrackedConnection.
         self._acquired = None
         self._values: dict[bytes, bytes] = {}
-        # Whether commands were recorded as successful, but not sent yet.
-        self._has_unsent_commands = False
+        # Whether a command is recorded as successful whose success is unknown.
+        self._is_record_unconfirmed = False
 
     def set_values(self, settings: dict[str, str]):
         """Set the session values to apply before the next statement."""
@@ -61,8 +65,15 @@
         EndpointConnectionLost
             The replies are not complete.
         """
-        self._has_unsent_commands = False
-        return await self._acquired[1].run(commands)
+        replies = await self._acquired[1].run(commands)
+        recorded = [
+            reply.answer.error is None
+            for command, reply in zip(commands, replies)
+            if command.kind in _RECORDED_KINDS
+        ]
+        if recorded:
+            self._is_record_unconfirmed = not all(recorded)
+        return replies
 
     def build_commands(
         self, statement: Statement, after: Position | None
@@ -70,11 +81,12 @@
         """Return the commands for the session's values and the statement.
 
         Values and prepared statements are recorded before they are sent, so
-        the connection must run the commands or be closed.
+        the endpoint must confirm them or the connection is closed.
         """
         connection = self._acquired[1]
-        self._has_unsent_commands = True
         commands = connection.commands_to_apply(self._values)
+        if commands:
+            self._is_record_unconfirmed = True
         if statement.verb is not StatementVerb.EXECUTE:
             command = Command(
                 CommandKind.CALLER,
@@ -84,6 +96,8 @@
             )
             return [*commands, command]
         name, prepared = connection.prepare(statement.shape)
+        if prepared:
+            self._is_record_unconfirmed = True
         command = Command(
             CommandKind.EXECUTE,
             statement.request,
@@ -104,7 +118,12 @@
             self._owner.record_timeout(self._acquired[0])
 
     def release(self):
-        """Give the connection back to the pool; its session must be idle."""
+        """Give the connection back to the pool; its session must be idle.
+
+        A connection with an unconfirmed record is closed.
+        """
+        if self._is_record_unconfirmed:
+            self.discard()
         if self._acquired is not None:
             self._owner.connections.release(self._detach()[0])
 
@@ -116,9 +135,9 @@
     def roll_back(self):
         """Roll back the open transaction without delaying the caller.
 
-        A connection with commands that were not sent is closed.
+        A connection with an unconfirmed record is closed.
         """
-        if self._has_unsent_commands:
+        if self._is_record_unconfirmed:
             self.discard()
         if self._acquired is not None:
             self._owner.run_in_background(self._roll_back(*self._detach()))
--- a/waxwinglift/request/tests/test_transaction_connection.py
+++ b/waxwinglift/request/tests/test_transaction_connection.py
@@ -7,6 +7,9 @@
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.request import RequestId
+from waxwinglift.request._statements import CommandKind
+from waxwinglift.request._statements import EndpointError
+from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.request._statements import PreparedShape
 from waxwinglift.request._statements import Reply
 from waxwinglift.request._statements import Statement
@@ -32,12 +35,21 @@
     is_usable = True
 
     def __init__(self):
-        self.commands = []
+        self.failing = None
+        self.is_silent = False
 
     async def run(self, commands):
-        self.commands.extend(commands)
-        answer = StatementAnswer((), b"", None)
-        return [Reply(answer, TransactionStatus.IDLE, None) for _ in commands]
+        if self.is_silent:
+            self.is_silent = False
+            await asyncio.Event().wait()
+        return [self._reply(command) for command in commands]
+
+    def _reply(self, command):
+        error = None
+        if command.kind is self.failing:
+            error = EndpointError(EndpointErrorCode.READ_ONLY, b"demoted")
+        answer = StatementAnswer((), b"", error)
+        return Reply(answer, TransactionStatus.IDLE, None)
 
 
 class _Owner:
@@ -96,3 +108,43 @@
     owner = asyncio.run(scenario())
     assert owner.released_count == is_kept
     assert owner.discarded_count == (not is_kept)
+
+
+@pytest.mark.parametrize("end", ["release", "roll_back"])
+@pytest.mark.parametrize(
+    "failing, is_cancelled",
+    [
+        (CommandKind.SET, False),
+        (CommandKind.PREPARE, False),
+        (None, True),
+    ],
+    ids=["value refused", "prepared statement refused", "not answered"],
+)
+def test_unconfirmed_record_closes_the_connection(failing, is_cancelled, end):
+    """A value that the endpoint refused must not count as applied.
+
+    A server that has lost the lead may refuse every statement of an open
+    transaction, and replies to a cancelled statement are not read.
+    """
+
+    async def scenario():
+        owner = _Owner()
+        owner.endpoint.failing = failing
+        owner.endpoint.is_silent = is_cancelled
+        connection = TransactionConnection(owner, RequestId(1))
+        connection.set_values(_VALUES)
+        assert await connection.acquire(10.0)
+        commands = connection.build_commands(_STATEMENTS["prepared"], None)
+        if is_cancelled:
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.01):
+                    await connection.run(commands)
+        else:
+            await connection.run(commands)
+        getattr(connection, end)()
+        await asyncio.gather(*owner.tasks)
+        return owner
+
+    owner = asyncio.run(scenario())
+    assert owner.released_count == 0
+    assert owner.discarded_count == 1
