Restore the weight of a replica's lag in routing

What callers may see: reads with a bound on their age go to a replica for a moment longer after its lag has grown.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -104,7 +104,7 @@
     primary_least_saving_ms: float = pydantic.Field(15.0, ge=0)
     distance_ms: tuple[float, float, float] = (0.5, 2.0, 24.0)
     latency_weight: float = pydantic.Field(0.2, gt=0, le=1)
-    lag_weight: float = pydantic.Field(0.5, gt=0, le=1)
+    lag_weight: float = pydantic.Field(0.6, gt=0, le=1)
     stale_after_ms: float = pydantic.Field(500.0, gt=0)
     backoff_ms: float = pydantic.Field(200.0, gt=0)
     backoff_limit_ms: float = pydantic.Field(5000.0, gt=0)
