--- a/waxwinglift/version/tests/test_consensus.py
+++ b/waxwinglift/version/tests/test_consensus.py
@@ -190,6 +190,20 @@
     assert group.leader() not in (None, leader)
 
 
+@pytest.mark.parametrize("stall_ms", [260, 2_000, 60_000])
+def test_only_member_leads_on_after_a_stall_of_its_own(stall_ms):
+    # A leader of one has a majority at all times.  It stepped down when its
+    # process was late, and its proposals ended with an unknown outcome.
+    group, leader = start_group(1)
+    group.freeze(leader.name)
+    group.run(stall_ms)
+    assert leader.leads()
+    group.thaw(leader.name)
+    outcome = group.propose(leader.name, edit("late", 0))
+    assert isinstance(outcome, t.Accepted)
+    assert group.step_downs_count == 0
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_second_member_fails_right_after_the_first_is_replaced(seed):
     # The replacement must have the log by the time its vote is counted.
