Let an only member lead on after a stall of its own

What callers saw: in a control group of one member, an operator's edit ended with "the leader changed; resend with the same edit id", or was refused, when the process or its disk was late.

Cause: the leader counted the time since its last heartbeat as time without a majority, also when it is a majority by itself.

A member that is a majority of the voters has the quorum at all times. With two or more voters nothing changes: the majority then contains an answer of another member.

--- a/waxwinglift/version/_consensus_leader.py
+++ b/waxwinglift/version/_consensus_leader.py
@@ -167,7 +167,7 @@
 
 def check_quorum(node, now_ms):
     """Step down if no majority answered within the check-quorum time."""
-    if node.role is not NodeRole.LEADER:
+    if node.role is not NodeRole.LEADER or node.is_majority:
         return
     contact_ms = node.quorum_contact_ms or node.elected_ms
     if now_ms - contact_ms >= node.settings.check_quorum_ms:
--- a/waxwinglift/version/_consensus_state.py
+++ b/waxwinglift/version/_consensus_state.py
@@ -187,9 +187,16 @@
         self.commit_index = index
         self.actions.append(Commit(entries))
 
+    @property
+    def is_majority(self):
+        """Whether this member is a majority of the voters by itself."""
+        return self.configuration.is_majority({self.member})
+
     def has_quorum_contact(self, now_ms):
         """Return whether a majority answered within the check-quorum time."""
         if self.role is not NodeRole.LEADER or self.quorum_contact_ms is None:
             return False
+        if self.is_majority:
+            return True
         age_ms = now_ms - self.quorum_contact_ms
         return age_ms < self.settings.check_quorum_ms
