--- a/waxwinglift/request/_statement_failures.py
+++ b/waxwinglift/request/_statement_failures.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from waxwinglift.request._statements import EndpointError
+from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.request._types import Failure
 from waxwinglift.request._types import FailureCode
 from waxwinglift.request._types import may_have_run
@@ -21,6 +23,14 @@
     INTERNAL_ERROR = "internal_error"
 
 
+# Failure codes of errors after which another endpoint may serve the request.
+_RETRYABLE_ERRORS = {
+    EndpointErrorCode.OVERLOADED: FailureCode.REJECTED,
+    EndpointErrorCode.BEHIND: FailureCode.BEHIND,
+    EndpointErrorCode.READ_ONLY: FailureCode.UNAVAILABLE,
+    EndpointErrorCode.UNKNOWN_STATEMENT: FailureCode.UNAVAILABLE,
+}
+
 _INTERRUPTION_TEXTS = {
     Interruption.SHUTDOWN: "the proxy was shut down",
     Interruption.INTERNAL_ERROR: "the proxy met an internal error",
@@ -52,6 +62,17 @@
         return self.in_block and not self.may_commit
 
 
+def retryable_failure(error: EndpointError | None) -> Failure | None:
+    """Return the failure after which another endpoint may be tried.
+
+    None if there was no error, or one that is the caller's answer.
+    """
+    if error is None or error.code not in _RETRYABLE_ERRORS:
+        return None
+    message = f"the endpoint answered {error.code.value}"
+    return not_run(_RETRYABLE_ERRORS[error.code], message)
+
+
 def connection_lost_failure(
     progress: StatementProgress, reason: str
 ) -> Failure:
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -20,6 +20,7 @@
 from waxwinglift.request import RequestId
 from waxwinglift.request._admission import Ticket
 from waxwinglift.request._idle_timer import IdleTimer
+from waxwinglift.request._read_floor import find_read_floor
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.request._statements import EndpointErrorCode
@@ -28,19 +29,9 @@
 from waxwinglift.request._transaction_connection import TransactionConnection
 from waxwinglift.version import PoolName
 
-# Longest wait for a position of the primary, ten round trips between
-# regions; after it, the read goes to the primary itself.
-_FLOOR_WAIT_MS = 250.0
 # Pool name shared by all pools of a group, so that their ranks are compared.
 _GROUP_QUEUE_POOL = PoolName("")
 _ROLLBACK = Command(CommandKind.ROLLBACK)
-# Failure codes of errors after which another endpoint may serve the request.
-_RETRYABLE_ERRORS = {
-    EndpointErrorCode.OVERLOADED: FailureCode.REJECTED,
-    EndpointErrorCode.BEHIND: FailureCode.BEHIND,
-    EndpointErrorCode.READ_ONLY: FailureCode.UNAVAILABLE,
-    EndpointErrorCode.UNKNOWN_STATEMENT: FailureCode.UNAVAILABLE,
-}
 
 
 class StreamFailed(Exception):
@@ -168,7 +159,7 @@
         return self.header.statement_timeout_ms
 
     async def _run_single(self, statement, deadline_ms):
-        self._raise_if_refused(self._owner.find_admission_refusal)
+        self._raise_if_refused(is_new=True)
         after = await self._find_floor(deadline_ms)
         async with self._slot(deadline_ms):
             # The assignment and the role may have changed during the waits.
@@ -197,7 +188,7 @@
         return Reply(reply.answer, ended.status, reply.position)
 
     async def _begin_block(self, deadline_ms):
-        self._raise_if_refused(self._owner.find_admission_refusal)
+        self._raise_if_refused(is_new=True)
         after = await self._find_floor(deadline_ms)
         await self._enter_block_queue(deadline_ms)
         self._raise_if_refused()
@@ -223,27 +214,13 @@
 
     async def _find_floor(self, deadline_ms):
         """Record the role; return a replica read's lowest position or None."""
-        header = self.header
         self._is_at_primary = self._owner.positions.is_primary
-        if self._is_at_primary or not header.read_only:
+        if self._is_at_primary or not self.header.read_only:
             return None
-        floor = header.floor
-        if not header.max_age_ms:
-            return floor
-        left_ms = max(0.0, deadline_ms - self._owner.now_ms())
-        try:
-            async with asyncio.timeout(min(left_ms, _FLOOR_WAIT_MS) / 1000):
-                outcome = await self._owner.positions.floors.find(
-                    header.max_age_ms
-                )
-        except TimeoutError:
-            message = "no recent position of the primary arrived in time"
-            outcome = Err(not_run(FailureCode.BEHIND, message))
-        if isinstance(outcome, Err):
-            # No other replica has a recent position either.
-            self._fail(not_run(FailureCode.BEHIND, outcome.err_value.message))
-        known = outcome.ok_value
-        return known if floor is None else max(floor, known)
+        found = await find_read_floor(self._owner, self.header, deadline_ms)
+        if isinstance(found, Err):
+            self._fail(found.err_value)
+        return found.ok_value
 
     @contextlib.asynccontextmanager
     async def _slot(self, deadline_ms):
@@ -313,8 +290,14 @@
         self._owner.monitor.record_response()
         return replies
 
-    def _raise_if_refused(self, find=None):
-        refusal = (find or self._owner.find_refusal)(self.header)
+    def _raise_if_refused(self, is_new=False):
+        """Raise StreamFailed if the owner refuses the request.
+
+        With ``is_new``, also if it lacks processor time for new work.
+        """
+        owner = self._owner
+        find = owner.find_admission_refusal if is_new else owner.find_refusal
+        refusal = find(self.header)
         if refusal is not None:
             raise StreamFailed(refusal)
 
@@ -322,16 +305,16 @@
         """Raise StreamFailed if another endpoint may serve the request."""
         self._record_error(reply)
         error = reply.answer.error
-        if error is None or error.code not in _RETRYABLE_ERRORS:
+        failure = failures.retryable_failure(error)
+        if failure is None:
             return
         if reply.status is TransactionStatus.IDLE:
             self._connection.release()
         else:
             self._connection.discard()
-        code = _RETRYABLE_ERRORS[error.code]
-        is_behind = code is FailureCode.BEHIND
+        is_behind = failure.code is FailureCode.BEHIND
         end = self._make_end(
-            failure=not_run(code, f"the endpoint answered {error.code.value}"),
+            failure=failure,
             failed_position=reply.position if is_behind else None,
             is_stale_owner=error.code is EndpointErrorCode.READ_ONLY,
         )
