Send no statement without the transaction that it needs

What callers see: a write of a block takes effect although its transaction was reported as aborted, and is doubled when it is repeated; a read at the primary is answered without the check that the server still is the primary.

Cause: an error to BEGIN counted as a failure only if another endpoint could be tried. After FAILED, TIMEOUT, MALFORMED or an unknown code the statement was sent outside of a transaction, where a write commits by itself.

The statement is now sent only if the reply to BEGIN says that a transaction is open. Otherwise nothing has run, so the request is tried again within its time, and then refused.

--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -180,8 +180,7 @@
         setup, read = commands[:-1], commands[-1]
         begin = [*setup, Command(CommandKind.BEGIN)]
         begun = (await self._send(begin, deadline_ms, is_setup=True))[-1]
-        if begun.answer.error is not None:
-            self._raise_if_retryable(begun)
+        self._raise_if_not_begun(begun)
         reply, ended = await self._send([read, _ROLLBACK], deadline_ms)
         if ended.status is not TransactionStatus.IDLE:
             raise EndpointConnectionLost("ROLLBACK left a transaction open")
@@ -197,8 +196,7 @@
         kind = CommandKind.BEGIN_READ if is_read else CommandKind.BEGIN
         begin = Command(kind, after=after)
         (reply,) = await self._send([begin], deadline_ms, is_setup=True)
-        if reply.answer.error is not None:
-            self._raise_if_retryable(reply)
+        self._raise_if_not_begun(reply)
 
     async def _run_in_block(self, statement, deadline_ms):
         async with self._slot(deadline_ms):
@@ -301,6 +299,17 @@
         if refusal is not None:
             raise StreamFailed(refusal)
 
+    def _raise_if_not_begun(self, reply):
+        """Raise StreamFailed unless BEGIN has opened a transaction.
+
+        A statement that is sent without one would commit by itself.
+        """
+        self._raise_if_retryable(reply)
+        if reply.status is TransactionStatus.IN_TRANSACTION:
+            return
+        message = "the endpoint has not opened a transaction"
+        self._fail(not_run(FailureCode.UNAVAILABLE, message))
+
     def _raise_if_retryable(self, reply):
         """Raise StreamFailed if another endpoint may serve the request."""
         self._record_error(reply)
