Prepare a statement again that a server has lost in a block

What callers see: each block that uses the prepared statement on the same connection ends with NOSTMT. Found by review and reproduced.

Cause: the block gave its connection back before the error was recorded, so that the record of prepared statements was not cleared. The error is now recorded first, as for single statements.

test_prepared_statement_lost_in_a_block_is_prepared_again failed before.

--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -202,12 +202,12 @@
         async with self._slot(deadline_ms):
             commands = self._connection.build_commands(statement, None)
             reply = (await self._send(commands, deadline_ms))[-1]
+        self._record_error(reply)
         if reply.status is not TransactionStatus.IN_TRANSACTION:
             # The block has ended, or it can only be rolled back.
             self._end_block(is_idle=reply.status is TransactionStatus.IDLE)
         else:
             self._idle_timer.start(self._owner.idle_block_ms)
-        self._record_error(reply)
         return self._answered_end(reply)
 
     async def _find_floor(self, deadline_ms):
