--- a/scripts/generate_rpc.py
+++ b/scripts/generate_rpc.py
@@ -17,16 +17,29 @@
     # interpreter, through PATH.
     plugin_folder = str(pathlib.Path(sys.executable).parent)
     os.environ["PATH"] = plugin_folder + os.pathsep + os.environ["PATH"]
+    sources = sorted(PROTO_FOLDER.glob("*.proto"))
+    services = [one for one in sources if has_service(one)]
+    return compile_files(sources, "--python_out") or compile_files(
+        services, "--grpclib_python_out"
+    )
+
+
+def has_service(source):
+    """Return whether a .proto file declares a gRPC service."""
+    lines = source.read_text(encoding="utf-8").splitlines()
+    return any(line.startswith("service ") for line in lines)
+
+
+def compile_files(sources, output_option):
+    """Compile .proto files and return the compiler's exit code."""
     well_known = pathlib.Path(grpc_tools.__file__).parent / "_proto"
-    sources = sorted(str(path) for path in PROTO_FOLDER.glob("*.proto"))
     return protoc.main(
         [
             "protoc",
             f"-I{ROOT}",
             f"-I{well_known}",
-            f"--python_out={ROOT}",
-            f"--grpclib_python_out={ROOT}",
-            *sources,
+            f"{output_option}={ROOT}",
+            *map(str, sources),
         ]
     )
 
--- a/waxwinglift/connection/_data_path_session.py
+++ b/waxwinglift/connection/_data_path_session.py
@@ -8,7 +8,7 @@
 
 from waxwinglift.connection import SessionId
 from waxwinglift.connection._cancel_key import SECRET_BYTES
-from waxwinglift.connection._drain_phase import DrainPhase
+from waxwinglift.process._drain_phase import DrainPhase
 from waxwinglift.connection._frontend import CallerConnection
 from waxwinglift.connection._frontend import encode_failure
 from waxwinglift.connection._frontend import encode_parameter
--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -7,7 +7,6 @@
 from waxwinglift.connection._types import ConnectionId
 from waxwinglift.connection._types import ConnectionState
 
-
 # Connections opened at a time after a failure, until one succeeds.  An
 # endpoint that refuses connections would refuse all missing ones too.
 _RETRY_LIMIT_COUNT = 2
--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -9,7 +9,7 @@
 import logging
 
 from waxwinglift.connection import TransactionStatus
-from waxwinglift.connection._drain_phase import DrainPhase
+from waxwinglift.process._drain_phase import DrainPhase
 from waxwinglift.connection._statement_protocols import CallerEnd
 from waxwinglift.connection._statement_protocols import CallerFault
 from waxwinglift.connection._statement_protocols import InvalidCallerMessage
--- a/waxwinglift/platform/tests/test_statement_drain.py
+++ b/waxwinglift/platform/tests/test_statement_drain.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from waxwinglift.connection._drain_phase import DrainPhase
+from waxwinglift.process._drain_phase import DrainPhase
 from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
 from waxwinglift_standin.platform import ServerSettings
 
--- a/waxwinglift/platform/tests/test_statement_endings.py
+++ b/waxwinglift/platform/tests/test_statement_endings.py
@@ -164,8 +164,9 @@
 ):
     """A stop must end a session although its wait ends at the same moment.
 
-    grpclib, and `asyncio.wait_for` of Python 3.11, then discard the
-    cancellation, and the session tries again until its time limit.
+    `asyncio.wait_for` of Python 3.11 then discards the cancellation, as
+    grpclib did between proxies, and the session tries again until its time
+    limit.
     """
 
     async def scenario(fleet):
--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -10,7 +10,7 @@
 
 from waxwinglift.connection import SessionId
 from waxwinglift.connection._cancel_key import CancelKey
-from waxwinglift.connection._drain_phase import DrainPhase
+from waxwinglift.process._drain_phase import DrainPhase
 from waxwinglift.connection._protocol_registry import find_caller_protocol
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._entry_context import EntryContext
@@ -25,7 +25,8 @@
 
 _DRAIN_CHECK_INTERVAL_S = 0.02
 # A session that has not ended after this time is cancelled again, because
-# grpclib discards a cancellation that comes together with the end of a stream.
+# `asyncio.wait_for` of Python 3.11 discards a cancellation that comes together
+# with the end of the wait.
 _CANCEL_INTERVAL_S = 0.05
 # Longest time that a stop waits for the sessions.
 STOP_TIMEOUT_S = 0.25
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -59,7 +59,7 @@
         }
 
     @_METHODS.register(FrameKind.EXECUTE)
-    async def Execute(self, stream):
+    async def execute(self, stream):
         """Serve transactions one after another, or a cancel request."""
         frame = await stream.recv_message()
         if frame is not None and is_cancel_request(frame):
@@ -68,7 +68,7 @@
             await _StreamServer(stream, self._executor).serve(frame)
 
     @_METHODS.register(FrameKind.POSITION_REQUEST)
-    async def GroupPosition(self, stream):
+    async def group_position(self, stream):
         """Answer with a position that includes every acknowledged write."""
         request = await stream.recv_message()
         with stream.interruptible():
--- a/waxwinglift/process/tests/test_cancel.py
+++ b/waxwinglift/process/tests/test_cancel.py
@@ -292,9 +292,9 @@
     statement = _Statement()
 
     class FrozenService(PeerService):
-        async def Execute(self, stream):
+        async def execute(self, stream):
             await asyncio.sleep(delay_s)
-            await super().Execute(stream)
+            await super().execute(stream)
 
     async def scenario():
         service = FrozenService(None, lambda key: statement)
--- a/waxwinglift/request/_statement_daemons.py
+++ b/waxwinglift/request/_statement_daemons.py
@@ -6,7 +6,6 @@
 from waxwinglift.request._statement_retries import can_use_other_daemon
 from waxwinglift.version import EndpointId
 
-
 # Time for which an owner that did not answer in time gets no request of the
 # rank.  An owner whose sockets are full cannot even refuse in time.
 _NO_ANSWER_BACKOFF_MS = 500.0
@@ -32,7 +31,8 @@
         """Return the daemon to send the statement to, and its executor.
 
         The owner comes first, then the standby owner.  This proxy serves
-        only if both are unreachable, not if they are overloaded.
+        only if both are unreachable, not if they are overloaded: then an
+        overloaded one is returned.  Both values are None if there is none.
         """
         executors = self._context.executors
         this_daemon = self._context.view.daemon
--- a/waxwinglift/request/_transaction_connection.py
+++ b/waxwinglift/request/_transaction_connection.py
@@ -124,7 +124,7 @@
         """
         if self._is_record_unconfirmed:
             self.discard()
-        if self._acquired is not None:
+        elif self._acquired is not None:
             self._owner.connections.release(self._detach()[0])
 
     def discard(self):
@@ -139,11 +139,12 @@
         """
         if self._is_record_unconfirmed:
             self.discard()
-        if self._acquired is not None:
+        elif self._acquired is not None:
             self._owner.run_in_background(self._roll_back(*self._detach()))
 
     def _detach(self):
         acquired, self._acquired = self._acquired, None
+        self._is_record_unconfirmed = False
         return acquired
 
     async def _roll_back(self, connection_id, connection):
