--- a/review/lib/standin/__init__.py
+++ b/review/lib/standin/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from standin._common import CannotRun
+from standin._common import http
 from standin._deployment import deployment
 from standin._deployment import main
 from standin._requesters import Requester
@@ -18,5 +19,6 @@
     "ServerSession",
     "Service",
     "deployment",
+    "http",
     "main",
 ]
--- a/review/lib/standin/_deployment.py
+++ b/review/lib/standin/_deployment.py
@@ -87,13 +87,20 @@
 
 @contextlib.asynccontextmanager
 async def deployment(
-    record, services, routes, controls=5, proxies=3, warm_text=b"READ warm"
+    record,
+    services,
+    routes,
+    controls=5,
+    proxies=3,
+    warm_text=b"READ warm",
+    on_started=lambda fleet: [],
 ):
     """Run a small deployment; yield its Fleet once it serves.
 
     ``services`` is a list of Service, ``routes`` as in `desired_state`.  Each
     database serves once ``warm_text`` has succeeded through each proxy; None
-    only opens a session.
+    only opens a session.  ``on_started`` is called once the desired state is
+    acknowledged and returns tasks.
     """
     async with contextlib.AsyncExitStack() as stack:
         by_name = {service.name: service for service in services}
@@ -105,6 +112,8 @@
         syncs = {service.name: service.sync for service in services}
         document = desired_state(7, syncs, routes)
         await replace_config(fleet, document, record)
+        for task in on_started(fleet):
+            stack.callback(task.cancel)
         for service in services:
             for server in service.servers.values():
                 task = asyncio.ensure_future(
