--- a/review/lib/standin/_deployment.py
+++ b/review/lib/standin/_deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import signal
 import sys
 
 from standin._common import CannotRun
@@ -150,6 +151,13 @@
         requester.close()
 
 
+async def _run_until_stopped(coroutine):
+    """Run a case; SIGTERM cancels it, so that it ends its processes."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await coroutine
+
+
 def main(case):
     """Run ``case(record, trouble)`` and exit with its result.
 
@@ -159,11 +167,11 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        held = asyncio.run(case(record, trouble))
+        held = asyncio.run(_run_until_stopped(case(record, trouble)))
     except CannotRun as error:
         record.say("cannot run:", error)
         sys.exit(2)
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.say("cannot run:", repr(error))
         sys.exit(2)
     record.say("the rule held" if held else "the rule was BROKEN")
