--- a/waxwinglift/version/__init__.py
+++ b/waxwinglift/version/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from waxwinglift.version._entries import Entry
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._entries import OwnerAssignment
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._entries import RankRow
--- a/waxwinglift/version/_apply.py
+++ b/waxwinglift/version/_apply.py
@@ -19,7 +19,7 @@
 from waxwinglift.version._apply_registry import RefusalCode
 from waxwinglift.version._apply_registry import refuse
 from waxwinglift.version._entries import Entry
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._types import LogIndex
 
--- a/waxwinglift/version/_apply_daemons.py
+++ b/waxwinglift/version/_apply_daemons.py
@@ -6,7 +6,7 @@
 from waxwinglift.version._apply_registry import applies
 from waxwinglift.version._apply_registry import RefusalCode
 from waxwinglift.version._apply_registry import refuse
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._fleet import Daemon
 from waxwinglift.version._fleet import Member
 from waxwinglift.version._types import DaemonState
--- a/waxwinglift/version/_apply_desired.py
+++ b/waxwinglift/version/_apply_desired.py
@@ -7,7 +7,7 @@
 from waxwinglift.version._apply_registry import RefusalCode
 from waxwinglift.version._apply_registry import refuse
 from waxwinglift.version._document_delta import apply_edits
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._fleet import DesiredState
 from waxwinglift.version._fleet import Group
 from waxwinglift.version._fleet import Pool
--- a/waxwinglift/version/_consensus_leader.py
+++ b/waxwinglift/version/_consensus_leader.py
@@ -15,7 +15,7 @@
 from waxwinglift.version._consensus_types import Propose
 from waxwinglift.version._consensus_types import ProposeBatch
 from waxwinglift.version._consensus_types import Refused
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._entries import NoOperation
 from waxwinglift.version._entry_codec import encode_entry
 
--- a/waxwinglift/version/_consensus_membership.py
+++ b/waxwinglift/version/_consensus_membership.py
@@ -11,7 +11,7 @@
 from waxwinglift.process import Registry
 from waxwinglift.version._consensus_messages import LogEntry
 from waxwinglift.version._consensus_messages import MemberRole
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._entries import MemberAdded
 from waxwinglift.version._entries import MemberPromoted
 from waxwinglift.version._entry_codec import decode_entry
--- a/waxwinglift/version/_control_core_commits.py
+++ b/waxwinglift/version/_control_core_commits.py
@@ -8,7 +8,7 @@
 from waxwinglift.version._control_core_registry import COMMIT_FOLLOW_UPS
 from waxwinglift.version._control_core_registry import on_commit
 from waxwinglift.version._control_core_registry import on_event
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 
 
 @on_event(messages.StateInstalled)
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -5,12 +5,12 @@
 """
 
 import dataclasses
-import enum
 
 from waxwinglift.process import Address
 from waxwinglift.process import DaemonId
 from waxwinglift.process import Location
 from waxwinglift.version._document_delta import LineEdit
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
@@ -26,29 +26,6 @@
 from waxwinglift.version._types import Timeline
 
 
-class EntryKind(enum.Enum):
-    """Discriminator of the stored form of an entry."""
-
-    NO_OPERATION = "no_operation"
-    POOL_EDITED = "pool_edited"
-    DESIRED_STATE_REPLACED = "desired_state_replaced"
-    ENDPOINT_JOINED = "endpoint_joined"
-    ENDPOINT_LEAVING = "endpoint_leaving"
-    ENDPOINT_LOST = "endpoint_lost"
-    ENDPOINT_REMOVED = "endpoint_removed"
-    GROUP_FORMED = "group_formed"
-    TERM_RAISED = "term_raised"
-    PRIMARY_CHOSEN = "primary_chosen"
-    PRIMARY_ACTIVE = "primary_active"
-    DAEMON_JOINED = "daemon_joined"
-    DAEMON_DRAINING = "daemon_draining"
-    DAEMON_LEFT = "daemon_left"
-    OWNERS_ASSIGNED = "owners_assigned"
-    MEMBER_ADDED = "member_added"
-    MEMBER_PROMOTED = "member_promoted"
-    MEMBER_REMOVED = "member_removed"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankRow:
     """One row of a pool's table.
--- a/waxwinglift_bench/version/_fault_run.py
+++ b/waxwinglift_bench/version/_fault_run.py
@@ -4,7 +4,7 @@
 
 from waxwinglift.process._policy_settings import HealthSettings
 from waxwinglift.version._control_core import ControlCore
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._types import GroupPhase
 from waxwinglift_bench.version._verdict_log import VerdictLog
 from waxwinglift_bench.version._members import Member
