Record the end of a timeline only when a promotion has ended it

Cause: PrimaryChosen recorded an end for the timeline of the server's last write, also when that server was the old primary, whose timeline goes on. Later writes lay past that end.

Fix: control reads the term that the promoted server leads and its last write, and PrimaryActive records an end only if the last write is of an earlier timeline. Timelines that the new primary never saw get an end as well. The group's term no longer bounds the comparison, since it counts independently of the timelines.

A log written before this change has no last write in PrimaryActive; the ends that it recorded are not rebuilt, so sessions that were open across the update are refused rather than told that a floor is lost.

--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -198,10 +198,17 @@
     if field == EMPTY_FIELD:
         return None
     term, _, number = field.partition(b".")
-    return Position(Term(_decode_number(term)), Lsn(_decode_number(number)))
+    return Position(Term(decode_number(term)), Lsn(decode_number(number)))
 
 
-def _decode_number(field):
+def decode_number(field: bytes) -> int:
+    """Return the number of a field of decimal digits.
+
+    Raises
+    ------
+    ValueError
+        The field is not such a number, or has more than 64 bits.
+    """
     # Unlike ``int``, refuses signs, blanks and underscores.
     if not field.isdigit():
         raise ValueError("expected a number in decimal digits")
--- a/waxwinglift/platform/_protocols.py
+++ b/waxwinglift/platform/_protocols.py
@@ -14,6 +14,7 @@
 from waxwinglift.process._statement_endpoints import StatementEndpoints
 from waxwinglift.process._statement_actions import PromotionRefused
 from waxwinglift.request._statements import EndpointStatus
+from waxwinglift.version import Term
 
 PROTOCOL = "platform"
 
@@ -40,11 +41,16 @@
         The row is not a status.
     """
     # Lag, running statements and connections follow.
-    role, _term, received, fenced_term, *_ = row.split(b" ")
+    role, term, received, fenced_term, *_ = row.split(b" ")
     position = _lines.decode_position(received)
     if position is None:
         raise ValueError("the status has no position")
-    return EndpointStatus(role == _PRIMARY, position, int(fenced_term))
+    return EndpointStatus(
+        role == _PRIMARY,
+        Term(_lines.decode_number(term)),
+        position,
+        _lines.decode_number(fenced_term),
+    )
 
 
 def _make_promote(settings):
--- a/waxwinglift/platform/tests/test_endpoint_connection.py
+++ b/waxwinglift/platform/tests/test_endpoint_connection.py
@@ -147,11 +147,16 @@
     [
         (
             b"replica 3 3.1209 0 12 2 17",
-            EndpointStatus(False, Position(Term(3), Lsn(1209)), 0),
+            EndpointStatus(False, Term(3), Position(Term(3), Lsn(1209))),
         ),
         (
             b"primary 4 4.7 5 0 0 1 more",
-            EndpointStatus(True, Position(Term(4), Lsn(7)), 5),
+            EndpointStatus(True, Term(4), Position(Term(4), Lsn(7)), 5),
+        ),
+        (
+            # Promoted to term 2; its last write is older.
+            b"primary 2 1.275 0 0 1 8",
+            EndpointStatus(True, Term(2), Position(Term(1), Lsn(275))),
         ),
     ],
 )
@@ -160,7 +165,16 @@
     assert decode_status(row) == status
 
 
-@pytest.mark.parametrize("row", [b"", b"replica 3", b"replica 3 - 0 1 1 1"])
+@pytest.mark.parametrize(
+    "row",
+    [
+        b"",
+        b"replica 3",
+        b"replica 3 - 0 1 1 1",
+        b"replica - 3.1 0 1 1 1",
+        b"replica 3 3.1 -1 1 1 1",
+    ],
+)
 def test_malformed_status(row):
     """An unreadable row must not be taken for a position."""
     with pytest.raises(ValueError):
--- a/waxwinglift/process/_statement_actions.py
+++ b/waxwinglift/process/_statement_actions.py
@@ -20,6 +20,9 @@
 # Only the leader accepts BEGIN; replicas accept BEGIN_READ.  A transaction
 # without statements occupies no slot of the endpoint.
 _LEADER_CHECK = (Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK))
+# A fence with a term that is not above the endpoint's term has no effect.  It
+# returns the status, but unlike a STATUS command it occupies no slot.
+_STATUS_WITHOUT_SLOT = Command(CommandKind.FENCE, term=0)
 
 # Coroutine function for each type of action.
 _ACTION_HANDLERS = Registry()
@@ -182,14 +185,19 @@
     while True:
         async with runner.connect(action) as connection:
             reply, _ = await connection.run(_LEADER_CHECK)
-        if reply.answer.error is None and reply.position is not None:
-            return failover.ServerPromoted(
-                action.group,
-                action.term,
-                action.endpoint,
-                Timeline(reply.position.term),
-            )
+        if reply.answer.error is None:
+            break
         await asyncio.sleep(_POLL_INTERVAL_S)
+    # The position in the reply has the term of the last write, which is older
+    # than the term that the server leads now.
+    status = await runner.status(action, _STATUS_WITHOUT_SLOT)
+    return failover.ServerPromoted(
+        action.group,
+        action.term,
+        action.endpoint,
+        Timeline(status.term),
+        _server_position(status),
+    )
 
 
 def _server_position(status):
--- a/waxwinglift/request/_floors.py
+++ b/waxwinglift/request/_floors.py
@@ -38,7 +38,8 @@
         return FloorState.MET
     if position.term < floor.term:
         return FloorState.BEHIND
-    if is_floor_lost(floor, position.term, term_ends):
+    past_ends = {t: e for t, e in term_ends.items() if t < position.term}
+    if is_floor_lost(floor, past_ends):
         return FloorState.LOST
     if floor.term < position.term and floor.term not in term_ends:
         # This proxy has not yet applied the control log entry with the end
@@ -49,18 +50,16 @@
     return FloorState.MET
 
 
-def is_floor_lost(floor, term, term_ends):
-    """Return whether the log of ``term`` does not contain the floor.
+def is_floor_lost(floor, past_ends):
+    """Return whether a log in a later term does not contain the floor.
 
-    The log contains a floor of an older term only if the floor is not above
-    the end of its own term or of any recorded term in between, because the
-    server promoted for a later term may never have received the log of a
-    term in between.  Without a recorded end the floor does not count as
-    lost.
+    ``past_ends`` maps the terms before that later term to their ends, where
+    recorded.  The log contains the floor only if the floor is not above the
+    end of its own term or of any recorded term after it, because the server
+    promoted for a later term may never have received the log of a term in
+    between.  Without a recorded end the floor does not count as lost.
     """
-    ends = [
-        lsn for past, lsn in term_ends.items() if floor.term <= past < term
-    ]
+    ends = [lsn for past, lsn in past_ends.items() if floor.term <= past]
     return bool(ends) and floor.lsn > min(ends)
 
 
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -254,7 +254,9 @@
 def _is_session_floor_lost(floor, group_view):
     if floor is None:
         return False
-    return is_floor_lost(floor, group_view.term, group_view.term_ends)
+    # Ends are recorded only for terms, or timelines, that are over.  The
+    # group's term is no bound: it counts independently of timelines.
+    return is_floor_lost(floor, group_view.term_ends)
 
 
 def _candidates(request, group_view, endpoint_stats, now_ms):
--- a/waxwinglift/request/_statements.py
+++ b/waxwinglift/request/_statements.py
@@ -11,6 +11,7 @@
 from waxwinglift.connection._types import TransactionStatus
 from waxwinglift.request._types import Verdict
 from waxwinglift.version import Position
+from waxwinglift.version import Term
 
 
 class StatementVerb(enum.Enum):
@@ -129,15 +130,18 @@
     Parameters
     ----------
     is_primary : bool
+    term : Term
+        Term that the endpoint leads or follows.
     received : Position
-        Position of the last commit that it has received, with the term that
-        the endpoint reports.
+        Position of the last commit that it has received.  Its term is below
+        ``term`` until the endpoint receives a commit of that term.
     fenced_term : int
         Term for which the endpoint was fenced; it receives no commits while
         it is fenced.  0 if it is not fenced.
     """
 
     is_primary: bool
+    term: Term
     received: Position
     fenced_term: int = 0
 
--- a/waxwinglift/request/tests/test_routing_fastest.py
+++ b/waxwinglift/request/tests/test_routing_fastest.py
@@ -184,3 +184,29 @@
     floor = Position(1, int(NOW_MS) - 100)
     chosen = shares("b", endpoint_stats, floor=floor, deadline_ms=NOW_MS + 800)
     assert set(chosen) == set(expected)
+
+
+@pytest.mark.parametrize(
+    ("floor", "is_lost"),
+    [((5, 101), True), ((5, 100), False), ((6, 500), False)],
+)
+def test_discarded_floor_is_reported_whatever_the_groups_term(floor, is_lost):
+    """The group counts its terms independently of the servers' timelines.
+
+    If its term were a bound, reads with a discarded floor would be refused
+    as too early until the session writes again.
+    """
+    fleet = make_fleet()
+    fleet.groups["g"].term_ends = {5: 100}
+    view = build_group_view(fleet, "g", Location("dc-a", "region-a"))
+    request = RouteRequest(Access.READ, Position(*floor), None, 10_000.0)
+    routed = choose_route(
+        request,
+        view,
+        make_endpoint_stats("a"),
+        SETTINGS,
+        NOW_MS,
+        random.Random(1),
+    )
+    codes = [routed.err_value.code] if routed.is_err() else []
+    assert codes == ([FailureCode.FLOOR_LOST] if is_lost else [])
--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -8,7 +8,7 @@
 from waxwinglift.version._apply_registry import refuse
 from waxwinglift.version._edits import apply_edit
 from waxwinglift.version._edits import find_table_error
-from waxwinglift.version._entries import EntryKind
+from waxwinglift.version._entry_kinds import EntryKind
 from waxwinglift.version._fleet import Endpoint
 from waxwinglift.version._fleet import Group
 from waxwinglift.version._types import EndpointState
@@ -266,10 +266,16 @@
             f" {entry.old_term_end_lsn} for term {entry.term}"
         )
         return refuse(RefusalCode.WRONG_TERM, message)
-    if group.is_server_fenced:
-        _record_timeline_end(group, entry)
-    else:
-        _record_term_end(group, entry)
+    if not group.is_server_fenced:
+        skipped = range(entry.old_term + 1, entry.term)
+        _record_term_ends(
+            group, entry.old_term, entry.old_term_end_lsn, skipped
+        )
+        group.timelines = {
+            timeline: term
+            for timeline, term in group.timelines.items()
+            if term <= entry.old_term
+        }
     group.primary = entry.primary
     group.phase = GroupPhase.PROMOTING
     return Ok(Applied(index))
@@ -281,34 +287,37 @@
 _KEPT_ENDS_COUNT = 16
 
 
-def _record_timeline_end(group, entry):
-    """Record where the new primary's previous timeline ended.
+def _record_timeline_ends(group, entry):
+    """Record the ends of the timelines that a promotion has ended.
 
-    Timelines that are not in the new primary's history get no end.
+    A timeline ends only if the server has left it.  If the server that was
+    chosen is still the primary, its timeline goes on.
     """
-    group.term_ends[entry.old_term] = entry.old_term_end_lsn
+    last_write = entry.last_write
+    if last_write is None or last_write.timeline >= entry.timeline:
+        return
+    first_kept = max(
+        last_write.timeline + 1, entry.timeline - _KEPT_ENDS_COUNT
+    )
+    skipped = range(first_kept, entry.timeline)
+    _record_term_ends(group, last_write.timeline, last_write.lsn, skipped)
     for timeline in sorted(group.term_ends)[:-_KEPT_ENDS_COUNT]:
         del group.term_ends[timeline]
 
 
-def _record_term_end(group, entry):
-    """Record the history of the new primary.
+def _record_term_ends(group, old_term, end_lsn, skipped_terms):
+    """Record the history of a new primary.
 
-    Terms after ``old_term`` are not part of that history.  They share it up
-    to where they diverged, at most to the end of ``old_term``: a session
+    ``old_term`` is the term of its last write, at ``end_lsn``.  The terms
+    after it, ``skipped_terms``, are not part of its history.  They share it
+    up to where they diverged, at most to the end of ``old_term``: a session
     floor up to that position can still be met, a later one cannot.
     """
-    end_lsn = entry.old_term_end_lsn
-    diverged_lsn = min(group.term_ends.get(entry.old_term, end_lsn), end_lsn)
-    for term in map(Term, range(entry.old_term + 1, entry.term)):
+    diverged_lsn = min(group.term_ends.get(old_term, end_lsn), end_lsn)
+    for term in map(Term, skipped_terms):
         known_lsn = group.term_ends.get(term, diverged_lsn)
         group.term_ends[term] = min(known_lsn, diverged_lsn)
-    group.term_ends[entry.old_term] = end_lsn
-    group.timelines = {
-        timeline: term
-        for timeline, term in group.timelines.items()
-        if term <= entry.old_term
-    }
+    group.term_ends[Term(old_term)] = end_lsn
 
 
 @applies(EntryKind.PRIMARY_ACTIVE)
@@ -320,6 +329,7 @@
         return refusal
     group = state.groups[entry.group]
     if group.is_server_fenced:
+        _record_timeline_ends(group, entry)
         group.phase = GroupPhase.ACTIVE
         return Ok(Applied(index))
     latest = max(group.timelines, default=Timeline(0))
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -21,6 +21,7 @@
 from waxwinglift.version._types import Lsn
 from waxwinglift.version._types import PoolName
 from waxwinglift.version._types import Rank
+from waxwinglift.version._types import ServerPosition
 from waxwinglift.version._types import TableVersion
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
@@ -270,12 +271,16 @@
 class PrimaryActive:
     """The new primary has been promoted; writes resume.
 
-    ``timeline`` is the server's own number for this term.
+    ``timeline`` is the server's own number for this term.  In a
+    server-fenced group, ``last_write`` is the position of the last write in
+    the new primary's log; it is on an earlier timeline, unless the chosen
+    server was the primary already.
     """
 
     group: GroupName
     term: Term
     timeline: Timeline
+    last_write: ServerPosition | None = None
     kind: EntryKind = EntryKind.PRIMARY_ACTIVE
 
 
--- a/waxwinglift/version/_failover.py
+++ b/waxwinglift/version/_failover.py
@@ -315,6 +315,7 @@
     progress.record_success(messages.PromoteServer, event.endpoint)
     if event.endpoint == fleet.groups[event.group].primary:
         progress.timeline = event.timeline
+        progress.last_write = event.last_write
     return (event.group,)
 
 
--- a/waxwinglift/version/_failover_messages.py
+++ b/waxwinglift/version/_failover_messages.py
@@ -157,12 +157,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerPromoted:
-    """The server has left recovery and is on the new timeline."""
+    """The server has left recovery and is on the new timeline.
+
+    ``last_write`` is the position of the last write in its log.  Only servers
+    that fence themselves report it.
+    """
 
     group: GroupName
     term: Term
     endpoint: EndpointId
     timeline: Timeline
+    last_write: ServerPosition | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_failover_progress.py
+++ b/waxwinglift/version/_failover_progress.py
@@ -5,6 +5,7 @@
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import ServerPosition
 from waxwinglift.version._types import Timeline
 
 
@@ -68,8 +69,10 @@
     have_writes_stopped: bool = False
     # By endpoint: its position and the time of the read.
     positions: dict = dataclasses.field(default_factory=dict)
-    # Timeline of the chosen server; None until it is promoted.
+    # Timeline of the chosen server, and the last write in its log; None until
+    # it is promoted.
     timeline: Timeline | None = None
+    last_write: ServerPosition | None = None
     status: str = ""
     # By (action type, endpoint): time before which it is not sent again.
     due_ms: dict = dataclasses.field(default_factory=dict)
--- a/waxwinglift/version/_failover_server_steps.py
+++ b/waxwinglift/version/_failover_server_steps.py
@@ -88,7 +88,12 @@
     progress = context.progress
     if progress.timeline is not None:
         context.propose(
-            PrimaryActive(group.group, group.term, progress.timeline)
+            PrimaryActive(
+                group.group,
+                group.term,
+                progress.timeline,
+                progress.last_write,
+            )
         )
         return f"{group.primary} is promoted; resuming writes"
     primary = context.fleet.endpoints[group.primary]
--- a/waxwinglift/version/tests/server_failover_harness.py
+++ b/waxwinglift/version/tests/server_failover_harness.py
@@ -55,6 +55,7 @@
         self.min_applied_index = None
         self.now_ms = 0.0
         self.promoted = []
+        self.leader, self.timeline = "s0", 1
         self.down = {}
         self.live = frozenset("ab")
 
@@ -98,10 +99,13 @@
         if isinstance(action, messages.FenceServer):
             return messages.ServerFenced(*names, server.position)
         if isinstance(action, messages.ReadPosition):
-            is_primary = action.endpoint == "s0" and not self.promoted
+            is_primary = action.endpoint == self.leader
             return messages.PositionRead(*names, server.position, is_primary)
         self.promoted.append(action.endpoint)
-        return messages.ServerPromoted(*names, server.position.timeline + 1)
+        if action.endpoint != self.leader:
+            self.leader = action.endpoint
+            self.timeline += 1
+        return messages.ServerPromoted(*names, self.timeline, server.position)
 
 
 def joined(number, role=None):
--- a/waxwinglift_standin/platform/_session.py
+++ b/waxwinglift_standin/platform/_session.py
@@ -193,7 +193,7 @@
     @_handles(b"PAUSE")
     async def _pause(self, request, arguments):
         term = int(arguments)
-        if term > self.server.log.received[0] and not self.server.is_primary:
+        if term > self.server.group.term and not self.server.is_primary:
             self.server.fenced_term = term
         self._send_result(rows=[self._status_row()])
 
@@ -224,12 +224,10 @@
         # of sessions.
         server = self.server
         role = b"primary" if server.is_primary else b"replica"
-        term, number = server.log.received
         return b"%s %d %d.%d %d 0 0 %d" % (
             role,
-            term,
-            term,
-            number,
+            server.group.term,
+            *server.log.received,
             server.fenced_term,
             len(server.sessions),
         )
