Keep the floor of the writes that a change of primary did not discard

What callers see: a session whose last write was discarded is told so once (LAGGING). After that its reads could also miss its earlier writes, which are still in the log, on a replica that lags.

Cause: the session dropped its whole floor. It now lowers the floor to the last position up to it that is in the new primary's history.

Reads with a maximum age were not affected, since they carry a recent position of the primary as well.

--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -10,9 +10,13 @@
 
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.process._drain_phase import DrainPhase
+from waxwinglift.connection._session_failures import BLOCK_ENDED
+from waxwinglift.connection._session_failures import FAILED_BLOCK
+from waxwinglift.connection._session_failures import SESSION_FAILED
+from waxwinglift.connection._session_failures import SHUTTING_DOWN
+from waxwinglift.connection._session_failures import WRITE_IN_READ_BLOCK
+from waxwinglift.connection._session_failures import message_failure
 from waxwinglift.connection._statement_protocols import CallerEnd
-from waxwinglift.connection._statement_protocols import CallerFault
-from waxwinglift.connection._statement_protocols import InvalidCallerMessage
 from waxwinglift.connection._statement_protocols import CallerStartup
 from waxwinglift.connection._statement_protocols import StatementCaller
 from waxwinglift.process import Registry
@@ -21,6 +25,8 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request._floors import advance_floor
+from waxwinglift.request._floors import is_floor_lost
+from waxwinglift.request._floors import surviving_floor
 from waxwinglift.request._statement_failures import Interruption
 from waxwinglift.request._statement_run import StatementRunner
 from waxwinglift.request._statements import PreparedShape
@@ -36,29 +42,6 @@
 _FAILED = TransactionStatus.FAILED
 _DONE = StatementAnswer()
 
-_FAULT_CODES = {
-    CallerFault.MALFORMED: FailureCode.BAD_MESSAGE,
-    CallerFault.TOO_LARGE: FailureCode.TOO_LARGE,
-}
-_FAILED_BLOCK = not_run(
-    FailureCode.FAILED_BLOCK,
-    "the transaction failed; only COMMIT or ROLLBACK is accepted",
-)
-_SHUTTING_DOWN = not_run(
-    FailureCode.SHUTTING_DOWN, "the proxy is shutting down"
-)
-_BLOCK_ENDED = not_run(
-    FailureCode.ABORTED,
-    "the transaction was aborted: the proxy is shutting down",
-)
-_SESSION_FAILED = not_run(
-    FailureCode.UNAVAILABLE,
-    "the session has ended: the proxy met an internal error",
-)
-_WRITE_IN_READ_BLOCK = not_run(
-    FailureCode.ABORTED, "cannot write in a read-only transaction"
-)
-
 # Methods that serve statements, by verb.
 _verbs = Registry()
 _serves = _verbs.register
@@ -129,7 +112,7 @@
         except asyncio.CancelledError:
             is_block = self._status is not _IDLE
             await self._refuse_unread(
-                _BLOCK_ENDED if is_block else _SHUTTING_DOWN
+                BLOCK_ENDED if is_block else SHUTTING_DOWN
             )
             raise
         finally:
@@ -148,7 +131,7 @@
             return
         self._is_ending = True
         if self._status is not _IDLE:
-            self._connection.notify_end(_BLOCK_ENDED)
+            self._connection.notify_end(BLOCK_ENDED)
         self._connection.close()
 
     async def _start(self):
@@ -156,7 +139,7 @@
         if isinstance(message, CallerEnd):
             return False
         if not isinstance(message, CallerStartup):
-            failure = _message_failure(message)
+            failure = message_failure(message)
             await self._connection.send_failure(failure, None)
             return False
         self.caller = f"{message.caller}@{self._connection.peer}"
@@ -195,14 +178,14 @@
 
     async def _serve_message(self, message):
         if not isinstance(message, Statement):
-            await self._send_failure(_message_failure(message))
+            await self._send_failure(message_failure(message))
             return
         is_end = message.verb in (
             StatementVerb.ROLLBACK,
             StatementVerb.COMMIT,
         )
         if self._status is _FAILED and not is_end:
-            await self._send_failure(_FAILED_BLOCK)
+            await self._send_failure(FAILED_BLOCK)
             return
         await _verbs[message.verb](self, message)
 
@@ -306,15 +289,16 @@
             await self._answer_interrupted(
                 statement, Interruption.INTERNAL_ERROR
             )
-            await self._refuse_unread(_SESSION_FAILED)
+            await self._refuse_unread(SESSION_FAILED)
             return
         finally:
             self._connection.set_disconnect_callback(None)
         if end.failure is not None:
             if end.failure.code is FailureCode.FLOOR_LOST:
-                # A change of primary discarded the floor.  This is reported
-                # once; the session then continues without a floor.
-                self.floor = None
+                # A change of primary discarded writes up to the floor.  This
+                # is reported once; the session then continues with the floor
+                # of its other writes.
+                self._lower_floor()
             await self._end_block_with(end.failure)
             return
         if self._status is not _IDLE:
@@ -327,10 +311,10 @@
     def _find_refusal(self, statement):
         """Return the failure if refused; outside a block, update the table."""
         if self._drain_phase() is DrainPhase.ENDING_BLOCKS:
-            return _SHUTTING_DOWN if self._status is _IDLE else _BLOCK_ENDED
+            return SHUTTING_DOWN if self._status is _IDLE else BLOCK_ENDED
         if self._status is _IN_TRANSACTION:
             if self._is_block_read_only and statement.is_write:
-                return _WRITE_IN_READ_BLOCK
+                return WRITE_IN_READ_BLOCK
             return None
         return self._update_table(self.table.pool)
 
@@ -368,6 +352,12 @@
         ):
             self.floor = advance_floor(self.floor, end.position)
 
+    def _lower_floor(self):
+        """Lower the floor to the last position that was not discarded."""
+        group = self._context.view.group(self.table.group)
+        if group is not None and is_floor_lost(self.floor, group.term_ends):
+            self.floor = surviving_floor(self.floor, group.term_ends)
+
     async def _refuse_unread(self, failure):
         """Answer the messages that have arrived but are not read yet."""
         status = None if self.table is None else _IDLE
@@ -386,13 +376,3 @@
         await self._runner.close()
         self._status = _IDLE
         await self._send_failure(failure)
-
-
-def _message_failure(message):
-    """Return the failure of a message that cannot be served."""
-    if isinstance(message, InvalidCallerMessage):
-        return not_run(_FAULT_CODES[message.fault], message.message)
-    return not_run(
-        FailureCode.BAD_MESSAGE,
-        "expected one start-up message and then only statements",
-    )
--- a/waxwinglift/request/_floors.py
+++ b/waxwinglift/request/_floors.py
@@ -5,6 +5,8 @@
 
 import enum
 
+from waxwinglift.version import Position
+
 
 class FloorState(enum.Enum):
     """Relation of an endpoint's position to a session's floor.
@@ -63,6 +65,30 @@
     return bool(ends) and floor.lsn > min(ends)
 
 
+def surviving_floor(floor, past_ends):
+    """Return the floor for the writes that were not discarded.
+
+    Parameters
+    ----------
+    floor : Position
+        A floor that is lost; see `is_floor_lost`.
+    past_ends : Mapping[Term, Lsn]
+        Ends of the terms before the current one, where recorded.
+
+    Returns
+    -------
+    Position or None
+        Last position up to ``floor`` in the current history; None if that
+        history has no write up to it.
+    """
+    end = min(lsn for past, lsn in past_ends.items() if floor.term <= past)
+    if not end:
+        return None
+    # Later terms with the same end have no writes in this history.
+    term = min(past for past, lsn in past_ends.items() if lsn >= end)
+    return Position(term, end)
+
+
 def advance_floor(floor, position):
     """Return the higher of a session's floor and an answer's position.
 
--- a/waxwinglift/request/tests/test_floors.py
+++ b/waxwinglift/request/tests/test_floors.py
@@ -5,6 +5,8 @@
 from waxwinglift.request._floors import advance_floor
 from waxwinglift.request._floors import check_floor
 from waxwinglift.request._floors import FloorState
+from waxwinglift.request._floors import is_floor_lost
+from waxwinglift.request._floors import surviving_floor
 from waxwinglift.version import Position
 
 
@@ -48,3 +50,26 @@
     floor = Position(*floor) if floor else None
     position = Position(*position) if position else None
     assert advance_floor(floor, position) == Position(*expected)
+
+
+@pytest.mark.parametrize(
+    ("floor", "past_ends", "expected"),
+    [
+        ((1, 150), {1: 145}, (1, 145)),
+        ((1, 150), {1: 145, 2: 160}, (1, 145)),
+        ((2, 170), {1: 145, 2: 160}, (2, 160)),
+        # Term 2 is not in the history, or has no write in it.
+        ((2, 150), {1: 145, 2: 145}, (1, 145)),
+        # A later promotion went back behind the end of term 1.
+        ((2, 170), {1: 140, 2: 140}, (1, 140)),
+        ((1, 5), {1: 0}, None),
+    ],
+)
+def test_writes_that_were_not_discarded_keep_a_floor(
+    floor, past_ends, expected
+):
+    """Without it, later reads of the session would miss these writes."""
+    floor = Position(*floor)
+    expected = Position(*expected) if expected else None
+    assert is_floor_lost(floor, past_ends)
+    assert surviving_floor(floor, past_ends) == expected
