Compare the term of a fence with the server's own term

What could happen: a replica that still receives counts as fenced while control compares positions, so that the choice of the new primary rests on an outdated position.

Cause: control compared the term of its PAUSE with the term of the replica's last write. The server compares it with its own term, which is higher if nothing was written since the last promotion. The status has both.

test_a_fenced_server_has_stopped_receiving failed before for servers in terms 2 and 5 (the stand-in was not paused), and passes now.

--- a/waxwinglift/platform/tests/test_server_actions.py
+++ b/waxwinglift/platform/tests/test_server_actions.py
@@ -42,6 +42,40 @@
     assert outcome.last_write == ServerPosition(1, 1)
 
 
+@pytest.mark.parametrize("server_term", [1, 2, 5])
+def test_a_fenced_server_has_stopped_receiving(server_term):
+    """A replica that still receives must not count as fenced.
+
+    It could pass the position at which it was compared with the others.  The
+    servers' term may be above that of their last write, and above the group's
+    term, which counts independently.
+    """
+
+    async def scenario():
+        group = ServerGroup(GROUP)
+        for server in ("s0", "s1"):
+            await group.add(server, "dc-a")
+        try:
+            group.term = server_term
+            outcome = await _fence(group, "s1")
+            return outcome, group.servers["s1"].fenced_term
+        finally:
+            group.stop()
+
+    outcome, fenced_term = asyncio.run(scenario())
+    assert isinstance(outcome, messages.ServerFenced)
+    assert fenced_term > server_term
+
+
+async def _fence(group, name):
+    runner = StatementActionRunner(open_connection, decode_status, None)
+    address = group.servers[name].address
+    action = messages.FenceServer(
+        GROUP, Term(2), name, address, 3000, timeline=2
+    )
+    return await runner.run(action, None)
+
+
 async def _promote(group, name):
     async def order(action, promotion_right):
         await group.promote(action.endpoint, 1)
--- a/waxwinglift/process/_statement_actions.py
+++ b/waxwinglift/process/_statement_actions.py
@@ -148,22 +148,22 @@
 async def _fence(runner, action, promotion_right):
     """Make the server stop receiving from the primary.
 
-    The server accepts only a term above the last that it received, so the
-    fence is repeated with a higher term if necessary.
+    The server accepts only a term above its own, so the fence is repeated
+    with a higher term if necessary.
     """
     # These servers have terms in place of the timelines of PostgreSQL.
     term = action.timeline
     while True:
         command = Command(CommandKind.FENCE, term=term)
         status = await runner.status(action, command)
-        if term > status.received.term:
+        if term > status.term:
             return failover.ServerFenced(
                 action.group,
                 action.term,
                 action.endpoint,
                 _server_position(status),
             )
-        term = status.received.term + 1
+        term = status.term + 1
 
 
 @_on_action(failover.ReadPosition)
