End the lines of the platform's wire at CR LF only

Rows of servers were cut in the same way.

Cause: LineProtocol ended lines at LF and dropped a CR only if there was one. PROTOCOL.md ends a line at CR LF; all other bytes belong to a field.

Fix: only CR LF ends a line, also where its two bytes arrive apart, and after a line that is skipped because of its length. The stand-ins read lines in the same way; before, both ends agreed on the wrong rule.

--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -15,6 +15,8 @@
 LINE_LIMIT_BYTES = 2**20
 # Field without a value: no position, no receipt or no request id.
 EMPTY_FIELD = b"-"
+# The only end of a line: CR or LF alone are data.
+_LINE_END = b"\r\n"
 # Number of unread lines above which reading from the peer is paused.
 _UNREAD_LIMIT_COUNT = 64
 
@@ -95,18 +97,20 @@
     def data_received(self, data):
         """Split received bytes into lines."""
         buffer = self._buffer
+        # The first half of an end may have arrived before.
+        searched = max(0, len(buffer) - 1)
         buffer += data
         start = 0
         while True:
-            end = buffer.find(b"\n", start)
+            end = buffer.find(_LINE_END, searched)
             if end < 0:
                 break
             self._append_line(bytes(buffer[start:end]))
-            start = end + 1
+            start = searched = end + len(_LINE_END)
         del buffer[:start]
         if len(buffer) > LINE_LIMIT_BYTES:
             self._is_skipping = True
-            buffer.clear()
+            del buffer[:-1]
         if (
             len(self._lines) > _UNREAD_LIMIT_COUNT
             and not self._is_reading_paused
@@ -157,7 +161,7 @@
             self._is_skipping = False
             self._lines.append(None)
             return
-        self._lines.append(line[:-1] if line.endswith(b"\r") else line)
+        self._lines.append(line)
 
     def _wake(self):
         waiter, self._waiter = self._waiter, None
--- a/waxwinglift_standin/platform/_caller.py
+++ b/waxwinglift_standin/platform/_caller.py
@@ -56,9 +56,13 @@
 
     async def query(self, text: str, request=None) -> CallerAnswer:
         """Run one statement and return its answer."""
+        return await self.query_bytes(text.encode(), request)
+
+    async def query_bytes(self, text: bytes, request=None) -> CallerAnswer:
+        """Run one statement of any bytes and return its answer."""
         if request is None:
             request = b"%016x" % next(_REQUEST_NUMBERS)
-        self.send(b"QUERY %s %s\r\n" % (request, text.encode()))
+        self.send(b"QUERY %s %s\r\n" % (request, text))
         return await self.answer(request)
 
     def send(self, data: bytes):
@@ -72,7 +76,7 @@
         """
         rows, receipt, error = [], b"", b""
         while True:
-            line = (await self._reader.readline()).rstrip(b"\r\n")
+            line = await self._read_line()
             word, _, rest = line.partition(b" ")
             if word == b"DATAROW":
                 rows.append(rest)
@@ -84,3 +88,11 @@
                 break
         state = rest.split(b" ")[0] if word == b"READY" else b""
         return CallerAnswer(request, tuple(rows), receipt, error, state)
+
+    async def _read_line(self):
+        """Return the next line, or an empty one if the session has ended."""
+        try:
+            line = await self._reader.readuntil(b"\r\n")
+        except asyncio.IncompleteReadError:
+            return b""
+        return line.removesuffix(b"\r\n")
