Name prepared statements without blanks

What callers would see: a statement whose shape has a blank runs with another shape and other data, or is refused. PROTOCOL.md lets the last field of a line, the shape, contain blanks.

Cause: the proxy named a statement after its shape, so that the blank ended the name in PREPARE and EXECUTE. Such shapes, and long ones, are now named after a digest.

test_data_of_a_write_is_not_taken_for_lines[_execute_shape-*] failed before: the data that was read back belonged to an earlier statement.

--- a/waxwinglift/connection/_tracked_connection.py
+++ b/waxwinglift/connection/_tracked_connection.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import hashlib
 
 from waxwinglift.connection._statement_protocols import StatementConnection
 from waxwinglift.request._statements import Command
@@ -16,6 +17,10 @@
 _SLOT_KINDS = frozenset(
     {CommandKind.CALLER, CommandKind.EXECUTE, CommandKind.STATUS}
 )
+# Longest shape that is part of a statement's name; a longer one would be sent
+# with each EXECUTE.
+_SHAPE_LIMIT_BYTES = 64
+_DIGEST_BYTES = 16
 
 
 class TrackedConnection:
@@ -109,8 +114,17 @@
         The name is derived from the statement, because callers may use one
         name for different statements.
         """
-        name = (b"w_" if shape.is_write else b"r_") + shape.shape
+        name = _statement_name(shape)
         if name in self.prepared:
             return name, []
         self.prepared.add(name)
         return name, [Command(CommandKind.PREPARE, name=name, shape=shape)]
+
+
+def _statement_name(shape):
+    """Return a name for the shape; it has no blank, which would end it."""
+    if b" " in shape.shape or len(shape.shape) > _SHAPE_LIMIT_BYTES:
+        digest = hashlib.blake2b(shape.shape, digest_size=_DIGEST_BYTES)
+        prefix = b"dw_" if shape.is_write else b"dr_"
+        return prefix + digest.hexdigest().encode()
+    return (b"w_" if shape.is_write else b"r_") + shape.shape
--- a/waxwinglift/platform/tests/test_any_bytes.py
+++ b/waxwinglift/platform/tests/test_any_bytes.py
@@ -53,8 +53,13 @@
     return b"EXECUTE w 1a4 " + data
 
 
+async def _execute_shape(caller, data):
+    assert (await caller.query_bytes(b"PREPARE v WRITE " + data)).is_success
+    return b"EXECUTE v 1a4 " + data
+
+
 @pytest.mark.parametrize("proxy_count", [1, 2])
-@pytest.mark.parametrize("make", [_write, _execute])
+@pytest.mark.parametrize("make", [_write, _execute, _execute_shape])
 def test_data_of_a_write_is_not_taken_for_lines(
     monkeypatch, make, proxy_count
 ):
