Refuse names that are no field before a connection is opened

Cause: the names were written into the line as they were. They are checked first now, and refused like an address that cannot be used.

--- a/waxwinglift/platform/_endpoint_connection.py
+++ b/waxwinglift/platform/_endpoint_connection.py
@@ -255,6 +255,7 @@
         No connection could be opened, the server refused it, or another
         server uses the address.
     """
+    startup = _encode_startup(group, endpoint)
     loop = asyncio.get_running_loop()
     try:
         transport, connection = await loop.create_connection(
@@ -263,20 +264,31 @@
     except OPEN_ERRORS as error:
         raise EndpointRefused(str(error)) from error
     try:
-        await _start(connection, group, endpoint)
+        await _start(connection, startup)
     except BaseException:
         transport.abort()
         raise
     return connection
 
 
-async def _start(connection, group, endpoint):
+def _encode_startup(group, endpoint):
+    """Return the line; names from operators and servers may be no fields."""
+    try:
+        fields = group.encode(), endpoint.encode()
+    except UnicodeEncodeError as error:
+        raise EndpointRefused(str(error)) from error
+    is_field = all(fields) and b" " not in fields[0]
+    if not is_field or any(b"\r\n" in field for field in fields):
+        raise EndpointRefused(
+            f"the names {group!r} and {endpoint!r} cannot be sent"
+        )
+    return b"STARTUP %s %s %s\r\n" % (fields[0], _CLIENT_NAME, fields[1])
+
+
+async def _start(connection, startup):
     future = asyncio.get_running_loop().create_future()
     connection._exchanges.append(_Exchange(1, future))
-    connection.transport.write(
-        b"STARTUP %s %s %s\r\n"
-        % (group.encode(), _CLIENT_NAME, endpoint.encode())
-    )
+    connection.transport.write(startup)
     try:
         replies = await future
     except EndpointConnectionLost as error:
--- a/waxwinglift/platform/tests/test_endpoint_connection.py
+++ b/waxwinglift/platform/tests/test_endpoint_connection.py
@@ -181,6 +181,36 @@
         decode_status(row)
 
 
+@pytest.mark.parametrize(
+    "group, endpoint",
+    [
+        ("ledger", "i-1\r\nQUERY id1 WRITE 1a4 x"),
+        ("ledger\r\nQUERY id1 WRITE 1a4 x", "i-1"),
+        ("ledger other", "i-1"),
+        ("", "i-1"),
+        ("ledger", ""),
+        ("ledger", "\ud800"),
+    ],
+)
+def test_name_that_is_no_field_is_refused(group, endpoint):
+    """A name of another writer must not add fields or lines to STARTUP."""
+    received = []
+
+    async def serve(reader, writer):
+        received.append(await reader.read(1000))
+        writer.close()
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            await open_connection(Address("127.0.0.1", port), group, endpoint)
+
+    with pytest.raises(EndpointRefused):
+        asyncio.run(work())
+    assert not any(received)
+
+
 @pytest.mark.parametrize(
     "host, port",
     [
