Count lost replicas among those that may alone have a commit

Cause: control left out servers whose check-ins had stopped before it counted how many may be missing, so that the slow replica alone was all of them. Such a replica may have the only copy of what was acknowledged before, and if only control has lost it, of what is acknowledged still.

Fix: with synchronous replicas, lost members and a chosen server that was abandoned count, are asked and may be chosen. The term is raised only once enough have answered; if too few can be fenced after that, the old primary is chosen again. A leaving primary still hands over to a replica that has received everything, and one that has left for good is removed when its successor is chosen, since it would be waited for otherwise.

Without synchronous replicas nothing changes.

--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -33,6 +33,9 @@
     if refusal is not None:
         return refusal
     _update_group_size(state, entry)
+    group = state.groups[entry.group]
+    if group.primary == entry.endpoint:
+        group.has_primary_left = False
     endpoint = Endpoint(
         endpoint=entry.endpoint,
         group=entry.group,
@@ -154,7 +157,9 @@
     known = state.endpoints.get(entry.endpoint)
     if known is None:
         return refuse(RefusalCode.UNKNOWN_ENDPOINT, entry.endpoint)
-    if state.groups[known.group].primary == entry.endpoint:
+    group = state.groups[known.group]
+    if group.primary == entry.endpoint:
+        group.has_primary_left = True
         known.state = EndpointState.LOST
         return Ok(Applied(index))
     state.remove_endpoint(entry.endpoint)
@@ -243,6 +248,7 @@
     if refusal is not None:
         return refusal
     group = state.groups[entry.group]
+    group.is_primary_abandoned = group.phase is GroupPhase.PROMOTING
     group.term = entry.term
     group.phase = GroupPhase.FENCING
     group.raised_index = index
@@ -276,11 +282,24 @@
             for timeline, term in group.timelines.items()
             if term <= entry.old_term
         }
+    else:
+        _remove_primary_that_left(state, group, entry.primary)
     group.primary = entry.primary
+    group.is_primary_abandoned = False
     group.phase = GroupPhase.PROMOTING
     return Ok(Applied(index))
 
 
+def _remove_primary_that_left(state, group, successor):
+    """Remove a replaced primary that does not come back.
+
+    It would count for ever as a server whose commits must be waited for.
+    """
+    if group.has_primary_left and group.primary != successor:
+        state.remove_endpoint(group.primary)
+    group.has_primary_left = False
+
+
 # Ends of past timelines that are kept.  Sessions are assumed to have
 # reconnected within that many changes of primary, so that no session floor is
 # older.
--- a/waxwinglift/version/_failover_server_steps.py
+++ b/waxwinglift/version/_failover_server_steps.py
@@ -51,6 +51,11 @@
         has_leave_limit_passed = waited_ms >= context.settings.leave_limit_ms
         if not has_leave_limit_passed and not _is_close_behind(context):
             return f"{reason}; waiting for a replica close behind it"
+    elif _sync_count(context) and not _can_replicas_be_fenced(context):
+        return (
+            f"{reason}; waiting for replicas that may alone have an "
+            "acknowledged commit"
+        )
     term = Term(context.group.term + 1)
     context.propose(TermRaised(context.group.group, term))
     return f"{reason}; raising the term to {term}"
@@ -77,7 +82,7 @@
     if fenced and _has_enough_fenced(context, fenced, names, waited_ms):
         _choose(context, fenced)
         return "choosing the new primary"
-    if not fenced and waited_ms >= context.settings.cut_off_after_ms:
+    if waited_ms >= context.settings.cut_off_after_ms:
         return _choose_old_primary(context)
     return f"waiting for servers to be fenced: {_list_missing(names, fenced)}"
 
@@ -109,20 +114,47 @@
     return f"{status}; raising the term to {term}"
 
 
+def _sync_count(context):
+    """Return on how many replicas each acknowledged commit is, 0 if none."""
+    settings = context.group.settings
+    return 0 if settings is None else settings.sync_replicas_count
+
+
 def _successors(context):
     """Return the members that may become the primary, ordered by id.
 
-    Lost members are left out: writes acknowledged while they were lost are
-    on the other members.
+    With synchronous replicas, these include lost members.  A member whose
+    check-ins have stopped may have acknowledged commits that no other member
+    has, and may go on doing so if only control cannot reach it.  For the same
+    reason a chosen server that was abandoned before its promotion counts.
     """
+    group = context.group
+    needs_all = _sync_count(context) > 0
     return [
         endpoint
         for endpoint in context.members
-        if endpoint.endpoint != context.group.primary
-        and endpoint.state is not EndpointState.LOST
+        if (
+            endpoint.endpoint != group.primary
+            or (needs_all and group.is_primary_abandoned)
+        )
+        and (needs_all or endpoint.state is not EndpointState.LOST)
     ]
 
 
+def _can_replicas_be_fenced(context):
+    """Return whether enough replicas have answered to raise the term.
+
+    Until the term is raised, a primary that comes back can continue.
+    """
+    successors = _successors(context)
+    for endpoint in successors:
+        _read_position(context, endpoint)
+    since_ms = context.now_ms - context.settings.report_ttl_ms
+    answered = context.progress.recently_read_servers(since_ms)
+    names = {endpoint.endpoint for endpoint in successors}
+    return len(names - answered) < _sync_count(context)
+
+
 def _is_orderly_leave(context):
     """Return whether the old primary is leaving and still works."""
     primary = context.fleet.endpoints.get(context.group.primary)
@@ -216,17 +248,25 @@
     fewer than ``sync_replicas_count`` are missing.  A commit is on the
     primary and on that number of replicas, so the fenced servers then include
     every acknowledged commit.  Without synchronous replicas, any number may
-    be missing.
+    be missing.  A successor that has received all writes of a leaving primary
+    includes them as well.
     """
     if fenced == names:
         return True
-    settings = context.group.settings
-    sync_count = 0 if settings is None else settings.sync_replicas_count
-    if sync_count and len(fenced) < len(names) - sync_count + 1:
+    sync_count = _sync_count(context)
+    is_missing = sync_count > 0 and len(names - fenced) >= sync_count
+    if is_missing and not _has_all_writes(context):
         return False
     return waited_ms >= context.settings.settle_ms
 
 
+def _has_all_writes(context):
+    """Return whether a successor has received all of a leaving primary."""
+    lag = _replica_lag(context)
+    is_stopped = context.progress.have_writes_stopped
+    return is_stopped and lag is not None and lag <= 0
+
+
 def _choose(context, fenced):
     """Propose the server that has received the most as the new primary.
 
@@ -247,7 +287,7 @@
 
 
 def _choose_old_primary(context):
-    """Choose the old primary again if only it answers."""
+    """Choose the old primary again if too few other servers answer."""
     name = context.group.primary
     primary = context.fleet.endpoints.get(name)
     if primary is None:
@@ -255,7 +295,7 @@
     _read_position(context, primary)
     if name in context.progress.claimed_primaries:
         _propose_choice(context, name, context.progress.positions[name][0])
-    return f"no successor answers; reading the position of {name}"
+    return f"too few successors answer; reading the position of {name}"
 
 
 def _propose_choice(context, name, position):
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -79,7 +79,10 @@
     with a lease must have applied it before a promotion.  ``timelines`` maps
     each timeline in the history of the current primary to its term.  If the
     group is server-fenced, positions contain timelines instead of terms, and
-    timelines are the keys of ``term_ends``.
+    timelines are the keys of ``term_ends``.  ``is_primary_abandoned`` is True
+    while another server is chosen in place of one that was not promoted.
+    ``has_primary_left`` is True if the primary has announced that it is gone
+    for good; it is removed after its successor is active.
     """
 
     group: GroupName
@@ -92,6 +95,8 @@
     timelines: dict[Timeline, Term]
     fencing: Fencing = Fencing.LEASE
     settings: GroupSettings | None = None
+    is_primary_abandoned: bool = False
+    has_primary_left: bool = False
 
     @property
     def is_server_fenced(self):
--- a/waxwinglift/version/tests/test_failover_server.py
+++ b/waxwinglift/version/tests/test_failover_server.py
@@ -85,15 +85,97 @@
     assert bool(harness.promoted) is is_promoted
 
 
-def test_a_lost_replica_is_not_waited_for():
-    # Writes acknowledged while it was lost are on the other replica.
+@pytest.mark.parametrize(
+    ("sync_count", "is_promoted"), [(0, True), (1, False), (2, True)]
+)
+def test_a_lost_replica_is_waited_for_if_it_may_have_unique_commits(
+    sync_count, is_promoted
+):
+    # Its check-ins have stopped, but commits that it acknowledged before, or
+    # acknowledges still if only control cannot reach it, may be nowhere else.
+    harness = Harness(sync_count)
+    extend(harness.fleet, entries.EndpointLost("s2"))
+    harness.servers["s2"].is_reachable = False
+    harness.report("a", "s0")
+    harness.report("b", "s0")
+    harness.run(20_000)
+    assert bool(harness.promoted) is is_promoted
+
+
+def test_the_primary_continues_while_a_replica_is_waited_for():
+    # Once the term is raised, no write is served, although the primary may be
+    # back before the replica.
+    harness = Harness(sync_count=1)
+    harness.servers["s2"].is_reachable = False
+    harness.report("a", "s0")
+    harness.report("b", "s0")
+    harness.run(3000)
+    assert (harness.group.phase, harness.group.term) == (GroupPhase.ACTIVE, 1)
+
+
+def test_the_replica_that_was_waited_for_takes_over_with_its_commits():
+    # It alone has the commits that were acknowledged last.
     harness = Harness(sync_count=1)
     extend(harness.fleet, entries.EndpointLost("s2"))
     harness.servers["s2"].is_reachable = False
+    harness.servers["s2"].position = ServerPosition(1, 130)
     harness.report("a", "s0")
     harness.report("b", "s0")
-    harness.run(1000)
+    harness.run(8000)
+    harness.servers["s2"].is_reachable = True
+    harness.run(2000)
+    assert harness.promoted == ["s2"]
+
+
+def test_an_abandoned_choice_is_chosen_again_when_it_is_back():
+    # The server with all acknowledged commits stops before its promotion,
+    # and the others may lack some of them.
+    harness = Harness(sync_count=1)
+    harness.servers["s1"].position = ServerPosition(1, 130)
+    harness.servers["s0"].is_reachable = False
+    harness.report("a", "s0")
+    harness.report("b", "s0")
+    original = harness._execute
+
+    def fail_chosen(action):
+        if isinstance(action, messages.PromoteServer):
+            server = harness.servers["s1"]
+            server.is_reachable, server.is_not_running = False, True
+        return original(action)
+
+    harness._execute = fail_chosen
+    harness.run(5000)
+    assert harness.promoted == []
+    harness._execute = original
+    harness.servers["s1"].is_reachable = True
+    harness.servers["s0"].is_reachable = True
+    harness.run(3000)
+    assert harness.promoted[:1] == ["s1"]
+
+
+def test_a_leaving_primary_hands_over_although_a_replica_is_lost():
+    # The successor has received all writes of the primary, which include
+    # every commit that the lost replica may have acknowledged.
+    harness = Harness(sync_count=1)
+    harness.report("a")
+    harness.report("b")
+    extend(harness.fleet, entries.EndpointLost("s2"))
+    harness.servers["s2"].is_reachable = False
+    extend(harness.fleet, entries.EndpointLeaving("s0"))
+    harness.run(3000)
+    assert harness.promoted == ["s1"]
+
+
+def test_a_primary_that_has_left_is_not_waited_for():
+    # It has handed over all its commits and does not come back.
+    harness = Harness(sync_count=1)
+    harness.report("a", "s0")
+    harness.report("b", "s0")
+    extend(harness.fleet, entries.EndpointLeaving("s0"))
+    extend(harness.fleet, entries.EndpointRemoved("s0"))
+    harness.run(3000)
     assert harness.promoted == ["s1"]
+    assert "s0" not in harness.fleet.endpoints
 
 
 def test_a_leaving_primary_hands_over_without_losing_writes():
