End a control daemon that cannot store its log

Cause: after a failed write the member must stop, but the error was raised in gRPC handlers and timers, which log it and go on. The daemon answered heartbeats, voted and relayed, and stored nothing any more.

Fix: the node records the failure, ignores later events, has no quorum and ends the process, which starts again from what its disk holds.

--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -201,6 +201,12 @@
             self.node.tick()
             await self.sleep(interval_s)
 
+    @mode.Service.task
+    async def _stop_after_failure(self):
+        """End the process; it starts again from what its disk holds."""
+        await self.node.has_failed.wait()
+        raise self.node.failure
+
     @mode.Service.task
     async def _run_relay(self):
         await self._relay.run()
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -35,6 +35,7 @@
 from waxwinglift.version._membership import ControlGroupView
 from waxwinglift.version._membership import MembershipPlanner
 from waxwinglift.version._promotion import promotion_right
+from waxwinglift.version._store_records import StoreError
 from waxwinglift.version._store_records import StoreFormatError
 
 logger = logging.getLogger(__name__)
@@ -44,6 +45,8 @@
 # commit; appending 1,900 entries one by one used more than one core for
 # seconds.
 APPEND_INTERVAL_MS = 5
+# Errors after which a member must stop; see MemberDriver.
+_FATAL_ERRORS = (OSError, StoreError, consensus.ConsensusError)
 
 
 def _decode_stored(stored):
@@ -95,6 +98,9 @@
         self._membership = MembershipPlanner(settings.membership)
         self.server_actions = ActionQueue()
         self.changed = asyncio.Event()
+        # Error after which this member must stop, and whether there is one.
+        self.failure: Exception | None = None
+        self.has_failed = asyncio.Event()
         seed = f"{settings.member}-{random.SystemRandom().random()}"
         fleet, entries = _decode_stored(store.load())
         # Until a leader has committed them again, the entries of the log are
@@ -142,13 +148,33 @@
     @property
     def has_quorum(self):
         """Whether this member is the leader and has a quorum now."""
+        if self.failure is not None:
+            return False
         return self.consensus.is_leader_with_quorum(monotonic_ms())
 
     def step_consensus(self, event):
-        """Pass an event to the consensus node and execute its actions."""
-        self._driver.handle(event)
+        """Pass an event to the consensus node and execute its actions.
+
+        After a failure, events are ignored: a member that answered others
+        although it cannot store anything would count for their majority.
+        """
+        if self.failure is not None:
+            return
+        try:
+            self._driver.handle(event)
+        except _FATAL_ERRORS as error:
+            self._record_failure(error)
+            return
         self.confirmations.resolve_confirmed(self.consensus, monotonic_ms())
 
+    def _record_failure(self, error):
+        self.failure = error
+        self.has_failed.set()
+        self.metrics.incr("control.store_failures")
+        logger.critical(
+            "this member stops, because it cannot store its log: %r", error
+        )
+
     def promotion_right(self, action):
         """Return the PromotionRight that is sent along with ``action``."""
         return promotion_right(self.member, self.consensus.term, action.term)
@@ -203,7 +229,7 @@
         # be read before the clock, or the deadline would never be reached.
         deadline_ms = self._driver.deadline_ms
         if monotonic_ms() >= deadline_ms:
-            self._driver.tick()
+            self.step_consensus(consensus.Tick())
         self.step_core(core_messages.ControlTick(self.has_quorum))
 
     def renew(self, renewal):
--- a/waxwinglift/version/_log_store.py
+++ b/waxwinglift/version/_log_store.py
@@ -282,6 +282,8 @@
         self._entries = list(entries)
 
     def _close(self):
-        if self._stream is not None:
-            self._stream.close()
-            self._stream = None
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            # Bytes of a failed write are written again, and may fail again.
+            with contextlib.suppress(OSError):
+                stream.close()
