Sync the entries of the log before they count after a start

A process that is killed between a write and its sync leaves entries that its successor can read, but that are not on the disk. The member confirms them to the leader; a power failure then takes them from it. The same holds after a failed sync.

Cause: the store took what it read for durable. It now writes the log anew and syncs it and its folder before the entries count; a torn tail goes with it.

test_entries_that_were_read_are_synced_before_they_count failed before: the store synced nothing when it was opened.

--- a/waxwinglift/version/_log_store.py
+++ b/waxwinglift/version/_log_store.py
@@ -205,7 +205,10 @@
         data = self._log_path.read_bytes()
         payloads, end = records.read_records(self._log_path, data)
         self._read_log(payloads)
-        self._truncate_tail(end, len(data))
+        self.report.truncated_bytes_count = len(data) - end
+        # A process that ended during a write, or after a failed one, may have
+        # left bytes that can be read and are not on the disk.
+        self._replace_log(data[:end])
         self._compact()
 
     def _check_is_new(self):
@@ -223,15 +226,6 @@
             raise records.StoreCorruptError(self._vote_path, 0, reason)
         self.save_vote(self._vote)
 
-    def _truncate_tail(self, end, size_bytes):
-        self._stream = open(self._log_path, "r+b")
-        self._stream.seek(end)
-        if end == size_bytes:
-            return
-        self.report.truncated_bytes_count = size_bytes - end
-        self._stream.truncate()
-        os.fsync(self._stream.fileno())
-
     def _read_log(self, payloads):
         # The base record is written by an atomic replacement and cannot be
         # torn.
@@ -274,12 +268,15 @@
         if entries:
             payload = records.pack_entries(entries)
             data += records.pack_record(payload)
+        self._replace_log(data)
+        self._base = base
+        self._entries = list(entries)
+
+    def _replace_log(self, data):
         self._close()
         records.replace_file(self._log_path, data)
         self._stream = open(self._log_path, "r+b")
         self._stream.seek(0, os.SEEK_END)
-        self._base = base
-        self._entries = list(entries)
 
     def _close(self):
         stream, self._stream = self._stream, None
--- a/waxwinglift/version/tests/test_log_store.py
+++ b/waxwinglift/version/tests/test_log_store.py
@@ -195,3 +195,25 @@
         apply_entry(restored, stored_item.index, entry)
     assert len(state.entries) == 100
     assert codec.encode_fleet(restored) == codec.encode_fleet(fleet)
+
+
+def test_entries_that_were_read_are_synced_before_they_count(
+    tmp_path, monkeypatch
+):
+    """A killed process may leave a record that is not on the disk yet.
+
+    After a restart the member would confirm its entries to the leader, and
+    lose them with the next power failure.
+    """
+    write_and_reopen(tmp_path, Persist(1, entries=items(1, 2)))
+    synced = []
+    fsync = os.fsync
+
+    def record(descriptor):
+        synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+        fsync(descriptor)
+
+    monkeypatch.setattr(os, "fsync", record)
+    reopen(tmp_path)
+    # The log as a new file, and then the folder with the new name.
+    assert synced == [str(tmp_path / "log.new"), str(tmp_path)]
