Wait at the start for a disk that refuses writes

Cause: nothing in the start showed whether the disk takes writes. Wrong permissions still end it at once.

test_start_waits_for_a_full_disk[28-True] failed before with the error of the first attempt.

--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -1,6 +1,8 @@
 """Service of a control daemon."""
 
+import asyncio
 import contextlib
+import errno
 import logging
 
 from grpclib.server import Server
@@ -31,6 +33,12 @@
 # Interval between checks of the set of voters.  A change takes at least a
 # round trip, so more frequent checks would not be faster.
 MEMBERSHIP_INTERVAL_S = 0.1
+# Longest time for which a start waits for a disk that refuses writes, and the
+# interval between its attempts.
+DISK_WAIT_S = 10.0
+DISK_RETRY_S = 0.25
+# Errors of a disk that is full or fails, in contrast to wrong settings.
+_DISK_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EIO})
 
 
 @contextlib.asynccontextmanager
@@ -84,7 +92,7 @@
             )
             settings = settings.model_copy(update={"member": identity})
             self.settings = settings
-        store = self.add_context(open_log_store(settings.data_folder))
+        store = await self._open_store(settings.data_folder)
         truncated_bytes = store.report.truncated_bytes_count
         if truncated_bytes:
             logger.warning(
@@ -146,6 +154,25 @@
             self.node.fleet.index,
         )
 
+    async def _open_store(self, folder):
+        """Open the log store; wait for a while if the disk refuses writes.
+
+        A daemon that ended because of its disk would otherwise start and end
+        again and again until the disk works.
+        """
+        try:
+            async with asyncio.timeout(DISK_WAIT_S):
+                while True:
+                    try:
+                        return self.add_context(open_log_store(folder))
+                    except OSError as error:
+                        if error.errno not in _DISK_ERRNOS:
+                            raise
+                        logger.warning("waiting for the disk: %s", error)
+                    await asyncio.sleep(DISK_RETRY_S)
+        except TimeoutError:
+            return self.add_context(open_log_store(folder))
+
     def set_seeds(self, seeds):
         """Replace the seeds after the settings were reloaded."""
         discovery = self.settings.discovery.model_copy(
--- a/waxwinglift/process/tests/test_store_failure.py
+++ b/waxwinglift/process/tests/test_store_failure.py
@@ -6,6 +6,7 @@
 import pytest
 
 from waxwinglift.process.tests import test_control as control
+from waxwinglift.version import _store_records
 from waxwinglift.version._store_records import StoreError
 
 
@@ -69,3 +70,32 @@
                 await control.propose(others, control.make_edit("b", 1))
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize(
+    ("code", "is_started"), [(errno.ENOSPC, True), (errno.EACCES, False)]
+)
+def test_start_waits_for_a_full_disk(tmp_path, monkeypatch, code, is_started):
+    """A daemon must not end and start again and again while a disk is full.
+
+    Wrong permissions do not go away, so that start is refused at once.
+    """
+    refusals = [OSError(code, "refused")] * 3
+    write = _store_records.replace_file
+
+    def refuse_first(path, data):
+        if refusals:
+            raise refusals.pop()
+        write(path, data)
+
+    monkeypatch.setattr(_store_records, "replace_file", refuse_first)
+
+    async def work():
+        async with control.running_group(tmp_path, count=1) as (member,):
+            return member.node.has_quorum
+
+    if is_started:
+        assert asyncio.run(work())
+        return
+    with pytest.raises(PermissionError):
+        asyncio.run(work())
