Leave a relay whose watch stream does not follow the log

Cause: two control daemons had stopped storing entries after a refused write and went on to relay. Their streams stayed alive with empty messages, and the leader's refusals, 'has not applied log index 58', did not count towards another relay because they carry a log index. Proxies kept such a relay for as long as it lived.

Fix: the leader's index in each grant and refusal shows what the watch owes. If it has not arrived within 600 ms, the proxy uses the next relay. The reason why the relay lags does not matter. By the timers a state is in force within 2.45 s although two relays stand still.

Evidence: test_state_is_in_force_in_time_although_relays_stand_still failed before in both rows (the entry did not arrive within 15 s).

--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -13,12 +13,13 @@
 
 from grpclib.exceptions import ProtocolError
 import mode
-import xxhash
 
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._relays import order_relays
 from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process._types import Location
+from waxwinglift.process._watch_lag import WatchLag
 from waxwinglift.process.rpc import control_grpc
 from waxwinglift.process.rpc import control_pb2
 from waxwinglift.process.rpc._channels import CALL_ERRORS
@@ -59,19 +60,6 @@
     """The watch stream ended or does not continue the applied state."""
 
 
-def order_relays(daemon, addresses):
-    """Return control addresses, the daemon's preferred relay first.
-
-    Rendezvous hashing spreads the proxies over the control daemons without
-    any coordination.
-    """
-
-    def weight(address):
-        return xxhash.xxh64_intdigest(f"{daemon} {address}".encode())
-
-    return sorted(addresses, key=weight)
-
-
 class ControlLink(mode.Service):
     """Keeps the fleet view up to date and renews the lease.
 
@@ -107,6 +95,7 @@
         # the wall-clock time in milliseconds and is thus higher than before.
         self._sequence = int(time.time() * 1000)
         self._refusals_count = 0
+        self._watch_lag = WatchLag()
         self._refusal_reason = "no answer"
         self._renew_now = asyncio.Event()
         self._relay_changed = asyncio.Event()
@@ -197,6 +186,7 @@
     def _switch_relay(self, failed):
         """Switch to the next relay unless ``failed`` is no longer in use."""
         self._refusals_count = 0
+        self._watch_lag.reset()
         if self._relays[0] == failed:
             self._relays.append(self._relays.pop(0))
             self._relay_changed.set()
@@ -350,7 +340,19 @@
             return
         self._record_grant(grant)
         self._report_lease_change()
-        if self._refusals_count >= REFUSALS_LIMIT_COUNT:
+        is_lagging = self._watch_lag.record(
+            grant.commit_index, self.view.applied_index, monotonic_ms()
+        )
+        if is_lagging and self._relays[0] == relay:
+            self.metrics.incr("control.watch_lags")
+            logger.warning(
+                "%s does not follow the log: log index %d has not arrived,"
+                " the leader has %d",
+                relay,
+                self.view.applied_index + 1,
+                grant.commit_index,
+            )
+        if is_lagging or self._refusals_count >= REFUSALS_LIMIT_COUNT:
             self._switch_relay(relay)
 
     def _record_grant(self, grant):
@@ -360,7 +362,8 @@
             self.metrics.incr("control.renewals_granted")
         else:
             # The leader's own refusals contain its commit index.  Only the
-            # refusals of a relay without a leader count towards a switch.
+            # refusals of a relay without a leader count towards a switch;
+            # WatchLag handles a relay that lags behind the leader.
             self._refusals_count += grant.commit_index == 0
             self._refusal_reason = grant.reason
             self.metrics.incr("control.renewals_refused")
