Acknowledge a departure once it is committed

Cause: a check-in that says 'draining', and a deregistration, were acknowledged when the leader had read them or a follower had queued them. If nothing can be committed, or the leader changes just then, no proxy learns of the departure, while drainMs runs from the acknowledgement on.

Fix: the daemon answers once its own log has the departure, or with 503 after 0.8 s, so that the server calls the next one.

--- a/waxwinglift/platform/_control_http.py
+++ b/waxwinglift/platform/_control_http.py
@@ -50,20 +50,24 @@
 @_handles(("POST", _HEARTBEAT_PATH))
 async def _announce(api, request, endpoint):
     decoded = decode_announcement(endpoint, request.body, api.regions)
-    return _forward(api, decoded)
+    return await _forward(api, decoded)
 
 
 @_handles(("POST", _DEREGISTER_PATH))
 async def _deregister(api, request, endpoint):
-    return _forward(api, decode_deregistration(endpoint, request.body))
+    return await _forward(api, decode_deregistration(endpoint, request.body))
 
 
-def _forward(api, decoded):
+async def _forward(api, decoded):
     if isinstance(decoded, Err):
         api.service.metrics.incr("control.bad_announcements")
         return _error(400, decoded.err_value)
-    if not api.service.announce(decoded.ok_value):
+    announcement = decoded.ok_value
+    if not api.service.announce(announcement):
         return _error(503, "no control leader is known")
+    is_departure = announcement.is_leaving or announcement.is_gone
+    if is_departure and not await api.service.has_left(announcement):
+        return _error(503, "the departure was not committed in time")
     return HttpResponse(200, b"{}")
 
 
--- a/waxwinglift/platform/tests/test_control_http.py
+++ b/waxwinglift/platform/tests/test_control_http.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+import json
 
 import pytest
 
 from waxwinglift.platform._control_http import ControlApi
 from waxwinglift.platform._http import HttpRequest
 from waxwinglift.platform.tests.test_announcements import _GOOD
+from waxwinglift.platform.tests.test_announcements import _REGIONS
 
 
 class FakeService:
@@ -17,6 +19,7 @@
         self.announced = []
         self.counts = collections.Counter()
         self.metrics = self
+        self.is_committed = True
 
     def incr(self, name, count=1):
         self.counts[name] += count
@@ -25,6 +28,9 @@
         self.announced.append(announcement)
         return True
 
+    async def has_left(self, announcement):
+        return self.is_committed
+
 
 @pytest.mark.parametrize(
     "path, body",
@@ -63,3 +69,25 @@
     response = asyncio.run(api.handle(request))
     assert response.status == 400
     assert len(response.body) < 4096
+
+
+@pytest.mark.parametrize(
+    ("path", "changes", "is_committed", "status"),
+    [
+        ("/Instances.Heartbeat/i-1", {"state": "draining"}, True, 200),
+        ("/Instances.Heartbeat/i-1", {"state": "draining"}, False, 503),
+        ("/Instances.Deregister/i-1", {}, False, 503),
+        # Nothing relies on the acknowledgement of an ordinary heartbeat.
+        ("/Instances.Heartbeat/i-1", {}, False, 200),
+    ],
+)
+def test_departure_is_acknowledged_once_it_is_committed(
+    path, changes, is_committed, status
+):
+    """From the acknowledgement on, the server counts on getting no work."""
+    service = FakeService()
+    service.is_committed = is_committed
+    body = json.dumps(_GOOD | changes).encode()
+    request = HttpRequest("POST", path, body)
+    response = asyncio.run(ControlApi(service, _REGIONS).handle(request))
+    assert response.status == status
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -25,6 +25,7 @@
 from waxwinglift.process.rpc._convert import announcement_to_wire
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version._log_store import open_log_store
+from waxwinglift.version._types import EndpointState
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +34,9 @@
 # Interval between checks of the set of voters.  A change takes at least a
 # round trip, so more frequent checks would not be faster.
 MEMBERSHIP_INTERVAL_S = 0.1
+# Longest wait for the commit of a departure.  Endpoints call another daemon if
+# there is no answer within a second.
+DEPARTURE_TIMEOUT_S = 0.8
 # Longest time for which a start waits for a disk that refuses writes, and the
 # interval between its attempts.
 DISK_WAIT_S = 10.0
@@ -206,6 +210,28 @@
         self._relay.announce(message)
         return True
 
+    async def has_left(self, announcement):
+        """Return whether a departure is in the log; wait a while for it.
+
+        An endpoint counts on being sent no new work from the acknowledgement
+        of its departure on, so that it must not precede the commit.
+        """
+        try:
+            async with asyncio.timeout(DEPARTURE_TIMEOUT_S):
+                while self._accepts_work(announcement):
+                    await self.node.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _accepts_work(self, announcement):
+        known = self.node.fleet.endpoints.get(announcement.endpoint)
+        if known is None or known.state is not EndpointState.JOINED:
+            return False
+        # A departure does not concern a later start of the endpoint.
+        started_ms = announcement.started_ms
+        return not started_ms or known.started_ms <= started_ms
+
     def _seeds(self):
         discovery = self.settings.discovery
         return () if discovery is None else discovery.seeds
