Go on reading answers with many rows

Cause: LineProtocol paused reading with more than 64 unread lines, and only read_line resumed it. Connections to servers take the lines from the queue themselves. They now override what happens to new lines, and pause nothing.

--- a/waxwinglift/platform/_endpoint_connection.py
+++ b/waxwinglift/platform/_endpoint_connection.py
@@ -175,9 +175,8 @@
                     self.transport.abort()
         self._end()
 
-    def data_received(self, data):
+    def _handle_lines(self):
         """Process the lines of replies immediately."""
-        super().data_received(data)
         while self._lines and self.is_usable:
             line = self._lines.popleft()
             try:
--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -111,6 +111,14 @@
         if len(buffer) > LINE_LIMIT_BYTES:
             self._is_skipping = True
             del buffer[:-1]
+        self._handle_lines()
+
+    def _handle_lines(self):
+        """Pass new lines to the reader; pause the peer if it is too fast.
+
+        A subclass that overrides this takes the lines from the queue itself;
+        only `read_line` resumes reading.
+        """
         if (
             len(self._lines) > _UNREAD_LIMIT_COUNT
             and not self._is_reading_paused
--- a/waxwinglift/platform/tests/test_endpoint_connection.py
+++ b/waxwinglift/platform/tests/test_endpoint_connection.py
@@ -181,6 +181,45 @@
         decode_status(row)
 
 
+@pytest.mark.parametrize("rows_count", [1, 65, 200, 1000])
+def test_reply_with_many_rows_is_read_whole(rows_count):
+    """A server may send any number of rows, in as many parts.
+
+    If reading stopped after some of them, no statement on this connection
+    would ever be answered again.
+    """
+    parts_count = 3
+
+    served = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n")
+        writer.write(b"READY I 1.1\r\n")
+        while (await reader.readuntil(b"\r\n")).startswith(b"QUERY"):
+            for _ in range(parts_count):
+                writer.write(b"DATAROW x\r\n" * rows_count)
+                await asyncio.sleep(0.02)
+            writer.write(b"COMPLETE r\r\nREADY I 1.1\r\n")
+        writer.close()
+        served.set()
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        async with server, asyncio.timeout(5):
+            port = server.sockets[0].getsockname()[1]
+            connection = await open_connection(
+                Address("127.0.0.1", port), "ledger", "i-1"
+            )
+            try:
+                return [await connection.run([_READ]) for _ in range(2)]
+            finally:
+                connection.close()
+                await served.wait()
+
+    for (reply,) in asyncio.run(work()):
+        assert len(reply.answer.rows) == parts_count * rows_count
+
+
 @pytest.mark.parametrize(
     "group, endpoint",
     [
