Take maxStalenessMs 0 for a limit

Cause: a missing value became 0, which stands for no limit. A value of 0 is now in force as 1 ms, which excludes all older data as well: each read gets a new position of the primary.

--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -57,7 +57,9 @@
     priority: _Count
     service: _Name
     max_attempts: _Positive = pydantic.Field(1, alias="maxAttempts")
-    max_staleness_ms: _Count = pydantic.Field(0, alias="maxStalenessMs")
+    max_staleness_ms: _Count | None = pydantic.Field(
+        None, alias="maxStalenessMs"
+    )
 
 
 class _Service(_DocumentModel):
@@ -159,13 +161,25 @@
     return min(value_ms, _DURATION_LIMIT_MS)
 
 
+def _max_staleness_ms(route):
+    """Return the limit in force; 0 stands for none in `PoolPolicy`.
+
+    A limit of 0 excludes all older data.  1 ms does the same: it is below the
+    margin for the answer, so that each read gets a new position of the
+    primary.
+    """
+    if route.max_staleness_ms is None:
+        return 0
+    return max(1, _clip_duration(route.max_staleness_ms))
+
+
 def _make_pool(route):
     policy = PoolPolicy(
         consistency=_CONSISTENCIES[route.kind],
         urgency_index=route.priority,
         statement_timeout_ms=_clip_duration(route.timeout_ms),
         target_latency_ms=_clip_duration(route.target_latency_ms),
-        max_staleness_ms=_clip_duration(route.max_staleness_ms),
+        max_staleness_ms=_max_staleness_ms(route),
         attempt_limit_count=route.max_attempts,
     )
     return PoolTable(
--- a/waxwinglift/platform/tests/test_desired_state.py
+++ b/waxwinglift/platform/tests/test_desired_state.py
@@ -156,3 +156,16 @@
         request.limits.idle_block_ms,
     )
     assert all(0 < number < 2**32 for number in used)
+
+
+@pytest.mark.parametrize(
+    ("changes", "limit_ms"),
+    [({}, 0), ({"maxStalenessMs": 0}, 1), ({"maxStalenessMs": 1500}, 1500)],
+    ids=["no limit", "nothing older", "limit"],
+)
+def test_staleness_limit_of_zero_is_not_taken_for_none(changes, limit_ms):
+    """Reads would run on replicas at any position."""
+    route = {k: v for k, v in _ROUTE.items() if k != "maxStalenessMs"}
+    document = _DOCUMENT | {"routes": [route | changes]}
+    (pool,) = _decode(document).ok_value.pools
+    assert pool.policy.max_staleness_ms == limit_ms
