--- a/waxwinglift/platform/_announcements.py
+++ b/waxwinglift/platform/_announcements.py
@@ -37,12 +37,19 @@
         Address, pydantic.BeforeValidator(_checks.check_server_address)
     ]
     zone: str = pydantic.Field(min_length=1)
+    # Of the server's software; not used, but servers always send it.
+    version: str
     # Statements that the server runs concurrently.
     capacity: int = pydantic.Field(ge=1, le=UINT32_MAX)
     state: Literal["ready", "draining"]
+    # Not used, but servers always send it.
+    warmup_left_ms: float = pydantic.Field(
+        alias="warmupLeftMs", ge=0, allow_inf_nan=False
+    )
     role: Literal["primary", "replica"] = pydantic.Field(alias="dbRole")
     sequence: int = pydantic.Field(ge=0, le=UINT64_MAX)
-    # Wall-clock milliseconds of the server's start.
+    # Wall-clock milliseconds of the start.  Optional, because the examples of
+    # the platform leave it out.
     born: int = pydantic.Field(0, ge=0, le=UINT64_MAX)
 
 
--- a/waxwinglift/platform/tests/test_announcements.py
+++ b/waxwinglift/platform/tests/test_announcements.py
@@ -53,8 +53,7 @@
         ({}, False, True),
         ({"dbRole": "primary"}, False, False),
         ({"state": "draining"}, True, True),
-        # Fields that the proxy does not need may be missing.
-        ({"version": None, "warmupLeftMs": None}, False, True),
+        ({"warmupLeftMs": 1500.5}, False, True),
     ],
 )
 def test_role_and_state(change, is_leaving, in_recovery):
@@ -74,8 +73,14 @@
         "text",
         *(
             {key: value for key, value in _GOOD.items() if key != missing}
-            for missing in ("service", "address", "zone", "dbRole")
+            for missing in _GOOD
+            if missing != "born"
         ),
+        _GOOD | {"version": 1},
+        _GOOD | {"version": None},
+        _GOOD | {"warmupLeftMs": "0"},
+        _GOOD | {"warmupLeftMs": -1},
+        _GOOD | {"warmupLeftMs": None},
         _GOOD | {"capacity": "2"},
         _GOOD | {"capacity": 0},
         _GOOD | {"capacity": True},
