Unfence the replicas when the old primary is chosen again

What callers would see: reads from a replica that falls behind for ever, and with syncReplicas no acknowledgements, after a change of primary that ended with the old one.

Cause: a fenced replica receives nothing until RESUME, a promotion or its restart (PROTOCOL.md), and control never sent RESUME. The state now notes that the primary was kept, and control repoints each replica, which means RESUME for these servers; lost ones follow when they are back, and a new leader repeats it.

Evidence: both rows of test_replicas_receive_again_after_the_old_primary_was_kept failed before (no replica was unfenced).

--- a/waxwinglift/platform/_endpoint_connection.py
+++ b/waxwinglift/platform/_endpoint_connection.py
@@ -92,6 +92,11 @@
     return b"PAUSE %d" % command.term
 
 
+@_text_of(CommandKind.UNFENCE)
+def _unfence_text(command):
+    return b"RESUME"
+
+
 def encode_command(command: Command) -> bytes:
     """Return the line of a command."""
     request = command.request or _lines.EMPTY_FIELD
--- a/waxwinglift/platform/tests/test_server_actions.py
+++ b/waxwinglift/platform/tests/test_server_actions.py
@@ -76,6 +76,41 @@
     return await runner.run(action, None)
 
 
+def test_a_replica_is_unfenced_after_the_primary_was_kept():
+    """A replica that stays fenced receives nothing for ever."""
+
+    async def scenario():
+        group = ServerGroup(GROUP)
+        for server in ("s0", "s1"):
+            await group.add(server, "dc-a")
+        try:
+            await _fence(group, "s1")
+            outcome = await _unfence(group, "s1")
+            await group.commit(group.servers["s0"], [(b"1a4", b"x", b"r1")])
+            await asyncio.sleep(0.1)
+            return outcome, group.logs["s1"].received
+        finally:
+            group.stop()
+
+    outcome, received = asyncio.run(scenario())
+    assert isinstance(outcome, messages.ServerRepointed)
+    assert received == (1, 1)
+
+
+async def _unfence(group, name):
+    runner = StatementActionRunner(open_connection, decode_status, None)
+    action = messages.RepointServer(
+        GROUP,
+        Term(2),
+        name,
+        group.servers[name].address,
+        3000,
+        "s0",
+        group.servers["s0"].address,
+    )
+    return await runner.run(action, None)
+
+
 async def _promote(group, name):
     async def order(action, promotion_right):
         await group.promote(action.endpoint, 1)
--- a/waxwinglift/process/_statement_actions.py
+++ b/waxwinglift/process/_statement_actions.py
@@ -200,5 +200,12 @@
     )
 
 
+@_on_action(failover.RepointServer)
+async def _repoint(runner, action, promotion_right):
+    """Let the server receive from the primary again after a fence."""
+    await runner.status(action, Command(CommandKind.UNFENCE))
+    return failover.ServerRepointed(action.group, action.term, action.endpoint)
+
+
 def _server_position(status):
     return ServerPosition(Timeline(status.received.term), status.received.lsn)
--- a/waxwinglift/request/_statements.py
+++ b/waxwinglift/request/_statements.py
@@ -159,6 +159,7 @@
     RESET = "reset"
     STATUS = "status"
     FENCE = "fence"
+    UNFENCE = "unfence"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -313,7 +313,10 @@
     chosen is still the primary, its timeline goes on.
     """
     last_write = entry.last_write
-    if last_write is None or last_write.timeline >= entry.timeline:
+    if last_write is None:
+        return
+    group.was_primary_kept = last_write.timeline >= entry.timeline
+    if group.was_primary_kept:
         return
     first_kept = max(
         last_write.timeline + 1, entry.timeline - _KEPT_ENDS_COUNT
--- a/waxwinglift/version/_failover_scan.py
+++ b/waxwinglift/version/_failover_scan.py
@@ -73,7 +73,8 @@
         if is_lost is not (endpoint.endpoint in self._planner.known_lost):
             return True
         if group.is_server_fenced:
-            return False
+            repointed = self._planner.repointed.get(endpoint.endpoint)
+            return group.was_primary_kept and repointed != group.term
         if is_primary or endpoint.role is not EndpointRole.REPLICA:
             return False
         is_behind = find_term(group, endpoint.term) != group.term
--- a/waxwinglift/version/_failover_server_steps.py
+++ b/waxwinglift/version/_failover_server_steps.py
@@ -39,6 +39,7 @@
     if reason is None:
         progress.positions.clear()
         progress.started_ms = None
+        _unfence_replicas(context)
         return None
     waited_ms = progress.age_ms(context.now_ms)
     if context.group.primary in context.planner.leaving_at_start:
@@ -119,6 +120,25 @@
     return f"{status}; raising the term to {term}"
 
 
+def _unfence_replicas(context):
+    """Let replicas receive again that were fenced while the primary stayed.
+
+    A promotion unfences them; without one they would fall behind for ever.  A
+    lost one may still execute a fence late, and is unfenced when it is back.
+    """
+    group = context.group
+    if not group.was_primary_kept:
+        return
+    primary = context.fleet.endpoints.get(group.primary)
+    repointed = context.planner.repointed
+    for endpoint in context.members:
+        name = endpoint.endpoint
+        if endpoint.state is EndpointState.LOST:
+            repointed.pop(name, None)
+        elif name != group.primary and repointed.get(name) != group.term:
+            context.repoint(endpoint, primary)
+
+
 def _sync_count(context):
     """Return on how many replicas each acknowledged commit is, 0 if none."""
     settings = context.group.settings
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -83,6 +83,8 @@
     while another server is chosen in place of one that was not promoted.
     ``has_primary_left`` is True if the primary has announced that it is gone
     for good; it is removed after its successor is active.
+    ``was_primary_kept`` is True if the last change of primary ended with the
+    old one, so that replicas may still be fenced.
     """
 
     group: GroupName
@@ -97,6 +99,7 @@
     settings: GroupSettings | None = None
     is_primary_abandoned: bool = False
     has_primary_left: bool = False
+    was_primary_kept: bool = False
 
     @property
     def is_server_fenced(self):
--- a/waxwinglift/version/tests/server_failover_harness.py
+++ b/waxwinglift/version/tests/server_failover_harness.py
@@ -55,6 +55,7 @@
         self.min_applied_index = None
         self.now_ms = 0.0
         self.promoted = []
+        self.unfenced = []
         self.leader, self.timeline = "s0", 1
         self.down = {}
         self.live = frozenset("ab")
@@ -98,6 +99,9 @@
         names = (action.group, action.term, action.endpoint)
         if isinstance(action, messages.FenceServer):
             return messages.ServerFenced(*names, server.position)
+        if isinstance(action, messages.RepointServer):
+            self.unfenced.append(action.endpoint)
+            return messages.ServerRepointed(*names)
         if isinstance(action, messages.ReadPosition):
             is_primary = action.endpoint == self.leader
             return messages.PositionRead(*names, server.position, is_primary)
--- a/waxwinglift/version/tests/test_failover_server.py
+++ b/waxwinglift/version/tests/test_failover_server.py
@@ -9,6 +9,7 @@
 from waxwinglift.version._types import ServerPosition
 from waxwinglift.version.tests.fleets import extend
 from waxwinglift.version.tests.server_failover_harness import Harness
+from waxwinglift.version.tests.server_failover_harness import joined
 
 
 def test_a_healthy_group_keeps_its_primary():
@@ -267,6 +268,33 @@
     assert harness.promoted == ["s0"]
 
 
+@pytest.mark.parametrize("sync_count", [0, 1])
+def test_replicas_receive_again_after_the_old_primary_was_kept(sync_count):
+    # A replica that stays fenced falls behind for ever, and with it all
+    # commits that the next change of primary needs.
+    harness = Harness(sync_count)
+    harness.servers["s1"].is_reachable = False
+    harness.servers["s2"].is_reachable = False
+    extend(harness.fleet, entries.TermRaised("g", 2))
+    while not harness.promoted:
+        harness.run(20)
+    assert harness.promoted == ["s0"]
+    harness.servers["s1"].is_reachable = True
+    extend(harness.fleet, entries.EndpointLost("s2"))
+    harness.run(1000)
+    assert harness.unfenced == ["s1"]
+    harness.servers["s2"].is_reachable = True
+    extend(harness.fleet, joined(2))
+    harness.run(1000)
+    assert harness.unfenced == ["s1", "s2"]
+    # A new leader does not know which ones are done.
+    harness.planner.step(
+        harness.fleet, messages.LeadershipStarted(), harness.now_ms
+    )
+    harness.run(1000)
+    assert harness.unfenced[2:] == ["s1", "s2"]
+
+
 def test_the_end_of_a_timeline_is_recorded():
     # Without it, sessions with a later floor on that timeline would not get
     # the error that commits before their floor were lost.
--- a/waxwinglift_standin/platform/_session.py
+++ b/waxwinglift_standin/platform/_session.py
@@ -197,6 +197,11 @@
             self.server.fenced_term = term
         self._send_result(rows=[self._status_row()])
 
+    @_handles(b"RESUME")
+    async def _resume(self, request, arguments):
+        self.server.fenced_term = 0
+        self._send_result(rows=[self._status_row()])
+
     def _can_run(self):
         """Return whether a statement may run; send an error if it may not."""
         is_read_write = self.writes is not None and not self.is_read_only
