Keep tenants and the digests of their keys in the desired state

Cause: deployments with tenants (demands/) send names, keys and limits with the desired state. The proxies knew none of them, so any key was served.

Change: TenantSettings is part of DesiredStateReplaced and of the fleet's state, as a delta like the pools. Keys are stored as BLAKE2b digests; the operator's document still has them, because it is returned as it was sent. A document is refused if two tenants share a key, a tenant is listed twice, or a name or key cannot be sent as one field. A route without the field 'public' needs a key wherever the document has tenants.

--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -19,8 +19,11 @@
 from waxwinglift.version._entries import PoolPolicy
 from waxwinglift.version._entries import ServingLimits
 from waxwinglift.version._rank_rows import rank_row
+from waxwinglift.version._tenants import digest_key
+from waxwinglift.version._tenants import TenantSettings
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
+from waxwinglift.version._types import TenantName
 
 # Longest duration in force.  The proxies send durations in uint32 fields and
 # may round them up, so it stays below UINT32_MAX.  The document that operators
@@ -36,6 +39,9 @@
 _Count = Annotated[int, pydantic.Field(ge=0)]
 _Positive = Annotated[int, pydantic.Field(gt=0)]
 _Name = Annotated[str, pydantic.Field(min_length=1)]
+# Servers are told the name and callers send the key as one field of a line.
+_Field = Annotated[str, pydantic.Field(pattern=r"^[\x21-\x7e]+\z")]
+_Amount = Annotated[float, pydantic.Field(ge=0)]
 
 
 class _DocumentModel(pydantic.BaseModel):
@@ -60,6 +66,8 @@
     max_staleness_ms: _Count | None = pydantic.Field(
         None, alias="maxStalenessMs"
     )
+    # None where the document does not say; see `_is_public`.
+    is_public: bool | None = pydantic.Field(None, alias="public")
 
 
 class _Service(_DocumentModel):
@@ -68,6 +76,13 @@
     sync_replicas: _Count = pydantic.Field(0, alias="syncReplicas")
 
 
+class _Tenant(_DocumentModel):
+    name: _Field
+    keys: list[_Field] = pydantic.Field(default_factory=list, alias="apiKeys")
+    rate_per_s: _Amount | None = pydantic.Field(None, alias="ratePerS")
+    burst_count: _Amount = pydantic.Field(0.0, alias="burst")
+
+
 class _Limits(_DocumentModel):
     idle_block_ms: _Count = pydantic.Field(0, alias="txIdleMs")
 
@@ -77,6 +92,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    # None where the deployment has no tenants.
+    tenants: list[_Tenant] | None = None
 
 
 def decode_desired_state(body: bytes) -> Result[DesiredStateRequest, str]:
@@ -101,13 +118,17 @@
         DesiredStateRequest(
             version=DesiredVersion(document.version),
             document=lines,
-            pools=tuple(_make_pool(route) for route in document.routes),
+            pools=tuple(
+                _make_pool(route, _is_public(route, document))
+                for route in document.routes
+            ),
             groups=tuple(
                 _make_group_settings(one) for one in document.services
             ),
             limits=ServingLimits(
                 _clip_duration(document.limits.idle_block_ms)
             ),
+            tenants=tuple(_make_tenant(one) for one in document.tenants or ()),
         )
     )
 
@@ -132,9 +153,32 @@
                 f"{route.path_prefix}"
             )
         seen_prefixes.add(prefix)
+    return _find_tenant_problem(document.tenants or ())
+
+
+def _find_tenant_problem(tenants):
+    names = [tenant.name for tenant in tenants]
+    if len(set(names)) != len(names):
+        return "a tenant is listed twice"
+    holders = {}
+    for tenant in tenants:
+        for key in tenant.keys:
+            holder = holders.setdefault(key, tenant.name)
+            if holder != tenant.name:
+                return f"tenants {holder} and {tenant.name} share a key"
     return None
 
 
+def _is_public(route, document):
+    """Return whether a route needs no key.
+
+    A route that does not say so needs one wherever there are tenants.
+    """
+    if route.is_public is None:
+        return document.tenants is None
+    return route.is_public
+
+
 def _split_into_lines(values):
     """Return the document's lines, with each list entry on its own line.
 
@@ -173,7 +217,7 @@
     return max(1, _clip_duration(route.max_staleness_ms))
 
 
-def _make_pool(route):
+def _make_pool(route, is_public):
     policy = PoolPolicy(
         consistency=_CONSISTENCIES[route.kind],
         urgency_index=route.priority,
@@ -181,6 +225,7 @@
         target_latency_ms=_clip_duration(route.target_latency_ms),
         max_staleness_ms=_max_staleness_ms(route),
         attempt_limit_count=route.max_attempts,
+        is_public=is_public,
     )
     return PoolTable(
         pool=PoolName(route.host),
@@ -196,3 +241,14 @@
         connection_limit_count=min(service.max_conns, UINT32_MAX),
         sync_replicas_count=service.sync_replicas,
     )
+
+
+def _make_tenant(tenant):
+    # The order of the keys has no meaning.
+    digests = sorted({digest_key(key.encode()) for key in tenant.keys})
+    return TenantSettings(
+        tenant=TenantName(tenant.name),
+        keys=tuple(digests),
+        rate_per_s=tenant.rate_per_s,
+        burst_count=tenant.burst_count,
+    )
--- a/waxwinglift/platform/tests/test_desired_state.py
+++ b/waxwinglift/platform/tests/test_desired_state.py
@@ -9,6 +9,7 @@
 from waxwinglift.platform._desired_state import decode_desired_state
 from waxwinglift.platform._desired_state import encode_document
 from waxwinglift.process.rpc import peer_pb2
+from waxwinglift.version._tenants import digest_key
 from waxwinglift.version._types import Consistency
 
 _ROUTE = {
@@ -69,6 +70,16 @@
     return document
 
 
+def _tenant(name, *keys):
+    return {
+        "name": name,
+        "apiKeys": list(keys or ("k1", "k2")),
+        "priority": 1,
+        "ratePerS": 135,
+        "burst": 140,
+    }
+
+
 @pytest.mark.parametrize(
     "document",
     [
@@ -88,6 +99,16 @@
         _changed(("routes", 0), "r-1"),
         _changed(("services", 0, "maxConns"), 0),
         _changed(("services",), [_DOCUMENT["services"][0]] * 2),
+        # A shared key would let one tenant act as the other.
+        _changed(("tenants",), [_tenant("a"), _tenant("b")]),
+        _changed(("tenants",), [_tenant("a"), _tenant("a", "other")]),
+        # The name is sent to servers as one field of a line.
+        _changed(("tenants",), [_tenant("a b")]),
+        _changed(("tenants",), [_tenant("a\r\nQUERY")]),
+        _changed(("tenants",), [_tenant("a", "")]),
+        _changed(("tenants",), [_tenant("a") | {"ratePerS": -1}]),
+        _changed(("tenants",), [_tenant("a") | {"burst": "7"}]),
+        _changed(("routes", 0, "public"), 1),
     ],
 )
 def test_invalid_document(document):
@@ -169,3 +190,38 @@
     document = _DOCUMENT | {"routes": [route | changes]}
     (pool,) = _decode(document).ok_value.pools
     assert pool.policy.max_staleness_ms == limit_ms
+
+
+def test_tenants_are_stored_without_their_keys():
+    """A key in clear text would reach logs and every proxy's memory."""
+    request = _decode(_DOCUMENT | {"tenants": [_tenant("a")]}).ok_value
+    (settings,) = request.tenants
+    assert settings.tenant == "a"
+    assert set(settings.keys) == {digest_key(b"k1"), digest_key(b"k2")}
+    assert (settings.rate_per_s, settings.burst_count) == (135, 140)
+    assert "k1" not in repr(settings)
+
+
+@pytest.mark.parametrize(
+    ("tenants", "public", "expected"),
+    [
+        (None, None, True),
+        (None, False, False),
+        (None, True, True),
+        ([], None, False),
+        ([], True, True),
+        ([_tenant("a")], None, False),
+        ([_tenant("a")], False, False),
+    ],
+)
+def test_routes_of_deployments_with_tenants_need_a_key(
+    tenants, public, expected
+):
+    """A route that omits the field must not be open to everyone."""
+    document = _DOCUMENT | {"routes": [_ROUTE | {"public": public}]}
+    if public is None:
+        document["routes"] = [_ROUTE]
+    if tenants is not None:
+        document["tenants"] = tenants
+    request = _decode(document).ok_value
+    assert request.pools[0].policy.is_public is expected
--- a/waxwinglift/version/_apply_desired.py
+++ b/waxwinglift/version/_apply_desired.py
@@ -55,6 +55,10 @@
         names.add(table.pool)
     for settings in entry.groups:
         _set_group(state, settings)
+    for tenant in entry.removed_tenants:
+        state.remove_tenant(tenant)
+    for settings in entry.tenants:
+        state.set_tenant(settings)
     state.desired = DesiredState(
         entry.version, document, frozenset(names), entry.limits
     )
--- a/waxwinglift/version/_desired.py
+++ b/waxwinglift/version/_desired.py
@@ -14,6 +14,7 @@
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._entries import ServingLimits
 from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._tenants import TenantSettings
 from waxwinglift.version._types import DesiredVersion
 
 
@@ -29,6 +30,7 @@
     pools : tuple of PoolTable
     groups : tuple of GroupSettings
     limits : ServingLimits
+    tenants : tuple of TenantSettings
     """
 
     version: DesiredVersion
@@ -36,6 +38,7 @@
     pools: tuple[PoolTable, ...]
     groups: tuple[GroupSettings, ...]
     limits: ServingLimits
+    tenants: tuple[TenantSettings, ...] = ()
 
 
 def plan_replacement(
@@ -54,6 +57,7 @@
     current = fleet.desired
     current_names = current.pool_names if current else frozenset()
     requested = {table.pool: table for table in request.pools}
+    tenants = {settings.tenant: settings for settings in request.tenants}
     return DesiredStateReplaced(
         version=request.version,
         base_version=current_version,
@@ -68,6 +72,12 @@
         removed_pools=tuple(sorted(current_names - requested.keys())),
         groups=request.groups,
         limits=request.limits,
+        tenants=tuple(
+            settings
+            for name, settings in tenants.items()
+            if fleet.tenants.get(name) != settings
+        ),
+        removed_tenants=tuple(sorted(fleet.tenants.keys() - tenants.keys())),
     )
 
 
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -11,6 +11,7 @@
 from waxwinglift.process import Location
 from waxwinglift.version._document_delta import LineEdit
 from waxwinglift.version._entry_kinds import EntryKind
+from waxwinglift.version._tenants import TenantSettings
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
@@ -23,6 +24,7 @@
 from waxwinglift.version._types import Rank
 from waxwinglift.version._types import ServerPosition
 from waxwinglift.version._types import TableVersion
+from waxwinglift.version._types import TenantName
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
 
@@ -74,6 +76,8 @@
         Maximum age of commits that a read may miss; 0 if not specified.
     attempt_limit_count : int
         Maximum number of attempts of one request, including the first.
+    is_public : bool
+        Whether callers need no key of a tenant.
     """
 
     consistency: Consistency
@@ -82,6 +86,7 @@
     target_latency_ms: int
     max_staleness_ms: int = 0
     attempt_limit_count: int = 1
+    is_public: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,6 +176,9 @@
     groups : tuple of GroupSettings
         All groups.
     limits : ServingLimits
+    tenants : tuple of TenantSettings
+        New and changed tenants.
+    removed_tenants : tuple of TenantName
     """
 
     version: DesiredVersion
@@ -180,6 +188,8 @@
     removed_pools: tuple[PoolName, ...]
     groups: tuple[GroupSettings, ...]
     limits: ServingLimits
+    tenants: tuple[TenantSettings, ...] = ()
+    removed_tenants: tuple[TenantName, ...] = ()
     kind: EntryKind = EntryKind.DESIRED_STATE_REPLACED
 
 
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -14,6 +14,7 @@
 from waxwinglift.version._entries import OwnerAssignment
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._entries import ServingLimits
+from waxwinglift.version._tenants import TenantSettings
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
@@ -23,10 +24,12 @@
 from waxwinglift.version._types import Fencing
 from waxwinglift.version._types import GroupName
 from waxwinglift.version._types import GroupPhase
+from waxwinglift.version._types import KeyDigest
 from waxwinglift.version._types import LogIndex
 from waxwinglift.version._types import Lsn
 from waxwinglift.version._types import PoolName
 from waxwinglift.version._types import TableVersion
+from waxwinglift.version._types import TenantName
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
 
@@ -188,9 +191,9 @@
 class FleetState:
     """Everything that the control log describes.
 
-    Set endpoints and pools only through the methods, which maintain lookup
-    tables by group: at each poll of a primary, its proxy looks up the
-    endpoints and pools of the group, and a fleet has thousands of them.
+    Set endpoints, pools and tenants only through the methods, which maintain
+    lookup tables: at each poll of a primary, its proxy looks up the endpoints
+    and pools of the group, and a fleet has thousands of them.
     """
 
     index: LogIndex = LogIndex(0)
@@ -208,16 +211,22 @@
         default_factory=dict
     )
     desired: DesiredState | None = None
+    tenants: dict[TenantName, TenantSettings] = dataclasses.field(
+        default_factory=dict
+    )
 
     def __post_init__(self):
         # Not dataclass fields, so that snapshots and comparisons ignore these
         # lookup tables.
         self._group_endpoints = collections.defaultdict(dict)
         self._group_pools = collections.defaultdict(dict)
+        self._key_tenants = {}
         for endpoint in self.endpoints.values():
             self.set_endpoint(endpoint)
         for name, pool in self.pools.items():
             self.set_pool(name, pool)
+        for settings in self.tenants.values():
+            self._index_keys(settings)
 
     def set_endpoint(self, endpoint: Endpoint):
         """Add or replace an endpoint; its group never changes."""
@@ -262,3 +271,25 @@
     def pools_of(self, group: GroupName) -> Collection[Pool]:
         """Return the pools whose table names ``group``."""
         return self._group_pools.get(group, {}).values()
+
+    def set_tenant(self, settings: TenantSettings):
+        """Add or replace a tenant and its keys."""
+        self.remove_tenant(settings.tenant)
+        self.tenants[settings.tenant] = settings
+        self._index_keys(settings)
+
+    def remove_tenant(self, tenant: TenantName):
+        """Remove a tenant and its keys; ignored if it is unknown."""
+        removed = self.tenants.pop(tenant, None)
+        for key in () if removed is None else removed.keys:
+            # The key may belong to another tenant by now.
+            if self._key_tenants.get(key) == tenant:
+                del self._key_tenants[key]
+
+    def tenant_of(self, key: KeyDigest) -> TenantName | None:
+        """Return the tenant that holds a key, None if no tenant does."""
+        return self._key_tenants.get(key)
+
+    def _index_keys(self, settings):
+        for key in settings.keys:
+            self._key_tenants[key] = settings.tenant
--- a/waxwinglift/version/_types.py
+++ b/waxwinglift/version/_types.py
@@ -9,6 +9,9 @@
 PoolName = NewType("PoolName", str)
 Rank = NewType("Rank", str)
 EditId = NewType("EditId", str)
+TenantName = NewType("TenantName", str)
+# Digest of a caller's key; the key itself is not kept.
+KeyDigest = NewType("KeyDigest", str)
 
 # Counts the changes of primary of one group.  The election terms of the
 # control log are a ControlTerm.
--- a/waxwinglift/version/tests/test_desired.py
+++ b/waxwinglift/version/tests/test_desired.py
@@ -15,6 +15,8 @@
 from waxwinglift.version._entry_codec import encode_fleet
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._rank_rows import rank_row
+from waxwinglift.version._tenants import digest_key
+from waxwinglift.version._tenants import TenantSettings
 from waxwinglift.version._types import Consistency
 
 
@@ -23,13 +25,19 @@
     return entries.PoolTable(name, group, (rank_row(policy),), policy)
 
 
-def request(version, *pools, groups=("g",)):
+def tenant(name, *keys, rate_per_s=10.0):
+    digests = tuple(digest_key(key.encode()) for key in keys)
+    return TenantSettings(name, digests, rate_per_s, 5.0)
+
+
+def request(version, *pools, groups=("g",), tenants=()):
     return DesiredStateRequest(
         version=version,
         document=tuple(f"{p.pool}:{p.policy}" for p in pools),
         pools=pools,
         groups=tuple(entries.GroupSettings(name, 23) for name in groups),
         limits=entries.ServingLimits(3000),
+        tenants=tenants,
     )
 
 
@@ -111,3 +119,50 @@
     assert copy.desired == fleet.desired
     assert copy.groups["g"].settings == fleet.groups["g"].settings
     assert plan_replacement(copy, request(5, pool("b"))) is None
+
+
+@pytest.mark.parametrize(
+    ("later", "holders"),
+    [
+        pytest.param((tenant("a", "k2"),), {"k2": "a"}, id="key removed"),
+        pytest.param((), {}, id="tenant removed"),
+        pytest.param(
+            (tenant("a", "k2"), tenant("b", "k1", "k3")),
+            {"k1": "b", "k2": "a", "k3": "b"},
+            id="key moved",
+        ),
+        pytest.param(
+            (tenant("b", "k1"), tenant("a", "k2")),
+            {"k1": "b", "k2": "a"},
+            id="key moved to an earlier tenant",
+        ),
+        pytest.param(
+            (tenant("c", "k1", "k2"),),
+            {"k1": "c", "k2": "c"},
+            id="tenant renamed",
+        ),
+    ],
+)
+def test_keys_follow_the_version_in_force(later, holders):
+    # A key that stayed in force after its removal would let its former
+    # holder in; the state of a snapshot must agree with the applied log.
+    fleet = FleetState()
+    plan_and_apply(fleet, request(1, tenants=(tenant("a", "k1", "k2"),)))
+    plan_and_apply(fleet, request(2, tenants=later))
+    for state in (fleet, decode_fleet(encode_fleet(fleet))):
+        found = {
+            key: state.tenant_of(digest_key(key.encode()))
+            for key in ("k1", "k2", "k3")
+        }
+        assert {k: t for k, t in found.items() if t is not None} == holders
+
+
+def test_an_entry_carries_only_the_changed_tenants():
+    # Otherwise each change would send every tenant to each daemon.
+    fleet = FleetState()
+    first = tuple(tenant(f"t{n}", f"k{n}") for n in range(300))
+    plan_and_apply(fleet, request(1, tenants=first))
+    changed = (tenant("t0", "other"), *first[1:-1])
+    entry = plan_and_apply(fleet, request(2, tenants=changed))
+    assert [settings.tenant for settings in entry.tenants] == ["t0"]
+    assert entry.removed_tenants == ("t299",)
