Answer HEAD requests without a body

Cause: a HEAD request to the control address or the readiness address got its head, and then the handler of the connection failed: h11 0.16 rejects a body there (LocalProtocolError).

Change: the head of a request is read first, and the response to HEAD has no body, whatever the rest of the request is.

--- a/waxwinglift/platform/_http.py
+++ b/waxwinglift/platform/_http.py
@@ -79,10 +79,16 @@
 async def _serve_connection(reader, writer, handle):
     connection = h11.Connection(h11.SERVER)
     while True:
-        response = await _respond(connection, reader, handle)
-        if response is None:
+        head = await _read_head(connection, reader)
+        if head is None:
             return
-        _write_response(connection, writer, response)
+        has_body = True
+        if isinstance(head, HttpResponse):
+            response = head
+        else:
+            response = await _respond(connection, reader, handle, head)
+            has_body = head.method != b"HEAD"
+        _write_response(connection, writer, response, has_body)
         await writer.drain()
         if connection.our_state is not h11.DONE:
             return
@@ -91,17 +97,28 @@
         connection.start_next_cycle()
 
 
-async def _respond(connection, reader, handle):
-    """Read a request; return its response, None if the client has left."""
+async def _read_head(connection, reader):
+    """Return the head of a request, the response if it cannot be read.
+
+    None if the client has left.
+    """
+    try:
+        head = await _next_event(connection, reader, _IDLE_TIMEOUT_S)
+    except h11.RemoteProtocolError as error:
+        # The client does not use HTTP, or its head is too large.
+        return HttpResponse(error.error_status_hint)
+    return head if isinstance(head, h11.Request) else None
+
+
+async def _respond(connection, reader, handle, head):
+    """Read the rest of a request and return its response."""
     try:
-        request = await _read_request(connection, reader)
+        body = await _read_body(connection, reader)
+        request = HttpRequest(head.method.decode(), head.target.decode(), body)
     except BodyTooLarge:
         return HttpResponse(413)
     except h11.RemoteProtocolError as error:
-        # The client does not use HTTP, or its head is too large.
         return HttpResponse(error.error_status_hint)
-    if request is None:
-        return None
     try:
         return await handle(request)
     except Exception:
@@ -111,14 +128,6 @@
         return HttpResponse(500)
 
 
-async def _read_request(connection, reader):
-    head = await _next_event(connection, reader, _IDLE_TIMEOUT_S)
-    if not isinstance(head, h11.Request):
-        return None
-    body = await _read_body(connection, reader)
-    return HttpRequest(head.method.decode(), head.target.decode(), body)
-
-
 async def _read_body(connection, reader):
     parts = []
     size_bytes = 0
@@ -143,7 +152,7 @@
             connection.receive_data(await reader.read(_READ_BYTES))
 
 
-def _write_response(connection, writer, response):
+def _write_response(connection, writer, response, has_body):
     head = h11.Response(
         status_code=response.status,
         headers=[
@@ -151,7 +160,10 @@
             ("Content-Length", str(len(response.body))),
         ],
     )
-    for event in (head, h11.Data(response.body), h11.EndOfMessage()):
+    events = [head, h11.EndOfMessage()]
+    if has_body:
+        events.insert(1, h11.Data(response.body))
+    for event in events:
         writer.write(connection.send(event))
 
 
