Count the operations of a tenant at one home proxy

Cause: the limit of a tenant holds for all proxies together. Weighed: shares of 82 proxies (a small tenant has less than one operation for each), totals reported with the renewals (a burst of 4.7 times the limit passes for the time of a report, and for the time of an election more than a window allows), and a bucket at one proxy for each tenant, which is asked for each operation. The last neither splits the limit nor depends on control.

Change: the home is the proxy with the highest rendezvous score among those that are not shutting down; the next one is its substitute. A substitute, and a home whose predecessor left the fleet without a drain, grants 0.3 of the limit until the predecessor has stopped to accept callers.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -135,6 +135,36 @@
     backoff_ms: float = pydantic.Field(5.0, ge=0)
 
 
+class QuotaSettings(PolicySettings):
+    """Settings of the limits of tenants.
+
+    Parameters
+    ----------
+    window_ms : float
+        Time over which the operations of a tenant are judged.
+    overage_ratio : float
+        Part of the operations that the limit allows in a window by which it
+        may be exceeded.
+    slack_count : float
+        Operations in a window by which it may be exceeded besides.
+    tolerance_share : float
+        Part of these tolerances that is granted; the rest covers the
+        operations that two homes of one tenant grant at the same time.
+    reduced_ratio : float
+        Part of a limit that is granted while another home may grant it too.
+    takeover_ms : float
+        Longest time for which a home that has left the fleet may go on; at
+        least ``EntrySettings.view_age_limit_ms``.
+    """
+
+    window_ms: float = pydantic.Field(5000.0, gt=0)
+    overage_ratio: float = pydantic.Field(0.0, ge=0)
+    slack_count: float = pydantic.Field(0.0, ge=0)
+    tolerance_share: float = pydantic.Field(0.25, ge=0, le=1)
+    reduced_ratio: float = pydantic.Field(0.3, gt=0, le=1)
+    takeover_ms: float = pydantic.Field(4000.0, ge=0)
+
+
 class SheddingSettings(PolicySettings):
     """Settings of the refusals by a process that lacks processor time.
 
