--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -1,61 +1,23 @@
 """Decides which connections to one endpoint to use, open or close."""
 
 import collections
-import dataclasses
-from typing import Any
 
+from waxwinglift.connection._endpoint_pool_actions import CloseConnection
+from waxwinglift.connection._endpoint_pool_actions import OpenConnection
+from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
+from waxwinglift.connection._endpoint_pool_actions import ReportTimeout
+from waxwinglift.connection._endpoint_pool_actions import UseConnection
+from waxwinglift.connection._pool_records import ConnectionNeed
+from waxwinglift.connection._pool_records import ConnectionRecord
+from waxwinglift.connection._pool_records import PoolRecords
 from waxwinglift.connection._types import ConnectionId
 from waxwinglift.connection._types import ConnectionState
 
 # Connections opened at a time after a failure, until one succeeds.  An
 # endpoint that refuses connections would refuse all missing ones too.
 _RETRY_LIMIT_COUNT = 2
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OpenConnection:
-    """Open a connection with this id."""
-
-    connection: ConnectionId
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProbeConnection:
-    """Send a probe on the connection and report its answer."""
-
-    connection: ConnectionId
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportTimeout:
-    """Report to the health monitor that a probe timed out."""
-
-    connection: ConnectionId
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CloseConnection:
-    """Close the connection, even if a transaction runs on it."""
-
-    connection: ConnectionId
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UseConnection:
-    """Run the holder's transaction on the connection."""
-
-    connection: ConnectionId
-    holder: Any
-
-
-@dataclasses.dataclass(slots=True)
-class _Connection:
-    state: ConnectionState
-    # Time of the last change of state.
-    since_ms: float
-    holder: Any = None
-    # Whether to probe the connection once its transaction has ended.
-    is_suspect: bool = False
+# Connections without a tenant that are kept open where requests have one.
+_TENANTED_WARM_COUNT = 1
 
 
 class EndpointPool:
@@ -66,6 +28,10 @@
     `UseConnection` actions.  A holder is any hashable value that identifies
     a transaction; it is unique among the transactions that wait or run.
 
+    A connection is opened under the name of one tenant, or of none, and runs
+    only its transactions.  At the connection limit, an idle connection of
+    another tenant is closed for a holder that waits.
+
     Parameters
     ----------
     settings : EndpointPoolSettings
@@ -84,7 +50,10 @@
         # Connections kept open even if no transaction needs them; None means
         # ``slots_count`` and ``settings.spare_count`` together.
         self.warm_count = None
-        self._connections = {}
+        # Whether requests name a tenant, so that connections cannot be opened
+        # before the first request of each.
+        self.is_tenanted = False
+        self._connections = PoolRecords()
         self._waiting = collections.OrderedDict()
         self._is_enabled = False
         self._next_id = 1
@@ -146,12 +115,13 @@
             actions += self._close(connection, now_ms)
         return actions
 
-    def acquire(self, holder, now_ms):
+    def acquire(self, holder, now_ms, tenant=None, is_any=False):
         """Request a connection for a transaction.
 
-        This or a later call returns the connection as `UseConnection`.
+        This or a later call returns the connection as `UseConnection`.  With
+        ``is_any`` it may be that of any tenant, for the proxy's own commands.
         """
-        self._waiting[holder] = now_ms
+        self._waiting[holder] = ConnectionNeed(tenant, is_any)
         return self._serve_waiting(now_ms)
 
     def cancel(self, holder):
@@ -168,6 +138,7 @@
         if record is None or record.state is not ConnectionState.BUSY:
             return []
         record.holder = None
+        record.used_ms = now_ms
         if record.is_suspect:
             return self._probe(connection, now_ms) + self._serve_waiting(
                 now_ms
@@ -288,34 +259,50 @@
 
     def _serve_waiting(self, now_ms):
         actions = []
-        while self._waiting:
-            connection = self._idle_connection()
+        for holder, need in list(self._waiting.items()):
+            connection = self._connections.find_idle(need)
             if connection is None:
-                break
-            holder, _ = self._waiting.popitem(last=False)
+                if not self.is_tenanted:
+                    break
+                continue
+            del self._waiting[holder]
             self._set_state(connection, ConnectionState.BUSY, now_ms)
             self._connections[connection].holder = holder
             actions.append(UseConnection(connection, holder))
         return actions + self._open_missing(now_ms)
 
-    def _idle_connection(self):
-        idle = [
-            (record.since_ms, connection)
-            for connection, record in self._connections.items()
-            if record.state is ConnectionState.IDLE
-        ]
-        # The most recently used one is the least likely to be unresponsive.
-        return max(idle)[1] if idle else None
-
     def _open_missing(self, now_ms):
         if not self._is_enabled or now_ms < self._open_after_ms:
             return []
+        openings_count = self._openings_left_count()
+        actions = []
+        for tenant in self._missing_tenants():
+            if len(actions) >= openings_count:
+                return actions
+            if len(self._connections) < self.limit_count:
+                actions.append(self._open(now_ms, tenant))
+            else:
+                actions += self._close_for_another_tenant(now_ms)
         missing_count = min(
             self._wanted_count() - self._usable_count(),
             self.limit_count - len(self._connections),
-            self._openings_left_count(),
+            openings_count - len(actions),
         )
-        return [self._open(now_ms) for _ in range(missing_count)]
+        return actions + [self._open(now_ms) for _ in range(missing_count)]
+
+    def _missing_tenants(self):
+        if not self.is_tenanted:
+            return []
+        return self._connections.missing_tenants(self._waiting.values())
+
+    def _close_for_another_tenant(self, now_ms):
+        """Close an idle connection, which no waiting holder can use."""
+        connections = self._connections
+        is_closing = connections.count(ConnectionState.CLOSED) > 0
+        unused = connections.least_recently_used()
+        if is_closing or unused is None:
+            return []
+        return self._close(unused, now_ms)
 
     def _openings_left_count(self):
         """Return how many further connections may open at the same time."""
@@ -324,45 +311,47 @@
             limits.append(_RETRY_LIMIT_COUNT)
         if self.settings.opening_limit_count:
             limits.append(self.settings.opening_limit_count)
-        return min(limits) - self._count(ConnectionState.OPENING)
+        return min(limits) - self._connections.count(ConnectionState.OPENING)
 
     def _probe_or_close_idle(self, connection, now_ms):
         # When a suspect turns out healthy, its replacement is surplus.
         is_surplus = self._usable_count() > self._wanted_count()
-        if is_surplus and not self.settings.keeps_surplus:
+        is_tenants = self._connections[connection].tenant is not None
+        if is_surplus and not is_tenants and not self.settings.keeps_surplus:
             return self._close(connection, now_ms)
         return self._probe(connection, now_ms)
 
     def _wanted_count(self):
-        busy_count = self._count(ConnectionState.BUSY)
-        needed_count = busy_count + len(self._waiting)
+        """Return the number of connections of no tenant that are wanted."""
+        needed_count = self._connections.count_untenanted(
+            {ConnectionState.BUSY}
+        )
+        for need in self._waiting.values():
+            needed_count += need.tenant is None
         warm_count = self.warm_count
         if warm_count is None:
             warm_count = self.slots_count + self.settings.spare_count
+        if self.is_tenanted:
+            warm_count = min(warm_count, _TENANTED_WARM_COUNT)
         return max(warm_count, needed_count)
 
     def _usable_count(self):
-        usable_count = len(self._connections)
-        usable_count -= self._count(ConnectionState.CLOSED)
+        usable = set(ConnectionState) - {ConnectionState.CLOSED}
         if self._waiting:
             # Probes of unresponsive connections fail late, so open others
             # now.
-            usable_count -= self._count(ConnectionState.SUSPECT)
-        return usable_count
-
-    def _count(self, state):
-        states = [record.state for record in self._connections.values()]
-        return states.count(state)
+            usable.discard(ConnectionState.SUSPECT)
+        return self._connections.count_untenanted(usable)
 
-    def _open(self, now_ms):
+    def _open(self, now_ms, tenant=None):
         connection = ConnectionId(self._next_id)
         self._next_id += 1
-        record = _Connection(ConnectionState.OPENING, now_ms)
+        record = ConnectionRecord(ConnectionState.OPENING, now_ms, tenant)
         self._connections[connection] = record
         self._due_ms = min(
             self._due_ms, now_ms + self.settings.open_timeout_ms
         )
-        return OpenConnection(connection)
+        return OpenConnection(connection, tenant)
 
     def _probe(self, connection, now_ms):
         self._set_state(connection, ConnectionState.SUSPECT, now_ms)
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import enum
 import functools
 from typing import Protocol
@@ -10,18 +11,19 @@
 from waxwinglift.connection import ConnectionId
 from waxwinglift.connection._endpoint_errors import EndpointFull
 from waxwinglift.connection._endpoint_errors import EndpointRefused
-from waxwinglift.connection._endpoint_pool import CloseConnection
+from waxwinglift.connection._endpoint_pool_actions import CloseConnection
 from waxwinglift.connection._endpoint_pool import EndpointPool
-from waxwinglift.connection._endpoint_pool import OpenConnection
-from waxwinglift.connection._endpoint_pool import ProbeConnection
-from waxwinglift.connection._endpoint_pool import ReportTimeout
-from waxwinglift.connection._endpoint_pool import UseConnection
+from waxwinglift.connection._endpoint_pool_actions import OpenConnection
+from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
+from waxwinglift.connection._endpoint_pool_actions import ReportTimeout
+from waxwinglift.connection._endpoint_pool_actions import UseConnection
 from waxwinglift.process import Registry
 from waxwinglift.request import Failure
 from waxwinglift.request import RequestId
 from waxwinglift.request._admission import AdmissionQueue
 from waxwinglift.request._admission import Start
 from waxwinglift.request._admission import Ticket
+from waxwinglift.version._types import TenantName
 
 # Methods that execute one type of pool action.
 _action_handlers = Registry()
@@ -55,6 +57,15 @@
     FULL = "full"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiter:
+    """Transaction that waits for a connection, as in `EndpointPool`."""
+
+    future: asyncio.Future
+    tenant: TenantName | None
+    is_any: bool
+
+
 class ConnectionManager:
     """Opens, probes, hands out and closes the connections of one endpoint.
 
@@ -62,7 +73,7 @@
     ----------
     pool : EndpointPool
     open_connection : callable
-        Opens a connection; raises EndpointRefused.
+        Opens a connection for a tenant or None; raises EndpointRefused.
     now_ms : callable
     on_response : callable
         Called when a probe was answered without an error.
@@ -75,7 +86,9 @@
     def __init__(
         self,
         pool: EndpointPool,
-        open_connection: Callable[[], Awaitable[ManagedConnection]],
+        open_connection: Callable[
+            [TenantName | None], Awaitable[ManagedConnection]
+        ],
         now_ms: Callable[[], float],
         on_response: Callable[[], None],
         on_timeout: Callable[[ConnectionId], None],
@@ -90,7 +103,7 @@
         self._has_lost_connection = False
         self._connections: dict[ConnectionId, ManagedConnection] = {}
         self._tasks: dict[ConnectionId, asyncio.Task] = {}
-        self._waiters: dict[RequestId, asyncio.Future] = {}
+        self._waiters: dict[RequestId, _Waiter] = {}
 
     def process_ids(self) -> set[int]:
         """Return the process ids of the open connections.
@@ -114,8 +127,8 @@
     def refuse_waiting(self):
         """Fail the transactions that wait for a connection."""
         for waiter in self._waiters.values():
-            if not waiter.done():
-                waiter.set_result(None)
+            if not waiter.future.done():
+                waiter.future.set_result(None)
 
     def tick(self):
         """Run the pool's timers and discard connections that ended."""
@@ -150,12 +163,19 @@
         return any(isinstance(action, ProbeConnection) for action in actions)
 
     async def acquire(
-        self, holder: RequestId, timeout_ms: float
+        self,
+        holder: RequestId,
+        timeout_ms: float,
+        tenant: TenantName | None = None,
+        is_any: bool = False,
     ) -> tuple[ConnectionId, ManagedConnection] | None:
-        """Return a connection, None if the wait timed out or was refused."""
+        """Return a connection, None if the wait timed out or was refused.
+
+        With ``is_any``, it may be the connection of any tenant.
+        """
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters[holder] = waiter
-        self.perform(self.pool.acquire(holder, self._now_ms()))
+        self._waiters[holder] = _Waiter(waiter, tenant, is_any)
+        self._request(holder)
         try:
             if not waiter.done():
                 await asyncio.wait([waiter], timeout=timeout_ms / 1000)
@@ -184,7 +204,8 @@
     @_on_action(OpenConnection)
     def _open(self, action):
         self._start_task(
-            action.connection, self._finish_open(action.connection)
+            action.connection,
+            self._finish_open(action.connection, action.tenant),
         )
 
     @_on_action(ProbeConnection)
@@ -211,13 +232,21 @@
     def _use(self, action):
         waiter = self._waiters.get(action.holder)
         connection = self._connections.get(action.connection)
-        if waiter is None or waiter.done():
+        if waiter is None or waiter.future.done():
             self.release(action.connection)
         elif connection is None or not connection.is_usable:
             self.discard(action.connection)
-            self.perform(self.pool.acquire(action.holder, self._now_ms()))
+            self._request(action.holder)
         else:
-            waiter.set_result((action.connection, connection))
+            waiter.future.set_result((action.connection, connection))
+
+    def _request(self, holder):
+        waiter = self._waiters[holder]
+        self.perform(
+            self.pool.acquire(
+                holder, self._now_ms(), waiter.tenant, waiter.is_any
+            )
+        )
 
     def _start_task(self, connection_id, work):
         task = asyncio.ensure_future(work)
@@ -230,9 +259,9 @@
         if self._tasks.get(connection_id) is task:
             del self._tasks[connection_id]
 
-    async def _finish_open(self, connection_id):
+    async def _finish_open(self, connection_id, tenant):
         try:
-            connection = await self._open_connection()
+            connection = await self._open_connection(tenant)
         except EndpointRefused as error:
             now_ms = self._now_ms()
             self.perform(self.pool.on_open_failed(connection_id, now_ms))
--- a/waxwinglift/connection/_statement_protocols.py
+++ b/waxwinglift/connection/_statement_protocols.py
@@ -23,14 +23,20 @@
 from waxwinglift.version import GroupName
 from waxwinglift.version import PoolName
 from waxwinglift.version import Position
+from waxwinglift.version._types import KeyDigest
+from waxwinglift.version._types import TenantName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerStartup:
-    """First message of a caller, with its name and the requested pool."""
+    """First message of a caller, with the requested pool.
+
+    ``key`` is the digest of the caller's name, which is its key where pools
+    are not public.  The name itself is not kept.
+    """
 
     pool: PoolName
-    caller: str
+    key: KeyDigest
 
 
 class CallerFault(enum.Enum):
@@ -132,7 +138,9 @@
         """Close now; a running call raises EndpointConnectionLost."""
 
 
-# Opens a connection; raises EndpointRefused.
+# Opens a connection under the name of a tenant, or of none; raises
+# EndpointRefused.
 ConnectionOpener = Callable[
-    [Address, GroupName, EndpointId], Awaitable[StatementConnection]
+    [Address, GroupName, EndpointId, TenantName | None],
+    Awaitable[StatementConnection],
 ]
--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -10,6 +10,7 @@
 
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.process._drain_phase import DrainPhase
+from waxwinglift.connection._caller_identity import CallerIdentity
 from waxwinglift.connection._session_failures import BLOCK_ENDED
 from waxwinglift.connection._session_failures import FAILED_BLOCK
 from waxwinglift.connection._session_failures import SESSION_FAILED
@@ -34,6 +35,7 @@
 from waxwinglift.request._statements import StatementAnswer
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import Position
+from waxwinglift.version._types import TenantName
 
 logger = logging.getLogger(__name__)
 
@@ -65,13 +67,12 @@
     def __init__(
         self, context: EntryContext, connection: StatementCaller, drain_phase
     ):
-        # Name of the caller with its address, for the request header.
-        self.caller = ""
         self.table = None
         self.floor: Position | None = None
         self.settings: dict[str, str] = {}
         self._context = context
         self._connection = connection
+        self._identity: CallerIdentity | None = None
         self._drain_phase = drain_phase
         self._prepared: dict[bytes, PreparedShape] = {}
         self._status = _IDLE
@@ -86,6 +87,16 @@
         """Policy of the session's pool."""
         return self.table.policy
 
+    @property
+    def caller(self) -> str:
+        """Name for which the owners' queues take turns."""
+        return "" if self._identity is None else self._identity.name
+
+    @property
+    def tenant(self) -> TenantName | None:
+        """Tenant for which statements run; None for a public pool."""
+        return self._identity.tenant
+
     @property
     def is_disconnected(self) -> bool:
         """Whether the caller has closed its side of the connection."""
@@ -142,7 +153,9 @@
             failure = message_failure(message)
             await self._connection.send_failure(failure, None)
             return False
-        self.caller = f"{message.caller}@{self._connection.peer}"
+        self._identity = CallerIdentity(
+            self._context, message.key, self._connection.peer
+        )
         failure = self._update_table(message.pool)
         if failure is not None:
             await self._connection.send_failure(failure, None)
@@ -160,7 +173,7 @@
             message = f"database {pool} does not exist"
             return not_run(FailureCode.UNKNOWN_POOL, message)
         self.table = table
-        return None
+        return self._identity.update(table)
 
     async def _serve_statements(self):
         while True:
@@ -315,7 +328,7 @@
         if self._status is _IN_TRANSACTION:
             if self._is_block_read_only and statement.is_write:
                 return WRITE_IN_READ_BLOCK
-            return None
+            return self._identity.update_in_block(self.table)
         return self._update_table(self.table.pool)
 
     async def _answer_interrupted(self, statement, interruption):
--- a/waxwinglift/connection/tests/test_endpoint_pool.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool.py
@@ -5,12 +5,12 @@
 import pytest
 
 from waxwinglift.connection import ConnectionState
-from waxwinglift.connection._endpoint_pool import CloseConnection
+from waxwinglift.connection._endpoint_pool_actions import CloseConnection
 from waxwinglift.connection._endpoint_pool import EndpointPool
-from waxwinglift.connection._endpoint_pool import OpenConnection
-from waxwinglift.connection._endpoint_pool import ProbeConnection
-from waxwinglift.connection._endpoint_pool import ReportTimeout
-from waxwinglift.connection._endpoint_pool import UseConnection
+from waxwinglift.connection._endpoint_pool_actions import OpenConnection
+from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
+from waxwinglift.connection._endpoint_pool_actions import ReportTimeout
+from waxwinglift.connection._endpoint_pool_actions import UseConnection
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 
 SETTINGS = EndpointPoolSettings()
--- /dev/null
+++ b/waxwinglift/connection/tests/test_endpoint_pool_tenants.py
@@ -0,0 +1,170 @@
+"""Tests of an endpoint's connections that belong to tenants."""
+
+import random
+
+import pytest
+
+from waxwinglift.connection import ConnectionState
+from waxwinglift.connection._endpoint_pool import EndpointPool
+from waxwinglift.connection._endpoint_pool_actions import CloseConnection
+from waxwinglift.connection._endpoint_pool_actions import OpenConnection
+from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
+from waxwinglift.connection._endpoint_pool_actions import UseConnection
+from waxwinglift.process._policy_settings import EndpointPoolSettings
+
+_SETTINGS = EndpointPoolSettings(keeps_surplus=True, opening_limit_count=2)
+
+
+class _Server:
+    """Carries out a pool's actions; openings end when the test says so."""
+
+    def __init__(self, limit_count):
+        self.pool = EndpointPool(_SETTINGS, 100, 3)
+        self.pool.limit_count = limit_count
+        self.pool.is_tenanted = True
+        self.now_ms = 0.0
+        self.tenants = {}
+        self.opening = []
+        # Connection by holder.
+        self.used = {}
+        self.perform(self.pool.enable(0.0))
+
+    def perform(self, actions):
+        for action in actions:
+            if isinstance(action, OpenConnection):
+                self.tenants[action.connection] = action.tenant
+                self.opening.append(action.connection)
+            elif isinstance(action, CloseConnection):
+                self.tenants.pop(action.connection)
+                self.perform(
+                    self.pool.on_closed(action.connection, self.now_ms)
+                )
+            elif isinstance(action, UseConnection):
+                assert action.connection not in self.used.values()
+                self.used[action.holder] = action.connection
+            elif isinstance(action, ProbeConnection):
+                answered = self.pool.on_probe_answer(
+                    action.connection, self.now_ms
+                )
+                self.perform(answered)
+        assert len(self.tenants) <= self.pool.limit_count
+
+    def acquire(self, holder, tenant, is_any=False):
+        self.now_ms += 1.0
+        self.perform(self.pool.acquire(holder, self.now_ms, tenant, is_any))
+
+    def finish_openings(self):
+        while self.opening:
+            self.now_ms += 12.0
+            connection = self.opening.pop(0)
+            self.perform(self.pool.on_opened(connection, self.now_ms))
+
+    def release(self, holder):
+        self.now_ms += 1.0
+        connection = self.used.pop(holder)
+        self.perform(self.pool.release(connection, self.now_ms))
+
+
+def test_a_tenant_gets_its_own_idle_connection_without_an_opening():
+    # Each opening takes a slot of the endpoint for 12 ms.
+    server = _Server(10)
+    server.acquire("h1", "a")
+    server.finish_openings()
+    first = server.used["h1"]
+    server.release("h1")
+    server.acquire("h2", "a")
+    assert server.used["h2"] == first
+    assert not server.opening
+
+
+def test_at_the_limit_the_least_recently_used_connection_gives_way():
+    # Tenants outnumber the connections, and all must be served; the ones
+    # that come most often should find theirs open.
+    server = _Server(3)
+    for holder, tenant in enumerate("abab"):
+        server.acquire(holder, tenant)
+        server.finish_openings()
+        server.release(holder)
+    server.acquire("c1", "c")
+    server.finish_openings()
+    assert server.tenants[server.used["c1"]] == "c"
+    assert sorted(t or "" for t in server.tenants.values()) == ["a", "b", "c"]
+    server.acquire("d1", "d")
+    server.finish_openings()
+    assert "a" not in server.tenants.values()
+    assert server.tenants[server.used["d1"]] == "d"
+
+
+def test_commands_of_the_proxy_use_the_connection_of_any_tenant():
+    # They would otherwise each need a connection of their own.
+    server = _Server(1)
+    server.finish_openings()
+    server.acquire("h1", "a")
+    server.finish_openings()
+    server.release("h1")
+    server.acquire("own", None, is_any=True)
+    assert server.tenants[server.used["own"]] == "a"
+
+
+def test_a_tenant_that_waits_does_not_delay_another_one():
+    # A flood of one tenant would otherwise block connections that idle.
+    server = _Server(2)
+    for number in range(2):
+        server.acquire(f"a{number}", "a")
+    server.finish_openings()
+    server.release("a1")
+    server.acquire("b0", "b")
+    server.finish_openings()
+    for number in range(10):
+        server.acquire(f"w{number}", "a")
+    server.release("b0")
+    server.acquire("b1", "b")
+    server.finish_openings()
+    assert "a0" in server.used
+    assert any(holder.startswith("w") for holder in server.used)
+    server.release("a0")
+    while "b1" not in server.used:
+        server.finish_openings()
+        holder = next(h for h in server.used if h.startswith("w"))
+        server.release(holder)
+        server.finish_openings()
+
+
+@pytest.mark.parametrize("limit_count", [1, 2, 5])
+@pytest.mark.parametrize("seed", range(5))
+def test_no_transaction_runs_under_another_tenants_name(seed, limit_count):
+    # No order of events may mix tenants, exceed the limit or leave a holder
+    # without a connection for ever.
+    rng = random.Random(seed)
+    server = _Server(limit_count)
+    wanted = {}
+    for number in range(1500):
+        choice = rng.random()
+        if choice < 0.4 and len(wanted) < 8:
+            tenant = rng.choice(["a", "b", "c", "d", None])
+            wanted[number] = tenant
+            server.acquire(number, tenant)
+        elif choice < 0.6:
+            server.finish_openings()
+        elif choice < 0.65:
+            server.now_ms += 1000.0
+            server.perform(server.pool.tick(server.now_ms))
+        elif server.used:
+            holder = rng.choice(list(server.used))
+            del wanted[holder]
+            if rng.random() < 0.1:
+                connection = server.used.pop(holder)
+                discarded = server.pool.discard(connection, server.now_ms)
+                server.perform(discarded)
+            else:
+                server.release(holder)
+        for holder, connection in server.used.items():
+            assert server.tenants[connection] == wanted[holder]
+            state = server.pool.state(connection)
+            assert state is ConnectionState.BUSY
+    while wanted:
+        server.finish_openings()
+        assert server.used, "a holder waits for ever"
+        for holder in list(server.used):
+            del wanted[holder]
+            server.release(holder)
--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -16,6 +16,7 @@
 from waxwinglift.request._statements import StatementAnswer
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import PoolName
+from waxwinglift.version._tenants import digest_key
 
 # Error code on the wire for each failure.
 _FAILURE_CODES = {
@@ -29,6 +30,8 @@
     FailureCode.ABORTED: b"ABORTED",
     FailureCode.CANCELLED: b"ABORTED",
     FailureCode.UNKNOWN_POOL: b"NODB",
+    FailureCode.UNAUTHENTICATED: b"NOAUTH",
+    FailureCode.OVER_QUOTA: b"TOOMANY",
     FailureCode.BAD_MESSAGE: b"MALFORMED",
     FailureCode.FAILED_BLOCK: b"MALFORMED",
     FailureCode.TOO_LARGE: b"TOOLARGE",
@@ -131,7 +134,7 @@
             return _decode_query(rest)
         if word == _lines.LineKind.STARTUP.value:
             pool, caller = _split_fields(rest, 2)
-            return CallerStartup(PoolName(pool.decode()), caller.decode())
+            return CallerStartup(PoolName(pool.decode()), digest_key(caller))
         if word == _lines.LineKind.TERMINATE.value:
             return CallerEnd.LEFT
         raise ValueError("expected QUERY, STARTUP or TERMINATE")
--- a/waxwinglift/platform/_endpoint_connection.py
+++ b/waxwinglift/platform/_endpoint_connection.py
@@ -24,9 +24,10 @@
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
+from waxwinglift.version._types import TenantName
 
-# User name of the proxies; servers accept any name.
-_CLIENT_NAME = b"waxwinglift"
+# Name sent where no tenant is known; servers accept any name.
+_CLIENT_NAME = "waxwinglift"
 # Needs no slot and has no effect outside a transaction.
 _PROBE = Command(CommandKind.ROLLBACK)
 
@@ -249,9 +250,12 @@
 
 
 async def open_connection(
-    address: Address, group: GroupName, endpoint: EndpointId
+    address: Address,
+    group: GroupName,
+    endpoint: EndpointId,
+    tenant: TenantName | None = None,
 ) -> EndpointConnection:
-    """Open a connection to the server with this id.
+    """Open a connection to the server with this id, for one tenant or none.
 
     Raises
     ------
@@ -259,7 +263,7 @@
         No connection could be opened, the server refused it, or another
         server uses the address.
     """
-    startup = _encode_startup(group, endpoint)
+    startup = _encode_startup(group, endpoint, tenant or _CLIENT_NAME)
     loop = asyncio.get_running_loop()
     try:
         transport, connection = await loop.create_connection(
@@ -275,18 +279,18 @@
     return connection
 
 
-def _encode_startup(group, endpoint):
+def _encode_startup(group, endpoint, client):
     """Return the line; names from operators and servers may be no fields."""
     try:
-        fields = group.encode(), endpoint.encode()
+        fields = group.encode(), client.encode(), endpoint.encode()
     except UnicodeEncodeError as error:
         raise EndpointRefused(str(error)) from error
-    is_field = all(fields) and b" " not in fields[0]
+    is_field = all(fields) and b" " not in fields[0] + fields[1]
     if not is_field or any(b"\r\n" in field for field in fields):
         raise EndpointRefused(
             f"the names {group!r} and {endpoint!r} cannot be sent"
         )
-    return b"STARTUP %s %s %s\r\n" % (fields[0], _CLIENT_NAME, fields[1])
+    return b"STARTUP %s %s %s\r\n" % fields
 
 
 async def _start(connection, startup):
--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -8,6 +8,7 @@
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._policy_settings import AdmissionSettings
 from waxwinglift.process._policy_settings import EndpointPoolSettings
+from waxwinglift.process._policy_settings import QuotaSettings
 from waxwinglift.process._settings import ControlSettings
 from waxwinglift.process._settings import ControlTimingSettings
 from waxwinglift.process._settings import ProxySettings
@@ -30,6 +31,10 @@
 _BLOCK_FRACTION = 1 / 2
 _ANSWER_FRACTION = 3 / 4
 _DRAIN_FRACTION = 5 / 6
+# Part of the time limit of a revocation for which a proxy may use its state
+# of the fleet.  The rest covers the check-quorum time of control, by which
+# that state may be older than it seems, and the drift of clocks.
+_VIEW_AGE_FRACTION = 3 / 4
 # The last renewal comes after the drain and the stop of the sessions.
 _LAST_RENEWAL_FRACTION = 1 / 15
 _CONTROL_TIMING = ControlTimingSettings(
@@ -89,6 +94,7 @@
             drain_timeout_ms=drain_ms,
             drain_answer_timeout_ms=answer_ms,
             drain_linger_ms=min(_BALANCER_DETECTION_MS, drain_ms),
+            view_age_limit_ms=_view_age_limit_ms(platform.bounds),
         ),
         owner=OwnerSettings(
             protocol=PROTOCOL,
@@ -98,12 +104,28 @@
             pool=EndpointPoolSettings(
                 keeps_surplus=True, opening_limit_count=_OPENING_LIMIT_COUNT
             ),
+            quota=_quota_settings(platform.bounds),
         ),
         timing=_proxy_timing(grace_ms),
         observability=platform.observability,
     )
 
 
+def _quota_settings(bounds):
+    return QuotaSettings(
+        window_ms=1000 * bounds.quota_window_s,
+        overage_ratio=bounds.quota_overage_ratio,
+        slack_count=bounds.quota_slack_count,
+        takeover_ms=_VIEW_AGE_FRACTION * bounds.revocation_ms,
+    )
+
+
+def _view_age_limit_ms(bounds):
+    if not bounds.is_revocation_strict:
+        return 0.0
+    return _VIEW_AGE_FRACTION * bounds.revocation_ms
+
+
 def _proxy_timing(grace_ms):
     return _PROXY_TIMING.model_copy(
         update={
--- a/waxwinglift/platform/_settings.py
+++ b/waxwinglift/platform/_settings.py
@@ -72,6 +72,16 @@
 
     grace_s: float = pydantic.Field(6.0, gt=0, alias="graceS")
     drain_ms: float = pydantic.Field(7000.0, gt=0, alias="drainMs")
+    # Whether a withdrawn key must be refused even without a path to control.
+    is_revocation_strict: bool = pydantic.Field(
+        False, alias="revokeFailClosed"
+    )
+    revocation_ms: float = pydantic.Field(5000.0, gt=0, alias="revokeMs")
+    quota_window_s: float = pydantic.Field(5.0, gt=0, alias="quotaWindowS")
+    quota_overage_ratio: float = pydantic.Field(
+        0.0, ge=0, alias="quotaOverage"
+    )
+    quota_slack_count: float = pydantic.Field(0.0, ge=0, alias="quotaSlack")
 
 
 class PlatformSettings(_PlatformModel):
--- a/waxwinglift/platform/tests/test_caller_connection.py
+++ b/waxwinglift/platform/tests/test_caller_connection.py
@@ -15,6 +15,7 @@
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import PoolName
+from waxwinglift.version._tenants import digest_key
 
 # Codes of failures after which the caller's attempt had no effect.
 _NOT_RUN_CODES = {
@@ -39,7 +40,10 @@
 @pytest.mark.parametrize(
     "line, message",
     [
-        (b"STARTUP ledger u1", CallerStartup(PoolName("ledger"), "u1")),
+        (
+            b"STARTUP ledger u1",
+            CallerStartup(PoolName("ledger"), digest_key(b"u1")),
+        ),
         (b"TERMINATE", CallerEnd.LEFT),
         (b"QUERY id1 BEGIN", _statement(StatementVerb.BEGIN, b"BEGIN")),
         (
--- a/waxwinglift/platform/tests/test_shutdown_limits.py
+++ b/waxwinglift/platform/tests/test_shutdown_limits.py
@@ -20,6 +20,7 @@
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._settings import ProxyTimingSettings
 from waxwinglift.version._leases import DaemonLease
+from waxwinglift.version._view_age import ViewAge
 
 
 @pytest.mark.parametrize("grace_s", [3, 6, 12])
@@ -52,6 +53,7 @@
         settings.model_copy(update={"control": (address,)}),
         view,
         DaemonLease(),
+        ViewAge(),
         reports,
         NoMetrics(),
         trace.NoOpTracer(),
--- /dev/null
+++ b/waxwinglift/platform/tests/test_tenants.py
@@ -0,0 +1,197 @@
+"""Tests of tenants' keys from a caller's session to the servers."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
+from waxwinglift.version import PoolName
+from waxwinglift.version import TableVersion
+from waxwinglift.version._fleet import Pool
+from waxwinglift.version._tenants import digest_key
+from waxwinglift.version._tenants import TenantSettings
+
+_AGE_LIMIT_MS = 3000.0
+_POOLS = ("pay", "look", "refill")
+
+
+def _set_tenants(state, **keys):
+    """Give each tenant its keys; other tenants are removed."""
+    for tenant in list(state.tenants):
+        state.remove_tenant(tenant)
+    for tenant, names in keys.items():
+        digests = tuple(digest_key(name.encode()) for name in names)
+        state.set_tenant(TenantSettings(tenant, digests))
+
+
+def _set_public(state, names, is_public):
+    for name in names:
+        table = state.pools[PoolName(name)].table
+        policy = dataclasses.replace(table.policy, is_public=is_public)
+        changed = dataclasses.replace(table, policy=policy)
+        state.set_pool(PoolName(name), Pool(changed, TableVersion(1)))
+
+
+@contextlib.asynccontextmanager
+async def running_tenants(proxy_count=1, **keys):
+    """Yield a fleet whose pools need the keys of tenants."""
+    entry = {"view_age_limit_ms": _AGE_LIMIT_MS}
+    async with running_statement_fleet(proxy_count, entry=entry) as fleet:
+        _set_public(fleet.state, _POOLS, False)
+        _set_tenants(fleet.state, **keys)
+        for proxy in fleet.proxies:
+            proxy.view.notify()
+        yield fleet
+
+
+def _statements(fleet):
+    """Return the client's name by request id, proxies' commands excluded."""
+    return {
+        request: client
+        for server in fleet.group.servers.values()
+        for request, client in server.clients
+        if request != b"-"
+    }
+
+
+def run(work):
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize("pool", _POOLS)
+@pytest.mark.parametrize("key", ["other", "acme", "K1"])
+def test_unknown_key_is_refused_at_the_start(pool, key):
+    # A tenant's name is no secret, so it must not serve as a key.
+    async def work():
+        async with running_tenants(acme=["k1"]) as fleet:
+            with pytest.raises(ConnectionError, match="^NOAUTH "):
+                async with fleet.connected(pool, key):
+                    pass
+            assert not _statements(fleet)
+
+    run(work)
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2])
+def test_servers_are_told_the_tenant_and_never_the_key(proxy_count):
+    # A statement under another tenant's name would be charged to it, also
+    # when it is forwarded or uses a connection that another tenant has left.
+    async def work():
+        keys = {"acme": ["secret-1", "secret-2"], "birch": ["secret-3"]}
+        expected = {}
+        async with running_tenants(proxy_count, **keys) as fleet:
+            for number in range(4):
+                for tenant, names in keys.items():
+                    for name in names:
+                        for pool in _POOLS:
+                            async with fleet.connected(pool, name) as caller:
+                                text = f"WRITE i{number} {tenant}"
+                                answer = await caller.query(text)
+                                assert answer.is_success, answer
+                                expected[answer.request] = tenant.encode()
+                                answer = await caller.query("BEGIN")
+                                answer = await caller.query(f"READ i{number}")
+                                assert answer.is_success, answer
+                                expected[answer.request] = tenant.encode()
+            assert _statements(fleet) == expected
+            for server in fleet.group.servers.values():
+                clients = {client for _, client in server.clients}
+                assert not any(b"secret" in client for client in clients)
+
+    run(work)
+
+
+def _withdraw(fleet):
+    _set_tenants(fleet.state, acme=["k2"], birch=["k3"])
+
+
+def _move(fleet):
+    _set_tenants(fleet.state, birch=["k1", "k3"], acme=["k2"])
+
+
+def _age(fleet):
+    for proxy in fleet.proxies:
+        proxy.view.age_ms = lambda: _AGE_LIMIT_MS + 1
+
+
+# What happens to a key in use, and the error of the next statement outside of
+# a block and inside one.
+_ENDINGS = {
+    "withdrawn": (_withdraw, b"NOAUTH", b"NOAUTH"),
+    "moved": (_move, None, b"ABORTED"),
+    "unconfirmed": (_age, b"BUSY", b"BUSY"),
+}
+
+
+@pytest.mark.parametrize("ending", _ENDINGS)
+@pytest.mark.parametrize("pool", _POOLS)
+def test_open_session_cannot_go_on_with_a_lost_key(pool, ending):
+    # Sessions stay open for hours, so a check at their start is not enough.
+    change, error, _ = _ENDINGS[ending]
+
+    async def work():
+        async with running_tenants(acme=["k1"], birch=["k3"]) as fleet:
+            async with fleet.connected(pool, "k1") as caller:
+                assert (await caller.query("WRITE a 1")).is_success
+                change(fleet)
+                answer = await caller.query("WRITE a 2")
+                assert answer.error.split(b" ")[0] == (error or b"")
+                if error is not None:
+                    assert answer.request not in _statements(fleet)
+
+    run(work)
+
+
+@pytest.mark.parametrize("ending", _ENDINGS)
+@pytest.mark.parametrize("text", ["WRITE a 2", "READ a", "COMMIT"])
+def test_open_transaction_cannot_commit_with_a_lost_key(text, ending):
+    # A transaction that was begun in time must not write for a tenant that
+    # no longer lets the caller in.
+    change, _, error = _ENDINGS[ending]
+
+    async def work():
+        async with running_tenants(acme=["k1"], birch=["k3"]) as fleet:
+            async with fleet.connected("pay", "k1") as caller:
+                await caller.query("BEGIN")
+                written = await caller.query("WRITE a 1")
+                assert written.is_success
+                change(fleet)
+                answer = await caller.query(text)
+                assert answer.error.split(b" ")[0] == error
+                assert answer.state == b"I"
+                assert answer.request not in _statements(fleet)
+            primary = fleet.server("s1")
+            assert written.request not in primary.log.requests()
+
+    run(work)
+
+
+def test_view_of_unknown_age_refuses_a_key_without_calling_it_unknown():
+    # A proxy that has just started may lack a key that was added meanwhile.
+    async def work():
+        async with running_tenants(acme=["k1"]) as fleet:
+            _age(fleet)
+            for key in ("k1", "new"):
+                with pytest.raises(ConnectionError, match="^BUSY "):
+                    async with fleet.connected("pay", key):
+                        pass
+
+    run(work)
+
+
+def test_public_pool_needs_no_key_and_names_no_tenant():
+    # Statements of anonymous callers must not run on a tenant's connection.
+    async def work():
+        async with running_tenants(acme=["k1"]) as fleet:
+            async with fleet.connected("pay", "k1") as caller:
+                assert (await caller.query("WRITE a 1")).is_success
+            _set_public(fleet.state, ["look"], True)
+            _age(fleet)
+            async with fleet.connected("look", "anyone") as caller:
+                answer = await caller.query("WRITE a 2")
+                assert answer.is_success
+            assert _statements(fleet)[answer.request] == b"waxwinglift"
+
+    run(work)
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -71,6 +71,8 @@
         Updated by the watch stream.
     lease : DaemonLease
         Extended by grants.
+    view_age : ViewAge
+        Updated by grants and applied entries.
     reports : object
         Has ``down_endpoints()`` and ``released_endpoints()``.
     metrics : object
@@ -79,11 +81,14 @@
         Source of spans.
     """
 
-    def __init__(self, settings, view, lease, reports, metrics, tracer):
+    def __init__(
+        self, settings, view, lease, view_age, reports, metrics, tracer
+    ):
         super().__init__()
         self.settings = settings
         self.view = view
         self.lease = lease
+        self.view_age = view_age
         self.reports = reports
         self.metrics = metrics
         self.tracer = tracer
@@ -232,6 +237,7 @@
                 self._apply_entry(reply.first_index + offset, payload)
         finally:
             # The entries before one that cannot be read are in force.
+            self.view_age.on_applied(self.view.applied_index)
             self.view.notify()
             self._update_draining()
             self._update_relays()
@@ -260,6 +266,7 @@
         if reply.snapshot_index <= self.view.applied_index:
             return
         self.view.replace(decode_fleet(unpack_snapshot(reply.snapshot)))
+        self.view_age.on_applied(self.view.applied_index)
         self._update_draining()
         self._update_relays()
         self.request_renewal()
@@ -359,6 +366,11 @@
         if grant.granted:
             self._refusals_count = 0
             self.lease.on_grant(grant.sequence, grant.lease_ms)
+            sent_ms = self.lease.sent_ms(grant.sequence)
+            if sent_ms is not None:
+                self.view_age.on_grant(
+                    sent_ms, grant.commit_index, self.view.applied_index
+                )
             self.metrics.incr("control.renewals_granted")
         else:
             # The leader's own refusals contain its commit index.  Only the
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -7,6 +7,7 @@
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 from waxwinglift.process._policy_settings import HealthSettings
 from waxwinglift.process._policy_settings import PolicySettings
+from waxwinglift.process._policy_settings import QuotaSettings
 from waxwinglift.process._policy_settings import RetrySettings
 from waxwinglift.process._policy_settings import RoutingSettings
 from waxwinglift.process._policy_settings import SheddingSettings
@@ -48,6 +49,10 @@
         Time at the start of a drain in which new callers are still accepted,
         because the load balancer has not noticed the drain yet.  Counts
         towards ``drain_timeout_ms``.
+    view_age_limit_ms : float
+        Largest age of the proxy's state of the fleet up to which it accepts
+        the keys of tenants; 0 for no limit.  A key that is withdrawn stays in
+        use for no longer than this and control's check-quorum time together.
     reported_parameters : dict of str to str
         Run-time parameters reported to callers at start-up; must match those
         of the endpoints.
@@ -66,6 +71,7 @@
     drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
     drain_answer_timeout_ms: float = pydantic.Field(10_000.0, ge=0)
     drain_linger_ms: float = pydantic.Field(0.0, ge=0)
+    view_age_limit_ms: float = pydantic.Field(0.0, ge=0)
     reported_parameters: dict[str, str] = pydantic.Field(
         default_factory=lambda: {
             "server_version": "16.0",
@@ -135,6 +141,7 @@
     pool : EndpointPoolSettings
     health : HealthSettings
     shedding : SheddingSettings
+    quota : QuotaSettings
     """
 
     protocol: str = "postgresql"
@@ -168,3 +175,4 @@
     shedding: SheddingSettings = pydantic.Field(
         default_factory=SheddingSettings
     )
+    quota: QuotaSettings = pydantic.Field(default_factory=QuotaSettings)
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -13,6 +13,7 @@
 from waxwinglift.connection._session_types import PreparedStatement
 from waxwinglift.process._types import DaemonId
 from waxwinglift.request import Failure
+from waxwinglift.request._quota import QuotaAnswer
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementAnswer
 from waxwinglift.version import EndpointId
@@ -23,6 +24,7 @@
 from waxwinglift.version import Position
 from waxwinglift.version import Rank
 from waxwinglift.version import Term
+from waxwinglift.version._types import TenantName
 
 # Coroutine function that receives bytes of an answer.
 Sink = Callable[[bytes], Awaitable[None]]
@@ -66,6 +68,8 @@
         an assignment, because the owner cannot be reached.
     statement_timeout_ms : int
         Time limit for each statement of a block after the first.
+    tenant : TenantName or None
+        Tenant for which the transaction runs; None for a public pool.
     """
 
     endpoint: EndpointId
@@ -87,6 +91,7 @@
     in_block: bool = False
     to_standby: bool = False
     statement_timeout_ms: int = 0
+    tenant: TenantName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,6 +187,11 @@
     ) -> Result[Position, Failure]:
         """Return a position that includes every acknowledged write."""
 
+    async def take_quota(
+        self, tenant: TenantName
+    ) -> Result[QuotaAnswer, Failure]:
+        """Ask this proxy, as a tenant's home, to start one operation."""
+
 
 class RunningStatement(Protocol):
     """Running exchange of a session of this proxy."""
--- a/waxwinglift/process/_entry_context.py
+++ b/waxwinglift/process/_entry_context.py
@@ -11,6 +11,7 @@
 from waxwinglift.process._data_path_types import Executors
 from waxwinglift.process._data_path_types import Metrics
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._quota_gate import QuotaGate
 from waxwinglift.process._request_log import RequestLog
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
@@ -65,6 +66,7 @@
         self.tracer = tracer
         self.rng = rng
         self.request_log = RequestLog(now_ms)
+        self.quota_gate = QuotaGate(view, executors, now_ms, metrics)
         self.overload_backoff = OverloadBackoff(rng)
         # Whether the sessions are being ended, so that nothing is retried.
         self.is_stopping = False
@@ -89,6 +91,7 @@
     def close(self):
         """Stop listening to the fleet view."""
         self.view.remove_listener(self._group_views.clear)
+        self.quota_gate.close()
 
     def endpoint_stats(self, group: GroupName) -> EndpointStats:
         """Return the statistics of a group's endpoints."""
--- a/waxwinglift/process/_fleet_view.py
+++ b/waxwinglift/process/_fleet_view.py
@@ -29,6 +29,8 @@
         Returns whether this proxy's lease is live now.
     fleet : FleetState
         Copy of the state that the watch stream keeps up to date.
+    age_ms : callable
+        Returns the age of the state, as in `ViewAge`.
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         location: Location,
         lease_is_live: Callable[[], bool],
         fleet: FleetState | None = None,
+        age_ms: Callable[[], float] = lambda: 0.0,
     ):
         self.daemon = daemon
         self.location = location
         self.lease_is_live = lease_is_live
+        self.age_ms = age_ms
         self.fleet = FleetState() if fleet is None else fleet
         self._listeners = []
         self._changed = asyncio.Event()
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -7,6 +7,7 @@
 
 from opentelemetry import trace
 from result import Err
+from result import Ok
 from result import Result
 
 from waxwinglift.connection import HealthState
@@ -27,10 +28,14 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request._load_shedder import LoadShedder
+from waxwinglift.request._quota import QuotaAnswer
+from waxwinglift.request._quota import QuotaHome
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
 from waxwinglift.version import Term
+from waxwinglift.version._tenant_homes import TenantHomes
+from waxwinglift.version._types import TenantName
 
 logger = logging.getLogger(__name__)
 
@@ -94,9 +99,12 @@
         # Returns the executor of another proxy; set after construction.
         self.find_executor = _find_no_executor
         self._tick_timer: asyncio.TimerHandle | None = None
+        self._homes = TenantHomes(lambda: view.fleet, now_ms)
+        self._quota_home = QuotaHome(view.daemon, settings.quota, self._homes)
 
     def start(self):
         """Start the owners and their timers, and react to fleet changes."""
+        self._view.add_listener(self._homes.update)
         self._view.add_listener(self._reconcile)
         self._reconcile()
         self._schedule_tick()
@@ -105,6 +113,7 @@
         """Close all connections at once."""
         self._is_stopped = True
         self._view.remove_listener(self._reconcile)
+        self._view.remove_listener(self._homes.update)
         if self._tick_timer is not None:
             self._tick_timer.cancel()
         owners = list(self._owners.values())
@@ -161,6 +170,13 @@
             return Err(not_run(FailureCode.NOT_OWNER, _NOT_OWNER_MESSAGE))
         return await owner.group_position(group, term)
 
+    async def take_quota(
+        self, tenant: TenantName
+    ) -> Result[QuotaAnswer, Failure]:
+        """Let a tenant whose home is this proxy start one operation."""
+        now_ms = self._now_ms()
+        return Ok(self._quota_home.take(self._view.fleet, tenant, now_ms))
+
     def _schedule_tick(self):
         settings = self._settings
         is_busy = any(owner.is_busy for owner in self._owners.values())
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -22,6 +22,7 @@
 from waxwinglift.process._peer_client_connection import PeerConnector
 from waxwinglift.process._peer_codec import decode_failure
 from waxwinglift.process._peer_codec import decode_position
+from waxwinglift.process._peer_codec import decode_quota_answer
 from waxwinglift.process._peer_codec import decode_result
 from waxwinglift.process._peer_codec import encode_exchange
 from waxwinglift.process._peer_frames import FrameKind
@@ -34,9 +35,11 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import may_have_run
 from waxwinglift.request import not_run
+from waxwinglift.request._quota import QuotaAnswer
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
 from waxwinglift.version import Term
+from waxwinglift.version._types import TenantName
 
 # Idle streams kept open per peer.
 _IDLE_LIMIT_COUNT = 64
@@ -76,19 +79,35 @@
     ) -> Result[Position, Failure]:
         """Return a position that includes every acknowledged write."""
         request = peer_pb2.GroupPositionRequest(group=group, term=term)
-        self.health.record_request()
         try:
             async with asyncio.timeout(_POSITION_TIMEOUT_S):
-                reply = await self._request_position(request)
+                reply = await self._call(
+                    FrameKind.POSITION_REQUEST,
+                    FrameKind.POSITION_REPLY,
+                    request,
+                )
         except _CONNECTION_ERRORS as error:
             return Err(_unreachable(error))
-        finally:
-            self.health.record_request_end()
-        self.health.record_answer()
         if reply.HasField("failure"):
             return Err(decode_failure(reply.failure))
         return Ok(decode_position(reply.position))
 
+    async def take_quota(
+        self, tenant: TenantName
+    ) -> Result[QuotaAnswer, Failure]:
+        """Ask the proxy, as a tenant's home, to start one operation.
+
+        The caller limits the time.
+        """
+        request = peer_pb2.QuotaRequest(tenant=tenant)
+        try:
+            reply = await self._call(
+                FrameKind.QUOTA_REQUEST, FrameKind.QUOTA_REPLY, request
+            )
+            return Ok(decode_quota_answer(reply))
+        except (ValueError, *_CONNECTION_ERRORS) as error:
+            return Err(not_run(FailureCode.UNAVAILABLE, repr(error)))
+
     async def cancel(self, key: CancelKey):
         """Cancel the running statement of a session, ignoring errors."""
         with contextlib.suppress(*_CONNECTION_ERRORS):
@@ -139,16 +158,22 @@
         self._idle_streams.clear()
         self._connector.discard()
 
-    async def _request_position(self, request):
-        connection = await self._connector.connect()
-        stream = connection.open_stream(FrameKind.POSITION_REPLY)
+    async def _call(self, kind, reply_kind, request):
+        """Send one message on a stream of its own and return the answer."""
+        self.health.record_request()
         try:
-            await stream.send(FrameKind.POSITION_REQUEST, request)
-            reply = await stream.receive()
+            connection = await self._connector.connect()
+            stream = connection.open_stream(reply_kind)
+            try:
+                await stream.send(kind, request)
+                reply = await stream.receive()
+            finally:
+                stream.finish()
         finally:
-            stream.finish()
+            self.health.record_request_end()
         if reply is None:
             raise ConnectionResetError("the stream ended without an answer")
+        self.health.record_answer()
         return reply
 
     async def _ping(self, timeout_ms):
--- a/waxwinglift/process/_peer_client_connection.py
+++ b/waxwinglift/process/_peer_client_connection.py
@@ -181,6 +181,7 @@
     (
         FrameKind.RESULT,
         FrameKind.POSITION_REPLY,
+        FrameKind.QUOTA_REPLY,
         FrameKind.PONG,
         FrameKind.END,
     )
--- a/waxwinglift/process/_peer_codec.py
+++ b/waxwinglift/process/_peer_codec.py
@@ -14,6 +14,8 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import Verdict
 from waxwinglift.request._classify import classify
+from waxwinglift.request._quota import QuotaAnswer
+from waxwinglift.request._quota import QuotaOutcome
 from waxwinglift.request._statements import EndpointError
 from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.request._statements import PreparedShape
@@ -29,6 +31,7 @@
 from waxwinglift.version import Position
 from waxwinglift.version import Rank
 from waxwinglift.version import Term
+from waxwinglift.version._types import TenantName
 
 _US_PER_MS = 1000
 # Process id, which precedes the secret of an encoded cancel key.
@@ -65,6 +68,24 @@
     )
 
 
+def encode_quota_answer(answer: QuotaAnswer) -> peer_pb2.QuotaReply:
+    """Return the message of an answer about a tenant's limit."""
+    return peer_pb2.QuotaReply(
+        outcome=answer.outcome.value, retry_after_ms=answer.retry_after_ms
+    )
+
+
+def decode_quota_answer(wire) -> QuotaAnswer:
+    """Return the answer of a QuotaReply message.
+
+    Raises
+    ------
+    ValueError
+        The outcome is unknown.
+    """
+    return QuotaAnswer(QuotaOutcome(wire.outcome), wire.retry_after_ms)
+
+
 def encode_cancel_key(key: CancelKey) -> peer_pb2.ExecuteFrame:
     """Return the frame of a cancel request."""
     packed = _PROCESS_ID_FORMAT.pack(key.process_id) + key.secret_key
@@ -189,6 +210,7 @@
         in_block=wire.in_block,
         to_standby=wire.to_standby,
         statement_timeout_ms=wire.statement_timeout_ms,
+        tenant=TenantName(wire.tenant) if wire.tenant else None,
     )
 
 
@@ -264,3 +286,4 @@
     wire.in_block = header.in_block
     wire.to_standby = header.to_standby
     wire.statement_timeout_ms = header.statement_timeout_ms
+    wire.tenant = header.tenant or ""
--- a/waxwinglift/process/_peer_frames.py
+++ b/waxwinglift/process/_peer_frames.py
@@ -44,6 +44,8 @@
     PONG = 6
     END = 7
     GRANT = 8
+    QUOTA_REQUEST = 9
+    QUOTA_REPLY = 10
 
 
 _MESSAGE_TYPES = {
@@ -51,6 +53,8 @@
     FrameKind.RESULT: peer_pb2.ResultFrame,
     FrameKind.POSITION_REQUEST: peer_pb2.GroupPositionRequest,
     FrameKind.POSITION_REPLY: peer_pb2.GroupPositionReply,
+    FrameKind.QUOTA_REQUEST: peer_pb2.QuotaRequest,
+    FrameKind.QUOTA_REPLY: peer_pb2.QuotaReply,
 }
 
 
--- a/waxwinglift/process/_peer_server_connection.py
+++ b/waxwinglift/process/_peer_server_connection.py
@@ -26,6 +26,7 @@
 _REPLY_KINDS = {
     FrameKind.EXECUTE: FrameKind.RESULT,
     FrameKind.POSITION_REQUEST: FrameKind.POSITION_REPLY,
+    FrameKind.QUOTA_REQUEST: FrameKind.QUOTA_REPLY,
 }
 
 
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -16,6 +16,7 @@
 from waxwinglift.process._peer_codec import encode_end
 from waxwinglift.process._peer_codec import encode_failure
 from waxwinglift.process._peer_codec import encode_position
+from waxwinglift.process._peer_codec import encode_quota_answer
 from waxwinglift.process._peer_frames import FrameKind
 from waxwinglift.process._peer_frames import FrameTooLargeError
 from waxwinglift.process._peer_server_connection import ServerConnection
@@ -25,6 +26,7 @@
 from waxwinglift.request import may_have_run
 from waxwinglift.version import GroupName
 from waxwinglift.version import Term
+from waxwinglift.version._types import TenantName
 
 # Largest part of an answer that is buffered to be sent with the next frame.
 _BUFFER_LIMIT_BYTES = 2**14
@@ -82,6 +84,13 @@
             encode_failure(reply.failure, outcome.err_value)
         await stream.send_message(reply)
 
+    @_METHODS.register(FrameKind.QUOTA_REQUEST)
+    async def take_quota(self, stream):
+        """Answer whether an operation of a tenant may start."""
+        request = await stream.recv_message()
+        answer = await self._executor.take_quota(TenantName(request.tenant))
+        await stream.send_message(encode_quota_answer(answer))
+
 
 class PeerServer:
     """Accepts connections from other proxies, with many streams on each.
--- a/waxwinglift/process/_postgresql_owner.py
+++ b/waxwinglift/process/_postgresql_owner.py
@@ -78,7 +78,8 @@
     async def _open_monitor_connection(self):
         return await self._open_connection(MONITOR_NAME)
 
-    async def _open_serving_connection(self):
+    async def _open_serving_connection(self, tenant):
+        # All callers share one account at the endpoints.
         epoch = self.view.assignment(self.endpoint).epoch
         return await self._open_connection(
             self._orphans.application_name_for(epoch)
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -21,6 +21,7 @@
 from waxwinglift.process._types import Location
 from waxwinglift.version._failover_messages import DownEndpoint
 from waxwinglift.version._leases import DaemonLease
+from waxwinglift.version._view_age import ViewAge
 
 logger = logging.getLogger(__name__)
 
@@ -103,10 +104,12 @@
         self.metrics = metrics
         location = settings.location
         self.lease = DaemonLease()
+        view_age = ViewAge()
         self.view = FleetView(
             DaemonId(settings.daemon),
             Location(location.data_centre, location.region),
             lambda: self.lease.is_live(monotonic_ms()),
+            age_ms=lambda: view_age.age_ms(monotonic_ms()),
         )
         options = {"metrics": metrics, "tracer": tracer}
         self.owners = OwnerSet(
@@ -121,6 +124,7 @@
             settings,
             self.view,
             self.lease,
+            view_age,
             EndpointReports(self.view, self.owners),
             metrics,
             tracer,
--- a/waxwinglift/process/_statement_actions.py
+++ b/waxwinglift/process/_statement_actions.py
@@ -114,7 +114,7 @@
         connection = self._take_idle(key)
         if connection is None:
             connection = await self._open(
-                action.address, action.group, action.endpoint
+                action.address, action.group, action.endpoint, None
             )
         try:
             yield connection
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -143,7 +143,9 @@
         """Yield a connection for a query of the proxy; None on timeout."""
         self._next_request += 1
         holder = RequestId(self._next_request)
-        acquired = await self.connections.acquire(holder, timeout_ms)
+        acquired = await self.connections.acquire(
+            holder, timeout_ms, is_any=True
+        )
         if acquired is None:
             yield None
             return
@@ -195,8 +197,10 @@
             ),
         )
 
-    async def _open_link(self):
-        connection = await self._open(self._address, self.group, self.endpoint)
+    async def _open_link(self, tenant):
+        connection = await self._open(
+            self._address, self.group, self.endpoint, tenant
+        )
         return TrackedConnection(
             connection, self.now_ms, self._in_flight_limit.record_round_trip
         )
@@ -234,15 +238,20 @@
             return
         limit_count = self.view.fleet.connection_limit_count(record)
         usable_count = max(2, limit_count - _RESERVED_COUNT)
+        standby_count = max(2, int(_STANDBY_FRACTION * usable_count))
         pool = self.connections.pool
         if self.view.owns(self.endpoint):
             pool.limit_count = usable_count
+            if pool.is_tenanted:
+                # The pool fills up with the connections of many tenants and
+                # would leave none to the standby owner.
+                pool.limit_count = max(2, usable_count - standby_count)
             pool.warm_count = None
         elif self._is_temporary:
             pool.limit_count = _TEMPORARY_OWNER_LIMIT_COUNT
             pool.warm_count = _STANDBY_WARM_COUNT
         else:
-            pool.limit_count = max(2, int(_STANDBY_FRACTION * usable_count))
+            pool.limit_count = standby_count
             pool.warm_count = _STANDBY_WARM_COUNT
         queue = self.slots.queue
         slots_count = self._in_flight_limit.limit_count(
@@ -258,10 +267,13 @@
     def _set_tables(self):
         """Queue all pools together, with one row for each level of urgency."""
         rows = {}
+        is_tenanted = False
         for pool in self.view.fleet.pools_of(self.group):
             policy = pool.table.policy
             if policy is not None:
                 rows[policy.urgency_index] = pool.table.rows[0]
+                is_tenanted = is_tenanted or not policy.is_public
+        self.connections.pool.is_tenanted = is_tenanted
         ordered = tuple(rows[index] for index in sorted(rows))
         self._ranks = {
             row.rank: (index, row.floor_percent / 100)
--- a/waxwinglift/process/tests/test_control.py
+++ b/waxwinglift/process/tests/test_control.py
@@ -29,6 +29,7 @@
 from waxwinglift.version._entries import PoolEdited
 from waxwinglift.version._entry_codec import encode_entry
 from waxwinglift.version._leases import DaemonLease
+from waxwinglift.version._view_age import ViewAge
 
 WAIT_LIMIT_S = 15.0
 LOCATION = {"data_centre": "dc-1", "region": "region-1"}
@@ -149,7 +150,13 @@
         DaemonId("proxy-0"), location, lambda: lease.is_live(monotonic_ms())
     )
     link = ControlLink(
-        settings, view, lease, NoReports(), NoMetrics(), trace.NoOpTracer()
+        settings,
+        view,
+        lease,
+        ViewAge(),
+        NoReports(),
+        NoMetrics(),
+        trace.NoOpTracer(),
     )
     await link.start()
     try:
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -51,8 +51,8 @@
     ----------
     context : EntryContext
     session : StatementSession
-        Has ``table``, ``policy``, ``floor``, ``settings``, ``caller`` and
-        ``is_disconnected``.
+        Has ``table``, ``policy``, ``floor``, ``settings``, ``caller``,
+        ``tenant`` and ``is_disconnected``.
     """
 
     def __init__(self, context: EntryContext, session):
@@ -109,10 +109,14 @@
 
     async def run_single(self, statement: Statement) -> ExchangeEnd:
         """Run a statement outside of a block."""
+        refusal = await self._find_quota_refusal(statement)
+        if refusal is not None:
+            return refusal
         access = self._access(statement.is_write)
         attempts = self._attempts(access, is_block=False)
         end = await self._run_attempts(statement, attempts)
         await self.close()
+        self._give_back_quota(end)
         self._count_outcome(end)
         return end
 
@@ -120,10 +124,14 @@
         self, statement: Statement, is_read_block: bool
     ) -> ExchangeEnd:
         """Open a block and run its first statement."""
+        refusal = await self._find_quota_refusal(statement)
+        if refusal is not None:
+            return refusal
         access = self._access(not is_read_block)
         attempts = self._attempts(access, is_block=True)
         self.has_block_written = statement.is_write
         end = await self._run_attempts(statement, attempts)
+        self._give_back_quota(end)
         return await self._finish_in_block(statement, end)
 
     async def run_in_block(
@@ -140,6 +148,31 @@
         end = await self._run_with_timeout(exchange, limit_ms)
         return await self._finish_in_block(statement, end)
 
+    async def _find_quota_refusal(self, statement):
+        """Return the outcome if the tenant may start no operation now."""
+        self._may_have_run = False
+        session = self._session
+        failure = await self._context.quota_gate.admit(session.tenant)
+        if failure is None:
+            return None
+        self._context.request_log.write(
+            "operation of a tenant refused",
+            request_id=statement.request.decode("latin-1"),
+            pool=session.table.pool,
+            tenant=session.tenant,
+            reason=failure.message,
+            retry_after_ms=failure.retry_after_ms,
+        )
+        end = ExchangeEnd(failure=failure)
+        self._count_outcome(end)
+        return end
+
+    def _give_back_quota(self, end):
+        """Give back the right to an operation that has not run."""
+        failure = end.failure
+        if failure is not None and failure.verdict is Verdict.NOT_RUN:
+            self._context.quota_gate.give_back(self._session.tenant)
+
     async def _finish_in_block(self, statement, end):
         end = self._block_outcome(statement, end)
         if end.failure is not None:
@@ -346,6 +379,7 @@
             in_block=attempts.is_block,
             to_standby=to_standby,
             statement_timeout_ms=policy.statement_timeout_ms,
+            tenant=session.tenant,
         )
 
     def _count_outcome(self, end):
--- a/waxwinglift/version/_leases.py
+++ b/waxwinglift/version/_leases.py
@@ -151,9 +151,13 @@
         while len(self._sent_ms) > SENT_LIMIT_COUNT:
             self._sent_ms.popitem(last=False)
 
+    def sent_ms(self, sequence):
+        """Return the send time of a renewal, None if it is not known."""
+        return self._sent_ms.get(sequence)
+
     def on_grant(self, sequence, lease_ms):
         """Extend the lease to ``lease_ms`` after the renewal was sent."""
-        sent_ms = self._sent_ms.get(sequence)
+        sent_ms = self.sent_ms(sequence)
         if sent_ms is None:
             return
         expires_ms = sent_ms + lease_ms
--- a/waxwinglift_bench/process/_owner.py
+++ b/waxwinglift_bench/process/_owner.py
@@ -1,10 +1,10 @@
 """Simulated endpoint owner with the real queue, pool and commit wait."""
 
-from waxwinglift.connection._endpoint_pool import CloseConnection
+from waxwinglift.connection._endpoint_pool_actions import CloseConnection
 from waxwinglift.connection._endpoint_pool import EndpointPool
-from waxwinglift.connection._endpoint_pool import OpenConnection
-from waxwinglift.connection._endpoint_pool import ProbeConnection
-from waxwinglift.connection._endpoint_pool import UseConnection
+from waxwinglift.connection._endpoint_pool_actions import OpenConnection
+from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
+from waxwinglift.connection._endpoint_pool_actions import UseConnection
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 from waxwinglift.request import FailureCode
 from waxwinglift.request import may_have_run
--- a/waxwinglift_standin/platform/_server.py
+++ b/waxwinglift_standin/platform/_server.py
@@ -63,6 +63,8 @@
         self.fenced_term = 0
         self.address: Address | None = None
         self.sessions: set[ServerSession] = set()
+        # Request id of each statement and the name of its client.
+        self.clients: list[tuple[bytes, bytes]] = []
         self.slots = asyncio.Semaphore(settings.slots_count)
         self.waiting_count = 0
         self.receipt_numbers = itertools.count(1)
--- a/waxwinglift_standin/platform/_session.py
+++ b/waxwinglift_standin/platform/_session.py
@@ -20,6 +20,8 @@
         self.writes = None
         self.is_read_only = False
         self.is_failed = False
+        # Name that the client gave at the start.
+        self.client = b""
         self._reader = reader
         self._writer = writer
 
@@ -57,6 +59,7 @@
     async def _start_session(self, rest):
         server = self.server
         fields = rest.split(b" ")
+        self.client = fields[1] if len(fields) > 1 else b""
         expected = fields[2].decode() if len(fields) > 2 else server.name
         if expected != server.name:
             self._send(b"ERROR MISROUTED " + server.name.encode())
@@ -72,6 +75,7 @@
 
     async def _query(self, rest):
         request, _, text = rest.partition(b" ")
+        self.server.clients.append((request, self.client))
         word, _, arguments = text.partition(b" ")
         required_position = None
         if word == b"AFTER":
