Answer other proxies about the limits of tenants

Cause: the server's end passed the Result of the executor to the codec, so that every question of another proxy ended without an answer.

Change: the answer is taken out of the Result. Tests let 1 to 3 proxies serve one tenant, count a transaction once, and count nothing that has not run; the first failed with 2 and 3 proxies before.

--- a/waxwinglift/platform/tests/test_tenants.py
+++ b/waxwinglift/platform/tests/test_tenants.py
@@ -3,15 +3,19 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 
 import pytest
 
+from waxwinglift.platform.tests.statement_fleet import GROUP
 from waxwinglift.platform.tests.statement_fleet import running_statement_fleet
+from waxwinglift.version import GroupPhase
 from waxwinglift.version import PoolName
 from waxwinglift.version import TableVersion
 from waxwinglift.version._fleet import Pool
 from waxwinglift.version._tenants import digest_key
 from waxwinglift.version._tenants import TenantSettings
+from waxwinglift_standin.platform import Caller
 
 _AGE_LIMIT_MS = 3000.0
 _POOLS = ("pay", "look", "refill")
@@ -195,3 +199,75 @@
             assert _statements(fleet)[answer.request] == b"waxwinglift"
 
     run(work)
+
+
+@pytest.mark.parametrize("proxy_count", [1, 2, 3])
+def test_limit_of_a_tenant_holds_for_all_proxies_together(proxy_count):
+    # Proxies that each count for themselves would grant it several times;
+    # one that cannot ask the tenant's home would refuse everything.
+    async def work():
+        keys = {f"t{number}": [f"k{number}"] for number in range(4)}
+        async with running_tenants(proxy_count, **keys) as fleet:
+            for tenant in list(fleet.state.tenants.values()):
+                limited = dataclasses.replace(
+                    tenant, rate_per_s=0.001, burst_count=3.0
+                )
+                fleet.state.set_tenant(limited)
+            for proxy in fleet.proxies:
+                # The counts of a new home start at the rate of the limit.
+                proxy.owners._homes.changed_ms = -math.inf
+            served = dict.fromkeys(keys, 0)
+            for tenant, (key,) in keys.items():
+                for number in range(9):
+                    entry = fleet.proxies[number % proxy_count].entry
+                    async with Caller.connected(
+                        entry.address, "pay", key
+                    ) as caller:
+                        answer = await caller.query("READ a")
+                    served[tenant] += answer.is_success
+                    if not answer.is_success:
+                        assert answer.error.startswith(b"TOOMANY ")
+                        assert answer.state == b"I"
+            assert served == dict.fromkeys(keys, 3)
+
+    run(work)
+
+
+def test_statements_of_a_transaction_count_once():
+    # The limit counts operations, not the statements of a transaction.
+    async def work():
+        async with running_tenants(acme=["k1"]) as fleet:
+            tenant = fleet.state.tenants["acme"]
+            limited = dataclasses.replace(
+                tenant, rate_per_s=0.001, burst_count=1.0
+            )
+            fleet.state.set_tenant(limited)
+            async with fleet.connected("pay", "k1") as caller:
+                assert (await caller.query("BEGIN")).is_success
+                for text in ("READ a", "WRITE a 1", "READ a", "COMMIT"):
+                    assert (await caller.query(text)).is_success
+                answer = await caller.query("READ a")
+                assert answer.error.startswith(b"TOOMANY ")
+
+    run(work)
+
+
+def test_operation_that_has_not_run_is_not_counted():
+    # Callers repeat what was refused; the limit must not run out meanwhile.
+    async def work():
+        async with running_tenants(acme=["k1"]) as fleet:
+            tenant = fleet.state.tenants["acme"]
+            limited = dataclasses.replace(
+                tenant, rate_per_s=0.001, burst_count=1.0
+            )
+            fleet.state.set_tenant(limited)
+            group = fleet.state.groups[GROUP]
+            group.phase = GroupPhase.PROMOTING
+            async with fleet.connected("pay", "k1") as caller:
+                answer = await caller.query("WRITE a 1")
+                assert answer.error.startswith(b"BUSY ")
+                group.phase = GroupPhase.ACTIVE
+                fleet.proxies[0].view.notify()
+                assert (await caller.query("WRITE a 1")).is_success
+
+    run(work)
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -88,8 +88,8 @@
     async def take_quota(self, stream):
         """Answer whether an operation of a tenant may start."""
         request = await stream.recv_message()
-        answer = await self._executor.take_quota(TenantName(request.tenant))
-        await stream.send_message(encode_quota_answer(answer))
+        asked = await self._executor.take_quota(TenantName(request.tenant))
+        await stream.send_message(encode_quota_answer(asked.ok_value))
 
 
 class PeerServer:
