Load only the modules of its own role in each process

A proxy loaded control's core, the changes of primary and their messages: the models of settings and the messages of renewals stood in their modules, and the endpoint protocol imported the parts of owners and of control.

Change: settings of control in version/_control_settings.py, renewals in version/_renewals.py, the parts of the endpoint protocol imported when they are first used, models of settings built when they are first used.

--- a/waxwinglift/connection/_endpoint_errors.py
+++ b/waxwinglift/connection/_endpoint_errors.py
@@ -20,3 +20,14 @@
 
 class EndpointMismatch(EndpointRefused):
     """Another endpoint answers at the address."""
+
+
+class PromotionRefused(Exception):
+    """The promotion was refused.
+
+    ``is_not_running`` is True if the server is not running.
+    """
+
+    def __init__(self, message, is_not_running):
+        super().__init__(message)
+        self.is_not_running = is_not_running
--- a/waxwinglift/platform/_announcements.py
+++ b/waxwinglift/platform/_announcements.py
@@ -29,7 +29,10 @@
     """Body of a heartbeat; it is not trusted: every field is validated."""
 
     model_config = pydantic.ConfigDict(
-        extra="ignore", strict=True, arbitrary_types_allowed=True
+        defer_build=True,
+        extra="ignore",
+        strict=True,
+        arbitrary_types_allowed=True,
     )
 
     service: str = pydantic.Field(min_length=1)
@@ -56,7 +59,9 @@
 class _Deregistration(pydantic.BaseModel):
     """Body of a deregistration; other fields are ignored."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+    model_config = pydantic.ConfigDict(
+        defer_build=True, extra="ignore", strict=True
+    )
 
     born: int = pydantic.Field(0, ge=0, le=UINT64_MAX)
 
--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -47,7 +47,9 @@
 class _DocumentModel(pydantic.BaseModel):
     """Base of the document's models; unknown fields are ignored."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+    model_config = pydantic.ConfigDict(
+        defer_build=True, extra="ignore", strict=True
+    )
 
 
 class _Route(_DocumentModel):
--- a/waxwinglift/platform/_protocols.py
+++ b/waxwinglift/platform/_protocols.py
@@ -2,6 +2,7 @@
 
 import json
 
+from waxwinglift.connection._endpoint_errors import PromotionRefused
 from waxwinglift.connection._protocol_registry import caller_protocol
 from waxwinglift.connection._protocol_registry import ENDPOINT_PROTOCOLS
 from waxwinglift.platform import _lines
@@ -12,7 +13,6 @@
 from waxwinglift.platform._http import HttpRequest
 from waxwinglift.process._statement_callers import StatementCallers
 from waxwinglift.process._statement_endpoints import StatementEndpoints
-from waxwinglift.process._statement_actions import PromotionRefused
 from waxwinglift.request._statements import EndpointStatus
 from waxwinglift.version import Term
 
--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -13,9 +13,9 @@
 from waxwinglift.process._settings import ControlTimingSettings
 from waxwinglift.process._settings import ProxySettings
 from waxwinglift.process._settings import ProxyTimingSettings
-from waxwinglift.version._announcements import AnnouncementSettings
-from waxwinglift.version._control_core import ControlCoreSettings
-from waxwinglift.version._membership import MembershipSettings
+from waxwinglift.version._control_settings import AnnouncementSettings
+from waxwinglift.version._control_settings import ControlCoreSettings
+from waxwinglift.version._control_settings import MembershipSettings
 
 # Missing announcements after which an endpoint counts as lost.
 _MISSED_ANNOUNCEMENTS_COUNT = 4
--- a/waxwinglift/platform/_settings.py
+++ b/waxwinglift/platform/_settings.py
@@ -36,6 +36,7 @@
     """
 
     model_config = pydantic.ConfigDict(
+        defer_build=True,
         extra="ignore",
         frozen=True,
         arbitrary_types_allowed=True,
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -30,7 +30,7 @@
 from waxwinglift.version import LogIndex
 from waxwinglift.version._apply import apply_entry
 from waxwinglift.version._apply import RefusalCode
-from waxwinglift.version._control_core_messages import Renewal
+from waxwinglift.version._renewals import Renewal
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import decode_fleet
 from waxwinglift.version._types import DaemonState
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -104,6 +104,8 @@
 
     def start(self):
         """Start the owners and their timers, and react to fleet changes."""
+        # Loads the protocol's code before the first endpoint is assigned.
+        _ = find_endpoint_protocol(self._settings.protocol).owner_class
         self._view.add_listener(self._homes.update)
         self._view.add_listener(self._reconcile)
         self._reconcile()
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -9,7 +9,9 @@
 class PolicySettings(pydantic.BaseModel):
     """Base of the policy settings: immutable, unknown keys are rejected."""
 
-    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+    model_config = pydantic.ConfigDict(
+        defer_build=True, frozen=True, extra="forbid"
+    )
 
 
 class AdmissionSettings(PolicySettings):
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -19,7 +19,7 @@
 from waxwinglift.process._peer_service import PeerService
 from waxwinglift.process._types import DaemonId
 from waxwinglift.process._types import Location
-from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._leases import DaemonLease
 from waxwinglift.version._view_age import ViewAge
 
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -16,8 +16,8 @@
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._types import Address
-from waxwinglift.version._control_core import ControlCoreSettings
-from waxwinglift.version._membership import MembershipSettings
+from waxwinglift.version._control_settings import ControlCoreSettings
+from waxwinglift.version._control_settings import MembershipSettings
 
 # Words in the keys of values that must not appear in error messages.
 _PRIVATE_WORDS = ("secret", "password")
@@ -34,7 +34,10 @@
     """Base of all settings models; unknown keys are rejected."""
 
     model_config = pydantic.ConfigDict(
-        extra="forbid", frozen=True, arbitrary_types_allowed=True
+        defer_build=True,
+        extra="forbid",
+        frozen=True,
+        arbitrary_types_allowed=True,
     )
 
 
--- a/waxwinglift/process/_statement_actions.py
+++ b/waxwinglift/process/_statement_actions.py
@@ -5,6 +5,7 @@
 
 from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
 from waxwinglift.connection._endpoint_errors import EndpointRefused
+from waxwinglift.connection._endpoint_errors import PromotionRefused
 from waxwinglift.process import Registry
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
@@ -29,17 +30,6 @@
 _on_action = _ACTION_HANDLERS.register
 
 
-class PromotionRefused(Exception):
-    """The promotion was refused.
-
-    ``is_not_running`` is True if the server is not running.
-    """
-
-    def __init__(self, message, is_not_running):
-        super().__init__(message)
-        self.is_not_running = is_not_running
-
-
 class ServerActionError(Exception):
     """The endpoint answered, but not with the status that is needed."""
 
--- a/waxwinglift/process/_statement_endpoints.py
+++ b/waxwinglift/process/_statement_endpoints.py
@@ -1,15 +1,17 @@
 """Endpoint protocols with typed statements."""
 
+import importlib
 from collections.abc import Callable
 
 from waxwinglift.connection._statement_protocols import ConnectionOpener
-from waxwinglift.process._statement_owner import StatementOwner
-from waxwinglift.process._statement_actions import StatementActionRunner
 
 
 class StatementEndpoints:
     """Provides control and owners with the parts specific to a protocol.
 
+    The parts of owners and of control are imported when they are first used:
+    no process needs both.
+
     Parameters
     ----------
     open_connection : callable
@@ -21,8 +23,6 @@
         the settings of a control daemon.
     """
 
-    owner_class = StatementOwner
-
     def __init__(
         self,
         open_connection: ConnectionOpener,
@@ -33,13 +33,20 @@
         self._decode_status = decode_status
         self._make_promote = make_promote
 
-    def attach(self, owner: StatementOwner, find_executor):
+    @property
+    def owner_class(self):
+        """Class of the owners of endpoints."""
+        module = "waxwinglift.process._statement_owner"
+        return importlib.import_module(module).StatementOwner
+
+    def attach(self, owner, find_executor):
         """Set the dependencies of an owner before it starts."""
         owner.attach(self._open_connection, find_executor)
 
     def make_action_runner(self, settings):
         """Return the coroutine function that executes server actions."""
-        runner = StatementActionRunner(
+        module = "waxwinglift.process._statement_actions"
+        runner = importlib.import_module(module).StatementActionRunner(
             self._open_connection,
             self._decode_status,
             self._make_promote(settings),
--- a/waxwinglift/process/rpc/_convert.py
+++ b/waxwinglift/process/rpc/_convert.py
@@ -20,8 +20,8 @@
 from waxwinglift.version import LogIndex
 from waxwinglift.version import Term
 from waxwinglift.version._announcements import Announcement
-from waxwinglift.version._control_core_messages import Renewal
-from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._renewals import Renewal
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._fleet import EditAnswer
 from waxwinglift.version._types import Incarnation
 
--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -7,7 +7,6 @@
 import dataclasses
 import math
 
-import pydantic
 
 from waxwinglift.process import Address
 from waxwinglift.process import Location
@@ -28,36 +27,6 @@
 FIRST_TERM = Term(1)
 
 
-class AnnouncementSettings(pydantic.BaseModel):
-    """Timing of announcements.
-
-    Parameters
-    ----------
-    ttl_ms : int
-        Time without an announcement after which an endpoint is lost.
-    announce_interval_ms : int
-        Time between two announcements of an endpoint.
-    first_backoff_ms, max_backoff_ms : int
-        Initial and maximum back-off: the minimum time between the last
-        proposed change of an endpoint and its next join, from the third
-        change on.  It doubles with each change.
-    steady_ms : int
-        Time without a change after which the back-off is reset.
-    retry_ms : int
-        Time after which a proposed entry that is still needed is proposed
-        again.  It doubles with each repetition, except for GroupFormed.
-    """
-
-    model_config = pydantic.ConfigDict(frozen=True)
-
-    ttl_ms: int = 1500
-    announce_interval_ms: int = 500
-    first_backoff_ms: int = 1000
-    max_backoff_ms: int = 60_000
-    steady_ms: int = 60_000
-    retry_ms: int = 1000
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
     """Self-description that an endpoint sends at regular intervals.
--- a/waxwinglift/version/_consensus_types.py
+++ b/waxwinglift/version/_consensus_types.py
@@ -41,7 +41,7 @@
         lag slightly.
     """
 
-    model_config = pydantic.ConfigDict(frozen=True)
+    model_config = pydantic.ConfigDict(defer_build=True, frozen=True)
 
     member: DaemonId
     election_timeout_min_ms: float = 300.0
--- a/waxwinglift/version/_control_core.py
+++ b/waxwinglift/version/_control_core.py
@@ -7,21 +7,17 @@
 import collections
 import math
 
-import pydantic
 
 from waxwinglift.version import _control_core_commits
 from waxwinglift.version import _control_core_messages as messages
 from waxwinglift.version import _control_core_renewals
 from waxwinglift.version import _failover_messages as failover
-from waxwinglift.version._announcements import AnnouncementSettings
 from waxwinglift.version._announcements import AnnouncementTable
 from waxwinglift.version._control_core_registry import EVENT_HANDLERS
 from waxwinglift.version._control_core_registry import on_event
 from waxwinglift.version._entries import DaemonLeft
 from waxwinglift.version._failover import FailoverPlanner
-from waxwinglift.version._failover import FailoverSettings
 from waxwinglift.version._fleet import FleetState
-from waxwinglift.version._leases import LeaseSettings
 from waxwinglift.version._leases import LeaseTable
 from waxwinglift.version._ownership import plan_owners
 
@@ -29,68 +25,6 @@
 HANDLER_MODULES = (_control_core_commits, _control_core_renewals)
 
 
-class ControlCoreSettings(pydantic.BaseModel):
-    """Settings of the control leader.
-
-    Parameters
-    ----------
-    tick_interval_ms : int
-        Time between two ControlTick events.  In a change of primary, control
-        may notice two things up to this much late: the end of the lease of
-        the primary's owner, and the end of the leases of proxies that have
-        not applied the raised term.
-    expire_interval_ms : int
-        Time between two searches for endpoints whose announcements expired.
-    apply_limit_ms : int
-        A proxy that has not applied an entry this long after its commit gets
-        no further lease.  Together with the lease duration this ensures that
-        an accepted edit is in force everywhere within 3 s.
-    raise_limit_ms : int
-        The same limit for a raised term that follows another one within this
-        time.  After a single raised term, a proxy gets no further lease until
-        it has applied it.  If many terms are raised in succession, that rule
-        would refuse every renewal, because the applied index in a renewal is
-        one round trip old; this happened with 220 terms within seconds.
-    rebalance_delay_ms : int
-        Time without changes of the proxies, or new endpoints, before
-        endpoints are moved to their preferred owners; a restart takes about
-        this long.
-    handover_settle_ms : int
-        Time after an assignment before the endpoint may be moved from an
-        owner that alone cannot reach it: the new standby owner first has to
-        find out whether it can.
-    handover_pause_ms : int
-        Minimum time between two moves of an endpoint that only its owner
-        cannot reach.
-    undrain_ms : int
-        Time without a draining renewal after which a restarted proxy counts
-        as active again.
-    give_up_pause_ms : int
-        Minimum time between two occasions on which this member gives up
-        leadership because it reaches no server.  If no member reaches a
-        server, elections would otherwise never end.
-    propose_retry_ms : int
-        Time after which a proposed entry that has not been committed may be
-        proposed again.
-    """
-
-    model_config = pydantic.ConfigDict(frozen=True)
-
-    leases: LeaseSettings = LeaseSettings()
-    announcements: AnnouncementSettings = AnnouncementSettings()
-    failover: FailoverSettings = FailoverSettings()
-    tick_interval_ms: int = 20
-    expire_interval_ms: int = 250
-    apply_limit_ms: int = 1000
-    raise_limit_ms: int = 250
-    rebalance_delay_ms: int = 3000
-    handover_settle_ms: int = 1000
-    handover_pause_ms: int = 5000
-    undrain_ms: int = 1000
-    give_up_pause_ms: int = 30_000
-    propose_retry_ms: int = 500
-
-
 class ControlCore:
     """Decides on leases, owners, announcements and changes of primary.
 
--- a/waxwinglift/version/_failover_messages.py
+++ b/waxwinglift/version/_failover_messages.py
@@ -5,6 +5,7 @@
 from waxwinglift.process import Address
 from waxwinglift.process import DaemonId
 from waxwinglift.version._entries import Entry
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._types import EndpointId
 from waxwinglift.version._types import GroupName
 from waxwinglift.version._types import LogIndex
@@ -101,21 +102,6 @@
     min_applied_index: LogIndex | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DownEndpoint:
-    """An endpoint that a proxy reports down.
-
-    ``term`` is the group's term that the proxy had applied when it probed;
-    a report from before the last failover does not count.
-    ``is_reachable`` is true for a primary that answers probes although no
-    quorum confirms its writes.
-    """
-
-    endpoint: EndpointId
-    term: Term
-    is_reachable: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class HealthReported:
     """All endpoints that a proxy reports down as owner or standby owner.
--- a/waxwinglift/version/_failover_settings.py
+++ b/waxwinglift/version/_failover_settings.py
@@ -66,7 +66,7 @@
         on a new connection.
     """
 
-    model_config = pydantic.ConfigDict(frozen=True)
+    model_config = pydantic.ConfigDict(defer_build=True, frozen=True)
 
     report_ttl_ms: int = 1000
     handover_after_ms: int = 400
--- a/waxwinglift/version/_leases.py
+++ b/waxwinglift/version/_leases.py
@@ -28,7 +28,7 @@
         clock drift.
     """
 
-    model_config = pydantic.ConfigDict(frozen=True)
+    model_config = pydantic.ConfigDict(defer_build=True, frozen=True)
 
     lease_ms: int = 1000
     renew_interval_ms: int = 250
--- a/waxwinglift/version/_membership.py
+++ b/waxwinglift/version/_membership.py
@@ -9,44 +9,17 @@
 from collections.abc import Sequence
 import dataclasses
 
-import pydantic
 
 from waxwinglift.process import Address
 from waxwinglift.process import DaemonId
 from waxwinglift.version._consensus_messages import MemberRole
+from waxwinglift.version._control_settings import MembershipSettings
 from waxwinglift.version._entries import Entry
 from waxwinglift.version._entries import MemberAdded
 from waxwinglift.version._entries import MemberPromoted
 from waxwinglift.version._entries import MemberRemoved
 
 
-class MembershipSettings(pydantic.BaseModel):
-    """Limits of the control group.
-
-    Parameters
-    ----------
-    voters_count : int
-        Target number of voters: 2 f + 1 to tolerate the loss of f.
-    members_limit_count : int
-        Maximum number of members, including learners.
-    replace_after_ms : int
-        Time without an answer after which a voter is replaced by a learner;
-        longer than a restart takes.
-    forget_learner_ms : int
-        Time without an answer after which a learner is removed.
-    join_ttl_ms : int
-        Time after which a join request expires; daemons repeat theirs.
-    """
-
-    model_config = pydantic.ConfigDict(frozen=True)
-
-    voters_count: int = pydantic.Field(5, ge=1)
-    members_limit_count: int = pydantic.Field(9, ge=1)
-    replace_after_ms: int = pydantic.Field(2500, gt=0)
-    forget_learner_ms: int = pydantic.Field(10_000, gt=0)
-    join_ttl_ms: int = pydantic.Field(2000, gt=0)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class JoinRequest:
     """A control daemon asks to become a member."""
--- a/waxwinglift/version/tests/failover_harness.py
+++ b/waxwinglift/version/tests/failover_harness.py
@@ -6,6 +6,7 @@
 from waxwinglift.version import _failover_messages as messages
 from waxwinglift.version._failover import FailoverPlanner
 from waxwinglift.version._failover import FailoverSettings
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._types import ServerPosition
 from waxwinglift.version.tests.fleets import daemon_joined
 from waxwinglift.version.tests.fleets import extend
@@ -83,7 +84,7 @@
 
     def report(self, daemon, *endpoints, term=1):
         """Send a report in which ``daemon`` finds only ``endpoints`` down."""
-        down = tuple(messages.DownEndpoint(e, term) for e in endpoints)
+        down = tuple(DownEndpoint(e, term) for e in endpoints)
         self.handle(messages.HealthReported(daemon, down))
 
     def observe(self):
--- a/waxwinglift/version/tests/server_failover_harness.py
+++ b/waxwinglift/version/tests/server_failover_harness.py
@@ -9,6 +9,7 @@
 from waxwinglift.version._desired import plan_replacement
 from waxwinglift.version._failover import FailoverPlanner
 from waxwinglift.version._failover import FailoverSettings
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._types import EndpointRole
 from waxwinglift.version._types import ServerPosition
 from waxwinglift.version.tests.fleets import daemon_joined
@@ -72,8 +73,7 @@
         while self.now_ms < until_ms:
             for daemon, endpoints in self.down.items():
                 down = tuple(
-                    messages.DownEndpoint(e, self.group.term)
-                    for e in endpoints
+                    DownEndpoint(e, self.group.term) for e in endpoints
                 )
                 self._step(messages.HealthReported(daemon, down))
             self._step(
--- a/waxwinglift/version/tests/test_announcement_order.py
+++ b/waxwinglift/version/tests/test_announcement_order.py
@@ -8,7 +8,7 @@
 from waxwinglift.process import Location
 from waxwinglift.version import _entries as entries
 from waxwinglift.version._announcements import Announcement
-from waxwinglift.version._announcements import AnnouncementSettings
+from waxwinglift.version._control_settings import AnnouncementSettings
 from waxwinglift.version._announcements import AnnouncementTable
 from waxwinglift.version._apply import apply_entry
 from waxwinglift.version._fleet import FleetState
--- a/waxwinglift/version/tests/test_control_core.py
+++ b/waxwinglift/version/tests/test_control_core.py
@@ -9,11 +9,12 @@
 from waxwinglift.version import _control_core_messages as messages
 from waxwinglift.version import _entries as entries
 from waxwinglift.version._control_core import ControlCore
-from waxwinglift.version._control_core import ControlCoreSettings
-from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._control_settings import ControlCoreSettings
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._failover_messages import Propose
 from waxwinglift.version._failover_messages import ReadPosition
 from waxwinglift.version._leases import LeaseSettings
+from waxwinglift.version._renewals import Renewal
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version.tests.fleets import daemon_joined
 from waxwinglift.version.tests.fleets import endpoint_joined
@@ -28,7 +29,7 @@
 def renewal(daemon, applied_index, **fields):
     joined = daemon_joined(daemon)
     sequence = fields.pop("sequence", None) or next(SEQUENCES)
-    return messages.Renewal(
+    return Renewal(
         daemon,
         joined.address,
         joined.location,
--- a/waxwinglift/version/tests/test_failover_reachability.py
+++ b/waxwinglift/version/tests/test_failover_reachability.py
@@ -8,7 +8,7 @@
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version import _entries as entries
 from waxwinglift.version._failover_messages import ActionFailed
-from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._failover_messages import ServerAction
 from waxwinglift.version.tests.failover_harness import Harness
 from waxwinglift.version.tests.fleets import extend
--- a/waxwinglift/version/tests/test_membership.py
+++ b/waxwinglift/version/tests/test_membership.py
@@ -10,7 +10,7 @@
 from waxwinglift.version._membership import ControlGroupView
 from waxwinglift.version._membership import JoinRequest
 from waxwinglift.version._membership import MembershipPlanner
-from waxwinglift.version._membership import MembershipSettings
+from waxwinglift.version._control_settings import MembershipSettings
 
 REPLACE_AFTER_MS = MembershipSettings().replace_after_ms
 FORGET_LEARNER_MS = MembershipSettings().forget_learner_ms
--- a/waxwinglift_bench/process/_outage.py
+++ b/waxwinglift_bench/process/_outage.py
@@ -17,7 +17,7 @@
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import LogIndex
 from waxwinglift.version._control_core import ControlCore
-from waxwinglift.version._control_core import ControlCoreSettings
+from waxwinglift.version._control_settings import ControlCoreSettings
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import encode_entry
 from waxwinglift_bench.process import _slopes_fleet
--- a/waxwinglift_bench/process/_outage_proxies.py
+++ b/waxwinglift_bench/process/_outage_proxies.py
@@ -7,6 +7,8 @@
 from waxwinglift.version import LogIndex
 from waxwinglift.version._entries import OwnersAssigned
 from waxwinglift.version._leases import DaemonLease
+from waxwinglift.version._renewals import DownEndpoint
+from waxwinglift.version._renewals import Renewal
 from waxwinglift.version._types import Term
 
 # Time after which a previous owner reports that it released an endpoint.
@@ -163,7 +165,7 @@
 
     def _renewal(self, proxy):
         record = proxy.record
-        return messages.Renewal(
+        return Renewal(
             daemon=record.daemon,
             address=record.address,
             location=record.location,
@@ -184,7 +186,7 @@
                 endpoint.location
             ):
                 term = outage.core.fleet.groups[endpoint.group].term
-                yield messages.DownEndpoint(name, Term(term))
+                yield DownEndpoint(name, Term(term))
 
     def _find_released(self, proxy):
         oldest_ms = self._outage.now_ms - RELEASE_DELAY_MS
--- a/waxwinglift_bench/process/_slopes.py
+++ b/waxwinglift_bench/process/_slopes.py
@@ -18,11 +18,13 @@
 from waxwinglift.version import LogIndex
 from waxwinglift.version._apply import apply_entry
 from waxwinglift.version._control_core import ControlCore
-from waxwinglift.version._control_core import ControlCoreSettings
+from waxwinglift.version._control_settings import ControlCoreSettings
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import decode_fleet
 from waxwinglift.version._entry_codec import encode_entry
 from waxwinglift.version._entry_codec import encode_fleet
+from waxwinglift.version._renewals import DownEndpoint
+from waxwinglift.version._renewals import Renewal
 from waxwinglift_bench.process import _slopes_fleet
 
 MEASUREMENTS = {}
@@ -112,7 +114,7 @@
 
 
 def _renewal(number, fleet):
-    return messages.Renewal(
+    return Renewal(
         daemon=_slopes_fleet.daemon_name(number),
         address=_slopes_fleet.address(number),
         location=_slopes_fleet.location(number),
@@ -225,7 +227,7 @@
     fleet = _slopes_fleet.build_fleet(2, 1)
     renewal = _renewal(0, fleet)
     down = tuple(
-        messages.DownEndpoint(_slopes_fleet.announcement(n, 0).endpoint, 1)
+        DownEndpoint(_slopes_fleet.announcement(n, 0).endpoint, 1)
         for n in range(down_count)
     )
     message = renewal_to_wire(dataclasses.replace(renewal, down=down))
--- a/waxwinglift_bench/process/_slopes_transport.py
+++ b/waxwinglift_bench/process/_slopes_transport.py
@@ -16,7 +16,7 @@
 from waxwinglift.process.rpc._channels import open_channel
 from waxwinglift.process.rpc._convert import renewal_to_wire
 from waxwinglift.version import LogIndex
-from waxwinglift.version._control_core_messages import Renewal
+from waxwinglift.version._renewals import Renewal
 from waxwinglift_bench.process import _slopes_fleet
 from waxwinglift_bench.process._slopes import measurement
 
--- a/waxwinglift_bench/version/_members.py
+++ b/waxwinglift_bench/version/_members.py
@@ -12,7 +12,7 @@
 from waxwinglift.version._consensus import ConsensusNode
 from waxwinglift.version._consensus_membership import bootstrap_entries
 from waxwinglift.version._control_core import ControlCore
-from waxwinglift.version._control_core import ControlCoreSettings
+from waxwinglift.version._control_settings import ControlCoreSettings
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import encode_entry
 from waxwinglift_bench.version._virtual import Node
--- a/waxwinglift_bench/version/_proxies.py
+++ b/waxwinglift_bench/version/_proxies.py
@@ -14,8 +14,8 @@
 from waxwinglift.request._floors import FloorState
 from waxwinglift.version import FleetState
 from waxwinglift.version._apply import apply_entry
-from waxwinglift.version._control_core_messages import Renewal
-from waxwinglift.version._failover_messages import DownEndpoint
+from waxwinglift.version._renewals import Renewal
+from waxwinglift.version._renewals import DownEndpoint
 from waxwinglift.version._failover_progress import quorum_count
 from waxwinglift.version._fleet import find_term
 from waxwinglift.version._leases import DaemonLease
