Send callers elsewhere before a proxy refuses the keys of tenants

Cause: a proxy that control does not reach refuses keys after 3.75 s, but was ready all the while.

Change: where there are tenants, a proxy is not ready once its state is older than half of the largest age by which keys are accepted.

--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -30,6 +30,9 @@
 # Time without progress after which an endpoint is reported as stalled; as long
 # as the default of ``HealthSettings.down_after_ms``.
 STALL_LIMIT_MS = 600.0
+# Part of the largest age of a state by which keys are accepted, from which on
+# callers are sent to other proxies.
+_UNCONFIRMED_FRACTION = 0.5
 
 
 @contextlib.asynccontextmanager
@@ -227,6 +230,17 @@
             return False
         return self.entry.context.has_recent_primary_refusal()
 
+    def _are_keys_unconfirmed(self):
+        """Return whether callers with a key should use another proxy.
+
+        Load balancers need some time to notice, so this is so before the
+        proxy refuses keys.
+        """
+        limit_ms = self.settings.entry.view_age_limit_ms
+        if not limit_ms or not self.view.fleet.tenants:
+            return False
+        return self.view.age_ms() > _UNCONFIRMED_FRACTION * limit_ms
+
     def check_readiness(self):
         """Return whether callers should be sent here, and the reason."""
         return _readiness.check_readiness(
@@ -234,4 +248,5 @@
             self._may_serve(),
             set(self.owners.health().values()),
             self._needs_other_proxy(),
+            self._are_keys_unconfirmed(),
         )
--- a/waxwinglift/process/_readiness.py
+++ b/waxwinglift/process/_readiness.py
@@ -27,6 +27,7 @@
     has_lease,
     health_states,
     are_primary_and_control_unreachable=False,
+    are_keys_unconfirmed=False,
 ):
     """Return the readiness of a proxy.
 
@@ -42,6 +43,9 @@
         Whether an owner has recently refused a request as outdated, and
         control, which announces the next primary, cannot be reached.
         Another proxy may be able to reach them.
+    are_keys_unconfirmed : bool
+        Whether the proxy soon has to refuse the keys of all tenants, because
+        control does not confirm its state of the fleet.
     """
     if is_draining:
         return Readiness(False, "draining")
@@ -51,6 +55,8 @@
         return Readiness(False, "no endpoint answers")
     if are_primary_and_control_unreachable:
         return Readiness(False, "control and a primary cannot be reached")
+    if are_keys_unconfirmed:
+        return Readiness(False, "control does not confirm the tenants' keys")
     return Readiness(True, "ready")
 
 
--- a/waxwinglift/process/cli/_operator.py
+++ b/waxwinglift/process/cli/_operator.py
@@ -8,6 +8,7 @@
 from waxwinglift.process.cli import _fleet
 from waxwinglift.process.cli import _pools
 from waxwinglift.process.cli import _schema
+from waxwinglift.process.cli import _tenants
 
 
 @click.group(context_settings={"auto_envvar_prefix": "WAXWINGLIFT"})
@@ -43,3 +44,4 @@
 operator.add_command(_fleet.status)
 operator.add_command(_pools.pool)
 operator.add_command(_schema.schema)
+operator.add_command(_tenants.tenants)
