Look up homes only for tenants that exist

Cause: a proxy computed and kept the homes of any name that another proxy asked for, so that its memory grew with the names in such messages.

Change: an unknown tenant is answered before its homes are looked up. The test of tenants' connections also reads every log record for the keys.

--- a/waxwinglift/platform/tests/test_tenants.py
+++ b/waxwinglift/platform/tests/test_tenants.py
@@ -79,7 +79,7 @@
 
 
 @pytest.mark.parametrize("proxy_count", [1, 2])
-def test_servers_are_told_the_tenant_and_never_the_key(proxy_count):
+def test_servers_are_told_the_tenant_and_never_the_key(proxy_count, caplog):
     # A statement under another tenant's name would be charged to it, also
     # when it is forwarded or uses a connection that another tenant has left.
     async def work():
@@ -103,8 +103,15 @@
             for server in fleet.group.servers.values():
                 clients = {client for _, client in server.clients}
                 assert not any(b"secret" in client for client in clients)
+            with pytest.raises(ConnectionError) as refused:
+                async with fleet.connected("pay", "secret-4"):
+                    pass
+            assert "secret" not in str(refused.value)
 
+    caplog.set_level("DEBUG")
     run(work)
+    assert caplog.records
+    assert not any("secret" in str(r.__dict__) for r in caplog.records)
 
 
 def _withdraw(fleet):
--- a/waxwinglift/request/_quota.py
+++ b/waxwinglift/request/_quota.py
@@ -81,9 +81,9 @@
         self, fleet: FleetState, tenant: TenantName, now_ms: float
     ) -> QuotaAnswer:
         """Let a tenant start one operation, or say when to ask again."""
-        homes = self._homes.find(tenant)
         limit = fleet.tenants.get(tenant)
-        if self._daemon not in homes or limit is None:
+        homes = () if limit is None else self._homes.find(tenant)
+        if self._daemon not in homes:
             self._accounts.pop(tenant, None)
             return QuotaAnswer(QuotaOutcome.NOT_HOME)
         if limit.rate_per_s is None:
