Keep departures of servers in the control log

What callers would see: requests sent to the address of a server that has deregistered and ended, for up to 4.8 s.

Cause: the departure was only in the memory of the leader that received it, and for no longer than the time to live. A heartbeat that a partition had delayed made the server a member again at another leader, or later.

Change: EndpointRemoved says which start has ended, the state keeps the last 512 departures, and a leader ignores announcements of such a start for 20 s. A departure that is not the server's own is forgotten after that, as a test shows. Stored entries without the new field decode as before.

--- a/waxwinglift/version/_announcements.py
+++ b/waxwinglift/version/_announcements.py
@@ -106,10 +106,13 @@
         self.settings = settings
         self._records = {}
         self._formation_proposed_ms = {}
+        # Time at which this leader learned of each departure in the log.
+        self._departed_ms = {}
 
     def start_leadership(self, fleet, now_ms):
         """Restart the time to live of each known endpoint."""
         self._records = {e: _Record(now_ms) for e in fleet.endpoints}
+        self._departed_ms = {}
         self._formation_proposed_ms = {}
 
     def announce(self, announcement, fleet, now_ms):
@@ -145,6 +148,8 @@
         if announcement.is_gone and not announcement.started_ms:
             # Without a start time there is nothing to compare.
             return False
+        if self._has_departed(announcement, fleet, now_ms):
+            return True
         last = record.announcement
         is_overtaken = last is not None and announcement.order < last.order
         later = _find_later_starts(announcement, fleet)
@@ -162,15 +167,36 @@
             return True
         return not record.has_outdated_before(announcement)
 
+    def _has_departed(self, announcement, fleet, now_ms):
+        """Return whether the endpoint has ended this start not long ago.
+
+        The departure is in the log, so that a leader that did not receive it
+        ignores late announcements too.  It is ignored after a while, since
+        any client may send one for an endpoint that stays.
+        """
+        name = announcement.endpoint
+        ended_start_ms = fleet.departed.get(name)
+        if ended_start_ms is None:
+            self._departed_ms.pop(name, None)
+            return False
+        if announcement.started_ms > ended_start_ms:
+            return False
+        since_ms = self._departed_ms.setdefault(name, now_ms)
+        return now_ms - since_ms < self.settings.departed_ms
+
     def _is_expired(self, record, now_ms):
         return now_ms - record.last_ms >= self.settings.ttl_ms
 
     def _remove(self, announcement, record, fleet, now_ms):
         """Return the removal of an endpoint that announced it has left."""
         record.announcement = announcement
-        if announcement.endpoint not in fleet.endpoints:
+        known = fleet.endpoints.get(announcement.endpoint)
+        if known is None:
             return []
-        entry = EndpointRemoved(announcement.endpoint)
+        is_own = announcement.started_ms in (0, known.started_ms)
+        entry = EndpointRemoved(
+            announcement.endpoint, known.started_ms if is_own else 0
+        )
         return [entry] if self._may_propose(record, entry, now_ms) else []
 
     def _remove_predecessors(self, announcement, fleet, now_ms):
--- a/waxwinglift/version/_apply_groups.py
+++ b/waxwinglift/version/_apply_groups.py
@@ -49,6 +49,7 @@
         started_ms=entry.started_ms,
     )
     state.set_endpoint(endpoint)
+    state.departed.pop(entry.endpoint, None)
     return Ok(Applied(index))
 
 
@@ -157,6 +158,8 @@
     known = state.endpoints.get(entry.endpoint)
     if known is None:
         return refuse(RefusalCode.UNKNOWN_ENDPOINT, entry.endpoint)
+    if entry.ended_start_ms:
+        state.record_departure(entry.endpoint, entry.ended_start_ms)
     group = state.groups[known.group]
     if group.primary == entry.endpoint:
         group.has_primary_left = True
--- a/waxwinglift/version/_control_settings.py
+++ b/waxwinglift/version/_control_settings.py
@@ -28,6 +28,9 @@
     retry_ms : int
         Time after which a proposed entry that is still needed is proposed
         again.  It doubles with each repetition, except for GroupFormed.
+    departed_ms : int
+        Time for which a leader ignores announcements of an endpoint's start
+        that the endpoint has ended.
     """
 
     model_config = pydantic.ConfigDict(defer_build=True, frozen=True)
@@ -38,6 +41,7 @@
     max_backoff_ms: int = 60_000
     steady_ms: int = 60_000
     retry_ms: int = 1000
+    departed_ms: int = 20_000
 
 
 class MembershipSettings(pydantic.BaseModel):
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -233,9 +233,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointRemoved:
-    """The endpoint has left permanently and is removed."""
+    """The endpoint has left permanently and is removed.
+
+    ``ended_start_ms`` is the start that the endpoint itself has ended; 0 if
+    another endpoint has taken its place.
+    """
 
     endpoint: EndpointId
+    ended_start_ms: int = 0
     kind: EntryKind = EntryKind.ENDPOINT_REMOVED
 
 
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -34,6 +34,11 @@
 from waxwinglift.version._types import Timeline
 
 
+# Departures that are kept; a fleet of the target size has 2,610 endpoints, and
+# a departure matters only for seconds.
+_DEPARTED_LIMIT_COUNT = 512
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PastTable:
     """A table that has been replaced by a later edit."""
@@ -211,6 +216,8 @@
         default_factory=dict
     )
     desired: DesiredState | None = None
+    # Start times of endpoints that have left, the latest departure last.
+    departed: dict[EndpointId, int] = dataclasses.field(default_factory=dict)
     tenants: dict[TenantName, TenantSettings] = dataclasses.field(
         default_factory=dict
     )
@@ -240,6 +247,13 @@
         del self._group_endpoints[removed.group][endpoint]
         self.owners.pop(endpoint, None)
 
+    def record_departure(self, endpoint: EndpointId, started_ms: int):
+        """Record that an endpoint has ended its start at ``started_ms``."""
+        self.departed.pop(endpoint, None)
+        self.departed[endpoint] = started_ms
+        if len(self.departed) > _DEPARTED_LIMIT_COUNT:
+            del self.departed[next(iter(self.departed))]
+
     def set_pool(self, name: PoolName, pool: Pool):
         """Add or replace a pool; its new table may name another group."""
         known = self.pools.get(name)
--- a/waxwinglift/version/tests/test_announcement_order.py
+++ b/waxwinglift/version/tests/test_announcement_order.py
@@ -8,9 +8,11 @@
 from waxwinglift.process import Location
 from waxwinglift.version import _entries as entries
 from waxwinglift.version._announcements import Announcement
-from waxwinglift.version._control_settings import AnnouncementSettings
 from waxwinglift.version._announcements import AnnouncementTable
 from waxwinglift.version._apply import apply_entry
+from waxwinglift.version._control_settings import AnnouncementSettings
+from waxwinglift.version._entry_codec import decode_fleet
+from waxwinglift.version._entry_codec import encode_fleet
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._types import EndpointState
 from waxwinglift.version.tests.test_desired import plan_and_apply
@@ -203,3 +205,52 @@
     table.expire()
     assert table.announce(**late) == []
     assert table.fleet.endpoints["s1"].state is EndpointState.LOST
+
+
+@pytest.mark.parametrize("started_ms", [0, 1000])
+@pytest.mark.parametrize("leaders_count", [0, 1, 3])
+def test_new_leader_does_not_bring_back_a_departed_server(
+    leaders_count, started_ms
+):
+    # A heartbeat that a partition has delayed may reach a control daemon that
+    # has become the leader since; requests would be sent to nobody.
+    table = Table()
+    table.announce()
+    replica = {
+        "endpoint": "s2",
+        "address": Address("10.0.0.2", 1),
+        "in_recovery": True,
+    }
+    table.announce(**replica)
+    table.announce(
+        **replica | {"started_ms": started_ms, "sequence": 9, "is_gone": True}
+    )
+    for _ in range(leaders_count):
+        table.fleet = decode_fleet(encode_fleet(table.fleet))
+        table.table = AnnouncementTable(AnnouncementSettings())
+        table.table.start_leadership(table.fleet, table.now_ms)
+    for sequence in range(6, 9):
+        table.expire()
+        assert table.announce(**replica, sequence=sequence) == []
+    assert set(table.fleet.endpoints) == {"s1"}
+    # A new start of the server is another matter.
+    table.announce(**replica | {"started_ms": 7000, "sequence": 1})
+    assert set(table.fleet.endpoints) == {"s1", "s2"}
+    assert not table.fleet.departed
+
+
+def test_departure_that_was_not_the_servers_own_does_not_last():
+    # Any client can send one; the server must not be shut out for ever.
+    table = Table()
+    table.announce()
+    replica = {
+        "endpoint": "s2",
+        "address": Address("10.0.0.2", 1),
+        "in_recovery": True,
+    }
+    table.announce(**replica)
+    table.announce(**replica | {"started_ms": 0, "is_gone": True})
+    for sequence in range(6, 40):
+        table.expire()
+        table.announce(**replica, sequence=sequence)
+    assert set(table.fleet.endpoints) == {"s1", "s2"}
