--- a/waxwinglift/connection/_caller_identity.py
+++ b/waxwinglift/connection/_caller_identity.py
@@ -1,4 +1,4 @@
-"""Identification of a session's caller by the key of a tenant."""
+"""Identification of a session's caller by the key of a workspace."""
 
 from result import Err
 from result import Ok
@@ -10,21 +10,21 @@
 from waxwinglift.request import not_run
 from waxwinglift.version import PoolTable
 from waxwinglift.version._fleet import FleetState
-from waxwinglift.version._tenants import fingerprint
+from waxwinglift.version._workspaces import fingerprint
 from waxwinglift.version._types import KeyDigest
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 # Time after which a proxy may have reached control again.
 _STALE_RETRY_MS = 500
 
 
-def find_tenant(
+def find_workspace(
     fleet: FleetState,
     key: KeyDigest,
     view_age_ms: float,
     view_age_limit_ms: float,
-) -> Result[TenantName, Failure]:
-    """Return the tenant that holds a key.
+) -> Result[WorkspaceName, Failure]:
+    """Return the workspace that holds a key.
 
     Parameters
     ----------
@@ -37,7 +37,7 @@
 
     Returns
     -------
-    Result[TenantName, Failure]
+    Result[WorkspaceName, Failure]
         A key that ``fleet`` does not have is only called unknown if that
         state is recent; it may have been added since.
     """
@@ -45,11 +45,11 @@
     if not is_recent:
         message = "the proxy cannot confirm that the key is still valid"
         return Err(not_run(FailureCode.UNAVAILABLE, message, _STALE_RETRY_MS))
-    tenant = fleet.tenant_of(key)
-    if tenant is None:
-        message = f"the key {fingerprint(key)} belongs to no tenant"
+    workspace = fleet.workspace_of(key)
+    if workspace is None:
+        message = f"the key {fingerprint(key)} belongs to no workspace"
         return Err(not_run(FailureCode.UNAUTHENTICATED, message))
-    return Ok(tenant)
+    return Ok(workspace)
 
 
 class CallerIdentity:
@@ -66,8 +66,8 @@
 
     def __init__(self, context: EntryContext, key: KeyDigest, peer: str):
         # None while the session's pool is public.
-        self.tenant: TenantName | None = None
-        # Whom the owners' queues take turns for: the tenant, or else the
+        self.workspace: WorkspaceName | None = None
+        # Whom the owners' queues take turns for: the workspace, or else the
         # caller's fingerprint and address.
         self.name = ""
         self._context = context
@@ -80,11 +80,11 @@
         Called for each statement, since keys are withdrawn at any time.
         """
         if table.policy.is_public:
-            self.tenant = None
+            self.workspace = None
             self.name = self._anonymous_name
             return None
         context = self._context
-        found = find_tenant(
+        found = find_workspace(
             context.view.fleet,
             self._key,
             context.view.age_ms(),
@@ -93,16 +93,16 @@
         if isinstance(found, Err):
             self._log_refusal(table, found.err_value)
             return found.err_value
-        self.tenant = found.ok_value
-        self.name = self.tenant
+        self.workspace = found.ok_value
+        self.name = self.workspace
         return None
 
     def update_in_block(self, table: PoolTable) -> Failure | None:
         """Identify the caller again while a transaction block is open."""
-        tenant = self.tenant
+        workspace = self.workspace
         failure = self.update(table)
-        if failure is None and self.tenant != tenant:
-            message = "the key belongs to another tenant now"
+        if failure is None and self.workspace != workspace:
+            message = "the key belongs to another workspace now"
             failure = not_run(FailureCode.ABORTED, message)
         return failure
 
--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -16,8 +16,8 @@
 # Connections opened at a time after a failure, until one succeeds.  An
 # endpoint that refuses connections would refuse all missing ones too.
 _RETRY_LIMIT_COUNT = 2
-# Connections without a tenant that are kept open where requests have one.
-_TENANTED_WARM_COUNT = 1
+# Connections without a workspace that are kept open where requests have one.
+_SHARED_WARM_COUNT = 1
 
 
 class EndpointPool:
@@ -28,9 +28,9 @@
     `UseConnection` actions.  A holder is any hashable value that identifies
     a transaction; it is unique among the transactions that wait or run.
 
-    A connection is opened under the name of one tenant, or of none, and runs
-    only its transactions.  At the connection limit, an idle connection of
-    another tenant is closed for a holder that waits.
+    A connection is opened under the name of one workspace, or of none, and
+    runs only its transactions.  At the connection limit, an idle connection of
+    another workspace is closed for a holder that waits.
 
     Parameters
     ----------
@@ -50,9 +50,9 @@
         # Connections kept open even if no transaction needs them; None means
         # ``slots_count`` and ``settings.spare_count`` together.
         self.warm_count = None
-        # Whether requests name a tenant, so that connections cannot be opened
-        # before the first request of each.
-        self.is_tenanted = False
+        # Whether requests name a workspace, so that connections cannot be
+        # opened before the first request of each.
+        self.is_per_workspace = False
         self._connections = PoolRecords()
         self._waiting = collections.OrderedDict()
         self._is_enabled = False
@@ -115,13 +115,14 @@
             actions += self._close(connection, now_ms)
         return actions
 
-    def acquire(self, holder, now_ms, tenant=None, is_any=False):
+    def acquire(self, holder, now_ms, workspace=None, is_any=False):
         """Request a connection for a transaction.
 
         This or a later call returns the connection as `UseConnection`.  With
-        ``is_any`` it may be that of any tenant, for the proxy's own commands.
+        ``is_any`` it may be that of any workspace, for the proxy's own
+        commands.
         """
-        self._waiting[holder] = ConnectionNeed(tenant, is_any)
+        self._waiting[holder] = ConnectionNeed(workspace, is_any)
         return self._serve_waiting(now_ms)
 
     def cancel(self, holder):
@@ -262,7 +263,7 @@
         for holder, need in list(self._waiting.items()):
             connection = self._connections.find_idle(need)
             if connection is None:
-                if not self.is_tenanted:
+                if not self.is_per_workspace:
                     break
                 continue
             del self._waiting[holder]
@@ -276,13 +277,13 @@
             return []
         openings_count = self._openings_left_count()
         actions = []
-        for tenant in self._missing_tenants():
+        for workspace in self._missing_workspaces():
             if len(actions) >= openings_count:
                 return actions
             if len(self._connections) < self.limit_count:
-                actions.append(self._open(now_ms, tenant))
+                actions.append(self._open(now_ms, workspace))
             else:
-                actions += self._close_for_another_tenant(now_ms)
+                actions += self._close_for_another_workspace(now_ms)
         missing_count = min(
             self._wanted_count() - self._usable_count(),
             self.limit_count - len(self._connections),
@@ -290,12 +291,12 @@
         )
         return actions + [self._open(now_ms) for _ in range(missing_count)]
 
-    def _missing_tenants(self):
-        if not self.is_tenanted:
+    def _missing_workspaces(self):
+        if not self.is_per_workspace:
             return []
-        return self._connections.missing_tenants(self._waiting.values())
+        return self._connections.missing_workspaces(self._waiting.values())
 
-    def _close_for_another_tenant(self, now_ms):
+    def _close_for_another_workspace(self, now_ms):
         """Close an idle connection, which no waiting holder can use."""
         connections = self._connections
         is_closing = connections.count(ConnectionState.CLOSED) > 0
@@ -316,23 +317,25 @@
     def _probe_or_close_idle(self, connection, now_ms):
         # When a suspect turns out healthy, its replacement is surplus.
         is_surplus = self._usable_count() > self._wanted_count()
-        is_tenants = self._connections[connection].tenant is not None
-        if is_surplus and not is_tenants and not self.settings.keeps_surplus:
+        is_workspaces = self._connections[connection].workspace is not None
+        if (
+            is_surplus
+            and not is_workspaces
+            and not self.settings.keeps_surplus
+        ):
             return self._close(connection, now_ms)
         return self._probe(connection, now_ms)
 
     def _wanted_count(self):
-        """Return the number of connections of no tenant that are wanted."""
-        needed_count = self._connections.count_untenanted(
-            {ConnectionState.BUSY}
-        )
+        """Return the number of connections of no workspace that are wanted."""
+        needed_count = self._connections.count_shared({ConnectionState.BUSY})
         for need in self._waiting.values():
-            needed_count += need.tenant is None
+            needed_count += need.workspace is None
         warm_count = self.warm_count
         if warm_count is None:
             warm_count = self.slots_count + self.settings.spare_count
-        if self.is_tenanted:
-            warm_count = min(warm_count, _TENANTED_WARM_COUNT)
+        if self.is_per_workspace:
+            warm_count = min(warm_count, _SHARED_WARM_COUNT)
         return max(warm_count, needed_count)
 
     def _usable_count(self):
@@ -341,17 +344,17 @@
             # Probes of unresponsive connections fail late, so open others
             # now.
             usable.discard(ConnectionState.SUSPECT)
-        return self._connections.count_untenanted(usable)
+        return self._connections.count_shared(usable)
 
-    def _open(self, now_ms, tenant=None):
+    def _open(self, now_ms, workspace=None):
         connection = ConnectionId(self._next_id)
         self._next_id += 1
-        record = ConnectionRecord(ConnectionState.OPENING, now_ms, tenant)
+        record = ConnectionRecord(ConnectionState.OPENING, now_ms, workspace)
         self._connections[connection] = record
         self._due_ms = min(
             self._due_ms, now_ms + self.settings.open_timeout_ms
         )
-        return OpenConnection(connection, tenant)
+        return OpenConnection(connection, workspace)
 
     def _probe(self, connection, now_ms):
         self._set_state(connection, ConnectionState.SUSPECT, now_ms)
--- a/waxwinglift/connection/_endpoint_pool_actions.py
+++ b/waxwinglift/connection/_endpoint_pool_actions.py
@@ -4,15 +4,15 @@
 from typing import Any
 
 from waxwinglift.connection._types import ConnectionId
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenConnection:
-    """Open a connection with this id, for one tenant or for none."""
+    """Open a connection with this id, for one workspace or for none."""
 
     connection: ConnectionId
-    tenant: TenantName | None = None
+    workspace: WorkspaceName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -23,7 +23,7 @@
 from waxwinglift.request._admission import AdmissionQueue
 from waxwinglift.request._admission import Start
 from waxwinglift.request._admission import Ticket
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 # Methods that execute one type of pool action.
 _action_handlers = Registry()
@@ -62,7 +62,7 @@
     """Transaction that waits for a connection, as in `EndpointPool`."""
 
     future: asyncio.Future
-    tenant: TenantName | None
+    workspace: WorkspaceName | None
     is_any: bool
 
 
@@ -73,7 +73,7 @@
     ----------
     pool : EndpointPool
     open_connection : callable
-        Opens a connection for a tenant or None; raises EndpointRefused.
+        Opens a connection for a workspace or None; raises EndpointRefused.
     now_ms : callable
     on_response : callable
         Called when a probe was answered without an error.
@@ -87,7 +87,7 @@
         self,
         pool: EndpointPool,
         open_connection: Callable[
-            [TenantName | None], Awaitable[ManagedConnection]
+            [WorkspaceName | None], Awaitable[ManagedConnection]
         ],
         now_ms: Callable[[], float],
         on_response: Callable[[], None],
@@ -166,15 +166,15 @@
         self,
         holder: RequestId,
         timeout_ms: float,
-        tenant: TenantName | None = None,
+        workspace: WorkspaceName | None = None,
         is_any: bool = False,
     ) -> tuple[ConnectionId, ManagedConnection] | None:
         """Return a connection, None if the wait timed out or was refused.
 
-        With ``is_any``, it may be the connection of any tenant.
+        With ``is_any``, it may be the connection of any workspace.
         """
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters[holder] = _Waiter(waiter, tenant, is_any)
+        self._waiters[holder] = _Waiter(waiter, workspace, is_any)
         self._request(holder)
         try:
             if not waiter.done():
@@ -205,7 +205,7 @@
     def _open(self, action):
         self._start_task(
             action.connection,
-            self._finish_open(action.connection, action.tenant),
+            self._finish_open(action.connection, action.workspace),
         )
 
     @_on_action(ProbeConnection)
@@ -244,7 +244,7 @@
         waiter = self._waiters[holder]
         self.perform(
             self.pool.acquire(
-                holder, self._now_ms(), waiter.tenant, waiter.is_any
+                holder, self._now_ms(), waiter.workspace, waiter.is_any
             )
         )
 
@@ -259,9 +259,9 @@
         if self._tasks.get(connection_id) is task:
             del self._tasks[connection_id]
 
-    async def _finish_open(self, connection_id, tenant):
+    async def _finish_open(self, connection_id, workspace):
         try:
-            connection = await self._open_connection(tenant)
+            connection = await self._open_connection(workspace)
         except EndpointRefused as error:
             now_ms = self._now_ms()
             self.perform(self.pool.on_open_failed(connection_id, now_ms))
--- a/waxwinglift/connection/_pool_records.py
+++ b/waxwinglift/connection/_pool_records.py
@@ -7,7 +7,7 @@
 
 from waxwinglift.connection._types import ConnectionId
 from waxwinglift.connection._types import ConnectionState
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,8 +19,8 @@
     state : ConnectionState
     since_ms : float
         Time of the last change of state.
-    tenant : TenantName or None
-        Tenant under whose name the connection is opened.
+    workspace : WorkspaceName or None
+        Workspace under whose name the connection is opened.
     used_ms : float
         Time at which the last transaction on it ended.
     holder : hashable
@@ -31,7 +31,7 @@
 
     state: ConnectionState
     since_ms: float
-    tenant: TenantName | None = None
+    workspace: WorkspaceName | None = None
     used_ms: float = float("-inf")
     holder: Any = None
     is_suspect: bool = False
@@ -41,15 +41,15 @@
 class ConnectionNeed:
     """Connection that a holder waits for.
 
-    With ``is_any``, the connection of any tenant will do.
+    With ``is_any``, the connection of any workspace will do.
     """
 
-    tenant: TenantName | None
+    workspace: WorkspaceName | None
     is_any: bool = False
 
     def is_met_by(self, record: ConnectionRecord) -> bool:
         """Return whether the holder may use a connection."""
-        return self.is_any or record.tenant == self.tenant
+        return self.is_any or record.workspace == self.workspace
 
 
 class PoolRecords(dict[ConnectionId, ConnectionRecord]):
@@ -59,10 +59,10 @@
         """Return the number of connections in a state."""
         return sum(record.state is state for record in self.values())
 
-    def count_untenanted(self, states: Iterable[ConnectionState]) -> int:
-        """Return the number of connections of no tenant in some states."""
+    def count_shared(self, states: Iterable[ConnectionState]) -> int:
+        """Return the number of connections of no workspace in some states."""
         return sum(
-            record.tenant is None and record.state in states
+            record.workspace is None and record.state in states
             for record in self.values()
         )
 
@@ -84,16 +84,16 @@
         idle = [(record.used_ms, one) for one, record in self._idle()]
         return min(idle)[1] if idle else None
 
-    def missing_tenants(
+    def missing_workspaces(
         self, needs: Iterable[ConnectionNeed]
-    ) -> list[TenantName | None]:
-        """Return the tenants for which connections must be opened.
+    ) -> list[WorkspaceName | None]:
+        """Return the workspaces for which connections must be opened.
 
-        A tenant, or None, is listed once for each connection that it lacks,
+        A workspace, or None, is listed once for each connection that it lacks,
         in the order of its holders.
         """
         opening = collections.Counter(
-            record.tenant
+            record.workspace
             for record in self.values()
             if record.state is ConnectionState.OPENING
         )
@@ -101,10 +101,10 @@
         for need in needs:
             if need.is_any:
                 continue
-            if opening[need.tenant] > 0:
-                opening[need.tenant] -= 1
+            if opening[need.workspace] > 0:
+                opening[need.workspace] -= 1
             else:
-                missing.append(need.tenant)
+                missing.append(need.workspace)
         return missing
 
     def _idle(self):
--- a/waxwinglift/connection/_statement_protocols.py
+++ b/waxwinglift/connection/_statement_protocols.py
@@ -24,7 +24,7 @@
 from waxwinglift.version import PoolName
 from waxwinglift.version import Position
 from waxwinglift.version._types import KeyDigest
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,9 +138,9 @@
         """Close now; a running call raises EndpointConnectionLost."""
 
 
-# Opens a connection under the name of a tenant, or of none; raises
+# Opens a connection under the name of a workspace, or of none; raises
 # EndpointRefused.
 ConnectionOpener = Callable[
-    [Address, GroupName, EndpointId, TenantName | None],
+    [Address, GroupName, EndpointId, WorkspaceName | None],
     Awaitable[StatementConnection],
 ]
--- a/waxwinglift/connection/_statement_session.py
+++ b/waxwinglift/connection/_statement_session.py
@@ -35,7 +35,7 @@
 from waxwinglift.request._statements import StatementAnswer
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import Position
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 logger = logging.getLogger(__name__)
 
@@ -93,9 +93,9 @@
         return "" if self._identity is None else self._identity.name
 
     @property
-    def tenant(self) -> TenantName | None:
-        """Tenant for which statements run; None for a public pool."""
-        return self._identity.tenant
+    def workspace(self) -> WorkspaceName | None:
+        """Workspace for which statements run; None for a public pool."""
+        return self._identity.workspace
 
     @property
     def is_disconnected(self) -> bool:
--- a/waxwinglift/connection/tests/test_endpoint_pool_tenants.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool_workspaces.py
@@ -1,4 +1,4 @@
-"""Tests of an endpoint's connections that belong to tenants."""
+"""Tests of an endpoint's connections that belong to workspaces."""
 
 import random
 
@@ -21,9 +21,9 @@
     def __init__(self, limit_count):
         self.pool = EndpointPool(_SETTINGS, 100, 3)
         self.pool.limit_count = limit_count
-        self.pool.is_tenanted = True
+        self.pool.is_per_workspace = True
         self.now_ms = 0.0
-        self.tenants = {}
+        self.workspaces = {}
         self.opening = []
         # Connection by holder.
         self.used = {}
@@ -32,10 +32,10 @@
     def perform(self, actions):
         for action in actions:
             if isinstance(action, OpenConnection):
-                self.tenants[action.connection] = action.tenant
+                self.workspaces[action.connection] = action.workspace
                 self.opening.append(action.connection)
             elif isinstance(action, CloseConnection):
-                self.tenants.pop(action.connection)
+                self.workspaces.pop(action.connection)
                 self.perform(
                     self.pool.on_closed(action.connection, self.now_ms)
                 )
@@ -47,11 +47,11 @@
                     action.connection, self.now_ms
                 )
                 self.perform(answered)
-        assert len(self.tenants) <= self.pool.limit_count
+        assert len(self.workspaces) <= self.pool.limit_count
 
-    def acquire(self, holder, tenant, is_any=False):
+    def acquire(self, holder, workspace, is_any=False):
         self.now_ms += 1.0
-        self.perform(self.pool.acquire(holder, self.now_ms, tenant, is_any))
+        self.perform(self.pool.acquire(holder, self.now_ms, workspace, is_any))
 
     def finish_openings(self):
         while self.opening:
@@ -65,7 +65,7 @@
         self.perform(self.pool.release(connection, self.now_ms))
 
 
-def test_a_tenant_gets_its_own_idle_connection_without_an_opening():
+def test_a_workspace_gets_its_own_idle_connection_without_an_opening():
     # Each opening takes a slot of the endpoint for 12 ms.
     server = _Server(10)
     server.acquire("h1", "a")
@@ -78,24 +78,28 @@
 
 
 def test_at_the_limit_the_least_recently_used_connection_gives_way():
-    # Tenants outnumber the connections, and all must be served; the ones
+    # Workspaces outnumber the connections, and all must be served; the ones
     # that come most often should find theirs open.
     server = _Server(3)
-    for holder, tenant in enumerate("abab"):
-        server.acquire(holder, tenant)
+    for holder, workspace in enumerate("abab"):
+        server.acquire(holder, workspace)
         server.finish_openings()
         server.release(holder)
     server.acquire("c1", "c")
     server.finish_openings()
-    assert server.tenants[server.used["c1"]] == "c"
-    assert sorted(t or "" for t in server.tenants.values()) == ["a", "b", "c"]
+    assert server.workspaces[server.used["c1"]] == "c"
+    assert sorted(t or "" for t in server.workspaces.values()) == [
+        "a",
+        "b",
+        "c",
+    ]
     server.acquire("d1", "d")
     server.finish_openings()
-    assert "a" not in server.tenants.values()
-    assert server.tenants[server.used["d1"]] == "d"
+    assert "a" not in server.workspaces.values()
+    assert server.workspaces[server.used["d1"]] == "d"
 
 
-def test_commands_of_the_proxy_use_the_connection_of_any_tenant():
+def test_commands_of_the_proxy_use_the_connection_of_any_workspace():
     # They would otherwise each need a connection of their own.
     server = _Server(1)
     server.finish_openings()
@@ -103,11 +107,11 @@
     server.finish_openings()
     server.release("h1")
     server.acquire("own", None, is_any=True)
-    assert server.tenants[server.used["own"]] == "a"
+    assert server.workspaces[server.used["own"]] == "a"
 
 
-def test_a_tenant_that_waits_does_not_delay_another_one():
-    # A flood of one tenant would otherwise block connections that idle.
+def test_a_workspace_that_waits_does_not_delay_another_one():
+    # A flood of one workspace would otherwise block connections that idle.
     server = _Server(2)
     for number in range(2):
         server.acquire(f"a{number}", "a")
@@ -132,8 +136,8 @@
 
 @pytest.mark.parametrize("limit_count", [1, 2, 5])
 @pytest.mark.parametrize("seed", range(5))
-def test_no_transaction_runs_under_another_tenants_name(seed, limit_count):
-    # No order of events may mix tenants, exceed the limit or leave a holder
+def test_no_transaction_runs_under_another_workspaces_name(seed, limit_count):
+    # No order of events may mix workspaces, exceed the limit or leave a holder
     # without a connection for ever.
     rng = random.Random(seed)
     server = _Server(limit_count)
@@ -141,9 +145,9 @@
     for number in range(1500):
         choice = rng.random()
         if choice < 0.4 and len(wanted) < 8:
-            tenant = rng.choice(["a", "b", "c", "d", None])
-            wanted[number] = tenant
-            server.acquire(number, tenant)
+            workspace = rng.choice(["a", "b", "c", "d", None])
+            wanted[number] = workspace
+            server.acquire(number, workspace)
         elif choice < 0.6:
             server.finish_openings()
         elif choice < 0.65:
@@ -159,7 +163,7 @@
             else:
                 server.release(holder)
         for holder, connection in server.used.items():
-            assert server.tenants[connection] == wanted[holder]
+            assert server.workspaces[connection] == wanted[holder]
             state = server.pool.state(connection)
             assert state is ConnectionState.BUSY
     while wanted:
--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -16,7 +16,7 @@
 from waxwinglift.request._statements import StatementAnswer
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import PoolName
-from waxwinglift.version._tenants import digest_key
+from waxwinglift.version._workspaces import digest_key
 
 # Error code on the wire for each failure.
 _FAILURE_CODES = {
--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -19,11 +19,11 @@
 from waxwinglift.version._entries import PoolPolicy
 from waxwinglift.version._entries import ServingLimits
 from waxwinglift.version._rank_rows import rank_row
-from waxwinglift.version._tenants import digest_key
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspaces import digest_key
+from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 # Longest duration in force.  The proxies send durations in uint32 fields and
 # may round them up, so it stays below UINT32_MAX.  The document that operators
@@ -79,6 +79,8 @@
 
 
 class _Tenant(_DocumentModel):
+    """A workspace, in the words of the document."""
+
     name: _Field
     keys: list[_Field] = pydantic.Field(default_factory=list, alias="apiKeys")
     rate_per_s: _Amount | None = pydantic.Field(None, alias="ratePerS")
@@ -130,7 +132,9 @@
             limits=ServingLimits(
                 _clip_duration(document.limits.idle_block_ms)
             ),
-            tenants=tuple(_make_tenant(one) for one in document.tenants or ()),
+            workspaces=tuple(
+                _make_workspace(one) for one in document.tenants or ()
+            ),
         )
     )
 
@@ -245,11 +249,11 @@
     )
 
 
-def _make_tenant(tenant):
+def _make_workspace(tenant):
     # The order of the keys has no meaning.
     digests = sorted({digest_key(key.encode()) for key in tenant.keys})
-    return TenantSettings(
-        tenant=TenantName(tenant.name),
+    return WorkspaceSettings(
+        workspace=WorkspaceName(tenant.name),
         keys=tuple(digests),
         rate_per_s=tenant.rate_per_s,
         burst_count=tenant.burst_count,
--- a/waxwinglift/platform/_endpoint_connection.py
+++ b/waxwinglift/platform/_endpoint_connection.py
@@ -24,9 +24,9 @@
 from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
-# Name sent where no tenant is known; servers accept any name.
+# Name sent where no workspace is known; servers accept any name.
 _CLIENT_NAME = "waxwinglift"
 # Needs no slot and has no effect outside a transaction.
 _PROBE = Command(CommandKind.ROLLBACK)
@@ -253,9 +253,9 @@
     address: Address,
     group: GroupName,
     endpoint: EndpointId,
-    tenant: TenantName | None = None,
+    workspace: WorkspaceName | None = None,
 ) -> EndpointConnection:
-    """Open a connection to the server with this id, for one tenant or none.
+    """Open a connection to the server with this id, for one workspace or none.
 
     Raises
     ------
@@ -263,7 +263,7 @@
         No connection could be opened, the server refused it, or another
         server uses the address.
     """
-    startup = _encode_startup(group, endpoint, tenant or _CLIENT_NAME)
+    startup = _encode_startup(group, endpoint, workspace or _CLIENT_NAME)
     loop = asyncio.get_running_loop()
     try:
         transport, connection = await loop.create_connection(
--- a/waxwinglift/platform/tests/test_caller_connection.py
+++ b/waxwinglift/platform/tests/test_caller_connection.py
@@ -15,7 +15,7 @@
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import PoolName
-from waxwinglift.version._tenants import digest_key
+from waxwinglift.version._workspaces import digest_key
 
 # Codes of failures after which the caller's attempt had no effect.
 _NOT_RUN_CODES = {
--- a/waxwinglift/platform/tests/test_desired_state.py
+++ b/waxwinglift/platform/tests/test_desired_state.py
@@ -9,7 +9,7 @@
 from waxwinglift.platform._desired_state import decode_desired_state
 from waxwinglift.platform._desired_state import encode_document
 from waxwinglift.process.rpc import peer_pb2
-from waxwinglift.version._tenants import digest_key
+from waxwinglift.version._workspaces import digest_key
 from waxwinglift.version._types import Consistency
 
 _ROUTE = {
@@ -195,8 +195,8 @@
 def test_tenants_are_stored_without_their_keys():
     """A key in clear text would reach logs and every proxy's memory."""
     request = _decode(_DOCUMENT | {"tenants": [_tenant("a")]}).ok_value
-    (settings,) = request.tenants
-    assert settings.tenant == "a"
+    (settings,) = request.workspaces
+    assert settings.workspace == "a"
     assert set(settings.keys) == {digest_key(b"k1"), digest_key(b"k2")}
     assert (settings.rate_per_s, settings.burst_count) == (135, 140)
     assert "k1" not in repr(settings)
--- a/waxwinglift/platform/tests/test_tenants.py
+++ b/waxwinglift/platform/tests/test_workspaces.py
@@ -1,4 +1,4 @@
-"""Tests of tenants' keys from a caller's session to the servers."""
+"""Tests of workspaces' keys from a caller's session to the servers."""
 
 import asyncio
 import contextlib
@@ -13,21 +13,21 @@
 from waxwinglift.version import PoolName
 from waxwinglift.version import TableVersion
 from waxwinglift.version._fleet import Pool
-from waxwinglift.version._tenants import digest_key
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspaces import digest_key
+from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift_standin.platform import Caller
 
 _AGE_LIMIT_MS = 3000.0
 _POOLS = ("pay", "look", "refill")
 
 
-def _set_tenants(state, **keys):
-    """Give each tenant its keys; other tenants are removed."""
-    for tenant in list(state.tenants):
-        state.remove_tenant(tenant)
-    for tenant, names in keys.items():
+def _set_workspaces(state, **keys):
+    """Give each workspace its keys; other workspaces are removed."""
+    for workspace in list(state.workspaces):
+        state.remove_workspace(workspace)
+    for workspace, names in keys.items():
         digests = tuple(digest_key(name.encode()) for name in names)
-        state.set_tenant(TenantSettings(tenant, digests))
+        state.set_workspace(WorkspaceSettings(workspace, digests))
 
 
 def _set_public(state, names, is_public):
@@ -39,12 +39,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running_tenants(proxy_count=1, **keys):
-    """Yield a fleet whose pools need the keys of tenants."""
+async def running_workspaces(proxy_count=1, **keys):
+    """Yield a fleet whose pools need the keys of workspaces."""
     entry = {"view_age_limit_ms": _AGE_LIMIT_MS}
     async with running_statement_fleet(proxy_count, entry=entry) as fleet:
         _set_public(fleet.state, _POOLS, False)
-        _set_tenants(fleet.state, **keys)
+        _set_workspaces(fleet.state, **keys)
         for proxy in fleet.proxies:
             proxy.view.notify()
         yield fleet
@@ -67,9 +67,9 @@
 @pytest.mark.parametrize("pool", _POOLS)
 @pytest.mark.parametrize("key", ["other", "acme", "K1"])
 def test_unknown_key_is_refused_at_the_start(pool, key):
-    # A tenant's name is no secret, so it must not serve as a key.
+    # A workspace's name is no secret, so it must not serve as a key.
     async def work():
-        async with running_tenants(acme=["k1"]) as fleet:
+        async with running_workspaces(acme=["k1"]) as fleet:
             with pytest.raises(ConnectionError, match="^NOAUTH "):
                 async with fleet.connected(pool, key):
                     pass
@@ -79,26 +79,26 @@
 
 
 @pytest.mark.parametrize("proxy_count", [1, 2])
-def test_servers_are_told_the_tenant_and_never_the_key(proxy_count, caplog):
-    # A statement under another tenant's name would be charged to it, also
-    # when it is forwarded or uses a connection that another tenant has left.
+def test_servers_are_told_the_workspace_and_never_the_key(proxy_count, caplog):
+    # A statement under another workspace's name would be charged to it, also
+    # when it is forwarded or uses a connection that another one has left.
     async def work():
         keys = {"acme": ["secret-1", "secret-2"], "birch": ["secret-3"]}
         expected = {}
-        async with running_tenants(proxy_count, **keys) as fleet:
+        async with running_workspaces(proxy_count, **keys) as fleet:
             for number in range(4):
-                for tenant, names in keys.items():
+                for workspace, names in keys.items():
                     for name in names:
                         for pool in _POOLS:
                             async with fleet.connected(pool, name) as caller:
-                                text = f"WRITE i{number} {tenant}"
+                                text = f"WRITE i{number} {workspace}"
                                 answer = await caller.query(text)
                                 assert answer.is_success, answer
-                                expected[answer.request] = tenant.encode()
+                                expected[answer.request] = workspace.encode()
                                 answer = await caller.query("BEGIN")
                                 answer = await caller.query(f"READ i{number}")
                                 assert answer.is_success, answer
-                                expected[answer.request] = tenant.encode()
+                                expected[answer.request] = workspace.encode()
             assert _statements(fleet) == expected
             for server in fleet.group.servers.values():
                 clients = {client for _, client in server.clients}
@@ -115,11 +115,11 @@
 
 
 def _withdraw(fleet):
-    _set_tenants(fleet.state, acme=["k2"], birch=["k3"])
+    _set_workspaces(fleet.state, acme=["k2"], birch=["k3"])
 
 
 def _move(fleet):
-    _set_tenants(fleet.state, birch=["k1", "k3"], acme=["k2"])
+    _set_workspaces(fleet.state, birch=["k1", "k3"], acme=["k2"])
 
 
 def _age(fleet):
@@ -143,7 +143,7 @@
     change, error, _ = _ENDINGS[ending]
 
     async def work():
-        async with running_tenants(acme=["k1"], birch=["k3"]) as fleet:
+        async with running_workspaces(acme=["k1"], birch=["k3"]) as fleet:
             async with fleet.connected(pool, "k1") as caller:
                 assert (await caller.query("WRITE a 1")).is_success
                 change(fleet)
@@ -158,12 +158,12 @@
 @pytest.mark.parametrize("ending", _ENDINGS)
 @pytest.mark.parametrize("text", ["WRITE a 2", "READ a", "COMMIT"])
 def test_open_transaction_cannot_commit_with_a_lost_key(text, ending):
-    # A transaction that was begun in time must not write for a tenant that
+    # A transaction that was begun in time must not write for a workspace that
     # no longer lets the caller in.
     change, _, error = _ENDINGS[ending]
 
     async def work():
-        async with running_tenants(acme=["k1"], birch=["k3"]) as fleet:
+        async with running_workspaces(acme=["k1"], birch=["k3"]) as fleet:
             async with fleet.connected("pay", "k1") as caller:
                 await caller.query("BEGIN")
                 written = await caller.query("WRITE a 1")
@@ -182,7 +182,7 @@
 def test_view_of_unknown_age_refuses_a_key_without_calling_it_unknown():
     # A proxy that has just started may lack a key that was added meanwhile.
     async def work():
-        async with running_tenants(acme=["k1"]) as fleet:
+        async with running_workspaces(acme=["k1"]) as fleet:
             _age(fleet)
             for key in ("k1", "new"):
                 with pytest.raises(ConnectionError, match="^BUSY "):
@@ -192,10 +192,10 @@
     run(work)
 
 
-def test_public_pool_needs_no_key_and_names_no_tenant():
-    # Statements of anonymous callers must not run on a tenant's connection.
+def test_public_pool_needs_no_key_and_names_no_workspace():
+    # Statements of anonymous callers must not run on a workspace's connection.
     async def work():
-        async with running_tenants(acme=["k1"]) as fleet:
+        async with running_workspaces(acme=["k1"]) as fleet:
             async with fleet.connected("pay", "k1") as caller:
                 assert (await caller.query("WRITE a 1")).is_success
             _set_public(fleet.state, ["look"], True)
@@ -209,29 +209,29 @@
 
 
 @pytest.mark.parametrize("proxy_count", [1, 2, 3])
-def test_limit_of_a_tenant_holds_for_all_proxies_together(proxy_count):
+def test_limit_of_a_workspace_holds_for_all_proxies_together(proxy_count):
     # Proxies that each count for themselves would grant it several times;
-    # one that cannot ask the tenant's home would refuse everything.
+    # one that cannot ask the workspace's home would refuse everything.
     async def work():
         keys = {f"t{number}": [f"k{number}"] for number in range(4)}
-        async with running_tenants(proxy_count, **keys) as fleet:
-            for tenant in list(fleet.state.tenants.values()):
+        async with running_workspaces(proxy_count, **keys) as fleet:
+            for workspace in list(fleet.state.workspaces.values()):
                 limited = dataclasses.replace(
-                    tenant, rate_per_s=0.001, burst_count=3.0
+                    workspace, rate_per_s=0.001, burst_count=3.0
                 )
-                fleet.state.set_tenant(limited)
+                fleet.state.set_workspace(limited)
             for proxy in fleet.proxies:
                 # The counts of a new home start at the rate of the limit.
                 proxy.owners._homes.changed_ms = -math.inf
             served = dict.fromkeys(keys, 0)
-            for tenant, (key,) in keys.items():
+            for workspace, (key,) in keys.items():
                 for number in range(9):
                     entry = fleet.proxies[number % proxy_count].entry
                     async with Caller.connected(
                         entry.address, "pay", key
                     ) as caller:
                         answer = await caller.query("READ a")
-                    served[tenant] += answer.is_success
+                    served[workspace] += answer.is_success
                     if not answer.is_success:
                         assert answer.error.startswith(b"TOOMANY ")
                         assert answer.state == b"I"
@@ -243,12 +243,12 @@
 def test_statements_of_a_transaction_count_once():
     # The limit counts operations, not the statements of a transaction.
     async def work():
-        async with running_tenants(acme=["k1"]) as fleet:
-            tenant = fleet.state.tenants["acme"]
+        async with running_workspaces(acme=["k1"]) as fleet:
+            workspace = fleet.state.workspaces["acme"]
             limited = dataclasses.replace(
-                tenant, rate_per_s=0.001, burst_count=1.0
+                workspace, rate_per_s=0.001, burst_count=1.0
             )
-            fleet.state.set_tenant(limited)
+            fleet.state.set_workspace(limited)
             async with fleet.connected("pay", "k1") as caller:
                 assert (await caller.query("BEGIN")).is_success
                 for text in ("READ a", "WRITE a 1", "READ a", "COMMIT"):
@@ -262,12 +262,12 @@
 def test_operation_that_has_not_run_is_not_counted():
     # Callers repeat what was refused; the limit must not run out meanwhile.
     async def work():
-        async with running_tenants(acme=["k1"]) as fleet:
-            tenant = fleet.state.tenants["acme"]
+        async with running_workspaces(acme=["k1"]) as fleet:
+            workspace = fleet.state.workspaces["acme"]
             limited = dataclasses.replace(
-                tenant, rate_per_s=0.001, burst_count=1.0
+                workspace, rate_per_s=0.001, burst_count=1.0
             )
-            fleet.state.set_tenant(limited)
+            fleet.state.set_workspace(limited)
             group = fleet.state.groups[GROUP]
             group.phase = GroupPhase.PROMOTING
             async with fleet.connected("pay", "k1") as caller:
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -51,8 +51,9 @@
         towards ``drain_timeout_ms``.
     view_age_limit_ms : float
         Largest age of the proxy's state of the fleet up to which it accepts
-        the keys of tenants; 0 for no limit.  A key that is withdrawn stays in
-        use for no longer than this and control's check-quorum time together.
+        the keys of workspaces; 0 for no limit.  A key that is withdrawn stays
+        in use for no longer than this and control's check-quorum time
+        together.
     reported_parameters : dict of str to str
         Run-time parameters reported to callers at start-up; must match those
         of the endpoints.
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -24,7 +24,7 @@
 from waxwinglift.version import Position
 from waxwinglift.version import Rank
 from waxwinglift.version import Term
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 # Coroutine function that receives bytes of an answer.
 Sink = Callable[[bytes], Awaitable[None]]
@@ -68,8 +68,8 @@
         an assignment, because the owner cannot be reached.
     statement_timeout_ms : int
         Time limit for each statement of a block after the first.
-    tenant : TenantName or None
-        Tenant for which the transaction runs; None for a public pool.
+    workspace : WorkspaceName or None
+        Workspace for which the transaction runs; None for a public pool.
     """
 
     endpoint: EndpointId
@@ -91,7 +91,7 @@
     in_block: bool = False
     to_standby: bool = False
     statement_timeout_ms: int = 0
-    tenant: TenantName | None = None
+    workspace: WorkspaceName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,9 +188,9 @@
         """Return a position that includes every acknowledged write."""
 
     async def take_quota(
-        self, tenant: TenantName
+        self, workspace: WorkspaceName
     ) -> Result[QuotaAnswer, Failure]:
-        """Ask this proxy, as a tenant's home, to start one operation."""
+        """Ask this proxy, as a workspace's home, to start one operation."""
 
 
 class RunningStatement(Protocol):
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -34,8 +34,8 @@
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
 from waxwinglift.version import Term
-from waxwinglift.version._tenant_homes import TenantHomes
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._workspace_homes import WorkspaceHomes
+from waxwinglift.version._types import WorkspaceName
 
 logger = logging.getLogger(__name__)
 
@@ -99,7 +99,7 @@
         # Returns the executor of another proxy; set after construction.
         self.find_executor = _find_no_executor
         self._tick_timer: asyncio.TimerHandle | None = None
-        self._homes = TenantHomes(lambda: view.fleet, now_ms)
+        self._homes = WorkspaceHomes(lambda: view.fleet, now_ms)
         self._quota_home = QuotaHome(view.daemon, settings.quota, self._homes)
 
     def start(self):
@@ -173,11 +173,11 @@
         return await owner.group_position(group, term)
 
     async def take_quota(
-        self, tenant: TenantName
+        self, workspace: WorkspaceName
     ) -> Result[QuotaAnswer, Failure]:
-        """Let a tenant whose home is this proxy start one operation."""
+        """Let a workspace whose home is this proxy start one operation."""
         now_ms = self._now_ms()
-        return Ok(self._quota_home.take(self._view.fleet, tenant, now_ms))
+        return Ok(self._quota_home.take(self._view.fleet, workspace, now_ms))
 
     def _schedule_tick(self):
         settings = self._settings
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -39,7 +39,7 @@
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
 from waxwinglift.version import Term
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 # Idle streams kept open per peer.
 _IDLE_LIMIT_COUNT = 64
@@ -93,13 +93,13 @@
         return Ok(decode_position(reply.position))
 
     async def take_quota(
-        self, tenant: TenantName
+        self, workspace: WorkspaceName
     ) -> Result[QuotaAnswer, Failure]:
-        """Ask the proxy, as a tenant's home, to start one operation.
+        """Ask the proxy, as a workspace's home, to start one operation.
 
         The caller limits the time.
         """
-        request = peer_pb2.QuotaRequest(tenant=tenant)
+        request = peer_pb2.QuotaRequest(workspace=workspace)
         try:
             reply = await self._call(
                 FrameKind.QUOTA_REQUEST, FrameKind.QUOTA_REPLY, request
--- a/waxwinglift/process/_peer_codec.py
+++ b/waxwinglift/process/_peer_codec.py
@@ -31,7 +31,7 @@
 from waxwinglift.version import Position
 from waxwinglift.version import Rank
 from waxwinglift.version import Term
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 _US_PER_MS = 1000
 # Process id, which precedes the secret of an encoded cancel key.
@@ -69,7 +69,7 @@
 
 
 def encode_quota_answer(answer: QuotaAnswer) -> peer_pb2.QuotaReply:
-    """Return the message of an answer about a tenant's limit."""
+    """Return the message of an answer about a workspace's limit."""
     return peer_pb2.QuotaReply(
         outcome=answer.outcome.value, retry_after_ms=answer.retry_after_ms
     )
@@ -210,7 +210,7 @@
         in_block=wire.in_block,
         to_standby=wire.to_standby,
         statement_timeout_ms=wire.statement_timeout_ms,
-        tenant=TenantName(wire.tenant) if wire.tenant else None,
+        workspace=WorkspaceName(wire.workspace) if wire.workspace else None,
     )
 
 
@@ -286,4 +286,4 @@
     wire.in_block = header.in_block
     wire.to_standby = header.to_standby
     wire.statement_timeout_ms = header.statement_timeout_ms
-    wire.tenant = header.tenant or ""
+    wire.workspace = header.workspace or ""
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -26,7 +26,7 @@
 from waxwinglift.request import may_have_run
 from waxwinglift.version import GroupName
 from waxwinglift.version import Term
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 # Largest part of an answer that is buffered to be sent with the next frame.
 _BUFFER_LIMIT_BYTES = 2**14
@@ -86,9 +86,11 @@
 
     @_METHODS.register(FrameKind.QUOTA_REQUEST)
     async def take_quota(self, stream):
-        """Answer whether an operation of a tenant may start."""
+        """Answer whether an operation of a workspace may start."""
         request = await stream.recv_message()
-        asked = await self._executor.take_quota(TenantName(request.tenant))
+        asked = await self._executor.take_quota(
+            WorkspaceName(request.workspace)
+        )
         await stream.send_message(encode_quota_answer(asked.ok_value))
 
 
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -138,12 +138,12 @@
 
 
 class QuotaSettings(PolicySettings):
-    """Settings of the limits of tenants.
+    """Settings of the limits of workspaces.
 
     Parameters
     ----------
     window_ms : float
-        Time over which the operations of a tenant are judged.
+        Time over which the operations of a workspace are judged.
     overage_ratio : float
         Part of the operations that the limit allows in a window by which it
         may be exceeded.
@@ -151,7 +151,7 @@
         Operations in a window by which it may be exceeded besides.
     tolerance_share : float
         Part of these tolerances that is granted; the rest covers the
-        operations that two homes of one tenant grant at the same time.
+        operations that two homes of one workspace grant at the same time.
     reduced_ratio : float
         Part of a limit that is granted while another home may grant it too.
     takeover_ms : float
--- a/waxwinglift/process/_postgresql_owner.py
+++ b/waxwinglift/process/_postgresql_owner.py
@@ -78,7 +78,7 @@
     async def _open_monitor_connection(self):
         return await self._open_connection(MONITOR_NAME)
 
-    async def _open_serving_connection(self, tenant):
+    async def _open_serving_connection(self, workspace):
         # All callers share one account at the endpoints.
         epoch = self.view.assignment(self.endpoint).epoch
         return await self._open_connection(
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -237,7 +237,7 @@
         proxy refuses keys.
         """
         limit_ms = self.settings.entry.view_age_limit_ms
-        if not limit_ms or not self.view.fleet.tenants:
+        if not limit_ms or not self.view.fleet.workspaces:
             return False
         return self.view.age_ms() > _UNCONFIRMED_FRACTION * limit_ms
 
--- a/waxwinglift/process/_readiness.py
+++ b/waxwinglift/process/_readiness.py
@@ -44,8 +44,8 @@
         control, which announces the next primary, cannot be reached.
         Another proxy may be able to reach them.
     are_keys_unconfirmed : bool
-        Whether the proxy soon has to refuse the keys of all tenants, because
-        control does not confirm its state of the fleet.
+        Whether the proxy soon has to refuse the keys of all workspaces,
+        because control does not confirm its state of the fleet.
     """
     if is_draining:
         return Readiness(False, "draining")
@@ -56,7 +56,9 @@
     if are_primary_and_control_unreachable:
         return Readiness(False, "control and a primary cannot be reached")
     if are_keys_unconfirmed:
-        return Readiness(False, "control does not confirm the tenants' keys")
+        return Readiness(
+            False, "control does not confirm the workspaces' keys"
+        )
     return Readiness(True, "ready")
 
 
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -197,9 +197,9 @@
             ),
         )
 
-    async def _open_link(self, tenant):
+    async def _open_link(self, workspace):
         connection = await self._open(
-            self._address, self.group, self.endpoint, tenant
+            self._address, self.group, self.endpoint, workspace
         )
         return TrackedConnection(
             connection, self.now_ms, self._in_flight_limit.record_round_trip
@@ -242,8 +242,8 @@
         pool = self.connections.pool
         if self.view.owns(self.endpoint):
             pool.limit_count = usable_count
-            if pool.is_tenanted:
-                # The pool fills up with the connections of many tenants and
+            if pool.is_per_workspace:
+                # The pool fills up with the connections of many workspaces and
                 # would leave none to the standby owner.
                 pool.limit_count = max(2, usable_count - standby_count)
             pool.warm_count = None
@@ -267,13 +267,13 @@
     def _set_tables(self):
         """Queue all pools together, with one row for each level of urgency."""
         rows = {}
-        is_tenanted = False
+        is_per_workspace = False
         for pool in self.view.fleet.pools_of(self.group):
             policy = pool.table.policy
             if policy is not None:
                 rows[policy.urgency_index] = pool.table.rows[0]
-                is_tenanted = is_tenanted or not policy.is_public
-        self.connections.pool.is_tenanted = is_tenanted
+                is_per_workspace = is_per_workspace or not policy.is_public
+        self.connections.pool.is_per_workspace = is_per_workspace
         ordered = tuple(rows[index] for index in sorted(rows))
         self._ranks = {
             row.rank: (index, row.floor_percent / 100)
--- a/waxwinglift/process/cli/_operator.py
+++ b/waxwinglift/process/cli/_operator.py
@@ -8,7 +8,7 @@
 from waxwinglift.process.cli import _fleet
 from waxwinglift.process.cli import _pools
 from waxwinglift.process.cli import _schema
-from waxwinglift.process.cli import _tenants
+from waxwinglift.process.cli import _workspaces
 
 
 @click.group(context_settings={"auto_envvar_prefix": "WAXWINGLIFT"})
@@ -44,4 +44,4 @@
 operator.add_command(_fleet.status)
 operator.add_command(_pools.pool)
 operator.add_command(_schema.schema)
-operator.add_command(_tenants.tenants)
+operator.add_command(_workspaces.workspaces)
--- a/waxwinglift/process/tests/test_descriptors.py
+++ b/waxwinglift/process/tests/test_descriptors.py
@@ -115,7 +115,7 @@
     """Return the connection manager of an endpoint."""
     account = EndpointAccount("u", "", "d")
 
-    async def connect(tenant):
+    async def connect(workspace):
         return await open_connection(address, account, 1024)
 
     settings = EndpointPoolSettings(
--- a/waxwinglift/process/tests/test_readiness.py
+++ b/waxwinglift/process/tests/test_readiness.py
@@ -12,8 +12,8 @@
 from waxwinglift.process._readiness import check_readiness
 from waxwinglift.version import LogIndex
 from waxwinglift.version._leases import DaemonLease
-from waxwinglift.version._tenants import digest_key
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspaces import digest_key
+from waxwinglift.version._workspaces import WorkspaceSettings
 
 _EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "proxy.toml"
 
@@ -32,7 +32,7 @@
         ),
         (
             (False, True, (), False, True),
-            "control does not confirm the tenants' keys",
+            "control does not confirm the workspaces' keys",
         ),
     ],
 )
@@ -44,7 +44,7 @@
 
 
 @pytest.mark.parametrize(
-    ("limit_ms", "age_ms", "has_tenants", "is_ready"),
+    ("limit_ms", "age_ms", "has_workspaces", "is_ready"),
     [
         (4000.0, 1900.0, True, True),
         (4000.0, 2100.0, True, False),
@@ -54,10 +54,10 @@
     ],
 )
 def test_callers_leave_before_their_keys_are_refused(
-    limit_ms, age_ms, has_tenants, is_ready
+    limit_ms, age_ms, has_workspaces, is_ready
 ):
     # A load balancer notices seconds later; until then every operation of a
-    # tenant would be refused.
+    # workspace would be refused.
     loaded = _settings.load_settings(_EXAMPLE, _settings.ProxySettings)
     settings = loaded.ok_value
     entry = settings.entry.model_copy(update={"view_age_limit_ms": limit_ms})
@@ -70,7 +70,7 @@
     proxy.lease.is_live = lambda now_ms: True
     proxy.view.age_ms = lambda: age_ms
     proxy.view.fleet.index = LogIndex(1)
-    if has_tenants:
-        tenant = TenantSettings("acme", (digest_key(b"k1"),))
-        proxy.view.fleet.set_tenant(tenant)
+    if has_workspaces:
+        workspace = WorkspaceSettings("acme", (digest_key(b"k1"),))
+        proxy.view.fleet.set_workspace(workspace)
     assert proxy.check_readiness().is_ready is is_ready
--- a/waxwinglift/request/_quota.py
+++ b/waxwinglift/request/_quota.py
@@ -1,7 +1,7 @@
-"""Counts the operations of each tenant at one proxy, the tenant's home.
+"""Counts the operations of each workspace at one proxy, its home.
 
-All proxies ask the home for each operation, so that the limit of a tenant is
-neither split between them nor exceeded by all of them together.
+All proxies ask the home for each operation, so that the limit of a workspace
+is neither split between them nor exceeded by all of them together.
 """
 
 import dataclasses
@@ -12,9 +12,9 @@
 from waxwinglift.process._policy_settings import QuotaSettings
 from waxwinglift.request._token_bucket import TokenBucket
 from waxwinglift.version._fleet import FleetState
-from waxwinglift.version._tenant_homes import TenantHomes
-from waxwinglift.version._tenants import TenantSettings
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._workspace_homes import WorkspaceHomes
+from waxwinglift.version._workspaces import WorkspaceSettings
+from waxwinglift.version._types import WorkspaceName
 
 # Longest time to come back that is advised to a caller.
 _RETRY_LIMIT_MS = 5000
@@ -24,8 +24,8 @@
     """Answer to the request to start an operation.
 
     GRANTED: the operation may start.
-    EXCEEDED: the tenant has started as many as its limit allows.
-    NOT_HOME: the proxy does not count the tenant's operations.
+    EXCEEDED: the workspace has started as many as its limit allows.
+    NOT_HOME: the proxy does not count the workspace's operations.
     """
 
     GRANTED = "granted"
@@ -43,10 +43,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Account:
-    """Count of one tenant's operations.
+    """Count of one workspace's operations.
 
-    ``home`` is the tenant's home at the last request, and ``reduced_until_ms``
-    the time until which its predecessor may still grant operations.
+    ``home`` is the workspace's home at the last request, and
+    ``reduced_until_ms`` the time until which its predecessor may still grant
+    operations.
     """
 
     bucket: TokenBucket
@@ -55,7 +56,7 @@
 
 
 class QuotaHome:
-    """Grants operations of the tenants whose home is this proxy.
+    """Grants operations of the workspaces whose home is this proxy.
 
     A substitute, or a home whose predecessor has left the fleet without a
     drain, grants only a part of the limit: the predecessor may be cut off
@@ -66,25 +67,25 @@
     daemon : DaemonId
         This proxy.
     settings : QuotaSettings
-    homes : TenantHomes
+    homes : WorkspaceHomes
     """
 
     def __init__(
-        self, daemon: DaemonId, settings: QuotaSettings, homes: TenantHomes
+        self, daemon: DaemonId, settings: QuotaSettings, homes: WorkspaceHomes
     ):
         self._daemon = daemon
         self._settings = settings
         self._homes = homes
-        self._accounts: dict[TenantName, _Account] = {}
+        self._accounts: dict[WorkspaceName, _Account] = {}
 
     def take(
-        self, fleet: FleetState, tenant: TenantName, now_ms: float
+        self, fleet: FleetState, workspace: WorkspaceName, now_ms: float
     ) -> QuotaAnswer:
-        """Let a tenant start one operation, or say when to ask again."""
-        limit = fleet.tenants.get(tenant)
-        homes = () if limit is None else self._homes.find(tenant)
+        """Let a workspace start one operation, or say when to ask again."""
+        limit = fleet.workspaces.get(workspace)
+        homes = () if limit is None else self._homes.find(workspace)
         if self._daemon not in homes:
-            self._accounts.pop(tenant, None)
+            self._accounts.pop(workspace, None)
             return QuotaAnswer(QuotaOutcome.NOT_HOME)
         if limit.rate_per_s is None:
             return QuotaAnswer(QuotaOutcome.GRANTED)
@@ -100,11 +101,11 @@
         return QuotaAnswer(QuotaOutcome.EXCEEDED, retry_after_ms)
 
     def _account(self, fleet, limit, home, now_ms):
-        account = self._accounts.get(limit.tenant)
+        account = self._accounts.get(limit.workspace)
         if account is None:
             level_count = self._first_level(limit, home, now_ms)
             account = _Account(TokenBucket(level_count, now_ms), home)
-            self._accounts[limit.tenant] = account
+            self._accounts[limit.workspace] = account
         elif account.home != home:
             if home == self._daemon and account.home not in fleet.daemons:
                 account.reduced_until_ms = now_ms + self._settings.takeover_ms
@@ -112,7 +113,7 @@
         return account
 
     def _first_level(self, limit, home, now_ms):
-        """Return the tokens of a tenant that has asked for none here yet.
+        """Return the tokens of a workspace that has asked for none here yet.
 
         Its former home may have granted all until the set of proxies changed.
         """
@@ -122,7 +123,7 @@
         _, capacity_count = self._rate_and_capacity(limit, False)
         return min(capacity_count, 1.0 + limit.rate_per_s * elapsed_s)
 
-    def _rate_and_capacity(self, limit: TenantSettings, is_reduced):
+    def _rate_and_capacity(self, limit: WorkspaceSettings, is_reduced):
         settings = self._settings
         if is_reduced:
             rate_per_s = settings.reduced_ratio * limit.rate_per_s
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -52,7 +52,7 @@
     context : EntryContext
     session : StatementSession
         Has ``table``, ``policy``, ``floor``, ``settings``, ``caller``,
-        ``tenant`` and ``is_disconnected``.
+        ``workspace`` and ``is_disconnected``.
     """
 
     def __init__(self, context: EntryContext, session):
@@ -149,17 +149,17 @@
         return await self._finish_in_block(statement, end)
 
     async def _find_quota_refusal(self, statement):
-        """Return the outcome if the tenant may start no operation now."""
+        """Return the outcome if the workspace may start no operation now."""
         self._may_have_run = False
         session = self._session
-        failure = await self._context.quota_gate.admit(session.tenant)
+        failure = await self._context.quota_gate.admit(session.workspace)
         if failure is None:
             return None
         self._context.request_log.write(
-            "operation of a tenant refused",
+            "operation of a workspace refused",
             request_id=statement.request.decode("latin-1"),
             pool=session.table.pool,
-            tenant=session.tenant,
+            workspace=session.workspace,
             reason=failure.message,
             retry_after_ms=failure.retry_after_ms,
         )
@@ -171,7 +171,7 @@
         """Give back the right to an operation that has not run."""
         failure = end.failure
         if failure is not None and failure.verdict is Verdict.NOT_RUN:
-            self._context.quota_gate.give_back(self._session.tenant)
+            self._context.quota_gate.give_back(self._session.workspace)
 
     async def _finish_in_block(self, statement, end):
         end = self._block_outcome(statement, end)
@@ -379,7 +379,7 @@
             in_block=attempts.is_block,
             to_standby=to_standby,
             statement_timeout_ms=policy.statement_timeout_ms,
-            tenant=session.tenant,
+            workspace=session.workspace,
         )
 
     def _count_outcome(self, end):
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -67,7 +67,9 @@
         self._statements_count = 0
         self._is_ended = False
         self._is_sent = False
-        self._connection = TransactionConnection(owner, request, header.tenant)
+        self._connection = TransactionConnection(
+            owner, request, header.workspace
+        )
         self._block_ticket: Ticket | None = None
         self._block_started_ms = 0.0
         self._idle_timer = IdleTimer(self.end_if_idle)
--- a/waxwinglift/request/_transaction_connection.py
+++ b/waxwinglift/request/_transaction_connection.py
@@ -11,7 +11,7 @@
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import Position
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 # Longest wait for a rollback before the connection is closed.
 _ROLLBACK_TIMEOUT_MS = 500.0
@@ -32,15 +32,15 @@
     owner : StatementOwner
     request : RequestId
         Identifies the transaction in the owner's connection pool.
-    tenant : TenantName or None
-        Tenant for which the transaction runs.
+    workspace : WorkspaceName or None
+        Workspace for which the transaction runs.
     """
 
     def __init__(
-        self, owner, request: RequestId, tenant: TenantName | None = None
+        self, owner, request: RequestId, workspace: WorkspaceName | None = None
     ):
         self._owner = owner
-        self._tenant = tenant
+        self._workspace = workspace
         self._request = request
         # Pair of the ConnectionId and the TrackedConnection.
         self._acquired = None
@@ -59,7 +59,7 @@
         """Wait for a connection; return False if none is free in time."""
         if self._acquired is None:
             self._acquired = await self._owner.connections.acquire(
-                self._request, timeout_ms, self._tenant
+                self._request, timeout_ms, self._workspace
             )
         return self._acquired is not None
 
--- a/waxwinglift/request/tests/test_quota.py
+++ b/waxwinglift/request/tests/test_quota.py
@@ -1,7 +1,7 @@
-"""Tests of the limit of a tenant, summed over all proxies.
+"""Tests of the limit of a workspace, summed over all proxies.
 
-Guards against a tenant that gets its limit at several proxies: each counting
-for itself, or two homes after a failure.
+Guards against a workspace that gets its limit at several proxies: each
+counting for itself, or two homes after a failure.
 """
 
 import random
@@ -19,12 +19,12 @@
 from waxwinglift.request._token_bucket import TokenBucket
 from waxwinglift.version import FleetState
 from waxwinglift.version._fleet import Daemon
-from waxwinglift.version._tenant_homes import TenantHomes
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspace_homes import WorkspaceHomes
+from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import DaemonState
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
-_TENANT = TenantName("acme")
+_WORKSPACE = WorkspaceName("acme")
 _SETTINGS = QuotaSettings(
     window_ms=5000, overage_ratio=0.1, slack_count=20, takeover_ms=3750
 )
@@ -59,19 +59,21 @@
         self.fleet = FleetState()
         self.is_up = True
         self.is_cut_off = False
-        self._homes = TenantHomes(lambda: self.fleet, lambda: cluster.now_ms)
+        self._homes = WorkspaceHomes(
+            lambda: self.fleet, lambda: cluster.now_ms
+        )
         self.quota_home = QuotaHome(self.name, _SETTINGS, self._homes)
 
     def homes(self):
-        return self._homes.find(_TENANT)
+        return self._homes.find(_WORKSPACE)
 
     def take(self):
         now_ms = self.cluster.now_ms
-        return self.quota_home.take(self.fleet, _TENANT, now_ms).outcome
+        return self.quota_home.take(self.fleet, _WORKSPACE, now_ms).outcome
 
     def update(self, daemons, limit):
         self.fleet.daemons = dict(daemons)
-        self.fleet.set_tenant(limit)
+        self.fleet.set_workspace(limit)
         self._homes.update()
 
 
@@ -93,7 +95,9 @@
 
     @property
     def limit(self):
-        return TenantSettings(_TENANT, (), self.rate_per_s, self.rate_per_s)
+        return WorkspaceSettings(
+            _WORKSPACE, (), self.rate_per_s, self.rate_per_s
+        )
 
     def join(self, name, state=DaemonState.ACTIVE):
         address = Address("127.0.0.1", 1)
@@ -105,7 +109,7 @@
                 proxy.update(self.daemons, self.limit)
 
     def home(self):
-        """Return the tenant's home in the state of control."""
+        """Return the workspace's home in the state of control."""
         probe = _Proxy("none", self)
         probe.update(self.daemons, self.limit)
         return self.proxies[probe.homes()[0]]
@@ -240,7 +244,7 @@
     assert share >= least_share
 
 
-def test_hot_tenant_gets_its_whole_limit():
+def test_hot_workspace_gets_its_whole_limit():
     # 8 times the limit at 20 proxies must not end below the limit.
     cluster = _Cluster(100.0)
     cluster.run(random.Random(5), 800.0, 20_000)
@@ -271,10 +275,10 @@
     assert (wait_ms == float("inf")) is waits_for_ever
 
 
-def test_unlimited_or_unknown_tenant():
+def test_unlimited_or_unknown_workspace():
     cluster = _Cluster(1.0)
     home = cluster.home()
-    home.fleet.set_tenant(TenantSettings(_TENANT, ()))
+    home.fleet.set_workspace(WorkspaceSettings(_WORKSPACE, ()))
     assert {home.take() for _ in range(100)} == {QuotaOutcome.GRANTED}
-    home.fleet.remove_tenant(_TENANT)
+    home.fleet.remove_workspace(_WORKSPACE)
     assert home.take() is QuotaOutcome.NOT_HOME
--- a/waxwinglift/version/_apply_desired.py
+++ b/waxwinglift/version/_apply_desired.py
@@ -55,10 +55,10 @@
         names.add(table.pool)
     for settings in entry.groups:
         _set_group(state, settings)
-    for tenant in entry.removed_tenants:
-        state.remove_tenant(tenant)
-    for settings in entry.tenants:
-        state.set_tenant(settings)
+    for workspace in entry.removed_workspaces:
+        state.remove_workspace(workspace)
+    for settings in entry.workspaces:
+        state.set_workspace(settings)
     state.desired = DesiredState(
         entry.version, document, frozenset(names), entry.limits
     )
--- a/waxwinglift/version/_desired.py
+++ b/waxwinglift/version/_desired.py
@@ -14,7 +14,7 @@
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._entries import ServingLimits
 from waxwinglift.version._fleet import FleetState
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import DesiredVersion
 
 
@@ -30,7 +30,7 @@
     pools : tuple of PoolTable
     groups : tuple of GroupSettings
     limits : ServingLimits
-    tenants : tuple of TenantSettings
+    workspaces : tuple of WorkspaceSettings
     """
 
     version: DesiredVersion
@@ -38,7 +38,7 @@
     pools: tuple[PoolTable, ...]
     groups: tuple[GroupSettings, ...]
     limits: ServingLimits
-    tenants: tuple[TenantSettings, ...] = ()
+    workspaces: tuple[WorkspaceSettings, ...] = ()
 
 
 def plan_replacement(
@@ -57,7 +57,9 @@
     current = fleet.desired
     current_names = current.pool_names if current else frozenset()
     requested = {table.pool: table for table in request.pools}
-    tenants = {settings.tenant: settings for settings in request.tenants}
+    workspaces = {
+        settings.workspace: settings for settings in request.workspaces
+    }
     return DesiredStateReplaced(
         version=request.version,
         base_version=current_version,
@@ -72,12 +74,14 @@
         removed_pools=tuple(sorted(current_names - requested.keys())),
         groups=request.groups,
         limits=request.limits,
-        tenants=tuple(
+        workspaces=tuple(
             settings
-            for name, settings in tenants.items()
-            if fleet.tenants.get(name) != settings
+            for name, settings in workspaces.items()
+            if fleet.workspaces.get(name) != settings
+        ),
+        removed_workspaces=tuple(
+            sorted(fleet.workspaces.keys() - workspaces.keys())
         ),
-        removed_tenants=tuple(sorted(fleet.tenants.keys() - tenants.keys())),
     )
 
 
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -11,7 +11,7 @@
 from waxwinglift.process import Location
 from waxwinglift.version._document_delta import LineEdit
 from waxwinglift.version._entry_kinds import EntryKind
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
@@ -24,7 +24,7 @@
 from waxwinglift.version._types import Rank
 from waxwinglift.version._types import ServerPosition
 from waxwinglift.version._types import TableVersion
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
 
@@ -77,7 +77,7 @@
     attempt_limit_count : int
         Maximum number of attempts of one request, including the first.
     is_public : bool
-        Whether callers need no key of a tenant.
+        Whether callers need no key of a workspace.
     """
 
     consistency: Consistency
@@ -176,9 +176,9 @@
     groups : tuple of GroupSettings
         All groups.
     limits : ServingLimits
-    tenants : tuple of TenantSettings
-        New and changed tenants.
-    removed_tenants : tuple of TenantName
+    workspaces : tuple of WorkspaceSettings
+        New and changed workspaces.
+    removed_workspaces : tuple of WorkspaceName
     """
 
     version: DesiredVersion
@@ -188,8 +188,8 @@
     removed_pools: tuple[PoolName, ...]
     groups: tuple[GroupSettings, ...]
     limits: ServingLimits
-    tenants: tuple[TenantSettings, ...] = ()
-    removed_tenants: tuple[TenantName, ...] = ()
+    workspaces: tuple[WorkspaceSettings, ...] = ()
+    removed_workspaces: tuple[WorkspaceName, ...] = ()
     kind: EntryKind = EntryKind.DESIRED_STATE_REPLACED
 
 
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -14,7 +14,7 @@
 from waxwinglift.version._entries import OwnerAssignment
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._entries import ServingLimits
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
@@ -29,7 +29,7 @@
 from waxwinglift.version._types import Lsn
 from waxwinglift.version._types import PoolName
 from waxwinglift.version._types import TableVersion
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
 
@@ -196,9 +196,9 @@
 class FleetState:
     """Everything that the control log describes.
 
-    Set endpoints, pools and tenants only through the methods, which maintain
-    lookup tables: at each poll of a primary, its proxy looks up the endpoints
-    and pools of the group, and a fleet has thousands of them.
+    Set endpoints, pools and workspaces only through the methods, which
+    maintain lookup tables: at each poll of a primary, its proxy looks up the
+    endpoints and pools of the group, and a fleet has thousands of them.
     """
 
     index: LogIndex = LogIndex(0)
@@ -218,7 +218,7 @@
     desired: DesiredState | None = None
     # Start times of endpoints that have left, the latest departure last.
     departed: dict[EndpointId, int] = dataclasses.field(default_factory=dict)
-    tenants: dict[TenantName, TenantSettings] = dataclasses.field(
+    workspaces: dict[WorkspaceName, WorkspaceSettings] = dataclasses.field(
         default_factory=dict
     )
 
@@ -227,12 +227,12 @@
         # lookup tables.
         self._group_endpoints = collections.defaultdict(dict)
         self._group_pools = collections.defaultdict(dict)
-        self._key_tenants = {}
+        self._key_workspaces = {}
         for endpoint in self.endpoints.values():
             self.set_endpoint(endpoint)
         for name, pool in self.pools.items():
             self.set_pool(name, pool)
-        for settings in self.tenants.values():
+        for settings in self.workspaces.values():
             self._index_keys(settings)
 
     def set_endpoint(self, endpoint: Endpoint):
@@ -286,24 +286,24 @@
         """Return the pools whose table names ``group``."""
         return self._group_pools.get(group, {}).values()
 
-    def set_tenant(self, settings: TenantSettings):
-        """Add or replace a tenant and its keys."""
-        self.remove_tenant(settings.tenant)
-        self.tenants[settings.tenant] = settings
+    def set_workspace(self, settings: WorkspaceSettings):
+        """Add or replace a workspace and its keys."""
+        self.remove_workspace(settings.workspace)
+        self.workspaces[settings.workspace] = settings
         self._index_keys(settings)
 
-    def remove_tenant(self, tenant: TenantName):
-        """Remove a tenant and its keys; ignored if it is unknown."""
-        removed = self.tenants.pop(tenant, None)
+    def remove_workspace(self, workspace: WorkspaceName):
+        """Remove a workspace and its keys; ignored if it is unknown."""
+        removed = self.workspaces.pop(workspace, None)
         for key in () if removed is None else removed.keys:
-            # The key may belong to another tenant by now.
-            if self._key_tenants.get(key) == tenant:
-                del self._key_tenants[key]
+            # The key may belong to another workspace by now.
+            if self._key_workspaces.get(key) == workspace:
+                del self._key_workspaces[key]
 
-    def tenant_of(self, key: KeyDigest) -> TenantName | None:
-        """Return the tenant that holds a key, None if no tenant does."""
-        return self._key_tenants.get(key)
+    def workspace_of(self, key: KeyDigest) -> WorkspaceName | None:
+        """Return the workspace that holds a key, None if no workspace does."""
+        return self._key_workspaces.get(key)
 
     def _index_keys(self, settings):
         for key in settings.keys:
-            self._key_tenants[key] = settings.tenant
+            self._key_workspaces[key] = settings.workspace
--- a/waxwinglift/version/_types.py
+++ b/waxwinglift/version/_types.py
@@ -9,7 +9,7 @@
 PoolName = NewType("PoolName", str)
 Rank = NewType("Rank", str)
 EditId = NewType("EditId", str)
-TenantName = NewType("TenantName", str)
+WorkspaceName = NewType("WorkspaceName", str)
 # Digest of a caller's key; the key itself is not kept.
 KeyDigest = NewType("KeyDigest", str)
 
--- a/waxwinglift/version/_tenant_homes.py
+++ b/waxwinglift/version/_workspace_homes.py
@@ -1,4 +1,4 @@
-"""Choice of the proxies that count the operations of each tenant."""
+"""Choice of the proxies that count the operations of each workspace."""
 
 from collections.abc import Callable
 import heapq
@@ -6,18 +6,18 @@
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._ownership import score
 from waxwinglift.version._types import DaemonState
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
-# The home of a tenant and its substitute.
+# The home of a workspace and its substitute.
 HOMES_COUNT = 2
 
 
-class TenantHomes:
-    """Homes of the tenants in the current state of the fleet.
+class WorkspaceHomes:
+    """Homes of the workspaces in the current state of the fleet.
 
-    The home of a tenant is the proxy with the highest rendezvous score among
-    those that are not shutting down, so all proxies with the same state agree
-    and a proxy that joins or leaves moves only its own share.
+    The home of a workspace is the proxy with the highest rendezvous score
+    among those that are not shutting down, so all proxies with the same state
+    agree and a proxy that joins or leaves moves only its own share.
 
     Parameters
     ----------
@@ -51,14 +51,14 @@
             self._homes = {}
             self.changed_ms = self._now_ms()
 
-    def find(self, tenant: TenantName):
-        """Return the home of a tenant and its substitute, if they exist."""
-        homes = self._homes.get(tenant)
+    def find(self, workspace: WorkspaceName):
+        """Return the home of a workspace and its substitute, if they exist."""
+        homes = self._homes.get(workspace)
         if homes is None:
             homes = heapq.nlargest(
                 HOMES_COUNT,
                 self._daemons,
-                key=lambda daemon: (score(tenant, daemon), daemon),
+                key=lambda daemon: (score(workspace, daemon), daemon),
             )
-            self._homes[tenant] = homes = tuple(homes)
+            self._homes[workspace] = homes = tuple(homes)
         return homes
--- a/waxwinglift/version/_tenants.py
+++ b/waxwinglift/version/_workspaces.py
@@ -1,10 +1,10 @@
-"""Tenants of a desired state: their keys and the limits of their requests."""
+"""Workspaces of a desired state: their keys and limits."""
 
 import dataclasses
 import hashlib
 
 from waxwinglift.version._types import KeyDigest
-from waxwinglift.version._types import TenantName
+from waxwinglift.version._types import WorkspaceName
 
 _DIGEST_BYTES = 16
 # Part of a digest that identifies a key in logs and in the operator's output.
@@ -12,22 +12,22 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class TenantSettings:
-    """One tenant as specified by the operator.
+class WorkspaceSettings:
+    """One workspace as specified by the operator.
 
     Parameters
     ----------
-    tenant : TenantName
+    workspace : WorkspaceName
     keys : tuple of KeyDigest
-        Digests of the keys that identify the tenant's callers.
+        Digests of the keys that identify the workspace's callers.
     rate_per_s : float or None
-        Operations that the tenant may start per second, at all proxies
+        Operations that the workspace may start per second, at all proxies
         together; None for no limit.
     burst_count : float
         Operations that it may start at once after a pause.
     """
 
-    tenant: TenantName
+    workspace: WorkspaceName
     keys: tuple[KeyDigest, ...]
     rate_per_s: float | None = None
     burst_count: float = 0.0
--- a/waxwinglift/version/tests/test_desired.py
+++ b/waxwinglift/version/tests/test_desired.py
@@ -15,8 +15,8 @@
 from waxwinglift.version._entry_codec import encode_fleet
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._rank_rows import rank_row
-from waxwinglift.version._tenants import digest_key
-from waxwinglift.version._tenants import TenantSettings
+from waxwinglift.version._workspaces import digest_key
+from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import Consistency
 
 
@@ -25,19 +25,19 @@
     return entries.PoolTable(name, group, (rank_row(policy),), policy)
 
 
-def tenant(name, *keys, rate_per_s=10.0):
+def workspace(name, *keys, rate_per_s=10.0):
     digests = tuple(digest_key(key.encode()) for key in keys)
-    return TenantSettings(name, digests, rate_per_s, 5.0)
+    return WorkspaceSettings(name, digests, rate_per_s, 5.0)
 
 
-def request(version, *pools, groups=("g",), tenants=()):
+def request(version, *pools, groups=("g",), workspaces=()):
     return DesiredStateRequest(
         version=version,
         document=tuple(f"{p.pool}:{p.policy}" for p in pools),
         pools=pools,
         groups=tuple(entries.GroupSettings(name, 23) for name in groups),
         limits=entries.ServingLimits(3000),
-        tenants=tenants,
+        workspaces=workspaces,
     )
 
 
@@ -124,22 +124,22 @@
 @pytest.mark.parametrize(
     ("later", "holders"),
     [
-        pytest.param((tenant("a", "k2"),), {"k2": "a"}, id="key removed"),
-        pytest.param((), {}, id="tenant removed"),
+        pytest.param((workspace("a", "k2"),), {"k2": "a"}, id="key removed"),
+        pytest.param((), {}, id="workspace removed"),
         pytest.param(
-            (tenant("a", "k2"), tenant("b", "k1", "k3")),
+            (workspace("a", "k2"), workspace("b", "k1", "k3")),
             {"k1": "b", "k2": "a", "k3": "b"},
             id="key moved",
         ),
         pytest.param(
-            (tenant("b", "k1"), tenant("a", "k2")),
+            (workspace("b", "k1"), workspace("a", "k2")),
             {"k1": "b", "k2": "a"},
-            id="key moved to an earlier tenant",
+            id="key moved to an earlier workspace",
         ),
         pytest.param(
-            (tenant("c", "k1", "k2"),),
+            (workspace("c", "k1", "k2"),),
             {"k1": "c", "k2": "c"},
-            id="tenant renamed",
+            id="workspace renamed",
         ),
     ],
 )
@@ -147,22 +147,22 @@
     # A key that stayed in force after its removal would let its former
     # holder in; the state of a snapshot must agree with the applied log.
     fleet = FleetState()
-    plan_and_apply(fleet, request(1, tenants=(tenant("a", "k1", "k2"),)))
-    plan_and_apply(fleet, request(2, tenants=later))
+    plan_and_apply(fleet, request(1, workspaces=(workspace("a", "k1", "k2"),)))
+    plan_and_apply(fleet, request(2, workspaces=later))
     for state in (fleet, decode_fleet(encode_fleet(fleet))):
         found = {
-            key: state.tenant_of(digest_key(key.encode()))
+            key: state.workspace_of(digest_key(key.encode()))
             for key in ("k1", "k2", "k3")
         }
         assert {k: t for k, t in found.items() if t is not None} == holders
 
 
-def test_an_entry_carries_only_the_changed_tenants():
-    # Otherwise each change would send every tenant to each daemon.
+def test_an_entry_carries_only_the_changed_workspaces():
+    # Otherwise each change would send every workspace to each daemon.
     fleet = FleetState()
-    first = tuple(tenant(f"t{n}", f"k{n}") for n in range(300))
-    plan_and_apply(fleet, request(1, tenants=first))
-    changed = (tenant("t0", "other"), *first[1:-1])
-    entry = plan_and_apply(fleet, request(2, tenants=changed))
-    assert [settings.tenant for settings in entry.tenants] == ["t0"]
-    assert entry.removed_tenants == ("t299",)
+    first = tuple(workspace(f"t{n}", f"k{n}") for n in range(300))
+    plan_and_apply(fleet, request(1, workspaces=first))
+    changed = (workspace("t0", "other"), *first[1:-1])
+    entry = plan_and_apply(fleet, request(2, workspaces=changed))
+    assert [settings.workspace for settings in entry.workspaces] == ["t0"]
+    assert entry.removed_workspaces == ("t299",)
