--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -15,6 +15,8 @@
 import mode
 
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._fleet_updates import FleetUpdates
+from waxwinglift.process._fleet_updates import WatchError
 from waxwinglift.process._relays import order_relays
 from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.process._types import DaemonId
@@ -26,13 +28,7 @@
 from waxwinglift.process.rpc._channels import open_channel
 from waxwinglift.process.rpc._channels import retrieve_exception
 from waxwinglift.process.rpc._convert import renewal_to_wire
-from waxwinglift.process.rpc._convert import unpack_snapshot
-from waxwinglift.version import LogIndex
-from waxwinglift.version._apply import apply_entry
-from waxwinglift.version._apply import RefusalCode
 from waxwinglift.version._renewals import Renewal
-from waxwinglift.version._entry_codec import decode_entry
-from waxwinglift.version._entry_codec import decode_fleet
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version._types import Incarnation
 
@@ -56,10 +52,6 @@
 WATCH_TIMEOUT_S = 3.0
 
 
-class WatchError(Exception):
-    """The watch stream ended or does not continue the applied state."""
-
-
 class ControlLink(mode.Service):
     """Keeps the fleet view up to date and renews the lease.
 
@@ -89,6 +81,7 @@
         self.view = view
         self.lease = lease
         self.view_age = view_age
+        self._updates = FleetUpdates(view, view_age, self._on_applied)
         self.reports = reports
         self.metrics = metrics
         self.tracer = tracer
@@ -223,24 +216,17 @@
                 raise WatchError("stream ended")
             self._is_watching = True
             try:
-                self._apply(reply)
+                self._updates.apply(reply)
             except ValueError as error:
                 raise WatchError(f"unreadable reply: {error}") from error
 
-    def _apply(self, reply):
-        if reply.snapshot:
-            self._apply_snapshot(reply)
-        if not reply.entries:
-            return
-        try:
-            for offset, payload in enumerate(reply.entries):
-                self._apply_entry(reply.first_index + offset, payload)
-        finally:
-            # The entries before one that cannot be read are in force.
-            self.view_age.on_applied(self.view.applied_index)
-            self.view.notify()
-            self._update_draining()
-            self._update_relays()
+    def _on_applied(self, has_snapshot):
+        """React to entries, or a snapshot, that are in force now."""
+        self._update_draining()
+        self._update_relays()
+        if has_snapshot:
+            self.request_renewal()
+        else:
             self._renew_for_entries()
 
     def _renew_for_entries(self):
@@ -261,26 +247,6 @@
         self._entries_timer = None
         self.request_renewal()
 
-    def _apply_snapshot(self, reply):
-        # The applied state is never replaced by an older one.
-        if reply.snapshot_index <= self.view.applied_index:
-            return
-        self.view.replace(decode_fleet(unpack_snapshot(reply.snapshot)))
-        self.view_age.on_applied(self.view.applied_index)
-        self._update_draining()
-        self._update_relays()
-        self.request_renewal()
-
-    def _apply_entry(self, index, payload):
-        if index <= self.view.applied_index:
-            return
-        entry = decode_entry(payload)
-        outcome = apply_entry(self.view.fleet, LogIndex(index), entry)
-        if outcome.is_err():
-            refusal = outcome.err_value
-            if refusal.code is RefusalCode.WRONG_INDEX:
-                raise WatchError(refusal.message)
-
     def _update_draining(self):
         """Start to drain on the operator's request.
 
