--- a/waxwinglift/connection/_caller_identity.py
+++ b/waxwinglift/connection/_caller_identity.py
@@ -10,9 +10,9 @@
 from waxwinglift.request import not_run
 from waxwinglift.version import PoolTable
 from waxwinglift.version._fleet import FleetState
-from waxwinglift.version._workspaces import fingerprint
 from waxwinglift.version._types import KeyDigest
 from waxwinglift.version._types import WorkspaceName
+from waxwinglift.version._workspaces import fingerprint
 
 # Time after which a proxy may have reached control again.
 _STALE_RETRY_MS = 500
--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -317,12 +317,9 @@
     def _probe_or_close_idle(self, connection, now_ms):
         # When a suspect turns out healthy, its replacement is surplus.
         is_surplus = self._usable_count() > self._wanted_count()
-        is_workspaces = self._connections[connection].workspace is not None
-        if (
-            is_surplus
-            and not is_workspaces
-            and not self.settings.keeps_surplus
-        ):
+        record = self._connections[connection]
+        is_kept = self.settings.keeps_surplus or record.workspace is not None
+        if is_surplus and not is_kept:
             return self._close(connection, now_ms)
         return self._probe(connection, now_ms)
 
--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -19,11 +19,11 @@
 from waxwinglift.version._entries import PoolPolicy
 from waxwinglift.version._entries import ServingLimits
 from waxwinglift.version._rank_rows import rank_row
-from waxwinglift.version._workspaces import digest_key
-from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import WorkspaceName
+from waxwinglift.version._workspaces import WorkspaceSettings
+from waxwinglift.version._workspaces import digest_key
 
 # Longest duration in force.  The proxies send durations in uint32 fields and
 # may round them up, so it stays below UINT32_MAX.  The document that operators
--- a/waxwinglift/platform/tests/test_desired_state.py
+++ b/waxwinglift/platform/tests/test_desired_state.py
@@ -9,8 +9,8 @@
 from waxwinglift.platform._desired_state import decode_desired_state
 from waxwinglift.platform._desired_state import encode_document
 from waxwinglift.process.rpc import peer_pb2
-from waxwinglift.version._workspaces import digest_key
 from waxwinglift.version._types import Consistency
+from waxwinglift.version._workspaces import digest_key
 
 _ROUTE = {
     "name": "r-1",
--- a/waxwinglift/platform/tests/test_workspaces.py
+++ b/waxwinglift/platform/tests/test_workspaces.py
@@ -13,8 +13,8 @@
 from waxwinglift.version import PoolName
 from waxwinglift.version import TableVersion
 from waxwinglift.version._fleet import Pool
-from waxwinglift.version._workspaces import digest_key
 from waxwinglift.version._workspaces import WorkspaceSettings
+from waxwinglift.version._workspaces import digest_key
 from waxwinglift_standin.platform import Caller
 
 _AGE_LIMIT_MS = 3000.0
@@ -208,6 +208,15 @@
     run(work)
 
 
+def _limit(fleet, name, burst_count):
+    """Let a workspace start a few operations and then hardly any."""
+    settings = fleet.state.workspaces[name]
+    limited = dataclasses.replace(
+        settings, rate_per_s=0.001, burst_count=burst_count
+    )
+    fleet.state.set_workspace(limited)
+
+
 @pytest.mark.parametrize("proxy_count", [1, 2, 3])
 def test_limit_of_a_workspace_holds_for_all_proxies_together(proxy_count):
     # Proxies that each count for themselves would grant it several times;
@@ -215,11 +224,8 @@
     async def work():
         keys = {f"t{number}": [f"k{number}"] for number in range(4)}
         async with running_workspaces(proxy_count, **keys) as fleet:
-            for workspace in list(fleet.state.workspaces.values()):
-                limited = dataclasses.replace(
-                    workspace, rate_per_s=0.001, burst_count=3.0
-                )
-                fleet.state.set_workspace(limited)
+            for name in keys:
+                _limit(fleet, name, 3.0)
             for proxy in fleet.proxies:
                 # The counts of a new home start at the rate of the limit.
                 proxy.owners._homes.changed_ms = -math.inf
@@ -244,11 +250,7 @@
     # The limit counts operations, not the statements of a transaction.
     async def work():
         async with running_workspaces(acme=["k1"]) as fleet:
-            workspace = fleet.state.workspaces["acme"]
-            limited = dataclasses.replace(
-                workspace, rate_per_s=0.001, burst_count=1.0
-            )
-            fleet.state.set_workspace(limited)
+            _limit(fleet, "acme", 1.0)
             async with fleet.connected("pay", "k1") as caller:
                 assert (await caller.query("BEGIN")).is_success
                 for text in ("READ a", "WRITE a 1", "READ a", "COMMIT"):
@@ -263,11 +265,7 @@
     # Callers repeat what was refused; the limit must not run out meanwhile.
     async def work():
         async with running_workspaces(acme=["k1"]) as fleet:
-            workspace = fleet.state.workspaces["acme"]
-            limited = dataclasses.replace(
-                workspace, rate_per_s=0.001, burst_count=1.0
-            )
-            fleet.state.set_workspace(limited)
+            _limit(fleet, "acme", 1.0)
             group = fleet.state.groups[GROUP]
             group.phase = GroupPhase.PROMOTING
             async with fleet.connected("pay", "k1") as caller:
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -34,8 +34,8 @@
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
 from waxwinglift.version import Term
-from waxwinglift.version._workspace_homes import WorkspaceHomes
 from waxwinglift.version._types import WorkspaceName
+from waxwinglift.version._workspace_homes import WorkspaceHomes
 
 logger = logging.getLogger(__name__)
 
--- a/waxwinglift/process/_quota_gate.py
+++ b/waxwinglift/process/_quota_gate.py
@@ -15,8 +15,8 @@
 from waxwinglift.request import not_run
 from waxwinglift.request._quota import QuotaAnswer
 from waxwinglift.request._quota import QuotaOutcome
-from waxwinglift.version._workspace_homes import WorkspaceHomes
 from waxwinglift.version._types import WorkspaceName
+from waxwinglift.version._workspace_homes import WorkspaceHomes
 
 # Time limit for the answer of a home; several round trips between regions.
 _ANSWER_TIMEOUT_S = 0.25
--- a/waxwinglift/process/cli/tests/test_workspaces.py
+++ b/waxwinglift/process/cli/tests/test_workspaces.py
@@ -8,8 +8,8 @@
 from waxwinglift.process.rpc import control_pb2
 from waxwinglift.version import FleetState
 from waxwinglift.version._entry_codec import encode_fleet
-from waxwinglift.version._workspaces import digest_key
 from waxwinglift.version._workspaces import WorkspaceSettings
+from waxwinglift.version._workspaces import digest_key
 
 
 def _fetch_status(addresses):
--- a/waxwinglift/process/tests/test_readiness.py
+++ b/waxwinglift/process/tests/test_readiness.py
@@ -12,8 +12,8 @@
 from waxwinglift.process._readiness import check_readiness
 from waxwinglift.version import LogIndex
 from waxwinglift.version._leases import DaemonLease
-from waxwinglift.version._workspaces import digest_key
 from waxwinglift.version._workspaces import WorkspaceSettings
+from waxwinglift.version._workspaces import digest_key
 
 _EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "proxy.toml"
 
--- a/waxwinglift/request/_quota.py
+++ b/waxwinglift/request/_quota.py
@@ -12,9 +12,9 @@
 from waxwinglift.process._policy_settings import QuotaSettings
 from waxwinglift.request._token_bucket import TokenBucket
 from waxwinglift.version._fleet import FleetState
+from waxwinglift.version._types import WorkspaceName
 from waxwinglift.version._workspace_homes import WorkspaceHomes
 from waxwinglift.version._workspaces import WorkspaceSettings
-from waxwinglift.version._types import WorkspaceName
 
 # Longest time to come back that is advised to a caller.
 _RETRY_LIMIT_MS = 5000
--- a/waxwinglift/request/tests/test_quota.py
+++ b/waxwinglift/request/tests/test_quota.py
@@ -19,10 +19,10 @@
 from waxwinglift.request._token_bucket import TokenBucket
 from waxwinglift.version import FleetState
 from waxwinglift.version._fleet import Daemon
-from waxwinglift.version._workspace_homes import WorkspaceHomes
-from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version._types import WorkspaceName
+from waxwinglift.version._workspace_homes import WorkspaceHomes
+from waxwinglift.version._workspaces import WorkspaceSettings
 
 _WORKSPACE = WorkspaceName("acme")
 _SETTINGS = QuotaSettings(
--- a/waxwinglift/version/_desired.py
+++ b/waxwinglift/version/_desired.py
@@ -14,8 +14,8 @@
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._entries import ServingLimits
 from waxwinglift.version._fleet import FleetState
-from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import DesiredVersion
+from waxwinglift.version._workspaces import WorkspaceSettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -11,7 +11,6 @@
 from waxwinglift.process import Location
 from waxwinglift.version._document_delta import LineEdit
 from waxwinglift.version._entry_kinds import EntryKind
-from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import Consistency
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
@@ -27,6 +26,7 @@
 from waxwinglift.version._types import WorkspaceName
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
+from waxwinglift.version._workspaces import WorkspaceSettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -14,7 +14,6 @@
 from waxwinglift.version._entries import OwnerAssignment
 from waxwinglift.version._entries import PoolTable
 from waxwinglift.version._entries import ServingLimits
-from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import DaemonState
 from waxwinglift.version._types import DesiredVersion
 from waxwinglift.version._types import EditId
@@ -32,6 +31,7 @@
 from waxwinglift.version._types import WorkspaceName
 from waxwinglift.version._types import Term
 from waxwinglift.version._types import Timeline
+from waxwinglift.version._workspaces import WorkspaceSettings
 
 
 # Departures that are kept; a fleet of the target size has 2,610 endpoints, and
--- a/waxwinglift/version/tests/test_announcement_order.py
+++ b/waxwinglift/version/tests/test_announcement_order.py
@@ -207,6 +207,13 @@
     assert table.fleet.endpoints["s1"].state is EndpointState.LOST
 
 
+_REPLICA = {
+    "endpoint": "s2",
+    "address": Address("10.0.0.2", 1),
+    "in_recovery": True,
+}
+
+
 @pytest.mark.parametrize("started_ms", [0, 1000])
 @pytest.mark.parametrize("leaders_count", [0, 1, 3])
 def test_new_leader_does_not_bring_back_a_departed_server(
@@ -216,14 +223,9 @@
     # has become the leader since; requests would be sent to nobody.
     table = Table()
     table.announce()
-    replica = {
-        "endpoint": "s2",
-        "address": Address("10.0.0.2", 1),
-        "in_recovery": True,
-    }
-    table.announce(**replica)
+    table.announce(**_REPLICA)
     table.announce(
-        **replica | {"started_ms": started_ms, "sequence": 9, "is_gone": True}
+        **_REPLICA | {"started_ms": started_ms, "sequence": 9, "is_gone": True}
     )
     for _ in range(leaders_count):
         table.fleet = decode_fleet(encode_fleet(table.fleet))
@@ -231,10 +233,10 @@
         table.table.start_leadership(table.fleet, table.now_ms)
     for sequence in range(6, 9):
         table.expire()
-        assert table.announce(**replica, sequence=sequence) == []
+        assert table.announce(**_REPLICA, sequence=sequence) == []
     assert set(table.fleet.endpoints) == {"s1"}
     # A new start of the server is another matter.
-    table.announce(**replica | {"started_ms": 7000, "sequence": 1})
+    table.announce(**_REPLICA | {"started_ms": 7000, "sequence": 1})
     assert set(table.fleet.endpoints) == {"s1", "s2"}
     assert not table.fleet.departed
 
@@ -243,14 +245,9 @@
     # Any client can send one; the server must not be shut out for ever.
     table = Table()
     table.announce()
-    replica = {
-        "endpoint": "s2",
-        "address": Address("10.0.0.2", 1),
-        "in_recovery": True,
-    }
-    table.announce(**replica)
-    table.announce(**replica | {"started_ms": 0, "is_gone": True})
+    table.announce(**_REPLICA)
+    table.announce(**_REPLICA | {"started_ms": 0, "is_gone": True})
     for sequence in range(6, 40):
         table.expire()
-        table.announce(**replica, sequence=sequence)
+        table.announce(**_REPLICA, sequence=sequence)
     assert set(table.fleet.endpoints) == {"s1", "s2"}
--- a/waxwinglift/version/tests/test_desired.py
+++ b/waxwinglift/version/tests/test_desired.py
@@ -15,9 +15,9 @@
 from waxwinglift.version._entry_codec import encode_fleet
 from waxwinglift.version._fleet import FleetState
 from waxwinglift.version._rank_rows import rank_row
-from waxwinglift.version._workspaces import digest_key
-from waxwinglift.version._workspaces import WorkspaceSettings
 from waxwinglift.version._types import Consistency
+from waxwinglift.version._workspaces import WorkspaceSettings
+from waxwinglift.version._workspaces import digest_key
 
 
 def pool(name, timeout_ms=800, group="g"):
