--- a/waxwinglift/platform/_settings.py
+++ b/waxwinglift/platform/_settings.py
@@ -93,6 +93,8 @@
     ip: Annotated[str, pydantic.AfterValidator(_checks.check_ip_address)]
     data_centre: str = pydantic.Field(min_length=1, alias="zone")
     region: str = pydantic.Field(min_length=1)
+    # Names of the parts of the platform's rules that are in force.
+    contracts: tuple[str, ...] = ()
     # First and last port for internal use by the machine's processes.
     internal_ports: tuple[_Port, _Port] = pydantic.Field(alias="internalPorts")
     # Control addresses of a few machines, possibly outdated.
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -11,6 +11,7 @@
 from waxwinglift.request._admission_types import Refuse
 from waxwinglift.request._admission_types import Start
 from waxwinglift.request._admission_types import Ticket
+from waxwinglift.request._queue_load import QueueLoad
 from waxwinglift.request._rank_queue import RankQueue
 from waxwinglift.request._types import FailureCode
 from waxwinglift.request._types import not_run
@@ -234,6 +235,16 @@
             return min(wait_ms, own_count * self._service_ms / floor_slots)
         return wait_ms
 
+    def load(self) -> QueueLoad:
+        """Return the present load of the queue."""
+        waiting_count = self.waiting_count
+        wait_ms = 0.0
+        if waiting_count or self.running_count >= self.slots_count:
+            wait_ms = (waiting_count + 1) * self._service_ms / self.slots_count
+        return QueueLoad(
+            self.slots_count, self.running_count, waiting_count, wait_ms
+        )
+
     def _must_wait(self, rank):
         if len(self._running) >= self.slots_count:
             return True
