Prefer control daemons that are near as relays

Cause: a proxy chose its control daemon by a hash of the addresses, so two thirds of the renewals crossed regions. Change: control daemons state their location when they join, and the fleet state holds it. With relay_order = "nearest" a proxy prefers the daemons of its data centre, then of its region, with even shares among equals. It moves to a nearer one only after a renewal through that one was granted. The default, "hash", is the present order; it also holds where no location is known. Control daemons and proxies of older builds ignore the location. The sequence of renewals moved to a module of its own.

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -35,6 +35,9 @@
 # of the fleet.  The rest covers the check-quorum time of control, by which
 # that state may be older than it seems, and the drift of clocks.
 _VIEW_AGE_FRACTION = 3 / 4
+# Part of the platform's rules under which traffic between regions is charged
+# and capacity is scarce.
+_POOL_CONTRACT = "pool"
 # The last renewal comes after the drain and the stop of the sessions.
 _LAST_RENEWAL_FRACTION = 1 / 15
 _CONTROL_TIMING = ControlTimingSettings(
@@ -106,11 +109,16 @@
             ),
             quota=_quota_settings(platform.bounds),
         ),
+        relay_order="nearest" if _has_pool_contract(platform) else "hash",
         timing=_proxy_timing(grace_ms),
         observability=platform.observability,
     )
 
 
+def _has_pool_contract(platform):
+    return _POOL_CONTRACT in platform.contracts
+
+
 def _quota_settings(bounds):
     return QuotaSettings(
         window_ms=1000 * bounds.quota_window_s,
--- a/waxwinglift/platform/tests/test_settings.py
+++ b/waxwinglift/platform/tests/test_settings.py
@@ -160,3 +160,15 @@
     path = tmp_path / "nested.toml"
     path.write_text("a = " + "[" * 100_000, encoding="utf-8")
     assert load_platform_settings(path).is_err()
+
+
+@pytest.mark.parametrize(
+    ("contracts", "relay_order"),
+    [([], "hash"), (["base"], "hash"), (["base", "pool"], "nearest")],
+)
+def test_relays_are_near_where_traffic_is_charged(
+    tmp_path, contracts, relay_order
+):
+    """Other deployments must keep their even shares."""
+    platform = _load(tmp_path, _VALUES | {"contracts": contracts}).ok_value
+    assert _roles.proxy_settings(platform).relay_order == relay_order
--- a/waxwinglift/process/_control.py
+++ b/waxwinglift/process/_control.py
@@ -147,6 +147,7 @@
             joiner = GroupJoiner(
                 DaemonId(settings.member),
                 settings.listen,
+                _control_settings.to_location(settings.location),
                 self.node,
                 self.address_book,
                 channels,
--- a/waxwinglift/process/_control_join.py
+++ b/waxwinglift/process/_control_join.py
@@ -80,14 +80,18 @@
     member : DaemonId
     address : Address
         Where this daemon listens.
+    location : Location
     node : ControlNode
     address_book : AddressBook
     channels : ChannelCache
     """
 
-    def __init__(self, member, address, node, address_book, channels):
+    def __init__(
+        self, member, address, location, node, address_book, channels
+    ):
         self._member = member
         self._address = address
+        self._location = location
         self._node = node
         self._address_book = address_book
         self._channels = channels
@@ -121,6 +125,8 @@
             member=self._member,
             host=self._address.host,
             port=self._address.port,
+            data_centre=self._location.data_centre,
+            region=self._location.region,
         )
         addresses = [
             a for a in self._address_book.all_addresses() if a != self._address
--- a/waxwinglift/process/_control_link.py
+++ b/waxwinglift/process/_control_link.py
@@ -8,8 +8,6 @@
 import contextlib
 import logging
 import math
-import secrets
-import time
 
 from grpclib.exceptions import ProtocolError
 import mode
@@ -17,10 +15,10 @@
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._fleet_updates import FleetUpdates
 from waxwinglift.process._fleet_updates import WatchError
-from waxwinglift.process._relays import order_relays
+from waxwinglift.process._relays import RelayOrder
+from waxwinglift.process._renewal_maker import RenewalMaker
 from waxwinglift.process._trace_context import current_traceparent
 from waxwinglift.process._types import DaemonId
-from waxwinglift.process._types import Location
 from waxwinglift.process._watch_lag import WatchLag
 from waxwinglift.process.rpc import control_grpc
 from waxwinglift.process.rpc import control_pb2
@@ -28,14 +26,11 @@
 from waxwinglift.process.rpc._channels import open_channel
 from waxwinglift.process.rpc._channels import retrieve_exception
 from waxwinglift.process.rpc._convert import renewal_to_wire
-from waxwinglift.version._renewals import Renewal
 from waxwinglift.version._types import DaemonState
-from waxwinglift.version._types import Incarnation
 
 logger = logging.getLogger(__name__)
 
 RECONNECT_DELAY_S = 0.1
-INCARNATION_BITS = 62
 # Successive refusals after which the proxy switches to another relay.  A relay
 # that is partitioned from the leader still answers, but only with refusals.
 # All relays refuse during an election, which takes up to 0.7 s.
@@ -50,6 +45,9 @@
 # Control sends at least one message per second; the stream counts as failed
 # after three missing ones.
 WATCH_TIMEOUT_S = 3.0
+# Interval between checks for a nearer relay.  Only a relay that may be tried
+# is called.
+_NEARER_RELAY_INTERVAL_S = 1.0
 
 
 class ControlLink(mode.Service):
@@ -82,16 +80,12 @@
         self.lease = lease
         self.view_age = view_age
         self._updates = FleetUpdates(view, view_age, self._on_applied)
-        self.reports = reports
         self.metrics = metrics
         self.tracer = tracer
         self.is_draining = False
         self._is_stopped = False
         self._is_watching = False
-        # Control ignores renewals whose sequence is lower than one it has
-        # seen, also from an earlier run of the proxy.  The sequence starts at
-        # the wall-clock time in milliseconds and is thus higher than before.
-        self._sequence = int(time.time() * 1000)
+        self._renewals = RenewalMaker(settings, view, reports)
         self._refusals_count = 0
         self._watch_lag = WatchLag()
         self._refusal_reason = "no answer"
@@ -99,12 +93,21 @@
         self._relay_changed = asyncio.Event()
         self._renewed_ms = -math.inf
         self._entries_timer = None
-        self._incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
         self._configured_addresses = tuple(settings.control)
-        self._relays = order_relays(settings.daemon, settings.control)
+        self._relays = RelayOrder(
+            DaemonId(settings.daemon),
+            view.location,
+            settings.relay_order,
+            settings.control,
+        )
         self._has_lease = False
         self._was_active = False
 
+    @property
+    def relay(self):
+        """Address of the control daemon in use."""
+        return self._relays.current
+
     def set_control_addresses(self, addresses):
         """Use other configured addresses, after a reload of the settings."""
         self._configured_addresses = tuple(addresses)
@@ -116,16 +119,9 @@
         Configured addresses may be outdated, since daemons are replaced.
         """
         members = self.view.fleet.members.values()
-        addresses = {member.address for member in members}
-        addresses.update(self._configured_addresses)
-        if addresses == set(self._relays):
-            return
-        current = self._relays[0]
-        ordered = order_relays(self.settings.daemon, addresses)
-        if current in addresses:
-            ordered.remove(current)
-            ordered.insert(0, current)
-        self._relays = ordered
+        locations = {member.address: member.location for member in members}
+        addresses = {*locations, *self._configured_addresses}
+        self._relays.update(addresses, locations)
 
     async def on_stop(self):
         """Send one renewal that reports that this proxy has stopped."""
@@ -135,7 +131,7 @@
         timeout_ms = self.settings.timing.last_renewal_timeout_ms
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                with open_channel(self._relays[0]) as channel:
+                with open_channel(self.relay) as channel:
                     await self._renew_once(channel)
         except TimeoutError:
             # Control notices the end of the proxy when its lease expires.
@@ -148,7 +144,7 @@
     @mode.Service.task
     async def _watch_forever(self):
         while not self.should_stop:
-            relay = self._relays[0]
+            relay = self.relay
             try:
                 await self._watch_until_changed(relay)
             except (*CALL_ERRORS, WatchError) as error:
@@ -183,17 +179,57 @@
 
     def _switch_relay(self, failed):
         """Switch to the next relay unless ``failed`` is no longer in use."""
+        if self.relay == failed:
+            self.metrics.incr("control.relay_failures")
+            self._relays.fail(monotonic_ms())
+            self._on_relay_changed()
+
+    def _on_relay_changed(self):
         self._refusals_count = 0
         self._watch_lag.reset()
-        if self._relays[0] == failed:
-            self._relays.append(self._relays.pop(0))
-            self._relay_changed.set()
-            self._relay_changed = asyncio.Event()
-            self.request_renewal()
+        self._relay_changed.set()
+        self._relay_changed = asyncio.Event()
+        self.request_renewal()
+
+    @mode.Service.task
+    async def _prefer_nearer_relay(self):
+        while not self.should_stop:
+            await self.sleep(_NEARER_RELAY_INTERVAL_S)
+            nearer = self._relays.find_nearer(monotonic_ms())
+            if nearer is not None and self.lease.is_live(monotonic_ms()):
+                await self._try_nearer_relay(nearer)
+
+    async def _try_nearer_relay(self, nearer):
+        """Use a nearer relay once a renewal through it was granted.
+
+        The relay in use goes on meanwhile, so that the lease does not depend
+        on the attempt.
+        """
+        is_granted = False
+        with contextlib.suppress(*CALL_ERRORS):
+            with open_channel(nearer) as channel:
+                grant = await self._request_grant(channel)
+            is_granted = grant.granted
+            if is_granted:
+                self._record_grant(grant)
+        relay = self.relay
+        if not is_granted:
+            self._relays.reject(nearer, monotonic_ms())
+        elif self._relays.is_nearer(nearer):
+            logger.info(
+                "using control daemon %s (%s) in place of %s (%s)",
+                nearer,
+                self._relays.distance(nearer).name.lower(),
+                relay,
+                self._relays.distance(relay).name.lower(),
+            )
+            self.metrics.incr("control.relay_moves")
+            self._relays.move_to(nearer, monotonic_ms())
+            self._on_relay_changed()
 
     async def _watch(self, channel):
         stub = control_grpc.ControlStub(channel)
-        relay = self._relays[0]
+        relay = self.relay
         async with stub.Watch.open() as stream:
             try:
                 await self._receive_entries(stream, relay)
@@ -209,7 +245,7 @@
             applied_index=self.view.applied_index,
         )
         await stream.send_message(request, end=True)
-        while self._relays[0] == relay:
+        while self.relay == relay:
             async with asyncio.timeout(WATCH_TIMEOUT_S):
                 reply = await stream.recv_message()
             if reply is None:
@@ -264,7 +300,7 @@
     @mode.Service.task
     async def _renew_forever(self):
         while not self.should_stop:
-            relay = self._relays[0]
+            relay = self.relay
             with open_channel(relay) as channel:
                 await self._renew_through(relay, channel)
 
@@ -276,7 +312,7 @@
         """
         calls = set()
         try:
-            while self._relays[0] == relay and not self.should_stop:
+            while self.relay == relay and not self.should_stop:
                 self._renew_now.clear()
                 call = asyncio.ensure_future(self._renew_once(channel))
                 calls.add(call)
@@ -296,17 +332,9 @@
 
     async def _renew_once(self, channel):
         """Send one renewal; switch to another relay if it fails."""
-        relay = self._relays[0]
-        self._sequence += 1
-        renewal = self._make_renewal()
-        stub = control_grpc.ControlStub(channel)
-        self._renewed_ms = monotonic_ms()
-        self.lease.on_sent(self._sequence, self._renewed_ms)
-        timeout_s = self.settings.timing.rpc_timeout_ms / 1000
+        relay = self.relay
         try:
-            with self.tracer.start_as_current_span("control.renew"):
-                message = renewal_to_wire(renewal, current_traceparent())
-                grant = await stub.Renew(message, timeout=timeout_s)
+            grant = await self._request_grant(channel)
         except CALL_ERRORS:
             self.metrics.incr("control.renewals_lost")
             self._switch_relay(relay)
@@ -316,7 +344,7 @@
         is_lagging = self._watch_lag.record(
             grant.commit_index, self.view.applied_index, monotonic_ms()
         )
-        if is_lagging and self._relays[0] == relay:
+        if is_lagging and self.relay == relay:
             self.metrics.incr("control.watch_lags")
             logger.warning(
                 "%s does not follow the log: log index %d has not arrived,"
@@ -328,6 +356,16 @@
         if is_lagging or self._refusals_count >= REFUSALS_LIMIT_COUNT:
             self._switch_relay(relay)
 
+    async def _request_grant(self, channel):
+        renewal = self._renewals.make(self.is_draining, self._is_stopped)
+        stub = control_grpc.ControlStub(channel)
+        self._renewed_ms = monotonic_ms()
+        self.lease.on_sent(renewal.sequence, self._renewed_ms)
+        timeout_s = self.settings.timing.rpc_timeout_ms / 1000
+        with self.tracer.start_as_current_span("control.renew"):
+            message = renewal_to_wire(renewal, current_traceparent())
+            return await stub.Renew(message, timeout=timeout_s)
+
     def _record_grant(self, grant):
         if grant.granted:
             self._refusals_count = 0
@@ -346,22 +384,6 @@
             self._refusal_reason = grant.reason
             self.metrics.incr("control.renewals_refused")
 
-    def _make_renewal(self):
-        settings = self.settings
-        location = settings.location
-        return Renewal(
-            daemon=DaemonId(settings.daemon),
-            address=settings.peer_listen,
-            location=Location(location.data_centre, location.region),
-            applied_index=self.view.applied_index,
-            sequence=self._sequence,
-            is_draining=self.is_draining,
-            is_stopped=self._is_stopped,
-            down=self.reports.down_endpoints(),
-            released=self.reports.released_endpoints(),
-            incarnation=self._incarnation,
-        )
-
     def _report_lease_change(self):
         has_lease = self.lease.is_live(monotonic_ms())
         if has_lease == self._has_lease:
--- a/waxwinglift/process/_control_node.py
+++ b/waxwinglift/process/_control_node.py
@@ -76,7 +76,7 @@
         Settings of the daemon.
     store : LogStore
         Open log store.
-    founders : sequence of (DaemonId, Address)
+    founders : sequence of (DaemonId, Address, Location or None)
         Members of a new fleet; empty for an existing one.
     send : callable
         Called with a recipient and a consensus message; must not block.
--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -20,6 +20,7 @@
 from waxwinglift.process.rpc._convert import announcement_from_wire
 from waxwinglift.process.rpc._convert import encode_answer
 from waxwinglift.process.rpc._convert import find_announcement_error
+from waxwinglift.process.rpc._convert import join_location_from_wire
 from waxwinglift.process.rpc._convert import pack_snapshot
 from waxwinglift.process.rpc._convert import renewal_from_wire
 from waxwinglift.version import _control_core_messages as core_messages
@@ -238,7 +239,11 @@
         is_accepted = self._node.has_quorum
         if is_accepted:
             self._node.record_join_request(
-                JoinRequest(DaemonId(request.member), address)
+                JoinRequest(
+                    DaemonId(request.member),
+                    address,
+                    join_location_from_wire(request),
+                )
             )
         elif not request.forwarded:
             is_accepted = await self._forward_join(request)
--- a/waxwinglift/process/_control_settings.py
+++ b/waxwinglift/process/_control_settings.py
@@ -1,6 +1,9 @@
 """Settings of consensus and control core, and founders of a new fleet."""
 
 from waxwinglift.process._types import DaemonId
+from waxwinglift.process._types import DataCentre
+from waxwinglift.process._types import Location
+from waxwinglift.process._types import Region
 from waxwinglift.version._consensus_types import ConsensusSettings
 from waxwinglift.version._leases import LeaseSettings
 
@@ -54,7 +57,14 @@
             "start a new fleet with --found, or replace a member that lost "
             "its disk: remove it, add it under a new name and set join = true"
         )
-    return [(DaemonId(row.member), row.address) for row in settings.members]
+    return [
+        (
+            DaemonId(row.member),
+            row.address,
+            None if row.location is None else to_location(row.location),
+        )
+        for row in settings.members
+    ]
 
 
 def _find_founder(settings):
@@ -69,4 +79,10 @@
     first = min(discovery.seeds, key=lambda seed: (seed.host, seed.port))
     if first != settings.listen:
         return ()
-    return [(DaemonId(settings.member), settings.listen)]
+    location = to_location(settings.location)
+    return [(DaemonId(settings.member), settings.listen, location)]
+
+
+def to_location(settings):
+    """Return the `Location` of `LocationSettings`."""
+    return Location(DataCentre(settings.data_centre), Region(settings.region))
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -15,6 +15,7 @@
 from waxwinglift.process import _checks
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_settings import OwnerSettings
+from waxwinglift.process._relays import RELAY_ORDERS
 from waxwinglift.process._types import Address
 from waxwinglift.version._control_settings import ControlCoreSettings
 from waxwinglift.version._control_settings import MembershipSettings
@@ -79,10 +80,15 @@
 
 
 class MemberSettings(SettingsModel):
-    """Identifier and address of one control daemon."""
+    """Identifier, address and location of one control daemon.
+
+    ``location`` is written to the log when the group is founded, and must be
+    equal on all founders.
+    """
 
     member: Name
     address: SocketAddress
+    location: LocationSettings | None = None
 
 
 class ControlTimingSettings(SettingsModel):
@@ -249,6 +255,10 @@
         Settings of the side that serves callers.
     owner : OwnerSettings
         Settings of the side that has the connections to endpoints.
+    relay_order : str
+        Order in which the control daemons are preferred: ``hash`` for equal
+        shares, ``nearest`` for the own data centre, then the own region, then
+        the others, each with equal shares.
     """
 
     daemon: Name
@@ -258,9 +268,18 @@
     ready_listen: SocketAddress | None = None
     entry: EntrySettings
     owner: OwnerSettings = OwnerSettings()
+    relay_order: str = "hash"
     timing: ProxyTimingSettings = ProxyTimingSettings()
     observability: ObservabilitySettings = ObservabilitySettings()
 
+    @pydantic.field_validator("relay_order")
+    @classmethod
+    def _check_relay_order(cls, relay_order):
+        if relay_order not in RELAY_ORDERS:
+            names = ", ".join(sorted(RELAY_ORDERS))
+            raise ValueError(f"must be one of {names}")
+        return relay_order
+
     @pydantic.field_validator("entry")
     @classmethod
     def _check_entry(cls, entry):
--- a/waxwinglift/process/rpc/_convert.py
+++ b/waxwinglift/process/rpc/_convert.py
@@ -173,3 +173,10 @@
         traceparent=traceparent,
         incarnation=renewal.incarnation,
     )
+
+
+def join_location_from_wire(message):
+    """Return the `Location` of a `JoinRequest` message, None without one."""
+    if not message.data_centre or not message.region:
+        return None
+    return Location(DataCentre(message.data_centre), Region(message.region))
--- a/waxwinglift/process/tests/test_control.py
+++ b/waxwinglift/process/tests/test_control.py
@@ -61,7 +61,8 @@
         member=names[number],
         location=LOCATION,
         listen=addresses[number],
-        members=[
+        members=changes.pop("members", None)
+        or [
             {"member": name, "address": str(address)}
             for name, address in zip(names, addresses)
         ],
@@ -135,7 +136,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_link(members):
+async def running_link(members, **changes):
     addresses = [member.settings.listen for member in members]
     settings = _settings.ProxySettings(
         daemon="proxy-0",
@@ -143,6 +144,7 @@
         peer_listen="127.0.0.1:1",
         control=[str(address) for address in addresses],
         entry={"token_secret": "0123456789"},
+        **changes,
     )
     lease = DaemonLease()
     location = Location(DataCentre("dc-1"), Region("region-1"))
@@ -235,7 +237,7 @@
                 await wait_until(link.view.lease_is_live)
                 await propose(members, make_edit("a", 0))
                 await wait_until(lambda: "payouts" in link.view.fleet.pools)
-                relay = link._relays[0]
+                relay = link.relay
                 failed = next(m for m in members if m.settings.listen == relay)
                 await failed.stop()
                 others = [m for m in members if m is not failed]
@@ -347,7 +349,7 @@
         async with running_group(tmp_path, 1) as members:
             async with running_link(members) as link:
                 await wait_until(link.view.lease_is_live)
-                before, started_ms = link._sequence, monotonic_ms()
+                before, started_ms = link._renewals.sequence, monotonic_ms()
                 for version in range(40):
                     edit = make_edit(f"e{version}", version, version + 1)
                     await propose(members, edit)
@@ -357,7 +359,7 @@
                 elapsed_ms = monotonic_ms() - started_ms
                 # One per 250 ms and one per 100 ms, plus 3 at start and end.
                 limit_count = elapsed_ms / 250 + elapsed_ms / 100 + 3
-                assert link._sequence - before <= limit_count
+                assert link._renewals.sequence - before <= limit_count
 
     run(work)
 
--- a/waxwinglift/version/_apply_daemons.py
+++ b/waxwinglift/version/_apply_daemons.py
@@ -89,7 +89,10 @@
     if entry.member in state.members:
         return refuse(RefusalCode.KNOWN_MEMBER, entry.member)
     state.members[entry.member] = Member(
-        member=entry.member, address=entry.address, is_voter=False
+        member=entry.member,
+        address=entry.address,
+        is_voter=False,
+        location=entry.location,
     )
     return Ok(Applied(index))
 
--- a/waxwinglift/version/_consensus_driver.py
+++ b/waxwinglift/version/_consensus_driver.py
@@ -27,7 +27,7 @@
         Returns the monotonic time in milliseconds.
     execute : callable
         Called with each action; must not block.
-    initial_members : iterable of (DaemonId, Address)
+    initial_members : iterable of (DaemonId, Address, Location or None)
         Members of a new group, written to an empty store.  Must be empty
         for a member that joins an existing group or that has lost its disk.
     """
--- a/waxwinglift/version/_consensus_membership.py
+++ b/waxwinglift/version/_consensus_membership.py
@@ -45,7 +45,7 @@
 
     Parameters
     ----------
-    members : iterable of (DaemonId, Address)
+    members : iterable of (DaemonId, Address, Location or None)
         Must be the same on all initial members, which write these entries
         to their empty stores before the first start.  A member that joins
         later starts with an empty log.
@@ -54,9 +54,9 @@
     -------
     tuple of LogEntry
     """
-    ordered = sorted(members)
-    changes = [MemberAdded(member, address) for member, address in ordered]
-    changes += [MemberPromoted(member) for member, _ in ordered]
+    ordered = sorted(members, key=lambda founder: founder[0])
+    changes = [MemberAdded(*founder) for founder in ordered]
+    changes += [MemberPromoted(member) for member, *_ in ordered]
     return tuple(
         LogEntry(index, BOOTSTRAP_TERM, encode_entry(change))
         for index, change in enumerate(changes, start=1)
--- a/waxwinglift/version/_entries.py
+++ b/waxwinglift/version/_entries.py
@@ -355,6 +355,8 @@
 
     member: DaemonId
     address: Address
+    # None in the logs of older builds and where nobody stated it.
+    location: Location | None = None
     kind: EntryKind = EntryKind.MEMBER_ADDED
 
 
--- a/waxwinglift/version/_fleet.py
+++ b/waxwinglift/version/_fleet.py
@@ -167,6 +167,8 @@
     member: DaemonId
     address: Address
     is_voter: bool
+    # None if it is not known.
+    location: Location | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/version/_membership.py
+++ b/waxwinglift/version/_membership.py
@@ -12,6 +12,7 @@
 
 from waxwinglift.process import Address
 from waxwinglift.process import DaemonId
+from waxwinglift.process import Location
 from waxwinglift.version._consensus_messages import MemberRole
 from waxwinglift.version._control_settings import MembershipSettings
 from waxwinglift.version._entries import Entry
@@ -26,6 +27,7 @@
 
     member: DaemonId
     address: Address
+    location: Location | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +94,9 @@
             if predecessor is not None:
                 return MemberRemoved(predecessor)
             if len(view.members) < self.settings.members_limit_count:
-                return MemberAdded(request.member, request.address)
+                return MemberAdded(
+                    request.member, request.address, request.location
+                )
         return None
 
     def _fresh_requests(self, now_ms):
--- a/waxwinglift/version/tests/test_membership.py
+++ b/waxwinglift/version/tests/test_membership.py
@@ -3,10 +3,21 @@
 import pytest
 
 from waxwinglift.process import Address
+from waxwinglift.process import DataCentre
+from waxwinglift.process import Location
+from waxwinglift.process import Region
+from waxwinglift.process.rpc import control_pb2
+from waxwinglift.process.rpc._convert import join_location_from_wire
+from waxwinglift.version import FleetState
+from waxwinglift.version import LogIndex
+from waxwinglift.version._apply import apply_entry
 from waxwinglift.version._consensus_messages import MemberRole
 from waxwinglift.version._entries import MemberAdded
 from waxwinglift.version._entries import MemberPromoted
 from waxwinglift.version._entries import MemberRemoved
+from waxwinglift.version._entry_codec import decode_entry
+from waxwinglift.version._entry_codec import decode_fleet
+from waxwinglift.version._entry_codec import encode_fleet
 from waxwinglift.version._membership import ControlGroupView
 from waxwinglift.version._membership import JoinRequest
 from waxwinglift.version._membership import MembershipPlanner
@@ -39,6 +50,42 @@
     return JoinRequest(name, address(number))
 
 
+def test_added_member_has_its_location():
+    """Proxies choose their relay by it."""
+    location = Location(DataCentre("dc-1"), Region("region-1"))
+    planner = MembershipPlanner(MembershipSettings())
+    request = JoinRequest("b", address(1), location)
+    planner.record_request(request, 0.0)
+    entry = planner.plan(make_view("a"), 0.0)
+    fleet = FleetState()
+    assert apply_entry(fleet, LogIndex(1), entry).is_ok()
+    restored = decode_fleet(encode_fleet(fleet))
+    assert restored.members["b"].location == location
+
+
+@pytest.mark.parametrize(
+    ("location", "expected"),
+    [
+        ({"data_centre": "dc-1", "region": "r"}, Location("dc-1", "r")),
+        # Sent by an older build.
+        ({}, None),
+    ],
+)
+def test_join_request_may_lack_a_location(location, expected):
+    """Members of older builds must be able to join."""
+    message = control_pb2.JoinRequest(member="b", **location)
+    assert join_location_from_wire(message) == expected
+
+
+def test_entry_of_an_older_build_has_no_location():
+    """Logs of older builds must be read."""
+    payload = (
+        b'{"member":"b","address":{"host":"10.0.0.1","port":1},'
+        b'"kind":"member_added"}'
+    )
+    assert decode_entry(payload).location is None
+
+
 @pytest.mark.parametrize(
     ("known", "requests", "expected"),
     [
