Omit the fields of headers that repeat on a stream between proxies

Cause: each forwarded transaction carries a header of about 150 bytes, of which mostly the floor and the time left differ from the previous one on its stream. Change: a receiver states once on each stream that it keeps headers. From then on the sender omits the fields that equal those of the previous header and names them in a bit mask. Nothing is derived from the view of either side. With a proxy of an older build, in either direction, headers stay whole. Tests of headers, peer streams, failures and frames, cancel, the data path and the statement path pass.

--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -230,7 +230,7 @@
         try:
             self._may_be_open = True
             frame = encode_exchange(exchange, header)
-            await self._stream.send(FrameKind.EXECUTE, frame)
+            await self._send(frame)
             return await self._receive(sink)
         except FrameTooLargeError as error:
             failure = not_run(FailureCode.TOO_LARGE, str(error))
@@ -269,6 +269,15 @@
         async with asyncio.timeout(min(deadline_left_s, OPEN_TIMEOUT_S)):
             self._stream = await self._client.open_stream()
 
+    async def _send(self, frame):
+        headers = self._stream.headers
+        has_header = frame.HasField("header")
+        if has_header:
+            headers.omit_repeats(frame.header)
+        await self._stream.send(FrameKind.EXECUTE, frame)
+        if has_header:
+            headers.record_sent()
+
     async def _receive(self, sink):
         while True:
             reply = await self._stream.receive()
@@ -279,6 +288,8 @@
             self._client.health.record_answer()
             if reply.messages:
                 await sink(reply.messages)
+            if reply.keeps_headers:
+                self._stream.headers.are_kept = True
             if reply.HasField("end"):
                 return self._record_end(decode_result(reply))
 
--- a/waxwinglift/process/_peer_client_connection.py
+++ b/waxwinglift/process/_peer_client_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from waxwinglift.process._header_repeats import SentHeaders
 from waxwinglift.process._peer_connection import logger
 from waxwinglift.process._peer_connection import PeerConnection
 from waxwinglift.process._peer_connection import PeerStream
@@ -32,7 +33,8 @@
 class ClientStream(PeerStream):
     """One stream that the client has opened.
 
-    ``reply_kind`` is the kind of the frames that answer it.
+    ``reply_kind`` is the kind of the frames that answer it, ``headers`` are
+    those of its transactions.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
     ):
         super().__init__(connection, stream_id)
         self.reply_kind = reply_kind
+        self.headers = SentHeaders()
         self._taken_bytes = 0
 
     async def send(self, kind: FrameKind, message):
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -6,6 +6,7 @@
 
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import Executor
+from waxwinglift.process._header_repeats import ReceivedHeaders
 from waxwinglift.process._listener import stop_accepting
 from waxwinglift.process._peer_cancel import is_cancel_request
 from waxwinglift.process._peer_cancel import serve_cancel
@@ -162,6 +163,8 @@
         self._executor = executor
         self._transaction = None
         self._buffered = b""
+        self._headers = ReceivedHeaders()
+        self._has_stated_keeping = False
 
     async def serve(self, frame):
         try:
@@ -177,6 +180,7 @@
     async def _start(self, header):
         if self._transaction is not None:
             await self._transaction.close()
+        self._headers.restore(header)
         self._transaction = self._executor.open(decode_header(header))
 
     async def _next_exchange(self):
@@ -193,6 +197,8 @@
         # A small answer is sent in one frame with its end.
         reply = peer_pb2.ResultFrame(messages=self._buffered)
         self._buffered = b""
+        if not self._has_stated_keeping:
+            reply.keeps_headers = self._has_stated_keeping = True
         encode_end(reply.end, end)
         if end.answer is not None:
             encode_answer(reply.answer, end.answer)
