Send heartbeats of the control log in a short form

Cause: a heartbeat and its answer were JSON of 130 and 97 bytes for four or five numbers, and each named the sender's address. Eight a second go to each member: 12 kB/s between regions. Change: a member states in its acknowledgement that it reads short messages and knows the sender's address. Heartbeats and answers are then protobuf fields without the address. Members of older builds get whole messages.

--- a/waxwinglift/process/_control_rpc.py
+++ b/waxwinglift/process/_control_rpc.py
@@ -8,6 +8,7 @@
 
 from waxwinglift.process._checks import find_address_error
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._consensus_envelopes import decode_envelope
 from waxwinglift.process._control_relay import make_refused_grant
 from waxwinglift.process._operator_service import ReplaceOutcome
 from waxwinglift.process._relayed_renewals import answer_batch
@@ -27,7 +28,6 @@
 from waxwinglift.process.rpc._convert import renewal_from_wire
 from waxwinglift.version import _control_core_messages as core_messages
 from waxwinglift.version import _entries
-from waxwinglift.version._consensus_messages import decode_message
 from waxwinglift.version._consensus_types import MessageReceived
 from waxwinglift.version._entry_codec import decode_entry
 from waxwinglift.version._entry_codec import encode_fleet
@@ -215,16 +215,18 @@
     async def Consensus(self, stream):  # noqa: N802
         """Receive a consensus message from another member."""
         envelope = await stream.recv_message()
-        await stream.send_message(control_pb2.ConsensusAck())
         if envelope.recipient != self._node.member:
+            await stream.send_message(control_pb2.ConsensusAck())
             return
+        sender = DaemonId(envelope.sender)
         address = Address(envelope.sender_host, envelope.sender_port)
         if not find_address_error(address):
-            self._address_book.record_sender(
-                DaemonId(envelope.sender), address
-            )
+            self._address_book.record_sender(sender, address)
+        is_known = self._address_book.find(sender) is not None
+        ack = control_pb2.ConsensusAck(reads_short=is_known)
+        await stream.send_message(ack)
         try:
-            message = decode_message(envelope.payload)
+            message = decode_envelope(envelope)
         except ValueError:
             self._node.metrics.incr("control.bad_messages")
             return
--- a/waxwinglift/process/_control_transport.py
+++ b/waxwinglift/process/_control_transport.py
@@ -3,10 +3,9 @@
 import asyncio
 import collections
 
+from waxwinglift.process._consensus_envelopes import encode_envelope
 from waxwinglift.process.rpc import control_grpc
-from waxwinglift.process.rpc import control_pb2
 from waxwinglift.process.rpc._channels import CALL_ERRORS
-from waxwinglift.version._consensus_messages import encode_message
 
 # Messages queued for one member.  The oldest are dropped first; the consensus
 # node sends again what is still needed.
@@ -25,6 +24,9 @@
         # Calls that wait for a new connection may be reordered, so there is
         # only one call at a time until a call has succeeded.
         self.is_connected = False
+        # Whether the member at the other end of the connection has stated
+        # that it reads short messages and knows this member's address.
+        self.reads_short = False
 
     def calls_limit_count(self):
         return CALLS_LIMIT_COUNT if self.is_connected else 1
@@ -98,21 +100,22 @@
         address = self._find_address(recipient)
         if address is None:
             return
-        envelope = control_pb2.ConsensusEnvelope(
-            sender=self._member,
-            recipient=recipient,
-            payload=encode_message(message),
+        envelope = encode_envelope(
+            self._member,
+            recipient,
+            message,
+            None if outbox.reads_short else self._address,
+            outbox.reads_short,
         )
-        if self._address is not None:
-            envelope.sender_host = self._address.host
-            envelope.sender_port = self._address.port
         channel = self._channels.get(address)
         stub = control_grpc.ControlStub(channel)
         try:
-            await stub.Consensus(envelope, timeout=CALL_TIMEOUT_S)
+            ack = await stub.Consensus(envelope, timeout=CALL_TIMEOUT_S)
             outbox.is_connected = True
+            outbox.reads_short = ack.reads_short
         except CALL_ERRORS:
             # The connection may be broken; the next message opens a new one.
             outbox.is_connected = False
+            outbox.reads_short = False
             if self._channels.get(address) is channel:
                 self._channels.discard(address)
