--- a/waxwinglift/platform/_desired_state.py
+++ b/waxwinglift/platform/_desired_state.py
@@ -15,6 +15,7 @@
 from waxwinglift.version import PoolName
 from waxwinglift.version import PoolTable
 from waxwinglift.version._desired import DesiredStateRequest
+from waxwinglift.version._desired_formats import DESIRED_FORMATS
 from waxwinglift.version._entries import GroupSettings
 from waxwinglift.version._entries import PoolPolicy
 from waxwinglift.version._entries import ServingLimits
@@ -100,6 +101,7 @@
     tenants: list[_Tenant] | None = None
 
 
+@DESIRED_FORMATS.register("platform")
 def decode_desired_state(body: bytes) -> Result[DesiredStateRequest, str]:
     """Return the request of an operator's document, or why it is invalid."""
     try:
