Open no channel to a control daemon after the cache was closed

Cause: a control daemon that finds its group by seeds could open a connection while it stopped, because a task that was being cancelled asked the closed cache for a channel. Nothing closed that connection. Change: after it was closed, the cache returns closed channels.

--- a/waxwinglift/process/rpc/_channels.py
+++ b/waxwinglift/process/rpc/_channels.py
@@ -89,18 +89,23 @@
 
     One channel carries all calls to a process.  `discard` closes a channel
     after an error, so that the next call opens a new connection: the old one
-    may be broken.
+    may be broken.  After `close`, all calls fail: tasks that are being
+    cancelled may still make one, and nothing would close a new connection.
     """
 
     def __init__(self):
         self._channels = {}
+        self._is_closed = False
 
     def get(self, address):
         """Return the channel to ``address``."""
         channel = self._channels.get(address)
         if channel is None:
             channel = ClosableChannel(address)
-            self._channels[address] = channel
+            if self._is_closed:
+                channel.close()
+            else:
+                self._channels[address] = channel
         return channel
 
     def discard(self, address):
@@ -111,5 +116,6 @@
 
     def close(self):
         """Close all channels."""
+        self._is_closed = True
         for address in list(self._channels):
             self.discard(address)
--- a/waxwinglift/process/tests/test_relays.py
+++ b/waxwinglift/process/tests/test_relays.py
@@ -153,3 +153,24 @@
                 await control.wait_until(link.view.lease_is_live)
 
     asyncio.run(work())
+
+
+def test_members_that_find_their_group_state_their_location(tmp_path):
+    """Without locations the proxies of the platform would use far relays."""
+
+    async def work():
+        addresses = control.free_addresses(2)
+        options = {
+            "addresses": addresses,
+            "discovery": {
+                "seeds": [str(address) for address in addresses],
+                "may_found": True,
+            },
+        }
+        async with control.running_group(tmp_path, 2, **options) as members:
+            leader = await control.leader_of(members)
+            known = leader.node.fleet.members
+            await control.wait_until(lambda: len(known) == 2)
+            return {member.location for member in known.values()}
+
+    assert asyncio.run(work()) == {OWN}
