Omit only header fields that have a bit in the mask

Cause: a later field with a number above 63 or a repeated one would make each header fail. Change: such fields are always sent.

--- a/waxwinglift/process/_header_repeats.py
+++ b/waxwinglift/process/_header_repeats.py
@@ -12,11 +12,16 @@
 _SETTINGS_BIT = 1 << (
     peer_pb2.ExecuteHeader.DESCRIPTOR.fields_by_name["settings"].number
 )
-# Fields with a single value; `repeated_fields` has a bit for each of them.
+# Highest number of a field that has a bit in `repeated_fields`.
+_NUMBER_LIMIT = 63
+# Fields with a single value, which have a bit; others are always sent.
 _BITS_BY_NAME = {
     field.name: 1 << field.number
     for field in _HEADER_FIELDS
-    if field.message_type is None and field.name != "repeated_fields"
+    if field.message_type is None
+    and not field.is_repeated
+    and field.number <= _NUMBER_LIMIT
+    and field.name != "repeated_fields"
 }
 _read_values = operator.attrgetter(*_BITS_BY_NAME)
 
