Derive the in-flight limit from the shortest round trip

Cause: the limit used the mean round trip of commands that need no slot.

Before the change, the new test found a limit of 10 statements instead of 2 (near endpoint) and 5 (other region) with process delays of 20 to 59 ms. The existing tests for endpoints in other regions pass; they now also pass the time of each sample.

--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -202,9 +202,12 @@
             self._address, self.group, self.endpoint, workspace
         )
         return TrackedConnection(
-            connection, self.now_ms, self._in_flight_limit.record_round_trip
+            connection, self.now_ms, self._record_round_trip
         )
 
+    def _record_round_trip(self, elapsed_ms):
+        self._in_flight_limit.record_round_trip(elapsed_ms, self.now_ms())
+
     def _make_stream(self, header, request):
         return StatementStream(self, header, request)
 
--- a/waxwinglift/request/tests/test_in_flight_limit.py
+++ b/waxwinglift/request/tests/test_in_flight_limit.py
@@ -19,8 +19,8 @@
 def test_limit_grows_with_the_round_trip(round_trip_ms, limit_count):
     """Statements for a near endpoint must queue at the owner, by rank."""
     limit = InFlightLimit()
-    for _ in range(20):
-        limit.record_round_trip(round_trip_ms)
+    for number in range(20):
+        limit.record_round_trip(round_trip_ms, 10.0 * number)
     found = limit.limit_count(SLOTS_COUNT, EXECUTION_MS + round_trip_ms)
     assert found == limit_count
 
@@ -30,6 +30,34 @@
     assert InFlightLimit().limit_count(SLOTS_COUNT, 4.0) == SLOTS_COUNT
 
 
+@pytest.mark.parametrize(("shortest_ms", "limit_count"), [(0.5, 2), (24.0, 5)])
+def test_delay_of_the_process_itself_does_not_raise_the_limit(
+    shortest_ms, limit_count
+):
+    """An owner without spare processor time must not fill the endpoint.
+
+    Its own delay is part of each round trip.  On a day of the first version
+    of the limit, statements then queued at the endpoint, where ranks have no
+    effect.
+    """
+    limit = InFlightLimit()
+    limit.record_round_trip(shortest_ms, 0.0)
+    for number in range(100):
+        delay_ms = 20.0 + number % 40
+        limit.record_round_trip(shortest_ms + delay_ms, 100.0 * number)
+    service_ms = EXECUTION_MS + shortest_ms
+    assert limit.limit_count(SLOTS_COUNT, service_ms) == limit_count
+
+
+def test_limit_follows_a_link_that_has_become_longer():
+    """A window without an end would keep the shortest round trip forever."""
+    limit = InFlightLimit()
+    limit.record_round_trip(0.5, 0.0)
+    for number in range(300):
+        limit.record_round_trip(24.0, 100.0 * number)
+    assert limit.limit_count(SLOTS_COUNT, EXECUTION_MS + 24.0) == 5
+
+
 def serve_flood(round_trip_ms, duration_ms, has_in_flight_limit):
     """Return how many statements an endpoint finishes in a flood.
 
@@ -40,7 +68,7 @@
     row = RankRow("low", 1, 0, 0, 1000, 10_000)
     queue.set_tables([PoolTable("p", "g", (row,))])
     limit = InFlightLimit()
-    limit.record_round_trip(round_trip_ms)
+    limit.record_round_trip(round_trip_ms, 0.0)
     waiting = []
     for number in range(900):
         ticket = Ticket(number, "p", "low", f"c{number % 9}", 0.0, 1e9)
