Select the order of an admission queue from a registry

The order of the tickets within a rank, the expected wait and the refusals move from AdmissionQueue to TurnOrder, the order "turns", without a change of behaviour.

--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -3,6 +3,8 @@
 All fields have defaults; docs/performance.md gives the reasons for them.
 """
 
+from typing import Literal
+
 import pydantic
 
 
@@ -19,6 +21,10 @@
 
     Parameters
     ----------
+    order : str
+        Order of the requests of a rank, in the registry of orders: "turns"
+        of the callers, or "deadline", by the latest start that the target
+        latency of a pool allows.
     initial_service_ms : float
         Service time assumed until the first statements have finished.
     service_weight : float
@@ -46,6 +52,7 @@
         for their turn.
     """
 
+    order: Literal["turns", "deadline"] = "turns"
     initial_service_ms: float = pydantic.Field(4.0, gt=0)
     service_weight: float = pydantic.Field(0.05, gt=0, le=1)
     floor_window_ms: float = pydantic.Field(200.0, gt=0)
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -5,16 +5,18 @@
 """
 
 import heapq
-import math
+import random
 
 from waxwinglift.process._policy_settings import AdmissionSettings
+from waxwinglift.request import _turn_order  # noqa: F401, registers an order
+from waxwinglift.request._admission_order import ADMISSION_ORDERS
+from waxwinglift.request._admission_types import make_refusal
 from waxwinglift.request._admission_types import Refuse
 from waxwinglift.request._admission_types import Start
 from waxwinglift.request._admission_types import Ticket
 from waxwinglift.request._queue_load import QueueLoad
-from waxwinglift.request._rank_queue import RankQueue
+from waxwinglift.request._queue_state import QueueState
 from waxwinglift.request._types import FailureCode
-from waxwinglift.request._types import not_run
 
 __all__ = ["AdmissionQueue", "Refuse", "Start", "Ticket"]
 
@@ -33,22 +35,37 @@
     slots_count : int
         Number of statements that the endpoint executes concurrently.
     settings : AdmissionSettings, optional
+    rng : random.Random, optional
+        For orders that refuse at random.
     """
 
-    def __init__(self, slots_count, settings=None):
-        self.slots_count = slots_count
+    def __init__(self, slots_count, settings=None, rng=None):
         self.settings = settings or AdmissionSettings()
-        self._ranks = {}
-        # Service time charged at the start, by running request.
-        self._running = {}
+        self._state = QueueState(
+            slots_count, self.settings, self.settings.initial_service_ms
+        )
+        self._order = ADMISSION_ORDERS[self.settings.order](
+            self._state, rng or random.Random()
+        )
+        # Both are changed here only.
+        self._ranks = self._state.ranks
+        self._running = self._state.running_ms
         self._expiries = []
-        self._service_ms = self.settings.initial_service_ms
         # Virtual time of the last started rank.  A rank that was idle starts
         # from it and cannot claim the slots of its idle time.
         self._virtual_ms = 0.0
         self._last_accrual_ms = None
         self._is_in_flood = False
 
+    @property
+    def slots_count(self):
+        """Number of statements that may run at once."""
+        return self._state.slots_count
+
+    @slots_count.setter
+    def slots_count(self, slots_count):
+        self._state.slots_count = slots_count
+
     @property
     def running_count(self):
         """Number of slots in use."""
@@ -57,12 +74,12 @@
     @property
     def service_ms(self):
         """Moving average of the time that a ticket occupies its slot."""
-        return self._service_ms
+        return self._state.service_ms
 
     @property
     def waiting_count(self):
         """Number of tickets that wait for a slot."""
-        return sum(len(rank) for rank in self._ranks.values())
+        return self._state.waiting_count
 
     def set_tables(self, pool_tables):
         """Replace the rank tables of all pools of the endpoint's group."""
@@ -81,7 +98,9 @@
         ranks = {}
         for index, row in enumerate(pool_table.rows):
             key = (pool_table.pool, row.rank)
-            ranks[key] = self._ranks.get(key) or RankQueue(row, index)
+            ranks[key] = self._ranks.get(key) or self._order.make_rank(
+                row, index
+            )
             ranks[key].row = row
             ranks[key].urgency_index = index
             ranks[key].is_retired = False
@@ -111,26 +130,28 @@
         rank = self._ranks.get((ticket.pool, ticket.rank))
         if rank is None or rank.is_retired:
             return [
-                _refuse(
+                make_refusal(
                     ticket,
                     FailureCode.BAD_PARAMETER,
                     f"pool {ticket.pool!r} has no rank {ticket.rank!r}",
                 )
             ]
         if ticket.deadline_ms <= now_ms:
-            return [_refuse(ticket, FailureCode.REJECTED, "deadline passed")]
-        if self._must_wait(rank):
-            refusals = self._refuse_long_wait(ticket, rank, now_ms)
-            if refusals:
-                return refusals
+            return [
+                make_refusal(ticket, FailureCode.REJECTED, "deadline passed")
+            ]
+        refusal = self._order.find_refusal(ticket, rank, now_ms)
+        if refusal is not None:
+            return [refusal]
         if not len(rank):
             rank.virtual_ms = max(rank.virtual_ms, self._virtual_ms)
-        rank.push(ticket)
-        expiry = (self._latest_start_ms(ticket), ticket.request, ticket)
+        self._order.push(ticket, rank, now_ms)
+        latest_ms = self._order.latest_start_ms(ticket)
+        expiry = (latest_ms, ticket.request, ticket)
         heapq.heappush(self._expiries, expiry)
         return self._start_next(now_ms)
 
-    def finish(self, ticket, now_ms, service_ms):
+    def finish(self, ticket, now_ms, service_ms, work_ms=None):
         """Free the slot of a started ticket and start the next one.
 
         Parameters
@@ -139,6 +160,9 @@
         now_ms : float
         service_ms : float
             Time that the ticket occupied its slot.
+        work_ms : float, optional
+            Part of it that the endpoint took for its work; None if it
+            refused the work.
 
         Returns
         -------
@@ -151,8 +175,7 @@
         rank = self._ranks[(ticket.pool, ticket.rank)]
         rank.running_count -= 1
         rank.charge(service_ms - estimate_ms, self._debt_cap_ms(rank))
-        error_ms = service_ms - self._service_ms
-        self._service_ms += self.settings.service_weight * error_ms
+        self._order.record(ticket, rank, now_ms, service_ms, work_ms)
         return self._start_next(now_ms)
 
     def cancel(self, ticket):
@@ -181,12 +204,9 @@
         actions = []
         while self._expiries and self._expiries[0][0] <= now_ms:
             _, _, ticket = heapq.heappop(self._expiries)
-            rank = self._ranks.get((ticket.pool, ticket.rank))
-            if rank is not None and rank.remove(ticket):
-                refusal = _refuse(
-                    ticket, FailureCode.REJECTED, "deadline passed in queue"
-                )
-                actions.append(refusal)
+            actions += self._refuse_late(ticket, now_ms)
+        for ticket in self._order.find_late(now_ms):
+            actions += self._refuse_late(ticket, now_ms)
         return actions
 
     def next_expiry_ms(self):
@@ -216,61 +236,24 @@
         self._expiries = []
         return actions
 
-    def expected_wait_ms(self, ticket):
+    def expected_wait_ms(self, ticket, now_ms=0.0):
         """Return the expected time until a new ticket would start."""
-        rank = self._ranks[(ticket.pool, ticket.rank)]
-        if not self._must_wait(rank):
-            return 0.0
-        own_count = rank.ahead_count(ticket.caller, ticket.is_continued) + 1
-        ahead_count = own_count
-        for other in self._ranks.values():
-            if other is not rank:
-                ahead_count += _served_before_count(other, rank, own_count)
-        slots_count = self._usable_slots_count(rank)
-        wait_ms = ahead_count * self._service_ms / slots_count
-        if self.settings.is_floor_expected and rank.floor_share > 0:
-            # The floor share limits the wait, however long the queues of
-            # higher ranks are.
-            floor_slots = rank.floor_share * self.slots_count
-            return min(wait_ms, own_count * self._service_ms / floor_slots)
-        return wait_ms
+        return self._order.expected_wait_ms(ticket, now_ms)
 
     def load(self) -> QueueLoad:
         """Return the present load of the queue."""
-        waiting_count = self.waiting_count
-        wait_ms = 0.0
-        if waiting_count or self.running_count >= self.slots_count:
-            wait_ms = (waiting_count + 1) * self._service_ms / self.slots_count
         return QueueLoad(
-            self.slots_count, self.running_count, waiting_count, wait_ms
+            self.slots_count,
+            self.running_count,
+            self.waiting_count,
+            self._order.new_wait_ms(),
         )
 
-    def _must_wait(self, rank):
-        if len(self._running) >= self.slots_count:
-            return True
-        return len(rank) > 0 or rank.is_at_limit
-
-    def _refuse_long_wait(self, ticket, rank, now_ms):
-        if len(rank) >= rank.row.queue_limit_count:
-            wait_ms = self.expected_wait_ms(ticket)
-            message = f"queue of rank {ticket.rank} is full ({len(rank)} wait)"
-            return [_refuse(ticket, FailureCode.REJECTED, message, wait_ms)]
-        wait_ms = self.expected_wait_ms(ticket)
-        left_ms = ticket.deadline_ms - now_ms
-        if wait_ms > self.settings.wait_fraction * left_ms:
-            message = f"expected wait of {wait_ms:.0f} ms exceeds the deadline"
-            return [_refuse(ticket, FailureCode.REJECTED, message, wait_ms)]
-        return []
-
-    def _latest_start_ms(self, ticket):
-        """Return when it is too late to start, although time is left."""
-        limit_ms = ticket.deadline_ms - ticket.arrival_ms
-        reserve_ms = (1 - self.settings.wait_fraction) / 2 * limit_ms
-        return ticket.deadline_ms - reserve_ms
-
-    def _usable_slots_count(self, rank):
-        limit_count = rank.row.limit_count or self.slots_count
-        return min(limit_count, self.slots_count)
+    def _refuse_late(self, ticket, now_ms):
+        rank = self._ranks.get((ticket.pool, ticket.rank))
+        if rank is None or not rank.remove(ticket):
+            return []
+        return [self._order.refuse_late(ticket, rank, now_ms)]
 
     def _start_next(self, now_ms):
         actions = []
@@ -282,18 +265,12 @@
         return actions
 
     def _start(self, rank, now_ms):
-        # Without a floor share the time between two starts is unknown: only
-        # tickets whose deadline has passed are late.
-        turn_ms = 0.0
-        if rank.floor_share > 0:
-            floor_slots = rank.floor_share * self.slots_count
-            turn_ms = self._service_ms / floor_slots
-        limit_count = self.settings.advance_limit_count
-        ticket = rank.pop(now_ms, turn_ms, limit_count)
+        ticket = self._order.pop(rank, now_ms)
         rank.running_count += 1
         self._virtual_ms = max(self._virtual_ms, rank.virtual_ms)
-        self._running[ticket.request] = self._service_ms
-        rank.charge(self._service_ms, self._debt_cap_ms(rank))
+        charged_ms = self._order.charged_ms(ticket)
+        self._running[ticket.request] = charged_ms
+        rank.charge(charged_ms, self._debt_cap_ms(rank))
         return Start(ticket)
 
     def _choose_rank(self):
@@ -307,7 +284,7 @@
         # In a flood a rank is served as soon as its credit is not negative.
         # Having to earn the time of a whole statement first would keep it
         # below its floor share during the whole flood.
-        min_credit_ms = 0.0 if self._is_in_flood else self._service_ms
+        min_credit_ms = 0.0 if self._is_in_flood else self._state.service_ms
         below_floor_share = [
             rank
             for rank in ready
@@ -343,11 +320,11 @@
 
     def _credit_cap_ms(self, rank):
         window_ms = self.settings.floor_window_ms * self.slots_count
-        return max(2 * self._service_ms, window_ms * rank.floor_share)
+        return max(2 * self._state.service_ms, window_ms * rank.floor_share)
 
     def _debt_cap_ms(self, rank):
         window_ms = self.settings.debt_window_ms * self.slots_count
-        return max(self._service_ms, window_ms * rank.floor_share)
+        return max(self._state.service_ms, window_ms * rank.floor_share)
 
     def _update_floor_shares(self):
         """Set the floor shares, scaled down if their total exceeds 100%."""
@@ -364,19 +341,3 @@
                 rank.is_retired = True
             else:
                 del self._ranks[key]
-
-
-def _served_before_count(other, rank, own_count):
-    """Return how many waiting tickets of another rank are served first."""
-    if other.is_most_urgent and not rank.is_most_urgent:
-        return len(other)
-    if rank.is_most_urgent and not other.is_most_urgent:
-        return 0
-    ratio = other.row.weight / max(1, rank.row.weight)
-    return min(len(other), round(own_count * ratio))
-
-
-def _refuse(ticket, code, message, wait_ms=None):
-    """Return a refusal that suggests a retry after ``wait_ms``."""
-    retry_after_ms = None if wait_ms is None else math.ceil(wait_ms)
-    return Refuse(ticket, not_run(code, message, retry_after_ms))
--- a/waxwinglift/request/_admission_types.py
+++ b/waxwinglift/request/_admission_types.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from waxwinglift.request._types import Failure
+from waxwinglift.request._types import FailureCode
+from waxwinglift.request._types import not_run
 from waxwinglift.request._types import RequestId
 from waxwinglift.version import PoolName
 from waxwinglift.version import Rank
@@ -56,3 +58,13 @@
 
     ticket: Ticket
     failure: Failure
+
+
+def make_refusal(
+    ticket: Ticket,
+    code: FailureCode,
+    message: str,
+    retry_after_ms: int | None = None,
+) -> Refuse:
+    """Return the refusal of a ticket that has not run."""
+    return Refuse(ticket, not_run(code, message, retry_after_ms))
--- a/waxwinglift/request/_rank_queue.py
+++ b/waxwinglift/request/_rank_queue.py
@@ -1,14 +1,16 @@
-"""Waiting tickets of one rank of a pool, and accounting of its slot time."""
+"""Waiting tickets of one rank of a pool, in turns of their callers."""
 
 import collections
 import heapq
 
+from waxwinglift.request._rank_account import RankAccount
+
 # The heap of deadlines is rebuilt when its size exceeds twice the number of
 # waiting tickets by more than this; a small heap is not worth rebuilding.
 _REBUILD_MARGIN_COUNT = 64
 
 
-class RankQueue:
+class RankQueue(RankAccount):
     """Queue of one rank: open blocks first, then round robin over callers.
 
     Parameters
@@ -17,31 +19,10 @@
         Row of the pool's table.
     urgency_index : int
         Index of the rank in its table, 0 for the most urgent.
-
-    Attributes
-    ----------
-    floor_share : float
-        Share of the endpoint's capacity that is guaranteed to the rank in a
-        flood, 0 to 1.
-    credit_ms : float
-        Unused slot time that the rank has earned at its floor share;
-        negative if it has used more.
-    virtual_ms : float
-        Used slot time divided by the weight.
-    running_count : int
-    is_retired : bool
-        Whether the rank was removed from its table and only serves its
-        remaining tickets.
     """
 
     def __init__(self, row, urgency_index):
-        self.row = row
-        self.urgency_index = urgency_index
-        self.floor_share = 0.0
-        self.credit_ms = 0.0
-        self.virtual_ms = 0.0
-        self.running_count = 0
-        self.is_retired = False
+        super().__init__(row, urgency_index)
         self._by_caller = collections.OrderedDict()
         # Tickets of open blocks, in order of arrival.
         self._continued = {}
@@ -54,17 +35,6 @@
     def __len__(self):
         return self._waiting_count
 
-    @property
-    def is_most_urgent(self):
-        """Whether this is the first rank of its pool's table."""
-        return self.urgency_index == 0
-
-    @property
-    def is_at_limit(self):
-        """Whether the rank uses as many slots as its limit allows."""
-        limit_count = self.row.limit_count
-        return 0 < limit_count <= self.running_count
-
     def push(self, ticket):
         """Append a ticket to its caller's queue."""
         if ticket.is_continued:
@@ -151,14 +121,6 @@
             ),
         ]
 
-    def charge(self, used_ms, debt_cap_ms):
-        """Record used slot time; a negative amount corrects an estimate.
-
-        The credit does not fall below ``-debt_cap_ms``.
-        """
-        self.virtual_ms += used_ms / max(1, self.row.weight)
-        self.credit_ms = max(self.credit_ms - used_ms, -debt_cap_ms)
-
     def _next_in_turn(self):
         while True:
             caller = next(iter(self._by_caller))
