Admit statements by target latency under overload

Cause: at 1.2 to 2 times the capacity of a primary its owner spends its processor time on refusals.

Change: AdmissionSettings.order = "deadline" orders the tickets of a rank by their latest start, estimates waits by kind of work, refuses a rank's kinds of work by one ratio, refuses tickets that can no longer start in time, and spreads the times after which refused requests may return. Samples of the slot time leave out waits for a connection, refusals of the endpoint and the lateness of the process. A block that the queue would refuse is refused before it is begun. The platform's contract "pool" selects the order.

--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -330,10 +330,17 @@
         finally:
             del self._waiters[ticket.request]
 
-    def leave(self, ticket: Ticket, service_ms: float):
-        """Free the slot of a started ticket."""
+    def find_refusal(self, ticket: Ticket) -> Failure | None:
+        """Return the failure of a ticket that is not worth offering yet."""
+        refusal = self.queue.find_refusal(ticket, self._now_ms())
+        return None if refusal is None else refusal.failure
+
+    def leave(
+        self, ticket: Ticket, service_ms: float, work_ms: float | None = None
+    ):
+        """Free the slot of a started ticket; see `AdmissionQueue.finish`."""
         now_ms = self._now_ms()
-        self._perform(self.queue.finish(ticket, now_ms, service_ms))
+        self._perform(self.queue.finish(ticket, now_ms, service_ms, work_ms))
 
     def tick(self):
         """Refuse the tickets whose deadline has passed."""
--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -21,6 +21,9 @@
 _MISSED_ANNOUNCEMENTS_COUNT = 4
 # Part of a statement's time that it may wait for a slot.
 _WAIT_FRACTION = 0.5
+# Name of the contract under which requests are admitted by the target latency
+# of their pool.
+_POOL_CONTRACT = "pool"
 # A connection that opens occupies a slot of the server, which has two or more.
 _OPENING_LIMIT_COUNT = 2
 # The platform checks readiness each second and needs two failed checks.
@@ -100,7 +103,7 @@
             protocol=PROTOCOL,
             drain_timeout_ms=drain_ms,
             drain_answer_timeout_ms=answer_ms,
-            admission=AdmissionSettings(wait_fraction=_WAIT_FRACTION),
+            admission=_admission_settings(platform.contracts),
             pool=EndpointPoolSettings(
                 keeps_surplus=True, opening_limit_count=_OPENING_LIMIT_COUNT
             ),
@@ -111,6 +114,11 @@
     )
 
 
+def _admission_settings(contracts):
+    order = "deadline" if _POOL_CONTRACT in contracts else "turns"
+    return AdmissionSettings(order=order, wait_fraction=_WAIT_FRACTION)
+
+
 def _quota_settings(bounds):
     return QuotaSettings(
         window_ms=1000 * bounds.quota_window_s,
--- a/waxwinglift/platform/tests/test_settings.py
+++ b/waxwinglift/platform/tests/test_settings.py
@@ -76,6 +76,18 @@
     assert settings.timing.drain_timeout_ms < 6000
 
 
+@pytest.mark.parametrize(
+    ("contracts", "order"),
+    [([], "turns"), (["base"], "turns"), (["base", "pool"], "deadline")],
+)
+def test_contract_selects_the_order_of_admission(tmp_path, contracts, order):
+    """A deployment without the contract must keep its behaviour."""
+    values = _VALUES | {"contracts": contracts}
+    settings = _roles.proxy_settings(_load(tmp_path, values).ok_value)
+    assert settings.owner.admission.order == order
+    assert settings.owner.admission.wait_fraction == 0.5
+
+
 @pytest.mark.parametrize("grace_s", [3, 6, 12])
 def test_statements_finish_after_the_limit_for_open_transactions(
     tmp_path, grace_s
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -50,6 +50,14 @@
         Maximum number of turns that a caller may be ahead of the others of
         its rank, for requests that would miss their deadline if they waited
         for their turn.
+    refusal_start_ratio : float
+        Ratio of the expected wait to the acceptable one from which the order
+        "deadline" refuses a part of the requests; at 1 it refuses all.
+    refusal_share : float
+        Refusals per served request that the order "deadline" allows by the
+        times after which refused requests may return.
+    return_limit_ms : float
+        Longest of these times.
     """
 
     order: Literal["turns", "deadline"] = "turns"
@@ -61,6 +69,9 @@
     is_floor_expected: bool = True
     wait_fraction: float = pydantic.Field(1.0, gt=0, le=1)
     advance_limit_count: int = pydantic.Field(4, ge=0)
+    refusal_start_ratio: float = pydantic.Field(0.5, gt=0, lt=1)
+    refusal_share: float = pydantic.Field(1 / 3, gt=0, le=1)
+    return_limit_ms: float = pydantic.Field(1000.0, ge=1)
 
 
 class RoutingSettings(PolicySettings):
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -10,6 +10,7 @@
 from waxwinglift.connection._owner_connections import SlotQueue
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.connection._statement_monitor import StatementMonitor
+from waxwinglift.process._admission_report import AdmissionReport
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
@@ -128,6 +129,18 @@
         desired = self.view.fleet.desired
         return 0 if desired is None else desired.limits.idle_block_ms
 
+    def target_latency_ms(self, pool) -> float:
+        """Return the target latency of a pool; 0 if it has none."""
+        table = self.view.table(pool)
+        if table is None or table.policy is None:
+            return 0.0
+        return table.policy.target_latency_ms
+
+    def tick(self):
+        """Run the timers."""
+        super().tick()
+        self.admission_report.tick()
+
     def run_in_background(self, coroutine):
         """Run a coroutine without delaying a caller."""
         self._start_task(coroutine)
@@ -182,8 +195,13 @@
         self.slots = SlotQueue(
             AdmissionQueue(record.slots_count, admission), self.now_ms
         )
+        # The order of `admission` concerns slots; blocks wait for connections.
+        blocks_admission = admission.model_copy(update={"order": "turns"})
         self.blocks = SlotQueue(
-            AdmissionQueue(record.slots_count, admission), self.now_ms
+            AdmissionQueue(record.slots_count, blocks_admission), self.now_ms
+        )
+        self.admission_report = AdmissionReport(
+            self.endpoint, self.slots.queue, self.metrics, self.now_ms
         )
         self.positions = StatementPositions(
             self.endpoint,
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -8,6 +8,7 @@
 import random
 
 from waxwinglift.process._policy_settings import AdmissionSettings
+from waxwinglift.request import _deadline_order  # noqa: F401, as the next
 from waxwinglift.request import _turn_order  # noqa: F401, registers an order
 from waxwinglift.request._admission_order import ADMISSION_ORDERS
 from waxwinglift.request._admission_types import make_refusal
@@ -113,6 +114,20 @@
         self._retire_ranks(pool, {})
         self._update_floor_shares()
 
+    def find_refusal(self, ticket, now_ms):
+        """Return the refusal of a request before its ticket is offered.
+
+        For requests that take other resources before a slot.
+
+        Returns
+        -------
+        Refuse or None
+        """
+        rank = self._ranks.get((ticket.pool, ticket.rank))
+        if rank is None:
+            return None
+        return self._order.find_early_refusal(ticket, rank, now_ms)
+
     def offer(self, ticket, now_ms):
         """Start, queue or refuse a new ticket.
 
--- a/waxwinglift/request/_admission_order.py
+++ b/waxwinglift/request/_admission_order.py
@@ -40,6 +40,12 @@
     ) -> Refuse | None:
         """Return the refusal of a new ticket, or None if it is accepted."""
 
+    @abc.abstractmethod
+    def find_early_refusal(
+        self, ticket: Ticket, rank: RankAccount, now_ms: float
+    ) -> Refuse | None:
+        """Return the refusal of a request before its ticket is offered."""
+
     @abc.abstractmethod
     def push(self, ticket: Ticket, rank: RankAccount, now_ms: float):
         """Add an accepted ticket to its rank."""
--- a/waxwinglift/request/_admission_types.py
+++ b/waxwinglift/request/_admission_types.py
@@ -1,6 +1,7 @@
 """Tickets of the admission queue and the actions that it returns."""
 
 import dataclasses
+from typing import NewType
 
 from waxwinglift.request._types import Failure
 from waxwinglift.request._types import FailureCode
@@ -9,6 +10,9 @@
 from waxwinglift.version import PoolName
 from waxwinglift.version import Rank
 
+# Statements of one kind take a similar time: a pool, and what they do there.
+WorkKind = NewType("WorkKind", str)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
@@ -33,6 +37,13 @@
         ticket is for a later statement of an open block.  It precedes the
         other tickets of its rank, because a refusal would discard the work
         of the block.
+    is_admitted : bool
+        Whether `AdmissionQueue.find_refusal` has accepted the request
+        before; it is not refused at random again.
+    work : WorkKind
+        Kind of work, for estimates of its slot time; empty if unknown.
+    target_ms : float
+        Time within which the caller expects the answer; 0 if not specified.
     """
 
     request: RequestId
@@ -43,6 +54,9 @@
     deadline_ms: float
     is_block: bool = False
     is_continued: bool = False
+    is_admitted: bool = False
+    work: WorkKind = WorkKind("")
+    target_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -18,7 +18,7 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
-from waxwinglift.request._admission import Ticket
+from waxwinglift.request._block_place import BlockPlace
 from waxwinglift.request._idle_timer import IdleTimer
 from waxwinglift.request._read_floor import find_read_floor
 from waxwinglift.request._statements import Command
@@ -26,22 +26,15 @@
 from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.request._statements import Reply
 from waxwinglift.request._statements import StatementVerb
+from waxwinglift.request._statement_ticket import make_ticket
+from waxwinglift.request._statement_ticket import work_kind
+from waxwinglift.request._statement_ticket import WorkSample
+from waxwinglift.request._stream_failed import StreamFailed
 from waxwinglift.request._transaction_connection import TransactionConnection
-from waxwinglift.version import PoolName
 
-# Pool name shared by all pools of a group, so that their ranks are compared.
-_GROUP_QUEUE_POOL = PoolName("")
 _ROLLBACK = Command(CommandKind.ROLLBACK)
 
 
-class StreamFailed(Exception):
-    """Ends an exchange and its stream; ``end`` contains the failure."""
-
-    def __init__(self, end: ExchangeEnd):
-        super().__init__(end.failure.message)
-        self.end = end
-
-
 class StatementStream:
     """Runs one statement, or the statements of one transaction block.
 
@@ -70,10 +63,10 @@
         self._connection = TransactionConnection(
             owner, request, header.workspace
         )
-        self._block_ticket: Ticket | None = None
-        self._block_started_ms = 0.0
+        self._block_place = BlockPlace(owner, self)
         self._idle_timer = IdleTimer(self.end_if_idle)
         self._queue_wait_ms = 0.0
+        self._work_sample = WorkSample(owner.awake_ms)
         self._is_at_primary = False
         self._connection.set_values(header.settings)
 
@@ -150,7 +143,7 @@
             if not self.header.in_block:
                 return await self._run_single(statement, deadline_ms)
             if is_first:
-                await self._begin_block(deadline_ms)
+                await self._begin_block(statement, deadline_ms)
             return await self._run_in_block(statement, deadline_ms)
         finally:
             child.end()
@@ -163,10 +156,11 @@
     async def _run_single(self, statement, deadline_ms):
         self._raise_if_refused(is_new=True)
         after = await self._find_floor(deadline_ms)
-        async with self._slot(deadline_ms):
+        async with self._slot(statement, deadline_ms):
             # The assignment and the role may have changed during the waits.
             self._raise_if_refused()
             await self._acquire_connection(deadline_ms)
+            self._work_sample.start()
             if self._is_at_primary and not statement.is_write:
                 reply = await self._run_read_at_primary(statement, deadline_ms)
             else:
@@ -188,10 +182,14 @@
             raise EndpointConnectionLost("ROLLBACK left a transaction open")
         return Reply(reply.answer, ended.status, reply.position)
 
-    async def _begin_block(self, deadline_ms):
+    async def _begin_block(self, statement, deadline_ms):
         self._raise_if_refused(is_new=True)
+        self._raise_if_queue_refuses(statement, deadline_ms)
         after = await self._find_floor(deadline_ms)
-        await self._enter_block_queue(deadline_ms)
+        ticket = self._ticket(statement, deadline_ms, is_block=True)
+        failure = await self._block_place.enter(ticket)
+        if failure is not None:
+            self._fail(failure)
         self._raise_if_refused()
         await self._acquire_connection(deadline_ms)
         is_read = self.header.read_only and not self._is_at_primary
@@ -201,7 +199,7 @@
         self._raise_if_not_begun(reply)
 
     async def _run_in_block(self, statement, deadline_ms):
-        async with self._slot(deadline_ms):
+        async with self._slot(statement, deadline_ms):
             commands = self._connection.build_commands(statement, None)
             reply = (await self._send(commands, deadline_ms))[-1]
         self._record_error(reply)
@@ -223,14 +221,15 @@
         return found.ok_value
 
     @contextlib.asynccontextmanager
-    async def _slot(self, deadline_ms):
+    async def _slot(self, statement, deadline_ms):
         """Occupy a slot of the endpoint while the context is open."""
-        ticket = self._ticket(deadline_ms)
+        ticket = self._ticket(statement, deadline_ms)
         queued_ms = self._owner.now_ms()
         failure = await self._owner.slots.enter(ticket)
         if failure is not None:
-            self._fail(failure)
+            self._fail_refused(ticket, failure)
         started_ms = self._owner.now_ms()
+        self._work_sample.start()
         self._queue_wait_ms = started_ms - queued_ms
         self._owner.metrics.timing("owner.queue_wait", self._queue_wait_ms)
         self._owner.add_running(self)
@@ -238,30 +237,22 @@
             yield
         finally:
             service_ms = self._owner.now_ms() - started_ms
-            self._owner.slots.leave(ticket, service_ms)
-            if self._block_ticket is None:
+            work_ms = self._work_sample.elapsed_ms()
+            self._owner.slots.leave(ticket, service_ms, work_ms)
+            if not self._block_place.is_open:
                 self._owner.remove_running(self)
 
-    async def _enter_block_queue(self, deadline_ms):
-        ticket = self._ticket(deadline_ms, is_block=True)
-        failure = await self._owner.blocks.enter(ticket)
-        if failure is not None:
-            self._fail(failure)
-        self._block_ticket = ticket
-        self._block_started_ms = self._owner.now_ms()
-        self._owner.add_running(self)
-
-    def _ticket(self, deadline_ms, is_block=False):
-        header = self.header
-        return Ticket(
-            request=self._request,
-            pool=_GROUP_QUEUE_POOL,
-            rank=header.rank,
-            caller=header.caller,
-            arrival_ms=self._owner.now_ms(),
+    def _ticket(self, statement, deadline_ms, is_block=False):
+        return make_ticket(
+            self.header,
+            self._request,
+            self._owner.now_ms(),
             deadline_ms=deadline_ms,
             is_block=is_block,
             is_continued=self._statements_count > 1,
+            is_admitted=self._block_place.is_open,
+            work=work_kind(self.header.pool, statement),
+            target_ms=self._owner.target_latency_ms(self.header.pool),
         )
 
     async def _acquire_connection(self, deadline_ms):
@@ -285,8 +276,14 @@
             message = "the time limit of the statement has passed"
             self._fail(not_run(FailureCode.REJECTED, message))
         self._is_sent = not is_setup
-        async with asyncio.timeout(left_ms / 1000):
-            replies = await self._connection.run(commands)
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                replies = await self._connection.run(commands)
+        except TimeoutError:
+            self._work_sample.record_timeout()
+            raise
+        if not is_setup:
+            self._work_sample.record_replies(replies)
         self._owner.monitor.record_response()
         return replies
 
@@ -301,6 +298,16 @@
         if refusal is not None:
             raise StreamFailed(refusal)
 
+    def _raise_if_queue_refuses(self, statement, deadline_ms):
+        """Raise StreamFailed if the first statement would get no slot.
+
+        The endpoint then need not begin and roll back the block.
+        """
+        ticket = self._ticket(statement, deadline_ms)
+        refusal = self._owner.slots.find_refusal(ticket)
+        if refusal is not None:
+            self._fail_refused(ticket, refusal)
+
     def _raise_if_not_begun(self, reply):
         """Raise StreamFailed unless BEGIN has opened a transaction.
 
@@ -358,25 +365,22 @@
             self._connection.release()
         else:
             self._connection.roll_back()
-        self._leave_block_queue()
-
-    def _leave_block_queue(self):
-        ticket, self._block_ticket = self._block_ticket, None
-        if ticket is None:
-            return
-        service_ms = self._owner.now_ms() - self._block_started_ms
-        self._owner.blocks.leave(ticket, service_ms)
-        self._owner.remove_running(self)
+        self._block_place.leave()
 
     def _abort(self):
         """End the stream and close its connection, whose state is unknown."""
         self._is_ended = True
         self._connection.discard()
-        self._leave_block_queue()
+        self._block_place.leave()
 
     def _fail(self, failure: Failure):
         raise StreamFailed(self._make_end(failure=failure))
 
+    def _fail_refused(self, ticket, failure):
+        """Raise StreamFailed for a refusal of the queue of slots."""
+        self._owner.admission_report.record_refusal(ticket.rank, failure)
+        self._fail(failure)
+
     def _make_end(self, **fields):
         return ExchangeEnd(queue_wait_ms=self._queue_wait_ms, **fields)
 
--- a/waxwinglift/request/_turn_order.py
+++ b/waxwinglift/request/_turn_order.py
@@ -32,6 +32,10 @@
             return _refuse(ticket, message, wait_ms)
         return None
 
+    def find_early_refusal(self, ticket, rank, now_ms):
+        """Return None: requests are refused when they are offered."""
+        return None
+
     def push(self, ticket, rank, now_ms):
         """Append a ticket to its caller's queue."""
         rank.push(ticket)
