--- a/waxwinglift/request/tests/overload_world.py
+++ b/waxwinglift_bench/request/_overload_world.py
@@ -1,4 +1,4 @@
-"""Virtual-time model of one endpoint, its owner, entry proxies and callers.
+"""Model of one overloaded endpoint, its owner, entry proxies and callers.
 
 The load is that of a primary of Admisiones that serves its group alone.  The
 owner has so little processor time that refusals slow it down.
@@ -23,6 +23,9 @@
     RankRow(rank, 64 >> index, 10 if index else 0, 0, 256, 1000)
     for index, rank in enumerate(("top", "middle", "low"))
 )
+USUAL_RATIO = 0.7
+BURST_MS = (2_000.0, 12_000.0)
+_USE_STEP_MS = 500.0
 # Processor time of the owner, in ms of its share of a core.
 _START_COST_MS = 0.8
 _FINISH_COST_MS = 0.8
@@ -203,7 +206,7 @@
 
     def _begin(self, ticket):
         request = self.owned[ticket.request][0]
-        self.used_ms[int(self.now_ms // 500)] += request.work_ms
+        self.used_ms[self.now_ms // _USE_STEP_MS] += request.work_ms
         begun = (self.now_ms, self.now_ms - self.lost_ms)
         self._at(request.work_ms, self._end, ticket, *begun)
 
@@ -253,8 +256,47 @@
         delay_ms = after_ms + self.rng.uniform(5.0, 50.0)
         self._at(delay_ms, self._enter, request)
 
-
-def deadline_settings(**changes):
-    """Return the settings of the platform with the order "deadline"."""
-    values = {"order": "deadline", "wait_fraction": 0.5} | changes
-    return AdmissionSettings(**values)
+    def use(self, begin_ms, end_ms):
+        """Return which part of the slots was in use."""
+        used_ms = sum(
+            used_ms
+            for number, used_ms in self.used_ms.items()
+            if begin_ms <= number * _USE_STEP_MS < end_ms
+        )
+        return used_ms / (SLOTS_COUNT * (end_ms - begin_ms))
+
+    def share(self, name, begin_ms, end_ms):
+        """Return which part of a kind's requests of a time was served."""
+        offered_count = count(self.offered[name], begin_ms, end_ms)
+        served_count = count(self.served[name], begin_ms, end_ms)
+        return served_count / max(1, offered_count)
+
+    def served_count(self, begin_ms, end_ms):
+        """Return how many requests that arrived in a time were served."""
+        served = self.served.values()
+        return sum(count(times_ms, begin_ms, end_ms) for times_ms in served)
+
+    def recovery_ms(self, end_ms):
+        """Return after which time all requests are served; None if never."""
+        for begin_ms in range(int(end_ms), int(self.now_ms), 500):
+            step = (begin_ms, begin_ms + 500)
+            offered = self.offered.values()
+            offered_count = sum(count(times, *step) for times in offered)
+            if self.served_count(*step) >= 0.97 * max(1, offered_count):
+                return begin_ms - end_ms
+        return None
+
+
+def count(times_ms, begin_ms, end_ms):
+    """Return how many times lie in an interval."""
+    return sum(begin_ms <= time_ms < end_ms for time_ms in times_ms)
+
+
+def run_burst(ratio, order="deadline", keeps_return_times=True, **arguments):
+    """Run a burst of 10 s between two usual loads."""
+    settings = AdmissionSettings(order=order, wait_fraction=0.5)
+    world = World(settings, keeps_return_times, **arguments)
+    begin_ms, end_ms = BURST_MS
+    usual = USUAL_RATIO
+    world.run([(usual, begin_ms), (ratio, end_ms), (usual, 2 * end_ms)])
+    return world
