Keep the account of an idle rank when the tables are set

Cause: a rank without waiting tickets is false (RankQueue has a length), so set_table replaced it by a new one, at each change of the fleet's state. Its running tickets no longer counted towards its limit, and its used slot time was forgotten.

Before the change, the new test started 4 tickets of a rank with a limit of 2 (its tickets run while the tables are set again).

--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -99,9 +99,10 @@
         ranks = {}
         for index, row in enumerate(pool_table.rows):
             key = (pool_table.pool, row.rank)
-            ranks[key] = self._ranks.get(key) or self._order.make_rank(
-                row, index
-            )
+            # An existing rank is false while no ticket waits in it.
+            ranks[key] = self._ranks.get(key)
+            if ranks[key] is None:
+                ranks[key] = self._order.make_rank(row, index)
             ranks[key].row = row
             ranks[key].urgency_index = index
             ranks[key].is_retired = False
