Compare the cost of work with the mean of its rank

Cause: the band of refusals began earlier for work above the mean of the whole queue. That mean contains the frequent and cheap checks of the most urgent rank, so the cheaper work of the lowest rank counted as expensive too.

Change: the mean of the work offered to the rank counts. The PostgreSQL path passes its slot time as work, so that the order "deadline" has samples there.

--- a/waxwinglift/request/_deadline_order.py
+++ b/waxwinglift/request/_deadline_order.py
@@ -16,7 +16,8 @@
 # Time over which the throughput is measured.
 _SERVED_TIME_CONSTANT_MS = 1000.0
 # The band of refusals begins earlier by up to this factor for work that costs
-# more than the mean, and by this factor for callers that exceed their share.
+# more than the mean of its rank, and by this factor for callers that exceed
+# their share.
 _COST_FACTOR_LIMIT = 2.0
 _EXCESS_FACTOR = 2.0
 # A refused request returns when this part of the wait has passed, so that it
@@ -53,7 +54,8 @@
         """Refuse a ticket by the ratio of its expected and acceptable wait."""
         acceptable_ms = self._acceptable_ms(ticket)
         if not ticket.is_continued and not ticket.is_admitted:
-            rank.record_acceptable(acceptable_ms)
+            work_ms = self._estimates.find(ticket.work).mean_ms
+            rank.record_offer(acceptable_ms, work_ms)
         if not self.state.must_wait(rank) or not len(rank):
             # One ticket of each rank may always wait: without tickets that
             # run, a wrong estimate would never be corrected.
@@ -205,7 +207,7 @@
         if ticket.is_continued or ticket.is_admitted:
             return False
         mean_ms = self._estimates.find(ticket.work).mean_ms
-        factor = mean_ms / max(0.001, self._estimates.mean_ms)
+        factor = mean_ms / max(0.001, rank.offered_work_ms)
         factor = min(max(factor, 1.0), _COST_FACTOR_LIMIT)
         if rank.callers.exceeds_share(ticket.caller, now_ms):
             factor *= _EXCESS_FACTOR
--- a/waxwinglift/request/_deadline_rank.py
+++ b/waxwinglift/request/_deadline_rank.py
@@ -11,8 +11,8 @@
 
 # Time over which the used slot time of a rank is measured.
 _USAGE_TIME_CONSTANT_MS = 1000.0
-# Weight of a new ticket in the mean acceptable wait.
-_ACCEPTABLE_WEIGHT = 0.05
+# Weight of a new ticket in the means of the offered tickets.
+_OFFER_WEIGHT = 0.05
 
 # Whether the caller has exceeded its share, latest start, request.
 TicketKey = tuple[bool, float, int]
@@ -39,6 +39,8 @@
     callers : CallerUsage
     acceptable_ms : float
         Mean acceptable wait of the offered tickets; 0 before the first.
+    offered_work_ms : float
+        Mean expected work of the offered tickets.
     waiting_ms, waiting_variance : float
         Expected work of all waiting tickets.
     """
@@ -48,6 +50,7 @@
         self.usage = DecayedSum(_USAGE_TIME_CONSTANT_MS)
         self.callers = CallerUsage()
         self.acceptable_ms = 0.0
+        self.offered_work_ms = 0.0
         self.waiting_ms = 0.0
         self.waiting_variance = 0.0
         # Tickets of open blocks, in order of arrival.
@@ -58,12 +61,15 @@
     def __len__(self):
         return len(self._keys) + len(self._continued)
 
-    def record_acceptable(self, acceptable_ms: float):
-        """Record the acceptable wait of an offered ticket."""
+    def record_offer(self, acceptable_ms: float, work_ms: float):
+        """Record the acceptable wait and expected work of a new ticket."""
         if not self.acceptable_ms:
             self.acceptable_ms = acceptable_ms
+            self.offered_work_ms = work_ms
         error_ms = acceptable_ms - self.acceptable_ms
-        self.acceptable_ms += _ACCEPTABLE_WEIGHT * error_ms
+        self.acceptable_ms += _OFFER_WEIGHT * error_ms
+        error_ms = work_ms - self.offered_work_ms
+        self.offered_work_ms += _OFFER_WEIGHT * error_ms
 
     def push(self, waiting: WaitingTicket):
         """Add a ticket at its place."""
--- a/waxwinglift/request/_owner_slot.py
+++ b/waxwinglift/request/_owner_slot.py
@@ -307,5 +307,5 @@
             return
         service_ms = self._owner.now_ms() - self._started_ms
         ticket, self._ticket = self._ticket, None
-        self._owner.slots.leave(ticket, service_ms)
+        self._owner.slots.leave(ticket, service_ms, service_ms)
         self._owner.remove_running(self)
