--- a/waxwinglift/request/tests/test_deadline_order.py
+++ b/waxwinglift/request/tests/test_deadline_order.py
@@ -87,3 +87,33 @@
         (start,) = queue.offer(ended, 0.0)
         assert isinstance(start, Start)
     assert least_ms <= queue.service_ms <= most_ms
+
+
+@pytest.mark.parametrize(
+    ("used_ms", "order"),
+    [
+        ({"a": 100.0, "b": 100.0, "c": 100.0}, ["a", "b"]),
+        ({"a": 900.0, "b": 100.0, "c": 100.0}, ["b", "a"]),
+    ],
+)
+def test_caller_that_exceeds_its_share_starts_after_the_others(used_ms, order):
+    """A workspace must not keep the slots by sending the most requests."""
+    queue = make_queue(work_ms=10.0)
+    ended = make_ticket(-1, 10_000.0)
+    for number, (caller, work_ms) in enumerate(used_ms.items(), 10):
+        queue.finish(ended, 0.0, 0.0)
+        ended = make_ticket(number, 10_000.0, caller=caller)
+        queue.offer(ended, 0.0)
+        queue.finish(ended, 0.0, work_ms, work_ms)
+        # The slot stays in use, so that the next tickets wait.
+        ended = make_ticket(-number, 10_000.0)
+        queue.offer(ended, 0.0)
+    for number, (caller, target_ms) in enumerate((("a", 5e3), ("b", 9e3))):
+        ticket = make_ticket(number, target_ms, caller=caller)
+        assert not queue.offer(ticket, 0.0)
+    started = []
+    for _ in order:
+        (start,) = queue.finish(ended, 0.0, 1.0, 1.0)
+        ended = start.ticket
+        started.append(ended.caller)
+    assert started == order
