--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -103,7 +103,7 @@
             protocol=PROTOCOL,
             drain_timeout_ms=drain_ms,
             drain_answer_timeout_ms=answer_ms,
-            admission=AdmissionSettings(wait_fraction=_WAIT_FRACTION),
+            admission=_admission_settings(platform),
             pool=EndpointPoolSettings(
                 keeps_surplus=True, opening_limit_count=_OPENING_LIMIT_COUNT
             ),
@@ -120,6 +120,11 @@
     return _POOL_CONTRACT in platform.contracts
 
 
+def _admission_settings(platform):
+    order = "deadline" if _has_pool_contract(platform) else "turns"
+    return AdmissionSettings(order=order, wait_fraction=_WAIT_FRACTION)
+
+
 def _quota_settings(bounds):
     return QuotaSettings(
         window_ms=1000 * bounds.quota_window_s,
