Keep refused ranks from full queues at the entry proxy

Cause: an entry proxy sent a request that a queue had refused to the same endpoint again after 5 ms, and sent all later requests there too, so an owner with a full queue spent its processor time on refusals. With a queue that refuses everything, 6 writes reached the owner as 12 requests.

Change: RoutingSettings.server_policy selects how reads are routed in groups whose servers fence themselves: "latency" (default, as before) or "load". With "load", an endpoint is asked at most once per request, a read goes to another endpoint of its group at once, and until the retry-after time of the refusal (at most 1000 ms, spread by up to 20%) requests of this rank and of less urgent ones are refused at the entry proxy. A refused transaction block keeps back blocks only. The policy also skips replicas whose data is too old; the records that it reads are not sent yet. The platform's adapter sets "load" for the contract "pool".

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -9,6 +9,7 @@
 from waxwinglift.process._policy_settings import AdmissionSettings
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 from waxwinglift.process._policy_settings import QuotaSettings
+from waxwinglift.process._policy_settings import RoutingSettings
 from waxwinglift.process._settings import ControlSettings
 from waxwinglift.process._settings import ControlTimingSettings
 from waxwinglift.process._settings import ProxySettings
@@ -19,6 +20,8 @@
 
 # Missing announcements after which an endpoint counts as lost.
 _MISSED_ANNOUNCEMENTS_COUNT = 4
+# Name of the platform's rules for scarce servers in its list of contracts.
+_POOL_CONTRACT = "pool"
 # Part of a statement's time that it may wait for a slot.
 _WAIT_FRACTION = 0.5
 # A connection that opens occupies a slot of the server, which has two or more.
@@ -95,6 +98,7 @@
             drain_answer_timeout_ms=answer_ms,
             drain_linger_ms=min(_BALANCER_DETECTION_MS, drain_ms),
             view_age_limit_ms=_view_age_limit_ms(platform.bounds),
+            routing=_routing_settings(platform),
         ),
         owner=OwnerSettings(
             protocol=PROTOCOL,
@@ -111,6 +115,12 @@
     )
 
 
+def _routing_settings(platform):
+    # The platform's pools share scarce servers, so their load counts.
+    shares_load = _POOL_CONTRACT in platform.contracts
+    return RoutingSettings(server_policy="load" if shares_load else "latency")
+
+
 def _quota_settings(bounds):
     return QuotaSettings(
         window_ms=1000 * bounds.quota_window_s,
--- a/waxwinglift/process/_entry_context.py
+++ b/waxwinglift/process/_entry_context.py
@@ -16,7 +16,9 @@
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
+from waxwinglift.request._endpoint_load import LoadBook
 from waxwinglift.request._overload_backoff import OverloadBackoff
+from waxwinglift.request._rejection_backoff import RejectionBackoff
 from waxwinglift.request._retry import RetryBudget
 from waxwinglift.request._routing import build_group_view
 from waxwinglift.request._routing import choose_route
@@ -46,6 +48,8 @@
     metrics : Metrics
     tracer : opentelemetry.trace.Tracer
     rng : random.Random
+    loads : LoadBook, optional
+        Reported loads of endpoints, shared with the owners of this process.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         metrics: Metrics,
         tracer: trace.Tracer,
         rng: random.Random,
+        loads: LoadBook | None = None,
     ):
         self.settings = settings
         self.view = view
@@ -65,9 +70,13 @@
         self.metrics = metrics
         self.tracer = tracer
         self.rng = rng
+        self.loads = loads or LoadBook()
         self.request_log = RequestLog(now_ms)
         self.quota_gate = QuotaGate(view, executors, now_ms, metrics)
         self.overload_backoff = OverloadBackoff(rng)
+        self.rejection_backoff = RejectionBackoff(rng)
+        # Whether endpoints are chosen by their reported load.
+        self.uses_load = settings.routing.server_policy == "load"
         # Whether the sessions are being ended, so that nothing is retried.
         self.is_stopping = False
         self._endpoint_stats: dict[GroupName, EndpointStats] = {}
@@ -96,7 +105,9 @@
     def endpoint_stats(self, group: GroupName) -> EndpointStats:
         """Return the statistics of a group's endpoints."""
         if group not in self._endpoint_stats:
-            self._endpoint_stats[group] = EndpointStats(self.settings.routing)
+            self._endpoint_stats[group] = EndpointStats(
+                self.settings.routing, self.loads
+            )
         return self._endpoint_stats[group]
 
     def retry_budget(self, pool: PoolName) -> RetryBudget:
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -3,6 +3,8 @@
 All fields have defaults; docs/performance.md gives the reasons for them.
 """
 
+from typing import Literal
+
 import pydantic
 
 
@@ -63,6 +65,10 @@
     ----------
     policy : str
         Name in the registry of routing policies.
+    server_policy : str
+        Name in the registry of policies for groups whose servers fence
+        themselves: ``latency`` uses this proxy's own measurements, ``load``
+        also what the endpoints' owners report.
     replica_wait_ms : float
         Longest accepted wait for a replica to reach the position that a
         read requires (its floor).
@@ -98,6 +104,7 @@
     """
 
     policy: str = "two_choices"
+    server_policy: Literal["latency", "load"] = "latency"
     replica_wait_ms: float = pydantic.Field(150.0, ge=0)
     prompt_wait_ms: float = pydantic.Field(5.0, ge=0)
     primary_share: float = pydantic.Field(0.09, ge=0, le=1)
--- a/waxwinglift/request/_endpoint_stats.py
+++ b/waxwinglift/request/_endpoint_stats.py
@@ -4,13 +4,15 @@
 import dataclasses
 
 from waxwinglift.process._policy_settings import RoutingSettings
+from waxwinglift.request._endpoint_load import LoadBook
 from waxwinglift.request._primary_read_budget import PrimaryReadBudget
 from waxwinglift.request._types import FailureCode
 from waxwinglift.version import Position
 from waxwinglift.version import Term
 from waxwinglift.version import ZERO_POSITION
 
-
+# Age up to which a measured lag is used where owners report nothing.
+_LAG_AGE_LIMIT_MS = 5000.0
 # Maximum counted number of consecutive failures.  It keeps the exponential
 # backoff, which exceeds any configured limit by then, from overflowing.
 _FAILURE_LIMIT_COUNT = 32
@@ -20,6 +22,7 @@
 class _Record:
     position: Position = ZERO_POSITION
     lag_ms: float | None = None
+    lag_observed_ms: float = float("-inf")
     service_ms: float | None = None
     queue_wait_ms: float = 0.0
     observed_ms: float = float("-inf")
@@ -98,6 +101,8 @@
     Parameters
     ----------
     settings : RoutingSettings, optional
+    loads : LoadBook, optional
+        Reports of the owners; read by the policy ``load``.
 
     Attributes
     ----------
@@ -105,8 +110,9 @@
         Budget of the reads that may be routed to the primary.
     """
 
-    def __init__(self, settings=None):
+    def __init__(self, settings=None, loads=None):
         self.settings = settings or RoutingSettings()
+        self.loads = LoadBook() if loads is None else loads
         self._records = {}
         self._log_progress = LogProgress()
         self.primary_read_budget = PrimaryReadBudget(self.settings)
@@ -183,12 +189,22 @@
         """Return the expected replication lag of ``endpoint``."""
         return self._record(endpoint).lag_ms or 0.0
 
-    def catch_up_ms(self, endpoint, floor, now_ms):
+    def recent_lag_ms(self, endpoint, now_ms):
+        """Return the lag like `lag_ms`, or 0 if it was measured long ago.
+
+        A replica that no longer gets requests could not be seen to catch up.
+        """
+        record = self._record(endpoint)
+        if now_ms - record.lag_observed_ms > _LAG_AGE_LIMIT_MS:
+            return 0.0
+        return record.lag_ms or 0.0
+
+    def catch_up_ms(self, endpoint, floor, now_ms, lag_ms=None):
         """Return the expected time until ``endpoint`` reaches ``floor``.
 
-        The endpoint is expected to reach the floor its average lag after the
-        primary did.  If the floor is above all observed positions, the
-        primary is assumed to reach it now.
+        The endpoint is expected to reach the floor ``lag_ms``, by default its
+        average lag, after the primary did.  If the floor is above all
+        observed positions, the primary is assumed to reach it now.
         """
         record = self._record(endpoint)
         if floor is None or record.position >= floor:
@@ -196,25 +212,30 @@
         reached_ms = self._log_progress.reached_ms(floor)
         if reached_ms is None:
             reached_ms = now_ms
-        return max(0.0, reached_ms + self.lag_ms(endpoint) - now_ms)
+        if lag_ms is None:
+            lag_ms = self.lag_ms(endpoint)
+        return max(0.0, reached_ms + lag_ms - now_ms)
 
-    def expected_latency_ms(self, view, now_ms):
+    def expected_latency_ms(self, view, now_ms, wait_ms=None):
         """Return the expected latency of a new request.
 
         The weight of old measurements decays, so that single requests are
-        routed to a slow endpoint again.
+        routed to a slow endpoint again.  ``wait_ms`` is the wait for a slot
+        that the owner has reported, if it has.
         """
         record = self._record(view.endpoint)
         base_ms = self.settings.distance_ms[view.distance]
         if record.service_ms is None:
-            return base_ms
+            return base_ms + (wait_ms or 0.0)
         age_ms = now_ms - record.observed_ms
         decay = 0.5 ** (age_ms / self.settings.stale_after_ms)
         service_ms = base_ms + (record.service_ms - base_ms) * decay
         # The network round trip does not occupy a slot.
         execution_ms = max(0.0, service_ms - base_ms)
         queued_ms = record.in_flight_count * execution_ms / view.slots_count
-        return service_ms + record.queue_wait_ms * decay + queued_ms
+        if wait_ms is None:
+            wait_ms = record.queue_wait_ms * decay
+        return service_ms + wait_ms + queued_ms
 
     def traffic_share(self, endpoint, now_ms):
         """Return the share of its usual traffic that ``endpoint`` may get.
@@ -248,3 +269,4 @@
         record.lag_ms = self._average(
             record.lag_ms, now_ms - reached_ms, self.settings.lag_weight
         )
+        record.lag_observed_ms = now_ms
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -12,6 +12,9 @@
 from waxwinglift.request._group_view import GroupView
 from waxwinglift.request._group_view import build_group_view
 from waxwinglift.request._endpoint_stats import EndpointStats
+from waxwinglift.request._routing_load import build_options
+from waxwinglift.request._routing_load import choose_option
+from waxwinglift.request._routing_load import Option
 from waxwinglift.request._types import Access
 from waxwinglift.request._types import FailureCode
 from waxwinglift.request._types import not_run
@@ -37,6 +40,11 @@
 _READ_ROUTERS = Registry()
 _read_router = _READ_ROUTERS.register
 
+# Policies that route a read in groups whose servers fence themselves, called
+# like the functions above.
+_SERVER_POLICIES = Registry()
+_server_policy = _SERVER_POLICIES.register
+
 # Policies that select one of several replicas.  A policy is called as
 # ``policy(candidates, rng)`` with at least one `Candidate`.
 ROUTING_POLICIES = Registry()
@@ -93,7 +101,8 @@
     for the floor, so that another route can be tried; the limit is 0 for the
     primary and in groups whose servers fence themselves.  ``standby`` is the
     standby owner: the proxy that, in such groups, serves the endpoint while
-    its owner is unreachable.
+    its owner is unreachable.  ``options`` are the endpoints that a policy by
+    load has compared.
     """
 
     endpoint: EndpointId
@@ -104,6 +113,7 @@
     catch_up_ms: float
     wait_limit_ms: float = 0.0
     standby: DaemonId | None = None
+    options: tuple[Option, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,6 +209,16 @@
 
 
 @_read_router(Fencing.SERVER)
+def _route_by_policy(
+    request, group_view, endpoint_stats, settings, now_ms, rng
+):
+    route_read = _SERVER_POLICIES[settings.server_policy]
+    return route_read(
+        request, group_view, endpoint_stats, settings, now_ms, rng
+    )
+
+
+@_server_policy("latency")
 def _route_to_fastest(
     request, group_view, endpoint_stats, settings, now_ms, rng
 ):
@@ -228,6 +248,23 @@
     return Ok(_route(chosen, group_view))
 
 
+@_server_policy("load")
+def _route_by_load(request, group_view, endpoint_stats, settings, now_ms, rng):
+    """Route a read by the load and lag that owners report."""
+    options = build_options(
+        request, group_view, endpoint_stats, settings, now_ms
+    )
+    chosen = choose_option(options, endpoint_stats, now_ms, rng)
+    if chosen is None:
+        reasons = "; ".join(option.describe() for option in options)
+        message = f"no endpoint of group {group_view.group} can serve the read"
+        message += f" ({reasons})" if reasons else ""
+        return Err(not_run(FailureCode.UNAVAILABLE, message))
+    candidate = Candidate(chosen.view, chosen.catch_up_ms, 0.0, 1.0)
+    route = _route(candidate, group_view)
+    return Ok(dataclasses.replace(route, options=tuple(options)))
+
+
 @routing_policy("random")
 def pick_random(candidates, rng):
     """Select a replica at random."""
--- a/waxwinglift/request/_statement_attempts.py
+++ b/waxwinglift/request/_statement_attempts.py
@@ -17,6 +17,11 @@
 
 # Delay after which a caller may retry, unless the failure contains another.
 _RETRY_AFTER_MS = 500
+# Failures after which another daemon, such as the standby owner, may serve the
+# endpoint.
+OTHER_DAEMON_CODES = frozenset(
+    {FailureCode.NOT_OWNER, FailureCode.SHUTTING_DOWN}
+)
 # Errors after which a read is retried at another endpoint.
 _RETRYABLE_READ_ERRORS = frozenset(
     {
@@ -40,6 +45,8 @@
     count: int = 0
     # Whether a queue rejected the last attempt.
     was_rejected: bool = False
+    # Refusals by the queues of endpoints, which must not be asked again.
+    rejections: dict = dataclasses.field(default_factory=dict)
     # Pairs of an endpoint and a daemon that cannot be reached or no longer
     # serves the endpoint.
     unreachable: set = dataclasses.field(default_factory=set)
@@ -47,6 +54,13 @@
     last_outcome_after_run: ExchangeEnd | None = None
 
 
+def can_use_other_daemon(end):
+    """Return whether another daemon may serve the same endpoint."""
+    if end.failure is None:
+        return False
+    return end.is_owner_unreachable or end.failure.code in OTHER_DAEMON_CODES
+
+
 def mark_retryable_error(
     statement: Statement, attempts: StatementAttempts, end: ExchangeEnd
 ) -> ExchangeEnd:
--- a/waxwinglift/request/_statement_daemons.py
+++ b/waxwinglift/request/_statement_daemons.py
@@ -3,7 +3,7 @@
 from waxwinglift.process._entry_context import EntryContext
 from waxwinglift.request import FailureCode
 from waxwinglift.request import Verdict
-from waxwinglift.request._statement_retries import can_use_other_daemon
+from waxwinglift.request._statement_attempts import can_use_other_daemon
 from waxwinglift.version import EndpointId
 
 # Time for which an owner that did not answer in time gets no request of the
--- a/waxwinglift/request/_statement_retries.py
+++ b/waxwinglift/request/_statement_retries.py
@@ -6,6 +6,9 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import Verdict
 from waxwinglift.request._retry import retry_delay_ms
+from waxwinglift.request._statement_attempts import can_use_other_daemon
+from waxwinglift.request._statement_attempts import OTHER_DAEMON_CODES
+from waxwinglift.request._statement_routes import StatementRoutes
 from waxwinglift.version import EndpointRole
 
 # Longest wait for a newer fleet view, which usually arrives within this time;
@@ -14,20 +17,8 @@
 # Fraction of its time limit for which a request may wait for a change of
 # primary; a caller that is refused before the limit can still retry.
 _CHANGE_WAIT_FRACTION = 0.6
-# Failures after which another daemon, such as the standby owner, may serve the
-# endpoint.
-_OTHER_DAEMON_CODES = frozenset(
-    {FailureCode.NOT_OWNER, FailureCode.SHUTTING_DOWN}
-)
 # Failures that a newer fleet view may resolve.
-_TRANSIENT_CODES = _OTHER_DAEMON_CODES | {FailureCode.UNAVAILABLE}
-
-
-def can_use_other_daemon(end):
-    """Return whether another daemon may serve the same endpoint."""
-    if end.failure is None:
-        return False
-    return end.is_owner_unreachable or end.failure.code in _OTHER_DAEMON_CODES
+_TRANSIENT_CODES = OTHER_DAEMON_CODES | {FailureCode.UNAVAILABLE}
 
 
 class StatementRetries:
@@ -37,11 +28,13 @@
     ----------
     context : EntryContext
     session : StatementSession
+    routes : StatementRoutes
     """
 
-    def __init__(self, context: EntryContext, session):
+    def __init__(self, context: EntryContext, session, routes):
         self._context = context
         self._session = session
+        self._routes: StatementRoutes = routes
 
     async def prepare_retry(self, statement, attempts, end, route):
         """Wait until a retry is due; return whether to retry."""
@@ -60,6 +53,12 @@
         if failure.code is FailureCode.OVERLOADED:
             # Without a route, no other owner is left: refuse at once.
             return route is not None
+        if self._context.uses_load and failure.code is FailureCode.REJECTED:
+            # A second attempt at a queue that is full would only add load.
+            if route is None:
+                return False
+            self._routes.record_rejection(attempts, route, failure)
+            return self._routes.has_alternative(attempts)
         if end.failed_position is not None:
             attempts.excluded.add(route.endpoint)
             return True
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -21,7 +21,6 @@
 from waxwinglift.request import Verdict
 from waxwinglift.request._data_path_attempt import endpoint_failure
 from waxwinglift.request._routing import Route
-from waxwinglift.request._routing import RouteRequest
 from waxwinglift.request._statement_attempts import final_outcome
 from waxwinglift.request._statement_attempts import mark_retryable_error
 from waxwinglift.request._statement_attempts import StatementAttempts
@@ -30,6 +29,7 @@
 from waxwinglift.request._statement_failures import Interruption
 from waxwinglift.request._statement_failures import StatementProgress
 from waxwinglift.request._statement_retries import StatementRetries
+from waxwinglift.request._statement_routes import StatementRoutes
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version._types import Consistency
@@ -63,8 +63,9 @@
         # Whether the running statement may have reached an endpoint.
         self._may_have_run = False
         self._stream: TransactionStream | None = None
-        self._retries = StatementRetries(context, session)
         self._daemons = StatementDaemons(context, session)
+        self._routes = StatementRoutes(context, session, self._daemons)
+        self._retries = StatementRetries(context, session, self._routes)
 
     @property
     def is_in_block(self) -> bool:
@@ -263,7 +264,7 @@
         )
 
     async def _attempt(self, statement, attempts):
-        routed = self._route(attempts)
+        routed = self._routes.find(attempts)
         if isinstance(routed, Err):
             return ExchangeEnd(failure=routed.err_value), None
         route = routed.ok_value
@@ -326,36 +327,6 @@
                 failure=may_have_run(message), is_owner_unreachable=True
             )
 
-    def _route(self, attempts):
-        """Return the route, or why there is none.
-
-        Endpoints whose owner recently refused the rank for lack of processor
-        time are used by no route.
-        """
-        overloaded = self._daemons.find_overloaded()
-        routed = self._choose_route(attempts, overloaded)
-        if not overloaded or not isinstance(routed, Err):
-            return routed
-        if isinstance(self._choose_route(attempts, ()), Err):
-            return routed
-        message = "the owners of all usable endpoints are overloaded"
-        delay_ms = math.ceil(min(overloaded.values()))
-        return Err(not_run(FailureCode.OVERLOADED, message, delay_ms))
-
-    def _choose_route(self, attempts, overloaded):
-        session = self._session
-        request = RouteRequest(
-            access=attempts.access,
-            floor=session.floor,
-            max_age_ms=None,
-            deadline_ms=attempts.deadline_ms,
-            excluded=frozenset(attempts.excluded).union(overloaded),
-            is_urgent=session.policy.urgency_index == 0,
-            was_rejected=attempts.was_rejected,
-            age_limit_ms=session.policy.max_staleness_ms,
-        )
-        return self._context.choose_route(session.table.group, request)
-
     def _header(self, attempts, route: Route, to_standby: bool):
         session = self._session
         policy = session.policy
