Tell proxies the load and lag of endpoints

Cause: an entry proxy learned the lag of a replica only from its own answers and kept the last value. With the policy "latency" a replica that had been behind for 3.5 s served no read in the 4 s after it had caught up.

Change, with the server policy "load": the owner of an endpoint knows its queue and, from each reply and each existing probe, its position. It derives the age of the data from the positions of the primary that it knows. Owners of a group exchange these records (frame LOAD, every 250 ms while an endpoint has a queue or is behind), answers and refusals carry records that have changed notably, and a refusal carries those of endpoints with a free slot. A record has an age instead of a time. An endpoint in its normal state is not reported. LOAD frames go only to proxies that have shown that they take them, as older ones close the connection. Entry proxies choose by expected time, skip replicas whose data is too old, and spread their choice more the older the records are. Floors are still checked by the owner.

--- a/waxwinglift/connection/_tracked_connection.py
+++ b/waxwinglift/connection/_tracked_connection.py
@@ -10,6 +10,7 @@
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.request._statements import PreparedShape
 from waxwinglift.request._statements import Reply
+from waxwinglift.version import Position
 
 Settings = Mapping[bytes, bytes]
 
@@ -32,6 +33,8 @@
     now_ms : callable
     on_round_trip : callable
         Called with the duration of commands that need no slot, in ms.
+    on_position : callable
+        Called with the endpoint's position after each answer.
     """
 
     def __init__(
@@ -39,10 +42,12 @@
         connection: StatementConnection,
         now_ms: Callable[[], float],
         on_round_trip: Callable[[float], None],
+        on_position: Callable[[Position | None], None] = lambda _: None,
     ):
         self.connection = connection
         self._now_ms = now_ms
         self._on_round_trip = on_round_trip
+        self._on_position = on_position
         self.settings: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
 
@@ -67,6 +72,7 @@
         def end(is_success):
             if is_success:
                 self._on_round_trip(self._now_ms() - started_ms)
+                self._on_position(self.connection.position)
             on_probed(is_success)
 
         self.connection.probe(end)
@@ -85,6 +91,7 @@
         """
         started_ms = self._now_ms()
         replies = await self.connection.run(commands)
+        self._on_position(replies[-1].position)
         if not any(command.kind in _SLOT_KINDS for command in commands):
             self._on_round_trip(self._now_ms() - started_ms)
         return replies
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -13,6 +13,7 @@
 from waxwinglift.connection._session_types import PreparedStatement
 from waxwinglift.process._types import DaemonId
 from waxwinglift.request import Failure
+from waxwinglift.request._endpoint_load import EndpointLoad
 from waxwinglift.request._quota import QuotaAnswer
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementAnswer
@@ -142,6 +143,8 @@
         Answer to a `Statement`; answers to messages are written to the sink.
     is_owner_unreachable : bool
         The owner could not be reached; the endpoint itself may be healthy.
+    loads : tuple of EndpointLoad
+        Loads of the group's endpoints that the answer contains.
     """
 
     status: TransactionStatus = TransactionStatus.IDLE
@@ -156,6 +159,7 @@
     served_by_replica: bool = False
     answer: StatementAnswer | None = None
     is_owner_unreachable: bool = False
+    loads: tuple[EndpointLoad, ...] = ()
 
 
 class TransactionStream(Protocol):
--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -22,6 +22,7 @@
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.process._listener import close_listener
 from waxwinglift.process._types import Address
+from waxwinglift.request._endpoint_load import LoadBook
 
 _DRAIN_CHECK_INTERVAL_S = 0.02
 # A session that has not ended after this time is cancelled again, because
@@ -49,6 +50,8 @@
     tracer : opentelemetry.trace.Tracer
     rng : random.Random
         Used for routing and for the jitter of retries.
+    loads : LoadBook, optional
+        Reported loads of endpoints, shared with the owners of this process.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         metrics: Metrics | None = None,
         tracer: trace.Tracer | None = None,
         rng: random.Random | None = None,
+        loads: LoadBook | None = None,
     ):
         self.settings = settings
         self.context = EntryContext(
@@ -71,6 +75,7 @@
             metrics or NoMetrics(),
             tracer or trace.NoOpTracer(),
             rng or random.Random(),
+            loads,
         )
         self.sessions: dict = {}
         self.drain_phase = DrainPhase.SERVING
--- a/waxwinglift/process/_owner.py
+++ b/waxwinglift/process/_owner.py
@@ -117,6 +117,10 @@
         """Whether the endpoint is its group's active primary."""
         return self.positions.is_primary
 
+    def find_load(self, book):
+        """Return the endpoint's load, or None if it is not observed."""
+        return None
+
     def start(self):
         """Open the connections; `tick` must be called regularly afterwards."""
         self.view.add_listener(self.on_fleet_change)
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -22,6 +22,7 @@
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._data_path_types import TransactionStream
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._group_load import GroupLoads
 from waxwinglift.process._loop_lag import LoopLag
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.request import Failure
@@ -60,6 +61,8 @@
     tracer : opentelemetry.trace.Tracer
     on_health : callable
         Called with the endpoint and each new HealthState.
+    shares_load : bool
+        Whether the loads of endpoints are exchanged with other proxies.
     """
 
     # The local executor always answers.
@@ -74,6 +77,7 @@
         metrics: Metrics | None = None,
         tracer: trace.Tracer | None = None,
         on_health: Callable[[EndpointId, HealthState], None] | None = None,
+        shares_load: bool = False,
     ):
         self._settings = settings
         self._view = view
@@ -93,6 +97,12 @@
             self.load_shedder, now_ms, metrics or NoMetrics()
         )
         self._options["awake_ms"] = self._loop_lag.awake_ms
+        self.loads: GroupLoads | None = None
+        if shares_load:
+            self.loads = GroupLoads(
+                view, self.owner, now_ms, metrics or NoMetrics()
+            )
+            self.loads.find_executor = lambda d: self.find_executor(d)
         # Endpoints that this proxy serves although they are assigned to other
         # proxies, and the time of their last request.
         self._temporary_endpoints: dict[EndpointId, float] = {}
@@ -116,6 +126,8 @@
         self._is_stopped = True
         self._view.remove_listener(self._reconcile)
         self._view.remove_listener(self._homes.update)
+        if self.loads is not None:
+            self.loads.close()
         if self._tick_timer is not None:
             self._tick_timer.cancel()
         owners = list(self._owners.values())
@@ -196,6 +208,8 @@
             self._release_temporary_endpoints()
         for owner in list(self._owners.values()):
             owner.tick()
+        if self.loads is not None:
+            self.loads.report(self._owners)
 
     def _open_temporary_owner(self, endpoint):
         """Serve an endpoint that is not assigned to this proxy.
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 from result import Err
 from result import Ok
@@ -15,6 +16,7 @@
 from waxwinglift.process._data_path_types import Executor
 from waxwinglift.process._data_path_types import Sink
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._load_codec import decode_loads
 from waxwinglift.process._peer_cancel import send_cancel_request
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._peer_client_connection import ClientStream
@@ -25,6 +27,9 @@
 from waxwinglift.process._peer_codec import decode_quota_answer
 from waxwinglift.process._peer_codec import decode_result
 from waxwinglift.process._peer_codec import encode_exchange
+from waxwinglift.process._peer_frames import CONNECTION_STREAM
+from waxwinglift.process._peer_frames import encode_body
+from waxwinglift.process._peer_frames import encode_frame
 from waxwinglift.process._peer_frames import FrameKind
 from waxwinglift.process._peer_frames import FrameTooLargeError
 from waxwinglift.process._peer_health import PeerHealth
@@ -56,13 +61,19 @@
     Parameters
     ----------
     address : Address
+    load_sender : DaemonId, optional
+        This proxy, if it takes LOAD frames.
     """
 
-    def __init__(self, address: Address):
+    def __init__(self, address: Address, load_sender: DaemonId | None = None):
         self.address = address
+        self._load_sender = load_sender
         self.health = PeerHealth(self._ping, self._reconnect, monotonic_ms)
         self._connector = PeerConnector(address)
         self._idle_streams: list[ClientStream] = []
+        # Whether the proxy has shown that it takes LOAD frames.
+        self.takes_loads = False
+        self._load_task: asyncio.Task | None = None
         self._background_tasks: set[asyncio.Task] = set()
 
     @property
@@ -79,6 +90,8 @@
     ) -> Result[Position, Failure]:
         """Return a position that includes every acknowledged write."""
         request = peer_pb2.GroupPositionRequest(group=group, term=term)
+        if self._load_sender is not None and not self.takes_loads:
+            request.sender = self._load_sender
         try:
             async with asyncio.timeout(_POSITION_TIMEOUT_S):
                 reply = await self._call(
@@ -88,6 +101,7 @@
                 )
         except _CONNECTION_ERRORS as error:
             return Err(_unreachable(error))
+        self.takes_loads = self.takes_loads or reply.takes_loads
         if reply.HasField("failure"):
             return Err(decode_failure(reply.failure))
         return Ok(decode_position(reply.position))
@@ -108,6 +122,18 @@
         except (ValueError, *_CONNECTION_ERRORS) as error:
             return Err(not_run(FailureCode.UNAVAILABLE, repr(error)))
 
+    def send_loads(self, report):
+        """Send a LoadReport, unless the last one is still being sent."""
+        if self._load_task is None or self._load_task.done():
+            self._load_task = self.run_in_background(self._send_loads(report))
+
+    async def _send_loads(self, report):
+        with contextlib.suppress(*_CONNECTION_ERRORS):
+            connection = await self._connector.connect()
+            body = encode_body(report)
+            frame = encode_frame(FrameKind.LOAD, CONNECTION_STREAM, body)
+            connection.write(frame)
+
     async def cancel(self, key: CancelKey):
         """Cancel the running statement of a session, ignoring errors."""
         with contextlib.suppress(*_CONNECTION_ERRORS):
@@ -280,7 +306,17 @@
             if reply.messages:
                 await sink(reply.messages)
             if reply.HasField("end"):
-                return self._record_end(decode_result(reply))
+                return self._record_end(self._decode_end(reply))
+
+    def _decode_end(self, reply):
+        end = decode_result(reply)
+        if not reply.end.loads:
+            return end
+        self._client.takes_loads = True
+        loads = decode_loads(
+            reply.end.loads, monotonic_ms(), self._header.endpoint
+        )
+        return dataclasses.replace(end, loads=loads)
 
     def _record_end(self, end):
         is_ended = (
@@ -303,7 +339,7 @@
     Parameters
     ----------
     view : FleetView
-    local : Executor
+    local : OwnerSet
         Executor of this process.
     """
 
@@ -334,7 +370,9 @@
         if client is None or client.address != record.address:
             if client is not None:
                 client.close()
-            client = PeerClient(record.address)
+            shares_load = self._local.loads is not None
+            sender = self._view.daemon if shares_load else None
+            client = PeerClient(record.address, sender)
             self._clients[daemon] = client
         return client
 
--- a/waxwinglift/process/_peer_frames.py
+++ b/waxwinglift/process/_peer_frames.py
@@ -33,7 +33,8 @@
 
     ``PING`` is answered by a ``PONG`` of the same stream.  ``END`` ends a
     stream; an open transaction is rolled back.  ``GRANT`` allows the server to
-    send more bytes on a stream.
+    send more bytes on a stream.  ``LOAD`` belongs to no stream and has no
+    answer.
     """
 
     EXECUTE = 1
@@ -46,6 +47,7 @@
     GRANT = 8
     QUOTA_REQUEST = 9
     QUOTA_REPLY = 10
+    LOAD = 20
 
 
 _MESSAGE_TYPES = {
@@ -55,6 +57,7 @@
     FrameKind.POSITION_REPLY: peer_pb2.GroupPositionReply,
     FrameKind.QUOTA_REQUEST: peer_pb2.QuotaRequest,
     FrameKind.QUOTA_REPLY: peer_pb2.QuotaReply,
+    FrameKind.LOAD: peer_pb2.LoadReport,
 }
 
 
--- a/waxwinglift/process/_peer_server_connection.py
+++ b/waxwinglift/process/_peer_server_connection.py
@@ -17,6 +17,7 @@
 from waxwinglift.process._peer_frames import FrameKind
 from waxwinglift.process._peer_frames import StreamId
 from waxwinglift.process._peer_frames import WINDOW_BYTES
+from waxwinglift.request._endpoint_load import LoadReports
 
 # A transaction uses its stream while it waits in the owner's queue, so the
 # limit is above the number of requests that can wait.
@@ -149,6 +150,8 @@
 
 
 StreamMethods = Mapping[FrameKind, Callable[[ServerStream], Awaitable[None]]]
+# Functions that take the message of a frame that belongs to no stream.
+NoticeHandlers = Mapping[FrameKind, Callable[[object], None]]
 
 
 class ServerConnection(PeerConnection):
@@ -162,6 +165,7 @@
         Registers the open connections, with ``add`` and ``discard``.
     tasks : set of asyncio.Task
         Tasks of all streams of the server.
+    notices : mapping of FrameKind to callable
     """
 
     def __init__(
@@ -169,8 +173,12 @@
         methods: StreamMethods,
         connections,
         tasks: set[asyncio.Task],
+        notices: NoticeHandlers,
     ):
         super().__init__()
+        # Records of endpoints that the other proxy has got.
+        self.load_reports = LoadReports()
+        self._notices = notices
         self._methods = methods
         self._connections = connections
         self._tasks = tasks
@@ -179,6 +187,8 @@
         """Act on a frame; the first one of a stream opens it."""
         if frame.kind in self._methods:
             self._deliver(frame)
+        elif frame.kind in self._notices:
+            self._notices[frame.kind](frame.decode())
         elif frame.kind is FrameKind.PING:
             self.write(encode_frame(FrameKind.PONG, frame.stream_id))
         elif frame.kind is FrameKind.GRANT:
--- a/waxwinglift/process/_peer_service.py
+++ b/waxwinglift/process/_peer_service.py
@@ -4,9 +4,13 @@
 
 from result import Ok
 
+from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._data_path_types import ExchangeEnd
+from waxwinglift.process._data_path_types import ExecuteHeader
 from waxwinglift.process._data_path_types import Executor
+from waxwinglift.process._group_load import GroupLoads
 from waxwinglift.process._listener import stop_accepting
+from waxwinglift.process._load_codec import encode_loads
 from waxwinglift.process._peer_cancel import is_cancel_request
 from waxwinglift.process._peer_cancel import serve_cancel
 from waxwinglift.process._peer_cancel import StatementFinder
@@ -19,9 +23,11 @@
 from waxwinglift.process._peer_codec import encode_quota_answer
 from waxwinglift.process._peer_frames import FrameKind
 from waxwinglift.process._peer_frames import FrameTooLargeError
+from waxwinglift.process._peer_server_connection import NoticeHandlers
 from waxwinglift.process._peer_server_connection import ServerConnection
 from waxwinglift.process._peer_server_connection import StreamMethods
 from waxwinglift.process._registry import Registry
+from waxwinglift.process._types import DaemonId
 from waxwinglift.process.rpc import peer_pb2
 from waxwinglift.request import may_have_run
 from waxwinglift.version import GroupName
@@ -46,11 +52,19 @@
         Executor of this process.
     find_statement : callable
         Returns the running statement of a CancelKey's session, or None.
+    loads : GroupLoads, optional
+        If set, answers contain the loads of endpoints.
     """
 
-    def __init__(self, executor: Executor, find_statement: StatementFinder):
+    def __init__(
+        self,
+        executor: Executor,
+        find_statement: StatementFinder,
+        loads: GroupLoads | None = None,
+    ):
         self._executor = executor
         self._find_statement = find_statement
+        self._loads = loads
 
     @property
     def methods(self) -> StreamMethods:
@@ -60,6 +74,15 @@
             for kind, method in _METHODS.items()
         }
 
+    @property
+    def notices(self) -> NoticeHandlers:
+        """Functions that take messages without a stream, by frame kind."""
+        return {FrameKind.LOAD: self._record_loads}
+
+    def _record_loads(self, message):
+        if self._loads is not None:
+            self._loads.record_report(message)
+
     @_METHODS.register(FrameKind.EXECUTE)
     async def execute(self, stream):
         """Serve transactions one after another, or a cancel request."""
@@ -67,17 +90,22 @@
         if frame is not None and is_cancel_request(frame):
             await serve_cancel(stream, frame, self._find_statement)
         elif frame is not None and frame.HasField("header"):
-            await _StreamServer(stream, self._executor).serve(frame)
+            server = _StreamServer(stream, self._executor, self._loads)
+            await server.serve(frame)
 
     @_METHODS.register(FrameKind.POSITION_REQUEST)
     async def group_position(self, stream):
         """Answer with a position that includes every acknowledged write."""
         request = await stream.recv_message()
+        if request.sender and self._loads is not None:
+            self._loads.record_receiver(DaemonId(request.sender))
         with stream.interruptible():
             outcome = await self._executor.group_position(
                 GroupName(request.group), Term(request.term)
             )
-        reply = peer_pb2.GroupPositionReply()
+        reply = peer_pb2.GroupPositionReply(
+            takes_loads=self._loads is not None
+        )
         if isinstance(outcome, Ok):
             encode_position(reply.position, outcome.ok_value)
         else:
@@ -104,8 +132,10 @@
 
     def __init__(self, services):
         self._methods = {}
+        self._notices = {}
         for service in services:
             self._methods.update(service.methods)
+            self._notices.update(service.notices)
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -148,7 +178,9 @@
             await asyncio.wait(self._tasks)
 
     def _make_connection(self):
-        return ServerConnection(self._methods, self, self._tasks)
+        return ServerConnection(
+            self._methods, self, self._tasks, self._notices
+        )
 
 
 class _StreamServer:
@@ -157,9 +189,11 @@
     A frame with a header starts a new transaction.
     """
 
-    def __init__(self, stream, executor):
+    def __init__(self, stream, executor, loads):
         self._stream = stream
         self._executor = executor
+        self._loads: GroupLoads | None = loads
+        self._header: ExecuteHeader | None = None
         self._transaction = None
         self._buffered = b""
 
@@ -177,7 +211,8 @@
     async def _start(self, header):
         if self._transaction is not None:
             await self._transaction.close()
-        self._transaction = self._executor.open(decode_header(header))
+        self._header = decode_header(header)
+        self._transaction = self._executor.open(self._header)
 
     async def _next_exchange(self):
         frame = await self._stream.recv_message()
@@ -194,6 +229,7 @@
         reply = peer_pb2.ResultFrame(messages=self._buffered)
         self._buffered = b""
         encode_end(reply.end, end)
+        self._add_loads(reply, end)
         if end.answer is not None:
             encode_answer(reply.answer, end.answer)
         try:
@@ -201,6 +237,18 @@
         except FrameTooLargeError as error:
             await self._fail(may_have_run(str(error)))
 
+    def _add_loads(self, reply, end):
+        """Add the loads of endpoints that the entry proxy does not know."""
+        if self._loads is None:
+            return
+        loads = self._loads.records_of_answer(
+            self._header, end, self._stream.connection.load_reports
+        )
+        if loads:
+            encode_loads(
+                reply.end.loads, loads, monotonic_ms(), self._header.endpoint
+            )
+
     async def _fail(self, failure):
         await self._transaction.close()
         reply = peer_pb2.ResultFrame()
--- a/waxwinglift/process/_proxy.py
+++ b/waxwinglift/process/_proxy.py
@@ -116,12 +116,21 @@
         )
         options = {"metrics": metrics, "tracer": tracer}
         self.owners = OwnerSet(
-            settings.owner, self.view, on_health=self._on_health, **options
+            settings.owner,
+            self.view,
+            on_health=self._on_health,
+            shares_load=settings.entry.routing.server_policy == "load",
+            **options,
         )
+        loads = self.owners.loads
         self.peers = PeerClients(self.view, self.owners)
         self.owners.find_executor = self.peers.executor_for
         self.entry = EntryServer(
-            settings.entry, self.view, self.peers, **options
+            settings.entry,
+            self.view,
+            self.peers,
+            loads=None if loads is None else loads.book,
+            **options,
         )
         self.link = ControlLink(
             settings,
@@ -137,7 +146,9 @@
     async def on_start(self):
         """Serve peers and callers, then start the link to control daemons."""
         settings = self.settings
-        service = PeerService(self.owners, self.entry.find_statement)
+        service = PeerService(
+            self.owners, self.entry.find_statement, self.owners.loads
+        )
         await self.add_async_context(
             _serving_peers(service, settings.peer_listen)
         )
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -13,6 +13,7 @@
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
+from waxwinglift.process._owner_load import OwnerLoad
 from waxwinglift.process._statement_positions import GroupFloors
 from waxwinglift.process._statement_positions import PrimaryPositions
 from waxwinglift.process._statement_positions import StatementPositions
@@ -128,6 +129,10 @@
         desired = self.view.fleet.desired
         return 0 if desired is None else desired.limits.idle_block_ms
 
+    def find_load(self, book):
+        """Return the EndpointLoad of the endpoint."""
+        return self._load.find(book)
+
     def run_in_background(self, coroutine):
         """Run a coroutine without delaying a caller."""
         self._start_task(coroutine)
@@ -164,6 +169,7 @@
         # Index of each rank by urgency, and its floor share.
         self._ranks = {}
         self._in_flight_limit = InFlightLimit()
+        self._load = OwnerLoad(self)
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
@@ -202,7 +208,10 @@
             self._address, self.group, self.endpoint, workspace
         )
         return TrackedConnection(
-            connection, self.now_ms, self._in_flight_limit.record_round_trip
+            connection,
+            self.now_ms,
+            self._in_flight_limit.record_round_trip,
+            self._load.record_position,
         )
 
     def _make_stream(self, header, request):
--- a/waxwinglift/process/_statement_positions.py
+++ b/waxwinglift/process/_statement_positions.py
@@ -120,6 +120,11 @@
         self._term: Term | None = None
         self._query_task: asyncio.Task | None = None
 
+    @property
+    def last_sample(self) -> tuple[float, Position] | None:
+        """Last known position of the primary, after the time of its query."""
+        return self._history.last
+
     async def find(self, max_age_ms: float) -> Result[Position, Failure]:
         """Return a position that was queried at most ``max_age_ms`` ago."""
         limit_ms = max(0.0, max_age_ms - _MARGIN_MS)
--- a/waxwinglift/process/tests/data_path_fleet.py
+++ b/waxwinglift/process/tests/data_path_fleet.py
@@ -146,12 +146,15 @@
     view = FleetView(daemon, LOCATION, lambda: lease["is_live"], state)
     owner_settings = OwnerSettings(**options.get("owner", {}))
     shared = {"metrics": metrics, "tracer": options.get("tracer")}
-    owners = OwnerSet(owner_settings, view, **shared)
+    settings = EntrySettings(token_secret=SECRET, **options.get("entry", {}))
+    shares_load = settings.routing.server_policy == "load"
+    owners = OwnerSet(owner_settings, view, shares_load=shares_load, **shared)
+    book = owners.loads.book if shares_load else None
     peers = PeerClients(view, owners)
     owners.find_executor = peers.executor_for
-    settings = EntrySettings(token_secret=SECRET, **options.get("entry", {}))
-    entry = EntryServer(settings, view, peers, **shared)
-    server = PeerServer([PeerService(owners, entry.find_statement)])
+    entry = EntryServer(settings, view, peers, loads=book, **shared)
+    service = PeerService(owners, entry.find_statement, owners.loads)
+    server = PeerServer([service])
     # asyncio sets TCP_NODELAY only on sockets with an explicit protocol.
     with socket.socket(proto=socket.IPPROTO_TCP) as listener:
         listener.bind(("127.0.0.1", 0))
--- a/waxwinglift/request/_endpoint_load.py
+++ b/waxwinglift/request/_endpoint_load.py
@@ -10,9 +10,11 @@
 # Age above which a record counts as none.  Queues are refilled within the
 # time limits of the requests, 1000 ms and more.
 _AGE_LIMIT_MS = 2000.0
-# The same for the lag of a replica that is behind, which can last for 30 s.
-# Without newer records, each proxy then asks the replica once in this time.
+# The same for a long lag, which can last for 30 s.  Without newer records,
+# each proxy then asks the replica once in this time.
 _LAG_AGE_LIMIT_MS = 5000.0
+# The same for a usual lag, whose end is not reported.
+_USUAL_LAG_AGE_LIMIT_MS = 500.0
 # Values below these are normal and are not reported: the execution of one
 # statement, and the usual lag between regions.
 _WAIT_UNIT_MS = 25.0
@@ -20,6 +22,10 @@
 _FAILURE_UNIT = 0.1
 # A value is reported again once it has changed by this factor.
 _NOTABLE_FACTOR = 2.0
+# Longest lag that is usual.
+USUAL_LAG_MS = _NOTABLE_FACTOR * _LAG_UNIT_MS
+# Lag that a refusal has reported and whose end is reported too.
+_REPORTED_LAG_MS = 100.0
 # Longest time after which a value that is not normal is reported again; half
 # of the age limit, so that a proxy with regular answers always has one.
 _REPEAT_MS = 1000.0
@@ -74,6 +80,8 @@
     """
     if old is None:
         return not new.is_normal
+    if _REPORTED_LAG_MS <= old.lag_ms >= _NOTABLE_FACTOR * new.lag_ms:
+        return True
     pairs = zip(_values(old), _values(new), strict=True)
     return any(
         _is_notable_change(old_value, new_value, unit)
@@ -118,9 +126,10 @@
         load = self._find(endpoint, now_ms, _LAG_AGE_LIMIT_MS)
         if load is None:
             return None
-        if load.lag_ms < _NOTABLE_FACTOR * _LAG_UNIT_MS:
-            return load.lag_ms
-        return load.lag_ms + min(_REPEAT_MS, now_ms - load.observed_ms)
+        age_ms = now_ms - load.observed_ms
+        if load.lag_ms >= USUAL_LAG_MS:
+            return load.lag_ms + min(_REPEAT_MS, age_ms)
+        return load.lag_ms if age_ms <= _USUAL_LAG_AGE_LIMIT_MS else None
 
     def _find(self, endpoint, now_ms, limit_ms):
         own = self.find_own(endpoint)
--- a/waxwinglift/request/_endpoint_stats.py
+++ b/waxwinglift/request/_endpoint_stats.py
@@ -11,8 +11,9 @@
 from waxwinglift.version import Term
 from waxwinglift.version import ZERO_POSITION
 
-# Age up to which a measured lag is used where owners report nothing.
-_LAG_AGE_LIMIT_MS = 5000.0
+# Time for which a replica counts as behind after a refusal, where its owner
+# reports no lag.
+_BEHIND_AGE_LIMIT_MS = 2000.0
 # Maximum counted number of consecutive failures.  It keeps the exponential
 # backoff, which exceeds any configured limit by then, from overflowing.
 _FAILURE_LIMIT_COUNT = 32
@@ -22,7 +23,8 @@
 class _Record:
     position: Position = ZERO_POSITION
     lag_ms: float | None = None
-    lag_observed_ms: float = float("-inf")
+    # Time of the last refusal of a read that needs newer data.
+    behind_ms: float = float("-inf")
     service_ms: float | None = None
     queue_wait_ms: float = 0.0
     observed_ms: float = float("-inf")
@@ -169,6 +171,8 @@
         record = self._record(endpoint)
         self._finish_request(record)
         self._observe_position(record, position, now_ms)
+        if position is not None:
+            record.behind_ms = now_ms
         if failure is None:
             return
         if failure.code is FailureCode.REJECTED:
@@ -189,15 +193,10 @@
         """Return the expected replication lag of ``endpoint``."""
         return self._record(endpoint).lag_ms or 0.0
 
-    def recent_lag_ms(self, endpoint, now_ms):
-        """Return the lag like `lag_ms`, or 0 if it was measured long ago.
-
-        A replica that no longer gets requests could not be seen to catch up.
-        """
-        record = self._record(endpoint)
-        if now_ms - record.lag_observed_ms > _LAG_AGE_LIMIT_MS:
-            return 0.0
-        return record.lag_ms or 0.0
+    def was_behind(self, endpoint, now_ms):
+        """Return whether ``endpoint`` recently refused a read as behind."""
+        age_ms = now_ms - self._record(endpoint).behind_ms
+        return age_ms <= _BEHIND_AGE_LIMIT_MS
 
     def catch_up_ms(self, endpoint, floor, now_ms, lag_ms=None):
         """Return the expected time until ``endpoint`` reaches ``floor``.
@@ -269,4 +268,3 @@
         record.lag_ms = self._average(
             record.lag_ms, now_ms - reached_ms, self.settings.lag_weight
         )
-        record.lag_observed_ms = now_ms
--- a/waxwinglift/request/_position_history.py
+++ b/waxwinglift/request/_position_history.py
@@ -29,6 +29,11 @@
         """Time of the last recorded request; minus infinity if none."""
         return self._samples[-1][0] if self._samples else float("-inf")
 
+    @property
+    def last(self) -> tuple[float, Position] | None:
+        """Last recorded position, after the time of its request."""
+        return self._samples[-1] if self._samples else None
+
     def record(self, requested_ms: float, position: Position):
         """Add the position that was requested at ``requested_ms``.
 
--- a/waxwinglift/request/_primary_progress.py
+++ b/waxwinglift/request/_primary_progress.py
@@ -8,6 +8,10 @@
 # behind after a time in which they applied commits late.
 _SAMPLE_LIMIT_COUNT = 400
 _SAMPLE_INTERVAL_MS = 100.0
+# Age of data that has not reached the first known position.  Its owner refuses
+# all reads of data with a limited age, and a replica that applies commits
+# reaches the position within its usual lag.
+_UNKNOWN_AGE_MS = 60_000.0
 
 
 class PrimaryProgress:
@@ -21,10 +25,18 @@
         self._samples = collections.deque(maxlen=_SAMPLE_LIMIT_COUNT)
 
     def record(self, observed_ms: float, position: Position):
-        """Add a position; one that is not above the last one is ignored."""
+        """Add a position; one that is below the last one is ignored.
+
+        An unchanged position is moved to the later time, because data at it
+        lacks nothing until then.
+        """
         if self._samples:
             last_ms, last = self._samples[-1]
-            if position <= last or observed_ms < last_ms + _SAMPLE_INTERVAL_MS:
+            if position < last or observed_ms <= last_ms:
+                return
+            if position == last:
+                self._samples.pop()
+            elif observed_ms < last_ms + _SAMPLE_INTERVAL_MS:
                 return
         self._samples.append((observed_ms, position))
 
@@ -37,9 +49,7 @@
             return 0.0
         if position >= self._samples[-1][1]:
             return 0.0
-        included_ms = self._samples[0][0]
         for observed_ms, sample in reversed(self._samples):
             if sample <= position:
-                included_ms = observed_ms
-                break
-        return max(0.0, now_ms - included_ms)
+                return max(0.0, now_ms - observed_ms)
+        return _UNKNOWN_AGE_MS
--- a/waxwinglift/request/_routing.py
+++ b/waxwinglift/request/_routing.py
@@ -14,6 +14,7 @@
 from waxwinglift.request._endpoint_stats import EndpointStats
 from waxwinglift.request._routing_load import build_options
 from waxwinglift.request._routing_load import choose_option
+from waxwinglift.request._routing_load import describe_options
 from waxwinglift.request._routing_load import Option
 from waxwinglift.request._types import Access
 from waxwinglift.request._types import FailureCode
@@ -256,9 +257,8 @@
     )
     chosen = choose_option(options, endpoint_stats, now_ms, rng)
     if chosen is None:
-        reasons = "; ".join(option.describe() for option in options)
-        message = f"no endpoint of group {group_view.group} can serve the read"
-        message += f" ({reasons})" if reasons else ""
+        reasons = describe_options(options) or "none is left"
+        message = f"no endpoint can serve the read: {reasons}"
         return Err(not_run(FailureCode.UNAVAILABLE, message))
     candidate = Candidate(chosen.view, chosen.catch_up_ms, 0.0, 1.0)
     route = _route(candidate, group_view)
--- a/waxwinglift/request/_routing_load.py
+++ b/waxwinglift/request/_routing_load.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from waxwinglift.request._endpoint_load import USUAL_LAG_MS
 from waxwinglift.request._group_view import EndpointView
 
 # Width of the random choice between endpoints of nearly equal cost, about a
@@ -12,7 +13,7 @@
 # old information must not all choose the same endpoint.
 _WIDTH_PER_AGE = 0.2
 # The width is at most this part of the difference between the waits.
-_WIDTH_PER_WAIT = 0.25
+_WIDTH_PER_WAIT = 0.5
 # Part of an accepted age that is reserved: the owner demands a position of
 # this much less than the accepted age.
 _MARGIN_MS = 50.0
@@ -55,6 +56,11 @@
         return text + f", wait {self.wait_ms:.0f} ms {self.age_ms:.0f} ms ago"
 
 
+def describe_options(options) -> str | None:
+    """Return the inputs of a choice as text, None without any."""
+    return "; ".join(option.describe() for option in options) or None
+
+
 def build_options(request, group_view, endpoint_stats, settings, now_ms):
     """Return an `Option` for each endpoint that is not excluded.
 
@@ -125,10 +131,12 @@
 
 
 def _lag_ms(view, endpoint_stats, now_ms):
+    """Return the lag, 0 without a report: a usual lag is not reported."""
     reported_ms = endpoint_stats.loads.lag_ms(view.endpoint, now_ms)
     if reported_ms is not None:
         return reported_ms
-    return endpoint_stats.recent_lag_ms(view.endpoint, now_ms)
+    is_behind = endpoint_stats.was_behind(view.endpoint, now_ms)
+    return math.inf if is_behind else 0.0
 
 
 def _catch_up_ms(request, view, load, lag_ms, endpoint_stats, now_ms):
@@ -147,7 +155,10 @@
         and load.position >= floor
     ):
         return 0.0
-    return endpoint_stats.catch_up_ms(view.endpoint, floor, now_ms, lag_ms)
+    usual_ms = min(endpoint_stats.lag_ms(view.endpoint), USUAL_LAG_MS)
+    return endpoint_stats.catch_up_ms(
+        view.endpoint, floor, now_ms, lag_ms or usual_ms
+    )
 
 
 def _choice_width_ms(options):
--- a/waxwinglift/request/_statement_routes.py
+++ b/waxwinglift/request/_statement_routes.py
@@ -44,7 +44,10 @@
         full = self._find_full(attempts)
         closed = {**full, **overloaded}
         routed = self._choose(attempts, closed)
-        if not closed or not isinstance(routed, Err):
+        if not isinstance(routed, Err):
+            self._count(routed.ok_value)
+            return routed
+        if not closed:
             return routed
         if isinstance(self._choose(attempts, ()), Err):
             return routed
@@ -58,7 +61,10 @@
         """Return whether a route is left after a refusal by a queue."""
         if attempts.access is not Access.READ:
             return False
-        return not isinstance(self.find(attempts), Err)
+        has_route = not isinstance(self.find(attempts), Err)
+        if has_route:
+            self._context.metrics.incr("entry.retried.elsewhere")
+        return has_route
 
     def record_rejection(self, attempts: StatementAttempts, route, failure):
         """Record that the queue of an endpoint refused the statement."""
@@ -72,6 +78,17 @@
                 failure.retry_after_ms,
             )
 
+    def _count(self, route):
+        """Count by what the endpoint was chosen, and what was passed over."""
+        metrics = self._context.metrics
+        for option in route.options:
+            if not option.is_usable:
+                metrics.incr("entry.routed.past_behind")
+            elif option.view.endpoint == route.endpoint:
+                is_reported = option.age_ms is not None
+                basis = "by_report" if is_reported else "by_latency"
+                metrics.incr(f"entry.routed.{basis}")
+
     def _find_full(self, attempts):
         """Return the endpoints whose queues refuse the statement.
 
--- a/waxwinglift/request/_statement_run.py
+++ b/waxwinglift/request/_statement_run.py
@@ -21,6 +21,7 @@
 from waxwinglift.request import Verdict
 from waxwinglift.request._data_path_attempt import endpoint_failure
 from waxwinglift.request._routing import Route
+from waxwinglift.request._routing_load import describe_options
 from waxwinglift.request._statement_attempts import final_outcome
 from waxwinglift.request._statement_attempts import mark_retryable_error
 from waxwinglift.request._statement_attempts import StatementAttempts
@@ -261,6 +262,7 @@
             owner=None if route is None else route.owner,
             term=None if route is None else route.term,
             log_index=self._context.view.applied_index,
+            options=None if route is None else describe_options(route.options),
         )
 
     async def _attempt(self, statement, attempts):
@@ -320,7 +322,9 @@
         """Run an exchange; fail if the owner does not answer in time."""
         try:
             async with asyncio.timeout((limit_ms + _OWNER_GRACE_MS) / 1000):
-                return await self._stream.run(exchange, _ignore_data)
+                end = await self._stream.run(exchange, _ignore_data)
+                self._context.loads.record(end.loads)
+                return end
         except TimeoutError:
             message = "the endpoint's owner did not answer in time"
             return ExchangeEnd(
