--- a/waxwinglift/process/_group_load.py
+++ b/waxwinglift/process/_group_load.py
@@ -1,6 +1,7 @@
 """Exchange of the loads of endpoints with other proxies."""
 
 from collections.abc import Callable
+import dataclasses
 
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
@@ -85,6 +86,8 @@
             required = {load.endpoint for load in loads if load.has_free_slot}
         if code in (FailureCode.REJECTED, FailureCode.BEHIND):
             required.add(header.endpoint)
+        if code is FailureCode.BEHIND:
+            loads = [_state_refusal(load, header) for load in loads]
         return reports.select(loads, now_ms, required)
 
     def record_report(self, message):
@@ -176,3 +179,18 @@
         for daemon in self._reports.keys() - self._view.fleet.daemons.keys():
             del self._reports[daemon]
             self._reported_ms.pop(daemon, None)
+
+
+def _state_refusal(load, header):
+    """Return a record that tells why its endpoint refused a read as behind.
+
+    Unless the read needs a session's writes, the data is older than it
+    accepts, however little of that the known positions show.
+    """
+    if load.endpoint != header.endpoint:
+        return load
+    floor, position = header.floor, load.position
+    if floor is not None and (position is None or position < floor):
+        return load
+    lag_ms = max(load.lag_ms, float(header.max_age_ms))
+    return dataclasses.replace(load, lag_ms=lag_ms)
--- a/waxwinglift/request/_endpoint_load.py
+++ b/waxwinglift/request/_endpoint_load.py
@@ -15,9 +15,9 @@
 _LAG_AGE_LIMIT_MS = 5000.0
 # The same for a usual lag, whose end is not reported.
 _USUAL_LAG_AGE_LIMIT_MS = 500.0
-# Values below these are normal and are not reported: the execution of one
+# Values below twice these are usual and are not reported: the execution of one
 # statement, and the usual lag between regions.
-_WAIT_UNIT_MS = 25.0
+_WAIT_UNIT_MS = 50.0
 _LAG_UNIT_MS = 250.0
 _FAILURE_UNIT = 0.1
 # A value is reported again once it has changed by this factor.
--- a/waxwinglift/request/_routing_load.py
+++ b/waxwinglift/request/_routing_load.py
@@ -13,7 +13,7 @@
 # old information must not all choose the same endpoint.
 _WIDTH_PER_AGE = 0.2
 # The width is at most this part of the difference between the waits.
-_WIDTH_PER_WAIT = 0.5
+_WIDTH_PER_WAIT = 1.0
 # Part of an accepted age that is reserved: the owner demands a position of
 # this much less than the accepted age.
 _MARGIN_MS = 50.0
