Count each route once and name the refusing queues in the log

A refusal at the entry proxy says for which endpoints the rank is refused and for how long. The contract "pool" of the platform is tested to select the policy; other contracts keep "latency".

--- a/waxwinglift/platform/tests/test_settings.py
+++ b/waxwinglift/platform/tests/test_settings.py
@@ -103,6 +103,19 @@
     assert _load(tmp_path, values).is_ok()
 
 
+@pytest.mark.parametrize(
+    "contracts, expected",
+    [((), "latency"), (("base",), "latency"), (("base", "pool"), "load")],
+)
+def test_contract_of_scarce_servers_selects_the_policy(
+    tmp_path, contracts, expected
+):
+    """Other deployments of the platform must keep their behaviour."""
+    values = _VALUES | {"contracts": list(contracts)}
+    settings = _roles.proxy_settings(_load(tmp_path, values).ok_value)
+    assert settings.entry.routing.server_policy == expected
+
+
 @pytest.mark.parametrize(
     "change, named",
     [
--- a/waxwinglift/request/_statement_routes.py
+++ b/waxwinglift/request/_statement_routes.py
@@ -40,14 +40,26 @@
 
     def find(self, attempts: StatementAttempts) -> Result[Route, Failure]:
         """Return the route, or why there is none."""
+        routed = self._find(attempts)
+        if not isinstance(routed, Err):
+            self._count(routed.ok_value)
+        return routed
+
+    def has_alternative(self, attempts: StatementAttempts) -> bool:
+        """Return whether a route is left after a refusal by a queue."""
+        if attempts.access is not Access.READ:
+            return False
+        has_route = not isinstance(self._find(attempts), Err)
+        if has_route:
+            self._context.metrics.incr("entry.retried.elsewhere")
+        return has_route
+
+    def _find(self, attempts):
         overloaded = self._daemons.find_overloaded()
         full = self._find_full(attempts)
         closed = {**full, **overloaded}
         routed = self._choose(attempts, closed)
-        if not isinstance(routed, Err):
-            self._count(routed.ok_value)
-            return routed
-        if not closed:
+        if not closed or not isinstance(routed, Err):
             return routed
         if isinstance(self._choose(attempts, ()), Err):
             return routed
@@ -57,15 +69,6 @@
         delay_ms = math.ceil(min(overloaded.values()))
         return Err(not_run(FailureCode.OVERLOADED, message, delay_ms))
 
-    def has_alternative(self, attempts: StatementAttempts) -> bool:
-        """Return whether a route is left after a refusal by a queue."""
-        if attempts.access is not Access.READ:
-            return False
-        has_route = not isinstance(self.find(attempts), Err)
-        if has_route:
-            self._context.metrics.incr("entry.retried.elsewhere")
-        return has_route
-
     def record_rejection(self, attempts: StatementAttempts, route, failure):
         """Record that the queue of an endpoint refused the statement."""
         attempts.rejections[route.endpoint] = failure
@@ -135,9 +138,11 @@
             message = list(attempts.rejections.values())[-1].message
         else:
             self._context.metrics.incr("entry.refused.full")
-            message = (
-                "the queues of all usable endpoints have refused the rank"
+            endpoints = ", ".join(
+                f"{endpoint} for {ms:.0f} ms more"
+                for endpoint, ms in closed.items()
             )
+            message = f"the rank was refused by all usable queues: {endpoints}"
         return not_run(FailureCode.REJECTED, message, delay_ms)
 
     def _choose(self, attempts, closed):
