--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -9,6 +9,7 @@
 from waxwinglift.process._policy_settings import AdmissionSettings
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 from waxwinglift.process._policy_settings import QuotaSettings
+from waxwinglift.process._policy_settings import RoutingSettings
 from waxwinglift.process._settings import ControlSettings
 from waxwinglift.process._settings import ControlTimingSettings
 from waxwinglift.process._settings import ProxySettings
@@ -98,6 +99,7 @@
             drain_answer_timeout_ms=answer_ms,
             drain_linger_ms=min(_BALANCER_DETECTION_MS, drain_ms),
             view_age_limit_ms=_view_age_limit_ms(platform.bounds),
+            routing=_routing_settings(platform),
         ),
         owner=OwnerSettings(
             protocol=PROTOCOL,
@@ -125,6 +127,11 @@
     return AdmissionSettings(order=order, wait_fraction=_WAIT_FRACTION)
 
 
+def _routing_settings(platform):
+    policy = "load" if _has_pool_contract(platform) else "latency"
+    return RoutingSettings(server_policy=policy)
+
+
 def _quota_settings(bounds):
     return QuotaSettings(
         window_ms=1000 * bounds.quota_window_s,
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -14,6 +14,7 @@
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
+from waxwinglift.process._owner_load import OwnerLoad
 from waxwinglift.process._statement_positions import GroupFloors
 from waxwinglift.process._statement_positions import PrimaryPositions
 from waxwinglift.process._statement_positions import StatementPositions
@@ -141,6 +142,10 @@
         super().tick()
         self.admission_report.tick()
 
+    def find_load(self, book):
+        """Return the EndpointLoad of the endpoint."""
+        return self._load.find(book)
+
     def run_in_background(self, coroutine):
         """Run a coroutine without delaying a caller."""
         self._start_task(coroutine)
@@ -177,6 +182,7 @@
         # Index of each rank by urgency, and its floor share.
         self._ranks = {}
         self._in_flight_limit = InFlightLimit()
+        self._load = OwnerLoad(self)
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
@@ -220,7 +226,10 @@
             self._address, self.group, self.endpoint, workspace
         )
         return TrackedConnection(
-            connection, self.now_ms, self._record_round_trip
+            connection,
+            self.now_ms,
+            self._record_round_trip,
+            self._load.record_position,
         )
 
     def _record_round_trip(self, elapsed_ms):
