Give the compression test an owner set

The local executor of PeerClients has to be an OwnerSet since the loads of endpoints are shared; the test passed None.

--- a/waxwinglift/process/tests/test_peer_compression.py
+++ b/waxwinglift/process/tests/test_peer_compression.py
@@ -15,8 +15,10 @@
 from waxwinglift.process import DataCentre
 from waxwinglift.process import Location
 from waxwinglift.process import Region
+from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._owner_set import OwnerSet
 from waxwinglift.process._peer_client import PeerClients
 from waxwinglift.process._peer_compression import BodyCompressor
 from waxwinglift.process._peer_compression import BodyDecompressor
@@ -177,7 +179,8 @@
     )
 
     async def work():
-        clients = PeerClients(view, None, is_enabled)
+        local = OwnerSet(OwnerSettings(), view)
+        clients = PeerClients(view, local, is_enabled)
         client = clients.executor_for("proxy-1")
         clients.close()
         return client.compresses
