Free the slot while a statement waits for a connection

A statement kept its slot while a connection of its workspace was opened, for a round trip and 12 ms of a slot of the server. It now gives the slot back, and goes first in its rank once it has the connection. Statements that run keep the time of their slot as sample; a slot given back is none.

Further changes of the pool: - connections of workspaces with waiting statements are closed last; - less urgent statements wait up to 50 ms for a running statement of their workspace instead of an opening while all slots are in use; - several connections may be closed for others at the same time; - a statement is refused at once, with a time to come back, when the openings in progress take longer than the part of its time that it may wait.

--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -1,21 +1,18 @@
 """Decides which connections to one endpoint to use, open or close."""
 
-import collections
-
 from waxwinglift.connection._endpoint_pool_actions import CloseConnection
 from waxwinglift.connection._endpoint_pool_actions import OpenConnection
 from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
 from waxwinglift.connection._endpoint_pool_actions import ReportTimeout
 from waxwinglift.connection._endpoint_pool_actions import UseConnection
+from waxwinglift.connection._opening_pace import OpeningPace
 from waxwinglift.connection._pool_records import ConnectionNeed
 from waxwinglift.connection._pool_records import ConnectionRecord
 from waxwinglift.connection._pool_records import PoolRecords
+from waxwinglift.connection._pool_records import WaitingHolders
 from waxwinglift.connection._types import ConnectionId
 from waxwinglift.connection._types import ConnectionState
 
-# Connections opened at a time after a failure, until one succeeds.  An
-# endpoint that refuses connections would refuse all missing ones too.
-_RETRY_LIMIT_COUNT = 2
 # Connections without a workspace that are kept open where requests have one.
 _SHARED_WARM_COUNT = 1
 
@@ -54,11 +51,10 @@
         # opened before the first request of each.
         self.is_per_workspace = False
         self._connections = PoolRecords()
-        self._waiting = collections.OrderedDict()
+        self._waiting = WaitingHolders()
         self._is_enabled = False
         self._next_id = 1
-        self._open_after_ms = float("-inf")
-        self._open_failure_count = 0
+        self._pace = OpeningPace(settings)
         self._due_ms = float("-inf")
         self._state_timeouts_ms = {
             ConnectionState.IDLE: settings.idle_probe_ms,
@@ -115,16 +111,46 @@
             actions += self._close(connection, now_ms)
         return actions
 
-    def acquire(self, holder, now_ms, workspace=None, is_any=False):
+    def acquire(self, holder, now_ms, need=ConnectionNeed()):
         """Request a connection for a transaction.
 
-        This or a later call returns the connection as `UseConnection`.  With
-        ``is_any`` it may be that of any workspace, for the proxy's own
-        commands.
+        This or a later call returns the connection as `UseConnection`.
         """
-        self._waiting[holder] = ConnectionNeed(workspace, is_any)
+        self._waiting[holder] = need
         return self._serve_waiting(now_ms)
 
+    def take_idle(self, holder, now_ms, need):
+        """Return an idle connection for a transaction now, or None.
+
+        No holder that waits can use an idle connection, so none is overtaken.
+        """
+        connection = self._connections.find_idle(need)
+        if connection is not None:
+            self._use(connection, holder, need, now_ms)
+        return connection
+
+    def expected_wait_ms(self, need, now_ms):
+        """Return the expected wait of a new holder for a connection.
+
+        Only openings are counted: a connection of the workspace may become
+        free earlier.
+        """
+        if not self.is_per_workspace:
+            return 0.0
+        needs = [*self._waiting.needs(need.urgency_index), need]
+        missing = self._connections.missing_workspaces(needs, now_ms)
+        opening_count = self._connections.count(ConnectionState.OPENING)
+        return self._pace.expected_wait_ms(
+            len(missing) + opening_count, self.limit_count
+        )
+
+    def expecting(self, workspace):
+        """Return a context manager that protects a workspace's connections.
+
+        They are the last to be closed for other workspaces.
+        """
+        return self._waiting.expecting(workspace)
+
     def cancel(self, holder):
         """Remove a waiting holder; return whether it was waiting."""
         return self._waiting.pop(holder, None) is not None
@@ -139,6 +165,7 @@
         if record is None or record.state is not ConnectionState.BUSY:
             return []
         record.holder = None
+        record.is_block = False
         record.used_ms = now_ms
         if record.is_suspect:
             return self._probe(connection, now_ms) + self._serve_waiting(
@@ -173,13 +200,8 @@
         the idle connections in turn, so they also serve as the probe that
         each idle connection needs.
         """
-        idle = [
-            (record.since_ms, connection)
-            for connection, record in self._connections.items()
-            if record.state is ConnectionState.IDLE
-            and record.since_ms < before_ms
-        ]
-        return self._probe_or_close_idle(min(idle)[1], now_ms) if idle else []
+        idle = self._connections.find_longest_idle(before_ms)
+        return [] if idle is None else self._probe_or_close_idle(idle, now_ms)
 
     def open_one(self, now_ms):
         """Open one connection, ignoring the back-off after failures.
@@ -194,8 +216,8 @@
         """Record that a connection became usable."""
         if self.state(connection) is not ConnectionState.OPENING:
             return []
-        self._open_failure_count = 0
-        self._open_after_ms = float("-inf")
+        opened = self._connections[connection]
+        self._pace.record_success(now_ms - opened.since_ms)
         self._set_state(connection, ConnectionState.IDLE, now_ms)
         return self._serve_waiting(now_ms)
 
@@ -224,8 +246,8 @@
         From ``due_ms`` on, call this at least every half probe timeout.
         """
         self._due_ms = now_ms + self.settings.idle_probe_ms
-        if now_ms < self._open_after_ms:
-            self._due_ms = min(self._due_ms, self._open_after_ms)
+        if now_ms < self._pace.after_ms:
+            self._due_ms = min(self._due_ms, self._pace.after_ms)
         actions = []
         for connection in list(self._connections):
             actions += self._apply_state_timeout(connection, now_ms)
@@ -260,30 +282,43 @@
 
     def _serve_waiting(self, now_ms):
         actions = []
-        for holder, need in list(self._waiting.items()):
+        for holder, need in self._waiting.by_urgency():
             connection = self._connections.find_idle(need)
             if connection is None:
                 if not self.is_per_workspace:
                     break
                 continue
             del self._waiting[holder]
-            self._set_state(connection, ConnectionState.BUSY, now_ms)
-            self._connections[connection].holder = holder
+            self._use(connection, holder, need, now_ms)
             actions.append(UseConnection(connection, holder))
         return actions + self._open_missing(now_ms)
 
+    def _use(self, connection, holder, need, now_ms):
+        self._set_state(connection, ConnectionState.BUSY, now_ms)
+        record = self._connections[connection]
+        record.holder = holder
+        record.is_block = need.is_block
+
     def _open_missing(self, now_ms):
-        if not self._is_enabled or now_ms < self._open_after_ms:
+        if not self._is_enabled or now_ms < self._pace.after_ms:
             return []
         openings_count = self._openings_left_count()
+        # Each of these makes room for one of the missing connections.
+        closing_count = self._connections.count(ConnectionState.CLOSED)
         actions = []
-        for workspace in self._missing_workspaces():
-            if len(actions) >= openings_count:
-                return actions
+        missing = []
+        if self.is_per_workspace:
+            needs = self._waiting.needs()
+            missing = self._connections.missing_workspaces(needs, now_ms)
+        for workspace in missing[: max(0, openings_count)]:
             if len(self._connections) < self.limit_count:
                 actions.append(self._open(now_ms, workspace))
+            elif closing_count > 0:
+                closing_count -= 1
             else:
                 actions += self._close_for_another_workspace(now_ms)
+        if len(missing) >= openings_count:
+            return actions
         missing_count = min(
             self._wanted_count() - self._usable_count(),
             self.limit_count - len(self._connections),
@@ -291,28 +326,15 @@
         )
         return actions + [self._open(now_ms) for _ in range(missing_count)]
 
-    def _missing_workspaces(self):
-        if not self.is_per_workspace:
-            return []
-        return self._connections.missing_workspaces(self._waiting.values())
-
     def _close_for_another_workspace(self, now_ms):
         """Close an idle connection, which no waiting holder can use."""
-        connections = self._connections
-        is_closing = connections.count(ConnectionState.CLOSED) > 0
-        unused = connections.least_recently_used()
-        if is_closing or unused is None:
-            return []
-        return self._close(unused, now_ms)
+        unused = self._connections.find_replaceable(self._waiting)
+        return [] if unused is None else self._close(unused, now_ms)
 
     def _openings_left_count(self):
         """Return how many further connections may open at the same time."""
-        limits = [self.limit_count]
-        if self._open_failure_count:
-            limits.append(_RETRY_LIMIT_COUNT)
-        if self.settings.opening_limit_count:
-            limits.append(self.settings.opening_limit_count)
-        return min(limits) - self._connections.count(ConnectionState.OPENING)
+        opening_count = self._connections.count(ConnectionState.OPENING)
+        return self._pace.limit_count(self.limit_count) - opening_count
 
     def _probe_or_close_idle(self, connection, now_ms):
         # When a suspect turns out healthy, its replacement is surplus.
@@ -326,8 +348,7 @@
     def _wanted_count(self):
         """Return the number of connections of no workspace that are wanted."""
         needed_count = self._connections.count_shared({ConnectionState.BUSY})
-        for need in self._waiting.values():
-            needed_count += need.workspace is None
+        needed_count += self._waiting.shared_count()
         warm_count = self.warm_count
         if warm_count is None:
             warm_count = self.slots_count + self.settings.spare_count
@@ -372,8 +393,5 @@
         self._due_ms = min(self._due_ms, now_ms + limit_ms)
 
     def _delay_opening(self, now_ms):
-        delay_ms = self.settings.open_backoff_ms * 2**self._open_failure_count
-        delay_ms = min(delay_ms, self.settings.open_backoff_limit_ms)
-        self._open_failure_count = min(self._open_failure_count + 1, 16)
-        self._open_after_ms = now_ms + delay_ms
-        self._due_ms = min(self._due_ms, self._open_after_ms)
+        self._pace.record_failure(now_ms)
+        self._due_ms = min(self._due_ms, self._pace.after_ms)
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -17,6 +17,7 @@
 from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
 from waxwinglift.connection._endpoint_pool_actions import ReportTimeout
 from waxwinglift.connection._endpoint_pool_actions import UseConnection
+from waxwinglift.connection._pool_records import ConnectionNeed
 from waxwinglift.process import Registry
 from waxwinglift.request import Failure
 from waxwinglift.request import RequestId
@@ -62,8 +63,7 @@
     """Transaction that waits for a connection, as in `EndpointPool`."""
 
     future: asyncio.Future
-    workspace: WorkspaceName | None
-    is_any: bool
+    need: ConnectionNeed
 
 
 class ConnectionManager:
@@ -162,19 +162,29 @@
         self.perform(actions)
         return any(isinstance(action, ProbeConnection) for action in actions)
 
+    def take_idle(
+        self, holder: RequestId, need: ConnectionNeed
+    ) -> tuple[ConnectionId, ManagedConnection] | None:
+        """Return an idle connection without a wait, or None."""
+        while True:
+            now_ms = self._now_ms()
+            connection_id = self.pool.take_idle(holder, now_ms, need)
+            if connection_id is None:
+                return None
+            connection = self._connections.get(connection_id)
+            if connection is not None and connection.is_usable:
+                return connection_id, connection
+            self.discard(connection_id)
+
     async def acquire(
         self,
         holder: RequestId,
         timeout_ms: float,
-        workspace: WorkspaceName | None = None,
-        is_any: bool = False,
+        need: ConnectionNeed = ConnectionNeed(),
     ) -> tuple[ConnectionId, ManagedConnection] | None:
-        """Return a connection, None if the wait timed out or was refused.
-
-        With ``is_any``, it may be the connection of any workspace.
-        """
+        """Return a connection, None if the wait timed out or was refused."""
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters[holder] = _Waiter(waiter, workspace, is_any)
+        self._waiters[holder] = _Waiter(waiter, need)
         self._request(holder)
         try:
             if not waiter.done():
@@ -242,11 +252,8 @@
 
     def _request(self, holder):
         waiter = self._waiters[holder]
-        self.perform(
-            self.pool.acquire(
-                holder, self._now_ms(), waiter.workspace, waiter.is_any
-            )
-        )
+        actions = self.pool.acquire(holder, self._now_ms(), waiter.need)
+        self.perform(actions)
 
     def _start_task(self, connection_id, work):
         task = asyncio.ensure_future(work)
@@ -325,13 +332,13 @@
         except asyncio.CancelledError:
             self._perform(self.queue.cancel(ticket))
             if waiter.done() and not waiter.cancelled():
-                self.leave(ticket, 0.0)
+                self.leave(ticket, None)
             raise
         finally:
             del self._waiters[ticket.request]
 
-    def leave(self, ticket: Ticket, service_ms: float):
-        """Free the slot of a started ticket."""
+    def leave(self, ticket: Ticket, service_ms: float | None):
+        """Free the slot of a started ticket; None if it was not used."""
         now_ms = self._now_ms()
         self._perform(self.queue.finish(ticket, now_ms, service_ms))
 
@@ -349,6 +356,6 @@
             is_start = isinstance(action, Start)
             if waiter is None or waiter.done():
                 if is_start:
-                    self.leave(action.ticket, 0.0)
+                    self.leave(action.ticket, None)
                 continue
             waiter.set_result(None if is_start else action.failure)
--- a/waxwinglift/connection/_pool_records.py
+++ b/waxwinglift/connection/_pool_records.py
@@ -2,7 +2,9 @@
 
 import collections
 from collections.abc import Iterable
+import contextlib
 import dataclasses
+import math
 from typing import Any
 
 from waxwinglift.connection._types import ConnectionId
@@ -27,6 +29,8 @@
         Transaction that runs on it.
     is_suspect : bool
         Whether to probe it once its transaction has ended.
+    is_block : bool
+        Whether a transaction block runs on it, which may take long.
     """
 
     state: ConnectionState
@@ -35,23 +39,73 @@
     used_ms: float = float("-inf")
     holder: Any = None
     is_suspect: bool = False
+    is_block: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionNeed:
     """Connection that a holder waits for.
 
-    With ``is_any``, the connection of any workspace will do.
+    Parameters
+    ----------
+    workspace : WorkspaceName or None
+    is_any : bool
+        Whether the connection of any workspace will do, as for the proxy's
+        own commands.
+    urgency_index : int
+        Holders with a lower one go first.
+    is_block : bool
+        Whether the holder is a transaction block.
+    patient_until_ms : float
+        Until then, the holder waits for a running statement of its workspace
+        rather than for an opening, which occupies a slot.
     """
 
-    workspace: WorkspaceName | None
+    workspace: WorkspaceName | None = None
     is_any: bool = False
+    urgency_index: int = 0
+    is_block: bool = False
+    patient_until_ms: float = -math.inf
 
     def is_met_by(self, record: ConnectionRecord) -> bool:
         """Return whether the holder may use a connection."""
         return self.is_any or record.workspace == self.workspace
 
 
+class WaitingHolders(dict[Any, ConnectionNeed]):
+    """Needs of the transactions that wait for a connection, oldest first."""
+
+    def __init__(self):
+        super().__init__()
+        self._expected = collections.Counter()
+
+    @contextlib.contextmanager
+    def expecting(self, workspace: WorkspaceName | None):
+        """Keep the idle connections of a workspace that will need one."""
+        self._expected[workspace] += 1
+        try:
+            yield
+        finally:
+            self._expected[workspace] -= 1
+
+    def is_expected(self, workspace: WorkspaceName | None) -> bool:
+        """Return whether a transaction will need a connection of it."""
+        return self._expected[workspace] > 0
+
+    def by_urgency(self) -> list[tuple[Any, ConnectionNeed]]:
+        """Return the holders and their needs, the most urgent first."""
+        return sorted(self.items(), key=lambda item: item[1].urgency_index)
+
+    def needs(self, least_urgent_index: float = math.inf):
+        """Return the needs up to an ``urgency_index``, most urgent first."""
+        needs = [need for _, need in self.by_urgency()]
+        return [n for n in needs if n.urgency_index <= least_urgent_index]
+
+    def shared_count(self) -> int:
+        """Return how many wait for a connection of no workspace."""
+        return sum(need.workspace is None for need in self.values())
+
+
 class PoolRecords(dict[ConnectionId, ConnectionRecord]):
     """Records of the connections of one endpoint, by id."""
 
@@ -76,37 +130,57 @@
         # The most recently used one is the least likely to be unresponsive.
         return max(idle)[1] if idle else None
 
-    def least_recently_used(self) -> ConnectionId | None:
-        """Return the idle connection whose last use was the longest ago.
+    def find_longest_idle(self, before_ms: float) -> ConnectionId | None:
+        """Return the connection that is idle longest, since ``before_ms``."""
+        idle = [
+            (record.since_ms, connection)
+            for connection, record in self._idle()
+            if record.since_ms < before_ms
+        ]
+        return min(idle)[1] if idle else None
+
+    def find_replaceable(self, waiting: WaitingHolders) -> ConnectionId | None:
+        """Return the idle connection that another workspace may replace.
 
-        Probes do not count as uses.
+        That is the one whose last use was the longest ago, if possible of a
+        workspace that is not expected.  Probes do not count as uses.
         """
-        idle = [(record.used_ms, one) for one, record in self._idle()]
-        return min(idle)[1] if idle else None
+        idle = [
+            (waiting.is_expected(record.workspace), record.used_ms, one)
+            for one, record in self._idle()
+        ]
+        return min(idle)[2] if idle else None
 
     def missing_workspaces(
-        self, needs: Iterable[ConnectionNeed]
+        self, needs: Iterable[ConnectionNeed], now_ms: float
     ) -> list[WorkspaceName | None]:
         """Return the workspaces for which connections must be opened.
 
         A workspace, or None, is listed once for each connection that it lacks,
         in the order of its holders.
         """
-        opening = collections.Counter(
-            record.workspace
-            for record in self.values()
-            if record.state is ConnectionState.OPENING
-        )
+        opening = self._count_by_workspace(ConnectionState.OPENING)
+        busy = self._count_by_workspace(ConnectionState.BUSY)
         missing = []
         for need in needs:
             if need.is_any:
                 continue
             if opening[need.workspace] > 0:
                 opening[need.workspace] -= 1
+            elif now_ms < need.patient_until_ms and busy[need.workspace] > 0:
+                busy[need.workspace] -= 1
             else:
                 missing.append(need.workspace)
         return missing
 
+    def _count_by_workspace(self, state):
+        """Count the connections that no transaction block uses."""
+        return collections.Counter(
+            record.workspace
+            for record in self.values()
+            if record.state is state and not record.is_block
+        )
+
     def _idle(self):
         return [
             (connection, record)
--- a/waxwinglift/connection/tests/test_endpoint_pool_workspaces.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool_workspaces.py
@@ -10,6 +10,7 @@
 from waxwinglift.connection._endpoint_pool_actions import OpenConnection
 from waxwinglift.connection._endpoint_pool_actions import ProbeConnection
 from waxwinglift.connection._endpoint_pool_actions import UseConnection
+from waxwinglift.connection._pool_records import ConnectionNeed
 from waxwinglift.process._policy_settings import EndpointPoolSettings
 
 _SETTINGS = EndpointPoolSettings(keeps_surplus=True, opening_limit_count=2)
@@ -51,7 +52,8 @@
 
     def acquire(self, holder, workspace, is_any=False):
         self.now_ms += 1.0
-        self.perform(self.pool.acquire(holder, self.now_ms, workspace, is_any))
+        need = ConnectionNeed(workspace, is_any)
+        self.perform(self.pool.acquire(holder, self.now_ms, need))
 
     def finish_openings(self):
         while self.opening:
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -8,6 +8,7 @@
 from waxwinglift.connection._endpoint_pool import EndpointPool
 from waxwinglift.connection._owner_connections import ConnectionManager
 from waxwinglift.connection._owner_connections import SlotQueue
+from waxwinglift.connection._pool_records import ConnectionNeed
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.connection._statement_monitor import StatementMonitor
 from waxwinglift.process._data_path_types import ExchangeEnd
@@ -110,6 +111,15 @@
         """
         return self.find_refusal(header) or self._find_overload(header)
 
+    def next_request(self):
+        """Return an id that no other request of the owner has."""
+        self._next_request += 1
+        return RequestId(self._next_request)
+
+    def urgency_index(self, rank):
+        """Return the index of a rank by urgency; 0 if it is unknown."""
+        return self._ranks.get(rank, (0, 0.0))[0]
+
     def _find_overload(self, header):
         if self.load_shedder is None:
             return None
@@ -141,10 +151,9 @@
     @contextlib.asynccontextmanager
     async def acquire_connection(self, timeout_ms):
         """Yield a connection for a query of the proxy; None on timeout."""
-        self._next_request += 1
-        holder = RequestId(self._next_request)
+        holder = self.next_request()
         acquired = await self.connections.acquire(
-            holder, timeout_ms, is_any=True
+            holder, timeout_ms, ConnectionNeed(is_any=True)
         )
         if acquired is None:
             yield None
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -137,8 +137,9 @@
         ----------
         ticket : Ticket
         now_ms : float
-        service_ms : float
-            Time that the ticket occupied its slot.
+        service_ms : float or None
+            Time that the ticket occupied its slot; None if the slot was not
+            used, which is no sample of the service time.
 
         Returns
         -------
@@ -150,9 +151,11 @@
         self._accrue(now_ms)
         rank = self._ranks[(ticket.pool, ticket.rank)]
         rank.running_count -= 1
-        rank.charge(service_ms - estimate_ms, self._debt_cap_ms(rank))
-        error_ms = service_ms - self._service_ms
-        self._service_ms += self.settings.service_weight * error_ms
+        charged_ms = (service_ms or 0.0) - estimate_ms
+        rank.charge(charged_ms, self._debt_cap_ms(rank))
+        if service_ms is not None:
+            error_ms = service_ms - self._service_ms
+            self._service_ms += self.settings.service_weight * error_ms
         return self._start_next(now_ms)
 
     def cancel(self, ticket):
--- a/waxwinglift/request/_statement_failures.py
+++ b/waxwinglift/request/_statement_failures.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.request._statements import EndpointError
 from waxwinglift.request._statements import EndpointErrorCode
 from waxwinglift.request._types import Failure
@@ -23,6 +24,14 @@
     INTERNAL_ERROR = "internal_error"
 
 
+class StreamFailed(Exception):
+    """Ends an exchange and its stream; ``end`` contains the failure."""
+
+    def __init__(self, end: ExchangeEnd):
+        super().__init__(end.failure.message)
+        self.end = end
+
+
 # Failure codes of errors after which another endpoint may serve the request.
 _RETRYABLE_ERRORS = {
     EndpointErrorCode.OVERLOADED: FailureCode.REJECTED,
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -21,6 +21,10 @@
 from waxwinglift.request._admission import Ticket
 from waxwinglift.request._idle_timer import IdleTimer
 from waxwinglift.request._read_floor import find_read_floor
+from waxwinglift.request._statement_failures import StreamFailed
+from waxwinglift.request._statement_slot import acquire_connection
+from waxwinglift.request._statement_slot import enter_slot
+from waxwinglift.request._statement_slot import find_need
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.request._statements import EndpointErrorCode
@@ -34,14 +38,6 @@
 _ROLLBACK = Command(CommandKind.ROLLBACK)
 
 
-class StreamFailed(Exception):
-    """Ends an exchange and its stream; ``end`` contains the failure."""
-
-    def __init__(self, end: ExchangeEnd):
-        super().__init__(end.failure.message)
-        self.end = end
-
-
 class StatementStream:
     """Runs one statement, or the statements of one transaction block.
 
@@ -68,7 +64,7 @@
         self._is_ended = False
         self._is_sent = False
         self._connection = TransactionConnection(
-            owner, request, header.workspace
+            owner, request, find_need(owner, header)
         )
         self._block_ticket: Ticket | None = None
         self._block_started_ms = 0.0
@@ -166,7 +162,6 @@
         async with self._slot(deadline_ms):
             # The assignment and the role may have changed during the waits.
             self._raise_if_refused()
-            await self._acquire_connection(deadline_ms)
             if self._is_at_primary and not statement.is_write:
                 reply = await self._run_read_at_primary(statement, deadline_ms)
             else:
@@ -224,12 +219,18 @@
 
     @contextlib.asynccontextmanager
     async def _slot(self, deadline_ms):
-        """Occupy a slot of the endpoint while the context is open."""
-        ticket = self._ticket(deadline_ms)
+        """Occupy a slot of the endpoint while the context is open.
+
+        The transaction then has a connection.
+        """
         queued_ms = self._owner.now_ms()
-        failure = await self._owner.slots.enter(ticket)
-        if failure is not None:
-            self._fail(failure)
+        ticket = self._ticket(deadline_ms)
+        entered = await enter_slot(
+            self._owner, self._connection, ticket, self.header.in_block
+        )
+        if isinstance(entered, Err):
+            self._fail(entered.err_value)
+        ticket = entered.ok_value
         started_ms = self._owner.now_ms()
         self._queue_wait_ms = started_ms - queued_ms
         self._owner.metrics.timing("owner.queue_wait", self._queue_wait_ms)
@@ -265,10 +266,11 @@
         )
 
     async def _acquire_connection(self, deadline_ms):
-        left_ms = max(0.0, deadline_ms - self._owner.now_ms())
-        if not await self._connection.acquire(left_ms):
-            message = "no connection to the endpoint was free in time"
-            self._fail(not_run(FailureCode.UNAVAILABLE, message))
+        failure = await acquire_connection(
+            self._owner, self._connection, deadline_ms
+        )
+        if failure is not None:
+            self._fail(failure)
 
     async def _send(self, commands, deadline_ms, is_setup=False):
         """Send commands and return their replies.
--- a/waxwinglift/request/_transaction_connection.py
+++ b/waxwinglift/request/_transaction_connection.py
@@ -1,9 +1,11 @@
 """Connection to an endpoint that one transaction uses."""
 
 import asyncio
+import dataclasses
 
 from waxwinglift.connection import TransactionStatus
 from waxwinglift.connection._endpoint_errors import EndpointConnectionLost
+from waxwinglift.connection._pool_records import ConnectionNeed
 from waxwinglift.request import RequestId
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
@@ -11,7 +13,6 @@
 from waxwinglift.request._statements import Statement
 from waxwinglift.request._statements import StatementVerb
 from waxwinglift.version import Position
-from waxwinglift.version._types import WorkspaceName
 
 # Longest wait for a rollback before the connection is closed.
 _ROLLBACK_TIMEOUT_MS = 500.0
@@ -32,15 +33,18 @@
     owner : StatementOwner
     request : RequestId
         Identifies the transaction in the owner's connection pool.
-    workspace : WorkspaceName or None
-        Workspace for which the transaction runs.
+    need : ConnectionNeed
+        The connection that it needs.
     """
 
     def __init__(
-        self, owner, request: RequestId, workspace: WorkspaceName | None = None
+        self,
+        owner,
+        request: RequestId,
+        need: ConnectionNeed = ConnectionNeed(),
     ):
         self._owner = owner
-        self._workspace = workspace
+        self._need = need
         self._request = request
         # Pair of the ConnectionId and the TrackedConnection.
         self._acquired = None
@@ -55,11 +59,42 @@
             for name, value in settings.items()
         }
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether a usable connection was acquired."""
+        return self._acquired is not None and self._acquired[1].is_usable
+
+    @property
+    def expected_wait_ms(self) -> float:
+        """Expected time until `acquire` would return a connection."""
+        if self._acquired is not None:
+            return 0.0
+        pool = self._owner.connections.pool
+        return pool.expected_wait_ms(self._need, self._owner.now_ms())
+
+    def expecting(self):
+        """Return a context manager for the time before `acquire`."""
+        return self._owner.connections.pool.expecting(self._need.workspace)
+
+    def wait_until(self, patient_until_ms: float):
+        """Set the time until which an opening is not worth its slot."""
+        self._need = dataclasses.replace(
+            self._need, patient_until_ms=patient_until_ms
+        )
+
+    def take_idle(self) -> bool:
+        """Use an idle connection if there is one; never wait."""
+        if self._acquired is None:
+            self._acquired = self._owner.connections.take_idle(
+                self._request, self._need
+            )
+        return self._acquired is not None
+
     async def acquire(self, timeout_ms: float) -> bool:
         """Wait for a connection; return False if none is free in time."""
         if self._acquired is None:
             self._acquired = await self._owner.connections.acquire(
-                self._request, timeout_ms, self._workspace
+                self._request, timeout_ms, self._need
             )
         return self._acquired is not None
 
--- a/waxwinglift/request/tests/test_transaction_connection.py
+++ b/waxwinglift/request/tests/test_transaction_connection.py
@@ -64,7 +64,7 @@
         self.released_count = self.discarded_count = 0
         self.tasks = []
 
-    async def acquire(self, request, timeout_ms, workspace):
+    async def acquire(self, request, timeout_ms, need):
         return 1, self.connection
 
     def release(self, connection_id):
