Divide a server's connections among all proxies that may use them

The owner, the standby owner, a former owner and temporary owners each counted their connections separately: 75 + 22 + 75 + 3 for each temporary owner of a server that accepts 78. Each role now has a share of one budget (`version/_connection_shares.py`), and a proxy takes a larger share only when those that had it before must have reduced theirs (`process/_connection_budget.py`):

- an owner has a smaller share for 6 s after it was assigned, unless it was the first one, and while its copy of the fleet's state is older than 3 s;
- only 3 to 6 proxies per endpoint, chosen by rendezvous score, may serve it without an assignment; entry proxies forward to these;
- a connection whose opening or probe was not answered counts for 3 s more (`lost_connection_ms`, set for the platform, default 0);
- a refusal for lack of connections lowers the share for 3 s.

The owner's own share falls: 28 of 56 instead of 38 with workspaces, 38 of 78 instead of 75 without.

--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -206,9 +206,12 @@
     def open_one(self, now_ms):
         """Open one connection, ignoring the back-off after failures.
 
-        The health monitor uses it.  Does nothing at the connection limit.
+        The health monitor uses it.  Does nothing at the connection limit, but
+        without connections, lost ones don't count.
         """
-        if not self._is_enabled or len(self._connections) >= self.limit_count:
+        limit_count = self.limit_count
+        room_count = self._room_count(now_ms) if self._connections else 1
+        if not self._is_enabled or min(limit_count, room_count) <= 0:
             return []
         return [self._open(now_ms)]
 
@@ -255,14 +258,11 @@
 
     def shrink(self, now_ms):
         """Close idle connections above a limit that was lowered."""
-        actions = []
         excess_count = len(self._connections) - self.limit_count
-        for connection, record in list(self._connections.items()):
-            if excess_count <= 0:
-                break
-            if record.state is ConnectionState.IDLE:
-                actions += self._close(connection, now_ms)
-                excess_count -= 1
+        idle = self._connections.idle_connections()
+        actions = []
+        for connection in idle[: max(0, excess_count)]:
+            actions += self._close(connection, now_ms)
         return actions
 
     def _apply_state_timeout(self, connection, now_ms):
@@ -274,6 +274,8 @@
             return []
         if record.state is ConnectionState.IDLE:
             return self._probe_or_close_idle(connection, now_ms)
+        lost_until_ms = now_ms + self.settings.lost_connection_ms
+        self._connections.record_lost(lost_until_ms)
         if record.state is ConnectionState.SUSPECT:
             closed = self._close(connection, now_ms)
             return [ReportTimeout(connection), *closed]
@@ -306,30 +308,29 @@
         # Each of these makes room for one of the missing connections.
         closing_count = self._connections.count(ConnectionState.CLOSED)
         actions = []
-        missing = []
-        if self.is_per_workspace:
-            needs = self._waiting.needs()
-            missing = self._connections.missing_workspaces(needs, now_ms)
+        needs = self._waiting.needs() if self.is_per_workspace else []
+        missing = self._connections.missing_workspaces(needs, now_ms)
         for workspace in missing[: max(0, openings_count)]:
-            if len(self._connections) < self.limit_count:
+            if self._room_count(now_ms) > 0:
                 actions.append(self._open(now_ms, workspace))
             elif closing_count > 0:
                 closing_count -= 1
             else:
-                actions += self._close_for_another_workspace(now_ms)
+                # No waiting holder can use an idle connection.
+                replaced = self._connections.find_replaceable(self._waiting)
+                if replaced is not None:
+                    actions += self._close(replaced, now_ms)
         if len(missing) >= openings_count:
             return actions
         missing_count = min(
             self._wanted_count() - self._usable_count(),
-            self.limit_count - len(self._connections),
+            self._room_count(now_ms),
             openings_count - len(actions),
         )
         return actions + [self._open(now_ms) for _ in range(missing_count)]
 
-    def _close_for_another_workspace(self, now_ms):
-        """Close an idle connection, which no waiting holder can use."""
-        unused = self._connections.find_replaceable(self._waiting)
-        return [] if unused is None else self._close(unused, now_ms)
+    def _room_count(self, now_ms):
+        return self.limit_count - self._connections.occupied_count(now_ms)
 
     def _openings_left_count(self):
         """Return how many further connections may open at the same time."""
--- a/waxwinglift/connection/_pool_records.py
+++ b/waxwinglift/connection/_pool_records.py
@@ -109,6 +109,20 @@
 class PoolRecords(dict[ConnectionId, ConnectionRecord]):
     """Records of the connections of one endpoint, by id."""
 
+    def __init__(self):
+        super().__init__()
+        self._lost_until_ms = collections.deque()
+
+    def record_lost(self, until_ms: float):
+        """Count a connection that ends until the endpoint has dropped it."""
+        self._lost_until_ms.append(until_ms)
+
+    def occupied_count(self, now_ms: float) -> int:
+        """Return how many connections the endpoint may count."""
+        while self._lost_until_ms and self._lost_until_ms[0] <= now_ms:
+            self._lost_until_ms.popleft()
+        return len(self) + len(self._lost_until_ms)
+
     def count(self, state: ConnectionState) -> int:
         """Return the number of connections in a state."""
         return sum(record.state is state for record in self.values())
@@ -181,6 +195,10 @@
             if record.state is state and not record.is_block
         )
 
+    def idle_connections(self) -> list[ConnectionId]:
+        """Return the idle connections."""
+        return [connection for connection, _ in self._idle()]
+
     def _idle(self):
         return [
             (connection, record)
--- a/waxwinglift/connection/tests/test_endpoint_pool.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool.py
@@ -292,3 +292,20 @@
             actions += pool.probe_longest_idle(now_ms - 100.0, now_ms)
         else:
             actions += pool.on_opened(connection, now_ms)
+
+
+def test_opening_without_an_answer_counts_until_the_endpoint_drops_it():
+    # The endpoint may have accepted it, and resets connections beyond its
+    # limit.
+    settings = EndpointPoolSettings(lost_connection_ms=3000.0)
+    pool = EndpointPool(settings, 9, 3)
+    opened = connections_of(OpenConnection, pool.enable(0.0))
+    assert len(opened) == pool.limit_count == 4
+    now_ms = settings.open_timeout_ms
+    for connection in connections_of(CloseConnection, pool.tick(now_ms)):
+        pool.on_closed(connection, now_ms)
+    # One shows whether the endpoint answers again.
+    (probe,) = connections_of(OpenConnection, pool.open_one(now_ms))
+    pool.on_opened(probe, now_ms + 1.0)
+    assert not connections_of(OpenConnection, pool.tick(now_ms + 2999.0))
+    assert connections_of(OpenConnection, pool.tick(now_ms + 3000.0))
--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -4,6 +4,7 @@
 
 from waxwinglift.platform._protocols import PROTOCOL
 from waxwinglift.platform._settings import PlatformSettings
+from waxwinglift.process._connection_budget import LOST_CONNECTION_MS
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._policy_settings import AdmissionSettings
@@ -102,7 +103,9 @@
             drain_answer_timeout_ms=answer_ms,
             admission=AdmissionSettings(wait_fraction=_WAIT_FRACTION),
             pool=EndpointPoolSettings(
-                keeps_surplus=True, opening_limit_count=_OPENING_LIMIT_COUNT
+                keeps_surplus=True,
+                opening_limit_count=_OPENING_LIMIT_COUNT,
+                lost_connection_ms=LOST_CONNECTION_MS,
             ),
             quota=_quota_settings(platform.bounds),
         ),
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -13,6 +13,7 @@
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._protocol_registry import find_endpoint_protocol
 from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._connection_budget import may_serve_temporarily
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
@@ -201,12 +202,15 @@
         """Serve an endpoint that is not assigned to this proxy.
 
         Its owner and standby owner cannot be reached.  Only allowed for
-        groups whose servers reject outdated requests themselves.
+        groups whose servers reject outdated requests themselves, and for
+        the few proxies that have a share of the endpoint's connections.
         """
         record = self._view.endpoint(endpoint)
         group = None if record is None else self._view.group(record.group)
         if group is None or not group.is_server_fenced:
             return None
+        if not may_serve_temporarily(self._view, endpoint):
+            return None
         if endpoint not in self._temporary_endpoints:
             logger.info(
                 "serving an endpoint whose owners cannot be reached",
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -225,6 +225,10 @@
     opening_limit_count : int
         Connections that may open at the same time, for endpoints where an
         opening occupies a slot; 0 for no limit.
+    lost_connection_ms : float
+        Time for which a connection without an answer counts after it was
+        closed, for endpoints that drop the connection of an unreachable
+        client only after this time.
     open_timeout_ms, probe_timeout_ms : float
         Timeouts for opening a connection and for the answer to a probe.
     idle_probe_ms : float
@@ -238,6 +242,7 @@
     spare_count: int = pydantic.Field(2, ge=0)
     keeps_surplus: bool = False
     opening_limit_count: int = pydantic.Field(0, ge=0)
+    lost_connection_ms: float = pydantic.Field(0.0, ge=0)
     open_timeout_ms: float = pydantic.Field(600.0, gt=0)
     probe_timeout_ms: float = pydantic.Field(300.0, gt=0)
     idle_probe_ms: float = pydantic.Field(1000.0, gt=0)
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -2,15 +2,21 @@
 
 import contextlib
 import dataclasses
+import logging
 import math
 
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._endpoint_pool import EndpointPool
 from waxwinglift.connection._owner_connections import ConnectionManager
+from waxwinglift.connection._owner_connections import OpenResult
 from waxwinglift.connection._owner_connections import SlotQueue
 from waxwinglift.connection._pool_records import ConnectionNeed
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.connection._statement_monitor import StatementMonitor
+from waxwinglift.process._connection_budget import ConnectionBudget
+from waxwinglift.process._connection_budget import ConnectionRole
+from waxwinglift.process._connection_budget import find_role
+from waxwinglift.process._connection_budget import find_shares
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
@@ -28,14 +34,8 @@
 from waxwinglift.version import PoolTable
 from waxwinglift.version._fleet import accepts_requests
 
-# Connections reserved for control and for the probes of the standby owner.
-_RESERVED_COUNT = 3
-# Fraction of the other connections that a standby owner may use while the
-# owner cannot be reached.
-_STANDBY_FRACTION = 0.3
-# Connections of a proxy that serves the endpoint without an assignment,
-# because it can reach neither the owner nor the standby owner.
-_TEMPORARY_OWNER_LIMIT_COUNT = 3
+logger = logging.getLogger(__name__)
+
 # Connections that a standby owner keeps open to probe the endpoint.
 _STANDBY_WARM_COUNT = 1
 # Connections reserved for transaction blocks of the most urgent rank.
@@ -86,6 +86,9 @@
         if not self._is_assigned() and not header.to_standby:
             message = "this proxy does not own the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
+        if self._find_role() is ConnectionRole.NONE:
+            message = "this proxy may have no connections to the endpoint"
+            return refuse(message, FailureCode.NOT_OWNER, stale=True)
         group = self.view.group(self.group)
         record = self.view.endpoint(self.endpoint)
         if (
@@ -173,6 +176,7 @@
         # Index of each rank by urgency, and its floor share.
         self._ranks = {}
         self._in_flight_limit = InFlightLimit()
+        self.budget = ConnectionBudget()
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
@@ -184,7 +188,7 @@
             self.awake_ms,
             self.monitor.record_response,
             self.monitor.record_timeout,
-            self.monitor.record_attempt,
+            self._record_attempt,
         )
         self.monitor.attach(self.connections)
         admission = settings.admission
@@ -245,34 +249,57 @@
         record = self.view.endpoint(self.endpoint)
         if record is None:
             return
-        limit_count = self.view.fleet.connection_limit_count(record)
-        usable_count = max(2, limit_count - _RESERVED_COUNT)
-        standby_count = max(2, int(_STANDBY_FRACTION * usable_count))
         pool = self.connections.pool
-        if self.view.owns(self.endpoint):
-            pool.limit_count = usable_count
-            if pool.is_per_workspace:
-                # The pool fills up with the connections of many workspaces and
-                # would leave none to the standby owner.
-                pool.limit_count = max(2, usable_count - standby_count)
-            pool.warm_count = None
-        elif self._is_temporary:
-            pool.limit_count = _TEMPORARY_OWNER_LIMIT_COUNT
-            pool.warm_count = _STANDBY_WARM_COUNT
-        else:
-            pool.limit_count = standby_count
-            pool.warm_count = _STANDBY_WARM_COUNT
+        pool.limit_count = self._find_connection_limit()
+        is_owner = self.budget.role is ConnectionRole.OWNER
+        pool.warm_count = None if is_owner else _STANDBY_WARM_COUNT
         queue = self.slots.queue
         slots_count = self._in_flight_limit.limit_count(
             record.slots_count, queue.service_ms
         )
-        slots_count = min(slots_count, pool.limit_count)
+        # A former owner may open no connections, but its blocks go on.
+        usable_count = max(pool.limit_count, pool.connection_count, 1)
+        slots_count = min(slots_count, usable_count)
         queue.slots_count = slots_count
         # One connection for each slot is reserved for statements outside of
         # blocks; blocks may use the rest.
         blocks_count = max(1, pool.limit_count - slots_count)
         self.blocks.queue.slots_count = blocks_count
 
+    def _find_connection_limit(self):
+        """Return how many connections this proxy may have now."""
+        now_ms = self.now_ms()
+        assignment = self.view.assignment(self.endpoint)
+        self.budget.update(
+            self._find_role(),
+            now_ms,
+            view_age_ms=self.view.age_ms(),
+            has_former_owner=assignment is not None
+            and assignment.previous is not None,
+            is_first=assignment is not None and assignment.epoch == 1,
+        )
+        shares = find_shares(self.view, self.endpoint)
+        return self.budget.limit_count(shares, now_ms)
+
+    def _record_attempt(self, result):
+        """Record the outcome of an attempt to open a connection."""
+        if result is OpenResult.FULL:
+            pool = self.connections.pool
+            self.budget.record_full(pool.connection_count, self.now_ms())
+            self.metrics.incr("owner.connections_full")
+            logger.warning(
+                "the endpoint refused a connection beyond its limit; keeping"
+                " to those that are open",
+                extra={
+                    "endpoint": self.endpoint,
+                    "role": self.budget.role.value,
+                    "connection_count": pool.connection_count,
+                    "share_count": pool.limit_count,
+                },
+            )
+            self._set_limits()
+        self.monitor.record_attempt(result)
+
     def _set_tables(self):
         """Queue all pools together, with one row for each level of urgency."""
         rows = {}
@@ -304,6 +331,9 @@
         """Whether this proxy serves the endpoint without an assignment."""
         return self.is_temporary_owner(self.endpoint)
 
+    def _find_role(self):
+        return find_role(self.view, self.endpoint, self._is_temporary)
+
     def _is_assigned(self):
         assignment = self.view.assignment(self.endpoint)
         if assignment is None:
@@ -317,6 +347,7 @@
             self._enable()
             self.connections.shrink()
         elif self._is_enabled:
+            self.connections.shrink()
             self._hand_over()
 
     def _refuse_waiting(self, reason):
--- a/waxwinglift/request/_statement_daemons.py
+++ b/waxwinglift/request/_statement_daemons.py
@@ -5,6 +5,7 @@
 from waxwinglift.request import Verdict
 from waxwinglift.request._statement_retries import can_use_other_daemon
 from waxwinglift.version import EndpointId
+from waxwinglift.version._connection_shares import find_temporary_owners
 
 # Time for which an owner that did not answer in time gets no request of the
 # rank.  An owner whose sockets are full cannot even refuse in time.
@@ -12,9 +13,9 @@
 
 
 class StatementDaemons:
-    """Chooses among the owner, the standby owner and this proxy.
+    """Chooses among the owner, the standby owner and temporary owners.
 
-    The last two may serve without an assignment by control, because the
+    Few proxies may serve without an assignment by control, because the
     servers fence themselves.
 
     Parameters
@@ -30,15 +31,14 @@
     def choose(self, route, attempts):
         """Return the daemon to send the statement to, and its executor.
 
-        The owner comes first, then the standby owner.  This proxy serves
-        only if both are unreachable, not if they are overloaded: then an
-        overloaded one is returned.  Both values are None if there is none.
+        The owner comes first, then the standby owner.  The proxies that may
+        serve without an assignment do so only if both are unreachable, not if
+        they are overloaded: then an overloaded one is returned.  Both values
+        are None if there is none.
         """
         executors = self._context.executors
-        this_daemon = self._context.view.daemon
-        daemons = dict.fromkeys((route.owner, route.standby, this_daemon))
         overloaded = (None, None)
-        for daemon in daemons:
+        for daemon in self._daemons(route):
             is_assigned = daemon in (route.owner, route.standby)
             if not is_assigned and overloaded[0] is not None:
                 break
@@ -53,6 +53,19 @@
             overloaded = (daemon, executor)
         return overloaded
 
+    def _daemons(self, route):
+        """Yield the daemons that may serve, the preferred ones first."""
+        yield from dict.fromkeys((route.owner, route.standby))
+        view = self._context.view
+        record = view.endpoint(route.endpoint)
+        if record is None:
+            return
+        others = find_temporary_owners(view.fleet, record)
+        # This proxy comes first if it is one of them.
+        for daemon in sorted(others, key=lambda d: d != view.daemon):
+            if daemon not in (route.owner, route.standby):
+                yield daemon
+
     def record_outcome(self, end, route, daemon, attempts):
         """Record a daemon that does not serve the endpoint, or is overloaded.
 
