--- a/waxwinglift/connection/tests/test_endpoint_pool_workspaces.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool_workspaces.py
@@ -1,5 +1,6 @@
 """Tests of an endpoint's connections that belong to workspaces."""
 
+import math
 import random
 
 import pytest
@@ -136,6 +137,61 @@
         server.finish_openings()
 
 
+def test_connections_of_expected_workspaces_are_closed_last():
+    # A statement in the queue would otherwise find its connection closed.
+    server = _Server(3)
+    for holder, workspace in enumerate("ab"):
+        server.acquire(holder, workspace)
+        server.finish_openings()
+        server.release(holder)
+    with server.pool.expecting("a"):
+        server.acquire("c1", "c")
+        server.acquire("c2", "c")
+    assert "a" in server.workspaces.values()
+    assert "b" not in server.workspaces.values()
+
+
+def test_patient_statement_waits_for_a_running_one_of_its_workspace():
+    # An opening takes a slot from the statements that run meanwhile.
+    server = _Server(3)
+    server.acquire("a1", "a")
+    server.finish_openings()
+    need = ConnectionNeed("a", patient_until_ms=server.now_ms + 50.0)
+    server.perform(server.pool.acquire("a2", server.now_ms, need))
+    server.perform(server.pool.acquire("a3", server.now_ms, need))
+    assert len(server.opening) == 1
+    server.now_ms += 50.0
+    server.perform(server.pool.tick(server.now_ms))
+    assert len(server.opening) == 2
+
+
+def test_urgent_statement_gets_the_next_opening():
+    # Few connections open at a time, and others may wait for many of them.
+    server = _Server(10)
+    for workspace in "abcd":
+        server.acquire(workspace, workspace)
+    need = ConnectionNeed("u", urgency_index=-1)
+    server.perform(server.pool.acquire("u", server.now_ms, need))
+    connection = server.opening.pop(0)
+    server.perform(server.pool.on_opened(connection, server.now_ms))
+    assert server.workspaces[server.opening[-1]] == "u"
+
+
+def test_expected_wait_counts_the_openings_that_come_first():
+    # A statement that cannot get a connection in time is refused at once.
+    server = _Server(10)
+    need = ConnectionNeed("z", urgency_index=1)
+    server.finish_openings()
+    for workspace in "abcd":
+        server.acquire(workspace, workspace)
+    wait_ms = server.pool.expected_wait_ms(need, server.now_ms)
+    urgent = ConnectionNeed("z", urgency_index=-1)
+    urgent_ms = server.pool.expected_wait_ms(urgent, server.now_ms)
+    assert 0.0 < urgent_ms < wait_ms
+    server.pool.limit_count = 0
+    assert server.pool.expected_wait_ms(need, server.now_ms) == math.inf
+
+
 @pytest.mark.parametrize("limit_count", [1, 2, 5])
 @pytest.mark.parametrize("seed", range(5))
 def test_no_transaction_runs_under_another_workspaces_name(seed, limit_count):
--- a/waxwinglift/process/_connection_budget.py
+++ b/waxwinglift/process/_connection_budget.py
@@ -87,10 +87,15 @@
             self._since_ms = now_ms
         self._is_settled = now_ms - self._since_ms >= SETTLING_MS
 
-    def record_full(self, connection_count: int, now_ms: float):
-        """Record that the server refused one more than these connections."""
+    def record_full(self, connection_count: int, now_ms: float) -> bool:
+        """Record that the server refused one more than these connections.
+
+        Return whether it had accepted all for some time before.
+        """
+        is_new = now_ms >= self._full_until_ms
         self._full_count = max(1, connection_count)
         self._full_until_ms = now_ms + _FULL_MS
+        return is_new
 
     def limit_count(self, shares: ConnectionShares, now_ms: float) -> int:
         """Return how many connections this proxy may have now."""
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -86,7 +86,7 @@
         if not self._is_assigned() and not header.to_standby:
             message = "this proxy does not own the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
-        if self._find_role() is ConnectionRole.NONE:
+        if self.budget.role is ConnectionRole.NONE:
             message = "this proxy may have no connections to the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
         group = self.view.group(self.group)
@@ -284,21 +284,25 @@
     def _record_attempt(self, result):
         """Record the outcome of an attempt to open a connection."""
         if result is OpenResult.FULL:
-            pool = self.connections.pool
-            self.budget.record_full(pool.connection_count, self.now_ms())
-            self.metrics.incr("owner.connections_full")
+            self._lower_connection_limit()
+        self.monitor.record_attempt(result)
+
+    def _lower_connection_limit(self):
+        pool = self.connections.pool
+        connection_count = pool.connection_count
+        self.metrics.incr("owner.connections_full")
+        if self.budget.record_full(connection_count, self.now_ms()):
             logger.warning(
-                "the endpoint refused a connection beyond its limit; keeping"
-                " to those that are open",
+                "the endpoint has no free connection for this proxy's share",
                 extra={
                     "endpoint": self.endpoint,
                     "role": self.budget.role.value,
-                    "connection_count": pool.connection_count,
+                    "connection_count": connection_count,
                     "share_count": pool.limit_count,
+                    "view_age_ms": self.view.age_ms(),
                 },
             )
-            self._set_limits()
-        self.monitor.record_attempt(result)
+        self._set_limits()
 
     def _set_tables(self):
         """Queue all pools together, with one row for each level of urgency."""
