--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -50,7 +50,7 @@
         # Whether requests name a workspace, so that connections cannot be
         # opened before the first request of each.
         self.is_per_workspace = False
-        self._connections = PoolRecords()
+        self._connections = PoolRecords(settings.lost_connection_ms)
         self._waiting = WaitingHolders()
         self._is_enabled = False
         self._next_id = 1
@@ -174,10 +174,12 @@
         self._set_state(connection, ConnectionState.IDLE, now_ms)
         return self._serve_waiting(now_ms)
 
-    def discard(self, connection, now_ms):
+    def discard(self, connection, now_ms, is_unanswered=False):
         """Close and replace a connection whose state is unknown."""
         if connection not in self._connections:
             return []
+        if is_unanswered:
+            self._connections.record_lost(now_ms)
         return self._close(connection, now_ms) + self._serve_waiting(now_ms)
 
     def mark_others_suspect(self, connection, now_ms):
@@ -274,8 +276,7 @@
             return []
         if record.state is ConnectionState.IDLE:
             return self._probe_or_close_idle(connection, now_ms)
-        lost_until_ms = now_ms + self.settings.lost_connection_ms
-        self._connections.record_lost(lost_until_ms)
+        self._connections.record_lost(now_ms)
         if record.state is ConnectionState.SUSPECT:
             closed = self._close(connection, now_ms)
             return [ReportTimeout(connection), *closed]
--- a/waxwinglift/connection/_owner_connections.py
+++ b/waxwinglift/connection/_owner_connections.py
@@ -202,9 +202,13 @@
         """Return a connection to the pool once its session is idle."""
         self.perform(self.pool.release(connection_id, self._now_ms()))
 
-    def discard(self, connection_id: ConnectionId):
-        """Close a connection whose state is unknown."""
-        self.perform(self.pool.discard(connection_id, self._now_ms()))
+    def discard(self, connection_id: ConnectionId, is_unanswered=False):
+        """Close a connection whose state is unknown.
+
+        With ``is_unanswered``, the endpoint may not notice it.
+        """
+        now_ms = self._now_ms()
+        self.perform(self.pool.discard(connection_id, now_ms, is_unanswered))
 
     def perform(self, actions):
         """Execute the actions of the pool in order."""
--- a/waxwinglift/connection/_pool_records.py
+++ b/waxwinglift/connection/_pool_records.py
@@ -107,15 +107,22 @@
 
 
 class PoolRecords(dict[ConnectionId, ConnectionRecord]):
-    """Records of the connections of one endpoint, by id."""
+    """Records of the connections of one endpoint, by id.
 
-    def __init__(self):
+    Parameters
+    ----------
+    lost_connection_ms : float
+        As in `EndpointPoolSettings`.
+    """
+
+    def __init__(self, lost_connection_ms: float):
         super().__init__()
+        self._lost_connection_ms = lost_connection_ms
         self._lost_until_ms = collections.deque()
 
-    def record_lost(self, until_ms: float):
+    def record_lost(self, now_ms: float):
         """Count a connection that ends until the endpoint has dropped it."""
-        self._lost_until_ms.append(until_ms)
+        self._lost_until_ms.append(now_ms + self._lost_connection_ms)
 
     def occupied_count(self, now_ms: float) -> int:
         """Return how many connections the endpoint may count."""
--- a/waxwinglift/connection/tests/test_endpoint_pool.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool.py
@@ -309,3 +309,16 @@
     pool.on_opened(probe, now_ms + 1.0)
     assert not connections_of(OpenConnection, pool.tick(now_ms + 2999.0))
     assert connections_of(OpenConnection, pool.tick(now_ms + 3000.0))
+
+
+@pytest.mark.parametrize("is_unanswered", [False, True])
+def test_connection_of_an_unanswered_statement_counts_longer(is_unanswered):
+    # The endpoint drops it only when it notices that it is gone.
+    settings = EndpointPoolSettings(lost_connection_ms=3000.0)
+    pool = EndpointPool(settings, 5, 1)
+    for action in pool.enable(0.0):
+        pool.on_opened(action.connection, 0.0)
+    (used,) = connections_of(UseConnection, pool.acquire("a", 1.0))
+    pool.discard(used, 2.0, is_unanswered)
+    actions = pool.on_closed(used, 2.0)
+    assert bool(connections_of(OpenConnection, actions)) != is_unanswered
--- a/waxwinglift/request/_transaction_connection.py
+++ b/waxwinglift/request/_transaction_connection.py
@@ -51,6 +51,8 @@
         self._values: dict[bytes, bytes] = {}
         # Whether a command is recorded as successful whose success is unknown.
         self._is_record_unconfirmed = False
+        # Whether the endpoint has not answered a statement on it in time.
+        self._is_unanswered = False
 
     def set_values(self, settings: dict[str, str]):
         """Set the session values to apply before the next statement."""
@@ -157,6 +159,7 @@
         """Report that the endpoint did not answer on the connection."""
         if self._acquired is not None:
             self._owner.record_timeout(self._acquired[0])
+            self._is_unanswered = True
 
     def release(self):
         """Give the connection back to the pool; its session must be idle.
@@ -171,7 +174,8 @@
     def discard(self):
         """Close the connection, because its state is unknown."""
         if self._acquired is not None:
-            self._owner.connections.discard(self._detach()[0])
+            is_unanswered = self._is_unanswered
+            self._owner.connections.discard(self._detach()[0], is_unanswered)
 
     def roll_back(self):
         """Roll back the open transaction without delaying the caller.
@@ -186,6 +190,7 @@
     def _detach(self):
         acquired, self._acquired = self._acquired, None
         self._is_record_unconfirmed = False
+        self._is_unanswered = False
         return acquired
 
     async def _roll_back(self, connection_id, connection):
--- a/waxwinglift/request/tests/test_transaction_connection.py
+++ b/waxwinglift/request/tests/test_transaction_connection.py
@@ -70,7 +70,7 @@
     def release(self, connection_id):
         self.released_count += 1
 
-    def discard(self, connection_id):
+    def discard(self, connection_id, is_unanswered):
         self.discarded_count += 1
 
     def run_in_background(self, work):
