--- a/waxwinglift/request/tests/test_statement_connections.py
+++ b/waxwinglift/request/tests/test_statement_connections.py
@@ -196,3 +196,34 @@
 
     outcomes = virtual_endpoint.run_in_virtual_time(play())
     assert [failure for failure, _ in outcomes] == [None, None]
+
+
+def test_server_with_fewer_free_connections_than_the_share_is_still_used():
+    # Load: 20 workspaces with one write each every 100 ms for 2 s; others use
+    # all but 5 of the server's 56 connections.
+    async def play():
+        server = virtual_endpoint.VirtualServer(4, 56)
+        state = virtual_endpoint.make_state(server, _POLICIES)
+        server.connection_limit_count = 5
+        failures = []
+
+        async def call(workspace):
+            for number in range(20):
+                key = b"%s-%d" % (workspace.encode(), number)
+                server.work_ms[key] = workspace, 1.0
+                policy = _POLICIES["ledger"]
+                failure, _ = await virtual_endpoint.run_write(
+                    owner, key, workspace, policy
+                )
+                failures.append(failure)
+                await asyncio.sleep(0.1)
+
+        async with virtual_endpoint.running_owner(
+            server, state, _SETTINGS
+        ) as owner:
+            await asyncio.gather(*(call(f"w{n}") for n in range(20)))
+        return server, failures
+
+    server, failures = virtual_endpoint.run_in_virtual_time(play())
+    assert failures == [None] * 400
+    assert server.refusals_count <= 10
