--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -2,15 +2,22 @@
 
 import contextlib
 import dataclasses
+import logging
 import math
 
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._endpoint_pool import EndpointPool
 from waxwinglift.connection._owner_connections import ConnectionManager
+from waxwinglift.connection._owner_connections import OpenResult
 from waxwinglift.connection._owner_connections import SlotQueue
+from waxwinglift.connection._pool_records import ConnectionNeed
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.connection._statement_monitor import StatementMonitor
 from waxwinglift.process._admission_report import AdmissionReport
+from waxwinglift.process._connection_budget import ConnectionBudget
+from waxwinglift.process._connection_budget import ConnectionRole
+from waxwinglift.process._connection_budget import find_role
+from waxwinglift.process._connection_budget import find_shares
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
@@ -29,14 +36,8 @@
 from waxwinglift.version import PoolTable
 from waxwinglift.version._fleet import accepts_requests
 
-# Connections reserved for control and for the probes of the standby owner.
-_RESERVED_COUNT = 3
-# Fraction of the other connections that a standby owner may use while the
-# owner cannot be reached.
-_STANDBY_FRACTION = 0.3
-# Connections of a proxy that serves the endpoint without an assignment,
-# because it can reach neither the owner nor the standby owner.
-_TEMPORARY_OWNER_LIMIT_COUNT = 3
+logger = logging.getLogger(__name__)
+
 # Connections that a standby owner keeps open to probe the endpoint.
 _STANDBY_WARM_COUNT = 1
 # Connections reserved for transaction blocks of the most urgent rank.
@@ -87,6 +88,9 @@
         if not self._is_assigned() and not header.to_standby:
             message = "this proxy does not own the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
+        if self.budget.role is ConnectionRole.NONE:
+            message = "this proxy may have no connections to the endpoint"
+            return refuse(message, FailureCode.NOT_OWNER, stale=True)
         group = self.view.group(self.group)
         record = self.view.endpoint(self.endpoint)
         if (
@@ -112,6 +116,15 @@
         """
         return self.find_refusal(header) or self._find_overload(header)
 
+    def next_request(self):
+        """Return an id that no other request of the owner has."""
+        self._next_request += 1
+        return RequestId(self._next_request)
+
+    def urgency_index(self, rank):
+        """Return the index of a rank by urgency; 0 if it is unknown."""
+        return self._ranks.get(rank, (0, 0.0))[0]
+
     def _find_overload(self, header):
         if self.load_shedder is None:
             return None
@@ -159,10 +172,9 @@
     @contextlib.asynccontextmanager
     async def acquire_connection(self, timeout_ms):
         """Yield a connection for a query of the proxy; None on timeout."""
-        self._next_request += 1
-        holder = RequestId(self._next_request)
+        holder = self.next_request()
         acquired = await self.connections.acquire(
-            holder, timeout_ms, is_any=True
+            holder, timeout_ms, ConnectionNeed(is_any=True)
         )
         if acquired is None:
             yield None
@@ -183,6 +195,7 @@
         self._ranks = {}
         self._in_flight_limit = InFlightLimit()
         self._load = OwnerLoad(self)
+        self.budget = ConnectionBudget()
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
@@ -194,7 +207,7 @@
             self.awake_ms,
             self.monitor.record_response,
             self.monitor.record_timeout,
-            self.monitor.record_attempt,
+            self._record_attempt,
         )
         self.monitor.attach(self.connections)
         admission = settings.admission
@@ -266,34 +279,61 @@
         record = self.view.endpoint(self.endpoint)
         if record is None:
             return
-        limit_count = self.view.fleet.connection_limit_count(record)
-        usable_count = max(2, limit_count - _RESERVED_COUNT)
-        standby_count = max(2, int(_STANDBY_FRACTION * usable_count))
         pool = self.connections.pool
-        if self.view.owns(self.endpoint):
-            pool.limit_count = usable_count
-            if pool.is_per_workspace:
-                # The pool fills up with the connections of many workspaces and
-                # would leave none to the standby owner.
-                pool.limit_count = max(2, usable_count - standby_count)
-            pool.warm_count = None
-        elif self._is_temporary:
-            pool.limit_count = _TEMPORARY_OWNER_LIMIT_COUNT
-            pool.warm_count = _STANDBY_WARM_COUNT
-        else:
-            pool.limit_count = standby_count
-            pool.warm_count = _STANDBY_WARM_COUNT
+        pool.limit_count = self._find_connection_limit()
+        is_owner = self.budget.role is ConnectionRole.OWNER
+        pool.warm_count = None if is_owner else _STANDBY_WARM_COUNT
         queue = self.slots.queue
         slots_count = self._in_flight_limit.limit_count(
             record.slots_count, queue.service_ms
         )
-        slots_count = min(slots_count, pool.limit_count)
+        # A former owner may open no connections, but its blocks go on.
+        usable_count = max(pool.limit_count, pool.connection_count, 1)
+        slots_count = min(slots_count, usable_count)
         queue.slots_count = slots_count
         # One connection for each slot is reserved for statements outside of
         # blocks; blocks may use the rest.
         blocks_count = max(1, pool.limit_count - slots_count)
         self.blocks.queue.slots_count = blocks_count
 
+    def _find_connection_limit(self):
+        """Return how many connections this proxy may have now."""
+        now_ms = self.now_ms()
+        assignment = self.view.assignment(self.endpoint)
+        self.budget.update(
+            self._find_role(),
+            now_ms,
+            view_age_ms=self.view.age_ms(),
+            has_former_owner=assignment is not None
+            and assignment.previous is not None,
+            is_first=assignment is not None and assignment.epoch == 1,
+        )
+        shares = find_shares(self.view, self.endpoint)
+        return self.budget.limit_count(shares, now_ms)
+
+    def _record_attempt(self, result):
+        """Record the outcome of an attempt to open a connection."""
+        if result is OpenResult.FULL:
+            self._lower_connection_limit()
+        self.monitor.record_attempt(result)
+
+    def _lower_connection_limit(self):
+        pool = self.connections.pool
+        connection_count = pool.connection_count
+        self.metrics.incr("owner.connections_full")
+        if self.budget.record_full(connection_count, self.now_ms()):
+            logger.warning(
+                "the endpoint has no free connection for this proxy's share",
+                extra={
+                    "endpoint": self.endpoint,
+                    "role": self.budget.role.value,
+                    "connection_count": connection_count,
+                    "share_count": pool.limit_count,
+                    "view_age_ms": self.view.age_ms(),
+                },
+            )
+        self._set_limits()
+
     def _set_tables(self):
         """Queue all pools together, with one row for each level of urgency."""
         rows = {}
@@ -325,6 +365,9 @@
         """Whether this proxy serves the endpoint without an assignment."""
         return self.is_temporary_owner(self.endpoint)
 
+    def _find_role(self):
+        return find_role(self.view, self.endpoint, self._is_temporary)
+
     def _is_assigned(self):
         assignment = self.view.assignment(self.endpoint)
         if assignment is None:
@@ -338,6 +381,7 @@
             self._enable()
             self.connections.shrink()
         elif self._is_enabled:
+            self.connections.shrink()
             self._hand_over()
 
     def _refuse_waiting(self, reason):
--- a/waxwinglift/request/_admission.py
+++ b/waxwinglift/request/_admission.py
@@ -174,8 +174,9 @@
         ----------
         ticket : Ticket
         now_ms : float
-        service_ms : float
-            Time that the ticket occupied its slot.
+        service_ms : float or None
+            Time that the ticket occupied its slot; None if the slot was not
+            used, which is no sample of the service time.
         work_ms : float, optional
             Part of it that the endpoint took for its work; None if it
             refused the work.
@@ -190,8 +191,10 @@
         self._accrue(now_ms)
         rank = self._ranks[(ticket.pool, ticket.rank)]
         rank.running_count -= 1
-        rank.charge(service_ms - estimate_ms, self._debt_cap_ms(rank))
-        self._order.record(ticket, rank, now_ms, service_ms, work_ms)
+        charged_ms = (service_ms or 0.0) - estimate_ms
+        rank.charge(charged_ms, self._debt_cap_ms(rank))
+        if service_ms is not None:
+            self._order.record(ticket, rank, now_ms, service_ms, work_ms)
         return self._start_next(now_ms)
 
     def cancel(self, ticket):
--- a/waxwinglift/request/_statement_stream.py
+++ b/waxwinglift/request/_statement_stream.py
@@ -21,6 +21,10 @@
 from waxwinglift.request._block_place import BlockPlace
 from waxwinglift.request._idle_timer import IdleTimer
 from waxwinglift.request._read_floor import find_read_floor
+from waxwinglift.request._statement_failures import StreamFailed
+from waxwinglift.request._statement_slot import acquire_connection
+from waxwinglift.request._statement_slot import enter_slot
+from waxwinglift.request._statement_slot import find_need
 from waxwinglift.request._statements import Command
 from waxwinglift.request._statements import CommandKind
 from waxwinglift.request._statements import EndpointErrorCode
@@ -29,7 +33,6 @@
 from waxwinglift.request._statement_ticket import make_ticket
 from waxwinglift.request._statement_ticket import work_kind
 from waxwinglift.request._statement_ticket import WorkSample
-from waxwinglift.request._stream_failed import StreamFailed
 from waxwinglift.request._transaction_connection import TransactionConnection
 
 _ROLLBACK = Command(CommandKind.ROLLBACK)
@@ -61,7 +64,7 @@
         self._is_ended = False
         self._is_sent = False
         self._connection = TransactionConnection(
-            owner, request, header.workspace
+            owner, request, find_need(owner, header)
         )
         self._block_place = BlockPlace(owner, self)
         self._idle_timer = IdleTimer(self.end_if_idle)
@@ -159,8 +162,6 @@
         async with self._slot(statement, deadline_ms):
             # The assignment and the role may have changed during the waits.
             self._raise_if_refused()
-            await self._acquire_connection(deadline_ms)
-            self._work_sample.start()
             if self._is_at_primary and not statement.is_write:
                 reply = await self._run_read_at_primary(statement, deadline_ms)
             else:
@@ -191,7 +192,11 @@
         if failure is not None:
             self._fail(failure)
         self._raise_if_refused()
-        await self._acquire_connection(deadline_ms)
+        failure = await acquire_connection(
+            self._owner, self._connection, deadline_ms
+        )
+        if failure is not None:
+            self._fail(failure)
         is_read = self.header.read_only and not self._is_at_primary
         kind = CommandKind.BEGIN_READ if is_read else CommandKind.BEGIN
         begin = Command(kind, after=after)
@@ -222,12 +227,15 @@
 
     @contextlib.asynccontextmanager
     async def _slot(self, statement, deadline_ms):
-        """Occupy a slot of the endpoint while the context is open."""
-        ticket = self._ticket(statement, deadline_ms)
+        """Occupy a slot, with a connection, while the context is open."""
         queued_ms = self._owner.now_ms()
-        failure = await self._owner.slots.enter(ticket)
-        if failure is not None:
-            self._fail_refused(ticket, failure)
+        ticket = self._ticket(statement, deadline_ms)
+        entered = await enter_slot(
+            self._owner, self._connection, ticket, self.header.in_block
+        )
+        if isinstance(entered, Err):
+            self._fail_refused(ticket, entered.err_value)
+        ticket = entered.ok_value
         started_ms = self._owner.now_ms()
         self._work_sample.start()
         self._queue_wait_ms = started_ms - queued_ms
@@ -255,12 +263,6 @@
             target_ms=self._owner.target_latency_ms(self.header.pool),
         )
 
-    async def _acquire_connection(self, deadline_ms):
-        left_ms = max(0.0, deadline_ms - self._owner.now_ms())
-        if not await self._connection.acquire(left_ms):
-            message = "no connection to the endpoint was free in time"
-            self._fail(not_run(FailureCode.UNAVAILABLE, message))
-
     async def _send(self, commands, deadline_ms, is_setup=False):
         """Send commands and return their replies.
 
--- a/waxwinglift/request/tests/test_transaction_connection.py
+++ b/waxwinglift/request/tests/test_transaction_connection.py
@@ -64,13 +64,13 @@
         self.released_count = self.discarded_count = 0
         self.tasks = []
 
-    async def acquire(self, request, timeout_ms, workspace):
+    async def acquire(self, request, timeout_ms, need):
         return 1, self.connection
 
     def release(self, connection_id):
         self.released_count += 1
 
-    def discard(self, connection_id):
+    def discard(self, connection_id, is_unanswered):
         self.discarded_count += 1
 
     def run_in_background(self, work):
