Let calm proxies read in their own region with reported loads

Cause: the random choice had a width of 5 ms also with free slots everywhere, so a part of the reads went to another region. With the policy "load" as default, test_read_goes_to_the_endpoint_with_the_lowest_latency showed it.

Change: costs vary by the factor of the policy "latency", and by a time with the width that the age of the records and the difference of the waits give, which is 0 without a queue.

--- a/waxwinglift/request/_routing_load.py
+++ b/waxwinglift/request/_routing_load.py
@@ -6,14 +6,13 @@
 from waxwinglift.request._endpoint_load import USUAL_LAG_MS
 from waxwinglift.request._group_view import EndpointView
 
-# Width of the random choice between endpoints of nearly equal cost, about a
-# fifth of the time to another region, so that calm proxies read nearby.
-_BASE_WIDTH_MS = 5.0
-# Growth of the width with the age of the records: many proxies with the same
-# old information must not all choose the same endpoint.
+# Upper limit of the random factor on costs.  It is small enough for calm
+# proxies to read nearby.
+_COST_SPREAD = 1.2
+# Width of the random choice, as a part of the age of the records: many proxies
+# with the same old information must not all choose the same endpoint.  It is
+# at most the difference between the waits.
 _WIDTH_PER_AGE = 0.2
-# The width is at most this part of the difference between the waits.
-_WIDTH_PER_WAIT = 1.0
 # Part of an accepted age that is reserved: the owner demands a position of
 # this much less than the accepted age.
 _MARGIN_MS = 50.0
@@ -97,11 +96,7 @@
     ]
     usable = sampled or usable
     width_ms = _choice_width_ms(usable)
-    least_ms = min(option.cost_ms for option in usable)
-    weights = [
-        math.exp((least_ms - option.cost_ms) / width_ms) for option in usable
-    ]
-    return rng.choices(usable, weights)[0]
+    return min(usable, key=lambda option: _vary(option.cost_ms, width_ms, rng))
 
 
 def _build_option(request, view, is_primary, endpoint_stats, settings, now_ms):
@@ -165,6 +160,17 @@
     waits_ms = [option.wait_ms or 0.0 for option in options]
     ages_ms = [option.age_ms or 0.0 for option in options]
     difference_ms = max(waits_ms) - min(waits_ms)
-    return _BASE_WIDTH_MS + min(
-        _WIDTH_PER_AGE * max(ages_ms), _WIDTH_PER_WAIT * difference_ms
-    )
+    return min(_WIDTH_PER_AGE * max(ages_ms), difference_ms)
+
+
+def _vary(cost_ms, width_ms, rng):
+    """Return a cost with a random change.
+
+    The factor is that of the policy ``latency``.  The added time has the
+    Gumbel distribution: the least of such sums is chosen with a probability
+    proportional to ``exp(-cost / width)``.
+    """
+    cost_ms *= rng.uniform(1.0, _COST_SPREAD)
+    if not width_ms:
+        return cost_ms
+    return cost_ms + width_ms * math.log(rng.expovariate(1.0))
--- a/waxwinglift/request/tests/test_routing_load.py
+++ b/waxwinglift/request/tests/test_routing_load.py
@@ -96,6 +96,13 @@
     assert in_expected > 0.95
 
 
+@pytest.mark.parametrize("home", ["a", "b", "c"])
+@pytest.mark.parametrize("loads", [{}, {name: {} for name in "abc"}])
+def test_calm_proxies_read_in_their_region(home, loads):
+    """Bytes between regions are charged."""
+    assert set(shares(home, loads)) == {home}
+
+
 @pytest.mark.parametrize("age_ms, least, most", [(20, 0, 0.05), (900, 0.1, 1)])
 def test_old_records_spread_the_reads(age_ms, least, most):
     """Proxies with the same old record must not all choose one endpoint."""
