Limit what a proxy holds for callers of typed statements

Cause: a proxy kept up to 64 lines of 1 MiB for each caller, unread answers, and any number of connections.

Change: a budget for all callers, back pressure, closing of the connections that hold most, time limits for incomplete messages, readers and starts, and a limit of connections with a reserve of descriptors. The decisions are in process/_caller_limits.py. The stand-in server accepts lines of up to 1 MiB, which it refused above 64 KiB.

--- a/waxwinglift/platform/_caller_connection.py
+++ b/waxwinglift/platform/_caller_connection.py
@@ -8,6 +8,9 @@
 from waxwinglift.connection._statement_protocols import CallerStartup
 from waxwinglift.platform import _lines
 from waxwinglift.process import Registry
+from waxwinglift.process._caller_guard import CallerGuard
+from waxwinglift.process._caller_limits import CallerKey
+from waxwinglift.process._caller_limits import HeldBytes
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import Verdict
@@ -45,6 +48,10 @@
 # Codes after which the statement may have run; all others say that it has not.
 _UNCERTAIN_CODES = frozenset({b"TIMEOUT", b"FAILED", _DEFAULT_CODE})
 
+# Memory of a line object in addition to its bytes, which matters for a caller
+# that sends very short lines.
+_LINE_OVERHEAD_BYTES = 64
+
 _IS_WRITE_BY_ACCESS = {b"READ": False, b"WRITE": True}
 
 # Functions ``(request, text, rest) -> Statement`` by the first word of a
@@ -160,29 +167,64 @@
     ----------
     on_connected : callable
         Called with this connection once the caller has connected.
+    guard : CallerGuard
+        Counts what the connection holds.
     """
 
-    def __init__(self, on_connected):
+    def __init__(self, on_connected, guard: CallerGuard):
         super().__init__()
         self.peer = ""
         self._on_connected = on_connected
+        self._guard = guard
+        self._key: CallerKey | None = None
+        self._lines_count = 0
+        self._unread_bytes = 0
+        # Size of the message that is being served.
+        self._served_bytes = 0
 
     def connection_made(self, transport):
         """Store the caller's host and start to serve the caller."""
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         self.peer = peer[0] if peer else ""
-        self._on_connected(self)
+        self._key = self._guard.add(self)
+        if not self.is_ended:
+            self._on_connected(self)
+
+    def connection_lost(self, exc):
+        """End the connection; what it holds no longer counts."""
+        super().connection_lost(exc)
+        self._guard.remove(self._key)
+
+    def data_received(self, data):
+        """Split received bytes into lines and count them."""
+        super().data_received(data)
+        self._guard.update(self._key)
+
+    def held_bytes(self) -> HeldBytes:
+        """Return what the connection holds now."""
+        return HeldBytes(
+            len(self._buffer),
+            self._unread_bytes + self._served_bytes,
+            self.transport.get_write_buffer_size(),
+            self._lines_count,
+        )
 
     async def receive(self) -> CallerMessage:
         """Return the next message, ``CallerEnd.LEFT`` after the last one."""
+        self._set_served(0)
         try:
             line = await self.read_line()
         except _lines.LineTooLong:
+            self._unread_bytes -= _line_bytes(None)
             return InvalidCallerMessage(
                 CallerFault.TOO_LARGE, "a line exceeds 1 MiB"
             )
-        return CallerEnd.LEFT if line is None else decode_message(line)
+        if line is None:
+            return CallerEnd.LEFT
+        self._unread_bytes -= _line_bytes(line)
+        self._set_served(len(line))
+        return decode_message(line)
 
     def is_disconnected(self) -> bool:
         """Return whether the caller has closed its side."""
@@ -198,19 +240,12 @@
 
     async def send_ready(self, status: TransactionStatus, position):
         """Send only the line with the session state, as after a STARTUP."""
+        self._guard.start(self._key)
         await self._send(_lines.encode_ready(status, position))
 
     async def send_answer(self, answer: StatementAnswer, status, position):
         """Send an endpoint's answer, then the session state."""
-        parts = [b"DATAROW %s\r\n" % row for row in answer.rows]
-        if answer.error is None:
-            receipt = answer.receipt or _lines.EMPTY_FIELD
-            parts.append(b"COMPLETE %s\r\n" % receipt)
-        else:
-            error_code = _lines.ERROR_CODES[answer.error.code]
-            parts.append(b"ERROR %s %s\r\n" % (error_code, answer.error.text))
-        parts.append(_lines.encode_ready(status, position))
-        await self._send(b"".join(parts))
+        await self._send(_encode_answer(answer, status, position))
 
     async def send_failure(self, failure: Failure, status):
         """Send a failure, then the state unless the session ends."""
@@ -228,8 +263,38 @@
         if self.is_ended:
             return
         self.transport.write(data)
+        # The unsent part is in the transport's buffer now.
+        del data
+        self._guard.update(self._key)
         await self.drain()
 
+    def _append_line(self, line):
+        super()._append_line(line)
+        self._lines_count += 1
+        self._unread_bytes += _line_bytes(self._lines[-1])
+
+    def _set_served(self, size_bytes):
+        if size_bytes != self._served_bytes:
+            self._served_bytes = size_bytes
+            self._guard.update(self._key)
+
+
+def _line_bytes(line):
+    """Return the memory of a line; None is one that was skipped."""
+    return _LINE_OVERHEAD_BYTES + len(line or b"")
+
+
+def _encode_answer(answer, status, position):
+    parts = [b"DATAROW %s\r\n" % row for row in answer.rows]
+    if answer.error is None:
+        receipt = answer.receipt or _lines.EMPTY_FIELD
+        parts.append(b"COMPLETE %s\r\n" % receipt)
+    else:
+        error_code = _lines.ERROR_CODES[answer.error.code]
+        parts.append(b"ERROR %s %s\r\n" % (error_code, answer.error.text))
+    parts.append(_lines.encode_ready(status, position))
+    return b"".join(parts)
+
 
 def encode_failure(failure: Failure) -> bytes:
     """Return the line of a failure.
--- a/waxwinglift/platform/_lines.py
+++ b/waxwinglift/platform/_lines.py
@@ -69,6 +69,9 @@
         self._lines = collections.deque()
         self._waiter: asyncio.Future | None = None
         self._is_skipping = False
+        # Too many unread lines, or a limit on the bytes held for callers.
+        self._is_full = False
+        self._is_reading_held = False
         self._is_reading_paused = False
         self._writable = asyncio.Event()
         self._writable.set()
@@ -119,12 +122,9 @@
         A subclass that overrides this takes the lines from the queue itself;
         only `read_line` resumes reading.
         """
-        if (
-            len(self._lines) > _UNREAD_LIMIT_COUNT
-            and not self._is_reading_paused
-        ):
-            self._is_reading_paused = True
-            self.transport.pause_reading()
+        if len(self._lines) > _UNREAD_LIMIT_COUNT:
+            self._is_full = True
+            self._update_reading()
         self._wake()
 
     @property
@@ -146,10 +146,9 @@
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         line = self._lines.popleft()
-        if self._is_reading_paused and not self._lines:
-            self._is_reading_paused = False
-            if not self.is_ended:
-                self.transport.resume_reading()
+        if self._is_full and not self._lines:
+            self._is_full = False
+            self._update_reading()
         if line is None:
             raise LineTooLong
         return line
@@ -164,6 +163,29 @@
         if self.transport is not None:
             close_transport(self.transport)
 
+    def hold_reading(self, is_held: bool):
+        """Pause reading from the peer, or allow it again."""
+        self._is_reading_held = is_held
+        self._update_reading()
+
+    def abort(self):
+        """Close now and discard unread lines and unsent bytes."""
+        self._buffer.clear()
+        self._lines.clear()
+        if self.transport is not None:
+            self.transport.abort()
+        self._end()
+
+    def _update_reading(self):
+        is_paused = self._is_full or self._is_reading_held
+        if is_paused == self._is_reading_paused:
+            return
+        self._is_reading_paused = is_paused
+        if is_paused:
+            self.transport.pause_reading()
+        elif not self.is_ended:
+            self.transport.resume_reading()
+
     def _append_line(self, line):
         if self._is_skipping or len(line) > LINE_LIMIT_BYTES:
             self._is_skipping = False
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -2,6 +2,7 @@
 
 import pydantic
 
+from waxwinglift.process._caller_limit_settings import CallerLimitSettings
 from waxwinglift.process._policy_settings import AdmissionSettings
 from waxwinglift.process._policy_settings import CommitWaitSettings
 from waxwinglift.process._policy_settings import EndpointPoolSettings
@@ -59,6 +60,7 @@
         of the endpoints.
     routing : RoutingSettings
     retry : RetrySettings
+    caller_limits : CallerLimitSettings
     """
 
     protocol: str = "postgresql"
@@ -87,6 +89,19 @@
     )
     routing: RoutingSettings = pydantic.Field(default_factory=RoutingSettings)
     retry: RetrySettings = pydantic.Field(default_factory=RetrySettings)
+    caller_limits: CallerLimitSettings = pydantic.Field(
+        default_factory=CallerLimitSettings
+    )
+
+    @pydantic.model_validator(mode="after")
+    def _check_budget(self):
+        budget_bytes = self.caller_limits.budget_bytes
+        if budget_bytes < self.message_limit_bytes:
+            raise ValueError(
+                f"caller_limits.budget_bytes ({budget_bytes}) must not be "
+                f"below message_limit_bytes ({self.message_limit_bytes})"
+            )
+        return self
 
 
 class OwnerSettings(PolicySettings):
--- a/waxwinglift/process/_entry_server.py
+++ b/waxwinglift/process/_entry_server.py
@@ -12,6 +12,7 @@
 from waxwinglift.connection._cancel_key import CancelKey
 from waxwinglift.process._drain_phase import DrainPhase
 from waxwinglift.connection._protocol_registry import find_caller_protocol
+from waxwinglift.process._caller_guard import CallerGuard
 from waxwinglift.process._clock import monotonic_ms
 from waxwinglift.process._entry_context import EntryContext
 from waxwinglift.process._data_path_settings import EntrySettings
@@ -72,6 +73,9 @@
             tracer or trace.NoOpTracer(),
             rng or random.Random(),
         )
+        self.guard = CallerGuard(
+            settings.caller_limits, now_ms, self.context.metrics
+        )
         self.sessions: dict = {}
         self.drain_phase = DrainPhase.SERVING
         self._is_stopped = False
--- a/waxwinglift/process/_statement_callers.py
+++ b/waxwinglift/process/_statement_callers.py
@@ -5,8 +5,7 @@
 
 from waxwinglift.connection import SessionId
 from waxwinglift.connection._statement_session import StatementSession
-
-_BACKLOG_COUNT = 1024
+from waxwinglift.process._listener import open_listener
 
 
 class StatementCallers:
@@ -16,9 +15,9 @@
     ----------
     entry : EntryServer
     make_connection : callable
-        Called with a function ``accept``.  Returns the asyncio protocol of a
-        new connection, a `StatementCaller`, which calls ``accept(self)`` once
-        the caller has connected.
+        Called with a function ``accept`` and the `CallerGuard`.  Returns the
+        asyncio protocol of a new connection, a `StatementCaller`, which calls
+        ``accept(self)`` once the caller has connected.
     """
 
     def __init__(self, entry, make_connection: Callable):
@@ -33,12 +32,11 @@
     async def listen(self) -> asyncio.Server:
         """Start to listen and return the server."""
         settings = self._entry.settings
-        loop = asyncio.get_running_loop()
-        return await loop.create_server(
-            lambda: self._make_connection(self._accept),
+        guard = self._entry.guard
+        return await open_listener(
+            lambda: self._make_connection(self._accept, guard),
             settings.host,
             settings.port,
-            backlog=_BACKLOG_COUNT,
         )
 
     def _accept(self, connection):
--- a/waxwinglift_standin/platform/_server.py
+++ b/waxwinglift_standin/platform/_server.py
@@ -9,6 +9,9 @@
 from waxwinglift.process import Address
 from waxwinglift_standin.platform._session import ServerSession
 
+# Above the largest line (1 MiB).
+_READ_LIMIT_BYTES = 2**21
+
 
 class ServerState(enum.Enum):
     """Whether a server runs and whether it answers."""
@@ -87,7 +90,7 @@
         if port == 0 and self.address is not None:
             port = self.address.port
         self._server = await asyncio.start_server(
-            self._accept, "127.0.0.1", port
+            self._accept, "127.0.0.1", port, limit=_READ_LIMIT_BYTES
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = Address(host, port)
