Limit what a proxy holds for PostgreSQL callers

Cause: messages of up to 16 MiB of any number of callers were kept, and small answers to statements sent ahead were written without waiting for the reader.

Change: the connections report what they hold to the guard of the callers; a session waits for its reader after each answer; a large message is held once while it is split.

--- a/waxwinglift/connection/_data_path_session.py
+++ b/waxwinglift/connection/_data_path_session.py
@@ -161,6 +161,7 @@
         self._session = session
         limit_bytes = settings.message_limit_bytes
         self._builder = RequestBuilder(session, limit_bytes)
+        self._caller.collected_bytes = lambda: self._builder.size_bytes
         caller = f"{request.user}@{self._peer_host}"
         self._runner = RequestRunner(self._context, session, caller)
         parameters = dict(settings.reported_parameters)
@@ -182,6 +183,7 @@
                 if request is None:
                     continue
                 await self._answer(request)
+                await self._caller.wait_for_reader()
                 if self._caller.is_closed:
                     return
                 if self._is_draining() and self.is_idle:
--- a/waxwinglift/connection/_frontend.py
+++ b/waxwinglift/connection/_frontend.py
@@ -21,6 +21,7 @@
 from waxwinglift.connection._types import TransactionStatus
 from waxwinglift.connection._wire import FrameSplitter
 from waxwinglift.connection._wire import WireError
+from waxwinglift.process._caller_limits import HeldBytes
 from waxwinglift.request import Failure
 
 _INT32 = struct.Struct("!I")
@@ -75,15 +76,45 @@
         Largest accepted message.
     write_buffer_bytes : int
         Unsent answer bytes above which ``write`` waits for a slow caller.
+    guard : CallerGuard
+        Counts what the connection holds.
     """
 
-    def __init__(self, reader, writer, limit_bytes, write_buffer_bytes):
+    def __init__(self, reader, writer, limit_bytes, write_buffer_bytes, guard):
         self._reader = reader
         self._writer = writer
         self._splitter = FrameSplitter(limit_bytes)
         self._write_buffer_bytes = write_buffer_bytes
         self._parts: list[bytes] = []
         self._parts_bytes = 0
+        # Returns the size of the messages of an incomplete exchange.
+        self.collected_bytes = lambda: 0
+        self._frames_bytes = 0
+        self._frames_count = 0
+        self._guard = guard
+        self._key = guard.add(self)
+
+    def held_bytes(self) -> HeldBytes:
+        """Return what the connection holds now."""
+        unsent_bytes = self._writer.transport.get_write_buffer_size()
+        return HeldBytes(
+            self._splitter.pending_bytes,
+            self._frames_bytes + self.collected_bytes(),
+            unsent_bytes + self._parts_bytes,
+            self._frames_count,
+        )
+
+    def hold_reading(self, is_held: bool):
+        """Do nothing: nothing is read before the last answer is complete."""
+
+    def abort(self):
+        """Close now and discard an incomplete message and unsent bytes."""
+        self._splitter.clear()
+        self._writer.transport.abort()
+
+    def stop_counting(self):
+        """Record that the connection has ended."""
+        self._guard.remove(self._key)
 
     @property
     def is_closed(self) -> bool:
@@ -149,6 +180,7 @@
         parts.append(key.to_wire())
         parts.append(encode_ready(TransactionStatus.IDLE))
         self._writer.write(b"".join(parts))
+        self._guard.start(self._key)
 
     async def read_frames(self) -> list[tuple[bytes, bytes]] | None:
         """Return the complete messages that arrived, None at the end.
@@ -158,10 +190,15 @@
         WireError
             A message is too large or malformed.
         """
+        self._frames_bytes = 0
         data = await self._reader.read(_READ_BYTES)
         if not data:
             return None
-        return self._splitter.feed(data)
+        frames = self._splitter.feed(data)
+        self._frames_bytes = sum(len(frame) for _, frame in frames)
+        self._frames_count += len(frames)
+        self._guard.update(self._key)
+        return frames
 
     async def write(self, data: bytes):
         """Write answer bytes; wait while the caller is slow.
@@ -175,6 +212,10 @@
         if self._parts_bytes < _FLUSH_THRESHOLD_BYTES:
             return
         self.flush()
+        await self.wait_for_reader()
+
+    async def wait_for_reader(self):
+        """Wait while the caller has read too little of its answers."""
         unsent_bytes = self._writer.transport.get_write_buffer_size()
         if unsent_bytes > self._write_buffer_bytes:
             try:
@@ -189,6 +230,7 @@
             self._writer.write(b"".join(self._parts))
         self._parts.clear()
         self._parts_bytes = 0
+        self._guard.update(self._key)
 
     def close(self):
         """Close after the written bytes have been sent."""
@@ -253,7 +295,7 @@
     WireError
         The payload is malformed.
     """
-    return _decode(message_type, frame[_HEADER_BYTES:])
+    return _decode(message_type, memoryview(frame)[_HEADER_BYTES:])
 
 
 def _decode(message_type, payload):
--- a/waxwinglift/connection/_frontend_messages.py
+++ b/waxwinglift/connection/_frontend_messages.py
@@ -100,6 +100,11 @@
         """Whether no message is waiting for its Sync."""
         return not self._frames and not self._skips_to_sync
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the messages that are waiting for their Sync."""
+        return self._size_bytes
+
     def skip_to_sync(self):
         """Ignore messages until the next Sync, after an error."""
         self._skips_to_sync = True
--- a/waxwinglift/connection/_wire.py
+++ b/waxwinglift/connection/_wire.py
@@ -43,6 +43,15 @@
         self._parts_bytes = 0
         self._needed_bytes = 0
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of the incomplete message."""
+        return self._parts_bytes
+
+    def clear(self):
+        """Discard the incomplete message."""
+        self._parts, self._parts_bytes, self._needed_bytes = [], 0, 0
+
     def feed(self, data: bytes) -> list[tuple[bytes, bytes]]:
         """Return (type, whole message) of each message that is complete.
 
@@ -57,7 +66,10 @@
         if self._parts_bytes < self._needed_bytes:
             return []
         is_single = len(self._parts) == 1
-        return self._split(data if is_single else b"".join(self._parts))
+        buffer = data if is_single else b"".join(self._parts)
+        # A large message is held once while it is split.
+        self._parts = []
+        return self._split(buffer)
 
     def _split(self, buffer):
         frames = []
--- a/waxwinglift/process/_postgresql_callers.py
+++ b/waxwinglift/process/_postgresql_callers.py
@@ -23,8 +23,7 @@
 from waxwinglift.connection._wire import WireError
 from waxwinglift.process._cancel_router import CancelRouter
 from waxwinglift.process._data_path_types import RunningStatement
-
-_BACKLOG_COUNT = 1024
+from waxwinglift.process._listener import open_listener
 
 
 @caller_protocol("postgresql")
@@ -56,13 +55,15 @@
     async def listen(self) -> asyncio.Server:
         """Return the listening server."""
         settings = self._entry.settings
-        return await asyncio.start_server(
-            self._accept,
-            settings.host,
-            settings.port,
-            backlog=_BACKLOG_COUNT,
+        return await open_listener(
+            self._make_protocol, settings.host, settings.port
         )
 
+    def _make_protocol(self):
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(loop=loop)
+        return asyncio.StreamReaderProtocol(reader, self._accept, loop)
+
     async def _accept(self, reader, writer):
         try:
             await self._entry.serve_connection(self._serve(reader, writer))
@@ -76,6 +77,7 @@
             writer,
             settings.message_limit_bytes,
             settings.write_buffer_bytes,
+            self._entry.guard,
         )
         try:
             startup = await with_timeout(
@@ -90,6 +92,8 @@
             self._entry.context.metrics.incr("entry.bad_message")
             failure = protocol_failure(error)
             caller.flush(encode_failure(failure, "FATAL"))
+        finally:
+            caller.stop_counting()
 
     async def _serve_session(self, caller, startup, caller_host):
         session_id = self._session_ids.allocate(self._entry.sessions)
