Limit what a control daemon holds for HTTP clients

Cause: bodies of up to 1 MiB were kept for any number of clients, as one object for each chunk, with a time limit only for single reads and none for readers.

The desired state keeps its limit of 1 MiB.

--- a/waxwinglift/platform/_control_http.py
+++ b/waxwinglift/platform/_control_http.py
@@ -8,6 +8,7 @@
 from waxwinglift.platform._announcements import decode_deregistration
 from waxwinglift.platform._desired_state import decode_desired_state
 from waxwinglift.platform._desired_state import encode_document
+from waxwinglift.platform._http import BODY_LIMIT_BYTES
 from waxwinglift.platform._http import HttpRequest
 from waxwinglift.platform._http import HttpResponse
 from waxwinglift.process import Registry
@@ -37,6 +38,12 @@
         self.service = service
         self.regions = regions
 
+    def body_limit_bytes(self, path: str) -> int:
+        """Return the largest body of a call."""
+        if path.startswith((_HEARTBEAT_PATH, _DEREGISTER_PATH)):
+            return self.service.settings.http_limits.announcement_limit_bytes
+        return BODY_LIMIT_BYTES
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one call."""
         path = request.path.partition("?")[0]
--- a/waxwinglift/platform/_control_program.py
+++ b/waxwinglift/platform/_control_program.py
@@ -26,6 +26,12 @@
         await self.add_runtime_dependency(self.control)
         api = _control_http.ControlApi(self.control, self.platform.regions)
         await self.add_async_context(
-            _http.serving_http(self.platform.listen.control, api.handle)
+            _http.serving_http(
+                self.platform.listen.control,
+                api.handle,
+                self.control.settings.http_limits,
+                self.control.metrics,
+                api.body_limit_bytes,
+            )
         )
         await self.add_runtime_dependency(self._reloader)
--- a/waxwinglift/platform/_http.py
+++ b/waxwinglift/platform/_http.py
@@ -9,16 +9,23 @@
 
 import h11
 
+from waxwinglift.connection._unread_close import close_transport
 from waxwinglift.process import Address
+from waxwinglift.process._caller_guard import CallerGuard
+from waxwinglift.process._caller_limit_settings import HttpLimitSettings
+from waxwinglift.process._caller_limits import HeldBytes
+from waxwinglift.process._clock import monotonic_ms
+from waxwinglift.process._data_path_types import Metrics
+from waxwinglift.process._data_path_types import NoMetrics
+from waxwinglift.process._listener import open_listener
 
 logger = logging.getLogger(__name__)
 
 _READ_BYTES = 2**16
 # Maximum size of a body, which is read into memory.
 BODY_LIMIT_BYTES = 2**20
-# Timeouts of single reads: for the head of a request, and for a body or a
-# response.
-_IDLE_TIMEOUT_S = 30.0
+HEAD_LIMIT_BYTES = 2**14
+# Timeout of a single read of a response.
 _READ_TIMEOUT_S = 10.0
 
 
@@ -50,24 +57,93 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
+class _ServerConnection(asyncio.StreamReaderProtocol):
+    """Connection of one client, whose bytes are counted."""
+
+    def __init__(self, serve, guard):
+        loop = asyncio.get_running_loop()
+        super().__init__(asyncio.StreamReader(_READ_BYTES, loop), serve, loop)
+        self.body_bytes = 0
+        self.requests_count = 0
+        self.is_receiving = False
+        self._guard = guard
+        self._key = None
+        self._client_transport = None
+
+    def connection_made(self, transport):
+        """Count the connection, then start to serve it."""
+        self._client_transport = transport
+        self._key = self._guard.add(self)
+        if not transport.is_closing():
+            super().connection_made(transport)
+
+    def connection_lost(self, exc):
+        """End the connection; what it holds no longer counts."""
+        self._guard.remove(self._key)
+        super().connection_lost(exc)
+
+    def held_bytes(self) -> HeldBytes:
+        """Return what the connection holds now."""
+        # A request without bytes of a body is incomplete as well.
+        incomplete_bytes = self.body_bytes + int(self.is_receiving)
+        unsent_bytes = self._client_transport.get_write_buffer_size()
+        return HeldBytes(
+            incomplete_bytes, 0, unsent_bytes, self.requests_count
+        )
+
+    def hold_reading(self, is_held: bool):
+        """Do nothing: asyncio bounds what is read ahead of the codec."""
+
+    def abort(self):
+        """Close the connection and discard what it holds."""
+        self._client_transport.abort()
+
+    def update(self):
+        """Count what the connection holds now."""
+        self._guard.update(self._key)
+
+    def finish_request(self):
+        """Record that a request has arrived completely."""
+        self.is_receiving = False
+        self.body_bytes = 0
+        self.requests_count += 1
+        self._guard.start(self._key)
+
+
 @contextlib.asynccontextmanager
-async def serving_http(address: Address, handle: Handler):
-    """Answer requests with ``handle`` while the context is open."""
+async def serving_http(
+    address: Address,
+    handle: Handler,
+    limits: HttpLimitSettings | None = None,
+    metrics: Metrics | None = None,
+    body_limit: Callable[[str], int] = lambda path: BODY_LIMIT_BYTES,
+):
+    """Answer requests with ``handle`` while the context is open.
+
+    ``body_limit`` returns the largest body of a request by its path.
+    """
     tasks = set()
+    limits = limits or HttpLimitSettings()
+    guard = CallerGuard(
+        limits.caller_limits(), monotonic_ms, metrics or NoMetrics(), "http"
+    )
 
     async def serve(reader, writer):
         task = asyncio.current_task()
         tasks.add(task)
         try:
-            await _serve_connection(reader, writer, handle)
+            client = _Client(reader, writer, limits, body_limit)
+            await client.serve(handle)
         except (OSError, TimeoutError, h11.RemoteProtocolError):
             # The client has disconnected or does not use HTTP.
             pass
         finally:
             tasks.discard(task)
-            writer.close()
+            close_transport(writer.transport)
 
-    server = await asyncio.start_server(serve, address.host, address.port)
+    server = await open_listener(
+        lambda: _ServerConnection(serve, guard), address.host, address.port
+    )
     try:
         yield server
     finally:
@@ -76,80 +152,111 @@
             task.cancel()
 
 
-async def _serve_connection(reader, writer, handle):
-    connection = h11.Connection(h11.SERVER)
-    while True:
-        head = await _read_head(connection, reader)
-        if head is None:
-            return
-        has_body = True
-        if isinstance(head, HttpResponse):
-            response = head
-        else:
-            response = await _respond(connection, reader, handle, head)
-            has_body = head.method != b"HEAD"
-        _write_response(connection, writer, response, has_body)
-        await writer.drain()
-        if connection.our_state is not h11.DONE:
-            return
-        if connection.their_state is not h11.DONE:
-            return
-        connection.start_next_cycle()
-
-
-async def _read_head(connection, reader):
-    """Return the head of a request, the response if it cannot be read.
-
-    None if the client has left.
-    """
-    try:
-        head = await _next_event(connection, reader, _IDLE_TIMEOUT_S)
-    except h11.RemoteProtocolError as error:
-        # The client does not use HTTP, or its head is too large.
-        return HttpResponse(error.error_status_hint)
-    return head if isinstance(head, h11.Request) else None
-
+class _Client:
+    """Serves the requests of one connection."""
 
-async def _respond(connection, reader, handle, head):
-    """Read the rest of a request and return its response."""
-    try:
-        body = await _read_body(connection, reader)
-        request = HttpRequest(head.method.decode(), head.target.decode(), body)
-    except BodyTooLarge:
-        return HttpResponse(413)
-    except h11.RemoteProtocolError as error:
-        return HttpResponse(error.error_status_hint)
-    try:
-        return await handle(request)
-    except Exception:
-        logger.exception(
-            "failed to handle %s %s", request.method, request.path[:100]
+    def __init__(self, reader, writer, limits, body_limit):
+        self._reader = reader
+        self._writer = writer
+        self._limits = limits
+        self._body_limit = body_limit
+        self._held = writer.transport.get_protocol()
+        self._codec = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
-        return HttpResponse(500)
+
+    async def serve(self, handle):
+        """Serve requests until the client leaves or does not use HTTP."""
+        while True:
+            has_body = True
+            head = await self._read_head()
+            if head is None:
+                return
+            if isinstance(head, HttpResponse):
+                response = head
+            else:
+                response = await self._respond(handle, head)
+                has_body = head.method != b"HEAD"
+            self._held.finish_request()
+            _write_response(self._codec, self._writer, response, has_body)
+            self._held.update()
+            await self._writer.drain()
+            if self._codec.our_state is not h11.DONE:
+                return
+            if self._codec.their_state is not h11.DONE:
+                return
+            self._codec.start_next_cycle()
+
+    async def _read_head(self):
+        """Return the head of a request, the response if it cannot be read.
+
+        None if the client has left.
+        """
+        timeout_s = self._limits.request_timeout_ms / 1000
+        try:
+            async with asyncio.timeout(timeout_s):
+                head = await _next_event(self._codec, self._reader)
+        except h11.RemoteProtocolError as error:
+            # The client does not use HTTP, or its head is too large.
+            return HttpResponse(error.error_status_hint)
+        return head if isinstance(head, h11.Request) else None
+
+    async def _respond(self, handle, head):
+        """Read the rest of a request and return its response."""
+        path = head.target.decode()
+        timeout_s = self._limits.request_timeout_ms / 1000
+        try:
+            async with asyncio.timeout(timeout_s):
+                body = await _read_body(
+                    self._codec,
+                    self._reader,
+                    self._body_limit(path),
+                    self._count_body,
+                )
+        except BodyTooLarge:
+            return HttpResponse(413)
+        except h11.RemoteProtocolError as error:
+            return HttpResponse(error.error_status_hint)
+        request = HttpRequest(head.method.decode(), path, body)
+        try:
+            return await handle(request)
+        except Exception:
+            logger.exception(
+                "failed to handle %s %s", request.method, request.path[:100]
+            )
+            return HttpResponse(500)
+
+    def _count_body(self, size_bytes):
+        self._held.is_receiving = True
+        self._held.body_bytes = size_bytes
+        self._held.update()
 
 
-async def _read_body(connection, reader):
-    parts = []
-    size_bytes = 0
+def _ignore_size(size_bytes):
+    pass
+
+
+async def _read_body(connection, reader, limit_bytes, count=_ignore_size):
+    """Return the body; ``count`` is called with the bytes received so far."""
+    body = bytearray()
     while True:
-        event = await _next_event(connection, reader, _READ_TIMEOUT_S)
+        event = await _next_event(connection, reader)
         if isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
+            return bytes(body)
         if not isinstance(event, h11.Data):
             raise h11.RemoteProtocolError("the body ended early")
-        size_bytes += len(event.data)
-        if size_bytes > BODY_LIMIT_BYTES:
+        if len(body) + len(event.data) > limit_bytes:
             raise BodyTooLarge
-        parts.append(bytes(event.data))
+        body += event.data
+        count(len(body))
 
 
-async def _next_event(connection, reader, timeout_s):
+async def _next_event(connection, reader):
     while True:
         event = connection.next_event()
         if event is not h11.NEED_DATA:
             return event
-        async with asyncio.timeout(timeout_s):
-            connection.receive_data(await reader.read(_READ_BYTES))
+        connection.receive_data(await reader.read(_READ_BYTES))
 
 
 def _write_response(connection, writer, response, has_body):
@@ -205,10 +312,12 @@
         )
         for event in (head, h11.Data(request.body), h11.EndOfMessage()):
             writer.write(connection.send(event))
-        answer = await _next_event(connection, reader, _READ_TIMEOUT_S)
+        async with asyncio.timeout(_READ_TIMEOUT_S):
+            answer = await _next_event(connection, reader)
         if not isinstance(answer, h11.Response):
             raise h11.RemoteProtocolError("no response")
-        body = await _read_body(connection, reader)
+        async with asyncio.timeout(_READ_TIMEOUT_S):
+            body = await _read_body(connection, reader, BODY_LIMIT_BYTES)
         return HttpResponse(answer.status_code, body)
     finally:
         writer.close()
--- a/waxwinglift/platform/tests/test_misbehaving_callers.py
+++ b/waxwinglift/platform/tests/test_misbehaving_callers.py
@@ -25,6 +25,7 @@
 _STARTUP = b"STARTUP payouts crowd\r\n"
 _WRITE = b"QUERY id1 WRITE item " + _DATA + b"\r\n"
 _READ = b"QUERY id1 READ item\r\n"
+_POST = b"POST /Instances.Heartbeat/s9 HTTP/1.1\r\nHost: a\r\n"
 _LIMITS = {
     "caller_limits": {
         "budget_bytes": 8 * _MIB,
@@ -77,6 +78,28 @@
         "proxy", 24, _READ, 512, _STARTUP, is_reduced=True
     ),
     "silent connections": Crowd("proxy", 120),
+    "unfinished bodies": Crowd(
+        "control", 60, _DATA, start=_POST + b"Content-Length: 1048000\r\n\r\n"
+    ),
+    "chunks without end": Crowd(
+        "control",
+        24,
+        b"8\r\n12345678\r\n" * 100_000,
+        2,
+        start=_POST + b"Transfer-Encoding: chunked\r\n\r\n",
+    ),
+    "heads over the limit": Crowd("control", 60, b"X: " + _DATA, start=_POST),
+    "heads that never end": Crowd(
+        "control", 24, b"X: 1\r\n", start=_POST, is_reduced=True
+    ),
+    "bodies that never end": Crowd(
+        "control",
+        24,
+        b"{",
+        start=_POST + b"Content-Length: 100\r\n\r\n",
+        is_reduced=True,
+    ),
+    "silent HTTP connections": Crowd("control", 120),
 }
 
 
--- a/waxwinglift/process/_settings.py
+++ b/waxwinglift/process/_settings.py
@@ -13,6 +13,7 @@
 from result import Ok
 
 from waxwinglift.process import _checks
+from waxwinglift.process._caller_limit_settings import HttpLimitSettings
 from waxwinglift.process._data_path_settings import EntrySettings
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._types import Address
@@ -190,6 +191,7 @@
     endpoint_user: str = "waxwinglift"
     endpoint_password: pydantic.SecretStr = pydantic.SecretStr("")
     endpoint_database: str = "postgres"
+    http_limits: HttpLimitSettings = HttpLimitSettings()
     timing: ControlTimingSettings = ControlTimingSettings()
     observability: ObservabilitySettings = ObservabilitySettings()
 
