Move the limits of an owner to their own module

The behaviour is unchanged; the tests of the budget, of the connections of statements and of their daemons pass.

--- /dev/null
+++ b/waxwinglift/process/_owner_limits.py
@@ -0,0 +1,98 @@
+"""Limits of the connections, slots and blocks of one endpoint's owner."""
+
+import logging
+
+from waxwinglift.process._connection_budget import ConnectionBudget
+from waxwinglift.process._connection_budget import ConnectionRole
+from waxwinglift.process._connection_budget import find_role
+from waxwinglift.process._connection_budget import find_shares
+from waxwinglift.request._in_flight_limit import InFlightLimit
+
+logger = logging.getLogger(__name__)
+
+# Connections that a standby owner keeps open to probe the endpoint.
+STANDBY_WARM_COUNT = 1
+
+
+class OwnerLimits:
+    """Sets the limits of an owner's pool and queues for its present role.
+
+    Parameters
+    ----------
+    owner : StatementOwner
+    """
+
+    def __init__(self, owner):
+        self._owner = owner
+        self._budget = ConnectionBudget()
+        self._in_flight_limit = InFlightLimit()
+
+    @property
+    def role(self) -> ConnectionRole:
+        """What the owner may do at the endpoint."""
+        return self._budget.role
+
+    def record_round_trip(self, elapsed_ms: float):
+        """Record the round trip of a statement."""
+        self._in_flight_limit.record_round_trip(
+            elapsed_ms, self._owner.now_ms()
+        )
+
+    def update(self):
+        """Set the limits of connections, slots and blocks."""
+        owner = self._owner
+        record = owner.view.endpoint(owner.endpoint)
+        if record is None:
+            return
+        pool = owner.connections.pool
+        pool.limit_count = self._find_connection_limit()
+        is_owner = self.role is ConnectionRole.OWNER
+        pool.warm_count = None if is_owner else STANDBY_WARM_COUNT
+        queue = owner.slots.queue
+        slots_count = self._in_flight_limit.limit_count(
+            record.slots_count, queue.service_ms
+        )
+        # A former owner may open no connections, but its blocks go on.
+        usable_count = max(pool.limit_count, pool.connection_count, 1)
+        slots_count = min(slots_count, usable_count)
+        queue.slots_count = slots_count
+        # One connection for each slot is reserved for statements outside of
+        # blocks; blocks may use the rest.
+        blocks_count = max(1, pool.limit_count - slots_count)
+        owner.blocks.queue.slots_count = blocks_count
+
+    def record_full(self):
+        """Record that the endpoint refused a connection of this proxy."""
+        owner = self._owner
+        pool = owner.connections.pool
+        connection_count = pool.connection_count
+        owner.metrics.incr("owner.connections_full")
+        if self._budget.record_full(connection_count, owner.now_ms()):
+            logger.warning(
+                "the endpoint has no free connection for this proxy's share",
+                extra={
+                    "endpoint": owner.endpoint,
+                    "role": self.role.value,
+                    "connection_count": connection_count,
+                    "share_count": pool.limit_count,
+                    "view_age_ms": owner.view.age_ms(),
+                },
+            )
+        self.update()
+
+    def _find_connection_limit(self):
+        """Return how many connections this proxy may have now."""
+        owner = self._owner
+        view, endpoint = owner.view, owner.endpoint
+        now_ms = owner.now_ms()
+        assignment = view.assignment(endpoint)
+        self._budget.update(
+            find_role(view, endpoint, owner.is_temporary_owner(endpoint)),
+            now_ms,
+            view_age_ms=view.age_ms(),
+            has_former_owner=assignment is not None
+            and assignment.previous is not None,
+            is_first=assignment is not None and assignment.epoch == 1,
+        )
+        shares = find_shares(view, endpoint)
+        return self._budget.limit_count(shares, now_ms)
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import logging
 import math
 
 from waxwinglift.connection import HealthState
@@ -14,13 +13,12 @@
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.connection._statement_monitor import StatementMonitor
 from waxwinglift.process._admission_report import AdmissionReport
-from waxwinglift.process._connection_budget import ConnectionBudget
 from waxwinglift.process._connection_budget import ConnectionRole
-from waxwinglift.process._connection_budget import find_role
-from waxwinglift.process._connection_budget import find_shares
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
+from waxwinglift.process._owner_limits import OwnerLimits
+from waxwinglift.process._owner_limits import STANDBY_WARM_COUNT
 from waxwinglift.process._owner_load import OwnerLoad
 from waxwinglift.process._statement_positions import GroupFloors
 from waxwinglift.process._statement_positions import PrimaryPositions
@@ -29,17 +27,12 @@
 from waxwinglift.request import not_run
 from waxwinglift.request import RequestId
 from waxwinglift.request._admission import AdmissionQueue
-from waxwinglift.request._in_flight_limit import InFlightLimit
 from waxwinglift.request._statement_stream import StatementStream
 from waxwinglift.version import GroupPhase
 from waxwinglift.version import PoolName
 from waxwinglift.version import PoolTable
 from waxwinglift.version._fleet import accepts_requests
 
-logger = logging.getLogger(__name__)
-
-# Connections that a standby owner keeps open to probe the endpoint.
-_STANDBY_WARM_COUNT = 1
 # Connections reserved for transaction blocks of the most urgent rank.
 _URGENT_BLOCKS_COUNT = 2
 # Pool under which the statements of all pools of a group are queued, so that
@@ -71,7 +64,7 @@
             return False
         pool = self.connections.pool
         return not self._running and (
-            pool.is_released or pool.connection_count <= _STANDBY_WARM_COUNT
+            pool.is_released or pool.connection_count <= STANDBY_WARM_COUNT
         )
 
     @property
@@ -88,7 +81,7 @@
         if not self._is_assigned() and not header.to_standby:
             message = "this proxy does not own the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
-        if self.budget.role is ConnectionRole.NONE:
+        if self.limits.role is ConnectionRole.NONE:
             message = "this proxy may have no connections to the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
         group = self.view.group(self.group)
@@ -193,9 +186,8 @@
         self._last_term_and_phase = None
         # Index of each rank by urgency, and its floor share.
         self._ranks = {}
-        self._in_flight_limit = InFlightLimit()
         self._load = OwnerLoad(self)
-        self.budget = ConnectionBudget()
+        self.limits = OwnerLimits(self)
         limit_count = self.view.fleet.connection_limit_count(record)
         pool = EndpointPool(settings.pool, limit_count, record.slots_count)
         self.monitor = StatementMonitor(
@@ -241,13 +233,10 @@
         return TrackedConnection(
             connection,
             self.now_ms,
-            self._record_round_trip,
+            self.limits.record_round_trip,
             self._load.record_position,
         )
 
-    def _record_round_trip(self, elapsed_ms):
-        self._in_flight_limit.record_round_trip(elapsed_ms, self.now_ms())
-
     def _make_stream(self, header, request):
         return StatementStream(self, header, request)
 
@@ -272,68 +261,14 @@
 
     def _update_endpoint(self):
         super()._update_endpoint()
-        self._set_limits()
-
-    def _set_limits(self):
-        """Set the limits of connections and slots for this owner's role."""
-        record = self.view.endpoint(self.endpoint)
-        if record is None:
-            return
-        pool = self.connections.pool
-        pool.limit_count = self._find_connection_limit()
-        is_owner = self.budget.role is ConnectionRole.OWNER
-        pool.warm_count = None if is_owner else _STANDBY_WARM_COUNT
-        queue = self.slots.queue
-        slots_count = self._in_flight_limit.limit_count(
-            record.slots_count, queue.service_ms
-        )
-        # A former owner may open no connections, but its blocks go on.
-        usable_count = max(pool.limit_count, pool.connection_count, 1)
-        slots_count = min(slots_count, usable_count)
-        queue.slots_count = slots_count
-        # One connection for each slot is reserved for statements outside of
-        # blocks; blocks may use the rest.
-        blocks_count = max(1, pool.limit_count - slots_count)
-        self.blocks.queue.slots_count = blocks_count
-
-    def _find_connection_limit(self):
-        """Return how many connections this proxy may have now."""
-        now_ms = self.now_ms()
-        assignment = self.view.assignment(self.endpoint)
-        self.budget.update(
-            self._find_role(),
-            now_ms,
-            view_age_ms=self.view.age_ms(),
-            has_former_owner=assignment is not None
-            and assignment.previous is not None,
-            is_first=assignment is not None and assignment.epoch == 1,
-        )
-        shares = find_shares(self.view, self.endpoint)
-        return self.budget.limit_count(shares, now_ms)
+        self.limits.update()
 
     def _record_attempt(self, result):
         """Record the outcome of an attempt to open a connection."""
         if result is OpenResult.FULL:
-            self._lower_connection_limit()
+            self.limits.record_full()
         self.monitor.record_attempt(result)
 
-    def _lower_connection_limit(self):
-        pool = self.connections.pool
-        connection_count = pool.connection_count
-        self.metrics.incr("owner.connections_full")
-        if self.budget.record_full(connection_count, self.now_ms()):
-            logger.warning(
-                "the endpoint has no free connection for this proxy's share",
-                extra={
-                    "endpoint": self.endpoint,
-                    "role": self.budget.role.value,
-                    "connection_count": connection_count,
-                    "share_count": pool.limit_count,
-                    "view_age_ms": self.view.age_ms(),
-                },
-            )
-        self._set_limits()
-
     def _set_tables(self):
         """Queue all pools together, with one row for each level of urgency."""
         rows = {}
@@ -365,9 +300,6 @@
         """Whether this proxy serves the endpoint without an assignment."""
         return self.is_temporary_owner(self.endpoint)
 
-    def _find_role(self):
-        return find_role(self.view, self.endpoint, self._is_temporary)
-
     def _is_assigned(self):
         assignment = self.view.assignment(self.endpoint)
         if assignment is None:
@@ -376,7 +308,7 @@
 
     def _apply_ownership(self):
         self.monitor.health.is_standby = not self.view.owns(self.endpoint)
-        self._set_limits()
+        self.limits.update()
         if self._is_assigned() or self._is_temporary:
             self._enable()
             self.connections.shrink()
