Lower the share of an owner without control in two steps

Cause: while control had no leader for 6.6 s, all owners fell from 38 to 15 of 78 connections (28 to 10 of 56), and 3 to 15% fewer requests were served, because blocks hold connections while their callers pause.

Change: an owner whose state is older than 3 s takes half of what owner and transition share have together (26 of 78, 19 of 56), and the transition share only after 20 s. The successor of an owner that was lost takes half after 6 s and its full share after 23 s. The successor of one that has released the endpoint takes its full share 3 s after the release. An owner whose state is confirmed again, and that has seen each change of the assignment, returns to its share after 3 s instead of 6: until then the server may count the connections that it closed. One that may have missed a change settles again.

No message or log entry changes.

--- a/waxwinglift/process/_connection_budget.py
+++ b/waxwinglift/process/_connection_budget.py
@@ -13,11 +13,17 @@
 # Age of the fleet's state from which another proxy may have been assigned.
 # Renewals confirm the state every 400 ms; elections take less than 1 s.
 _VIEW_AGE_LIMIT_MS = 3000.0
+# Age from which an owner leaves most connections to a possible successor.  The
+# transition share costs requests, so this is longer than control usually has
+# no leader: a leader that was frozen for 6.6 s was the longest case measured.
+_LONG_VIEW_AGE_LIMIT_MS = 20_000.0
 # Time after which a server drops a connection whose peer is unreachable.
 LOST_CONNECTION_MS = 3000.0
 # Time after which a proxy that was replaced knows it, or considers its state
 # too old, and the server has dropped the connections that it has lost.
 SETTLING_MS = _VIEW_AGE_LIMIT_MS + LOST_CONNECTION_MS
+# The same for a state that is much too old.
+LONG_SETTLING_MS = _LONG_VIEW_AGE_LIMIT_MS + LOST_CONNECTION_MS
 # Time for which a proxy keeps to the number of connections that a server had
 # accepted from it when the server refused a further one.
 _FULL_MS = 3000.0
@@ -32,6 +38,36 @@
     NONE = "none"
 
 
+class FormerOwner(enum.Enum):
+    """What is known of the connections of an endpoint's former owner."""
+
+    # There was none.
+    ABSENT = "absent"
+    # It is live and has not released the endpoint.
+    NAMED = "named"
+    RELEASED = "released"
+    # It may still have connections that it has not reported.
+    LOST = "lost"
+
+
+class _Level(enum.IntEnum):
+    """Part of its share that a proxy may take."""
+
+    TRANSITION = 0
+    HALF = 1
+    FULL = 2
+
+
+# Times after which an owner may take half and all of its share.
+_OWNER_SETTLING_MS = {
+    FormerOwner.ABSENT: (0.0, 0.0),
+    FormerOwner.NAMED: (math.inf, math.inf),
+    # The server may still count connections that the former owner closed.
+    FormerOwner.RELEASED: (LOST_CONNECTION_MS, LOST_CONNECTION_MS),
+    FormerOwner.LOST: (SETTLING_MS, LONG_SETTLING_MS),
+}
+
+
 class ConnectionBudget:
     """Number of connections that one proxy may have to one server.
 
@@ -42,9 +78,13 @@
 
     def __init__(self):
         self.role = ConnectionRole.NONE
-        self._is_settled = False
+        self._level = _Level.TRANSITION
         self._is_promoted = False
         self._since_ms = math.inf
+        # What the age of the state permits, and whether it has been lowered.
+        self._ceiling = _Level.TRANSITION
+        self._is_lowered = False
+        self._lowered_until_ms = -math.inf
         self._full_count = 0
         self._full_until_ms = -math.inf
 
@@ -54,8 +94,8 @@
         now_ms: float,
         *,
         view_age_ms: float = 0.0,
-        has_former_owner: bool = False,
-        is_first: bool = False,
+        former_owner: FormerOwner = FormerOwner.LOST,
+        has_missed_changes: bool = False,
     ):
         """Set the present role.
 
@@ -65,27 +105,55 @@
         now_ms : float
         view_age_ms : float
             Age of the fleet's state by which this is the role.
-        has_former_owner : bool
-            Whether a live former owner has not released the endpoint.
-        is_first : bool
-            Whether the endpoint had no other owners before.
+        former_owner : FormerOwner
+        has_missed_changes : bool
+            Whether the assignment has changed more than once since the last
+            update, so that another proxy may have had the role.
         """
-        is_recent = view_age_ms <= _VIEW_AGE_LIMIT_MS
-        if role is not self.role or not is_recent:
+        was_old = self._ceiling < _Level.FULL
+        self._set_ceiling(_find_ceiling(view_age_ms), now_ms)
+        if role is not self.role or (was_old and has_missed_changes):
             self._is_promoted = (
                 role is ConnectionRole.OWNER
                 and self.role is ConnectionRole.STANDBY
-                and self._is_settled
-                and is_recent
+                and self._level is _Level.FULL
+                and self._ceiling is _Level.FULL
             )
             self.role = role
-            self._is_settled = is_first and is_recent
+            self._level = _Level.TRANSITION
             self._since_ms = now_ms
-        if self._is_settled:
+        if self._level is _Level.FULL:
             return
-        if has_former_owner:
+        if former_owner is FormerOwner.NAMED:
             self._since_ms = now_ms
-        self._is_settled = now_ms - self._since_ms >= SETTLING_MS
+        self._settle(former_owner, now_ms)
+
+    def _set_ceiling(self, ceiling, now_ms):
+        """Apply what the age of the state permits.
+
+        The server may still count connections that were closed because of the
+        age, so the ceiling rises only when it has dropped them.
+        """
+        if ceiling <= self._ceiling:
+            self._is_lowered = self._is_lowered or ceiling < self._ceiling
+            self._ceiling = ceiling
+            if self._is_lowered:
+                self._lowered_until_ms = now_ms + LOST_CONNECTION_MS
+        elif now_ms >= self._lowered_until_ms:
+            self._ceiling = ceiling
+            self._is_lowered = False
+
+    def _settle(self, former_owner, now_ms):
+        half_ms, full_ms = _OWNER_SETTLING_MS[former_owner]
+        if self.role is ConnectionRole.STANDBY:
+            # Another standby owner may have been replaced at the same time.
+            is_first = former_owner is FormerOwner.ABSENT
+            half_ms = full_ms = 0.0 if is_first else SETTLING_MS
+        elapsed_ms = now_ms - self._since_ms
+        if elapsed_ms >= full_ms:
+            self._level = _Level.FULL
+        elif elapsed_ms >= half_ms:
+            self._level = _Level.HALF
 
     def record_full(self, connection_count: int, now_ms: float) -> bool:
         """Record that the server refused one more than these connections.
@@ -105,18 +173,34 @@
         return limit_count
 
     def _share(self, shares):
+        level = min(self._level, self._ceiling)
         if self.role is ConnectionRole.OWNER:
-            if self._is_settled:
-                return shares.owner_count
-            if self._is_promoted:
-                return shares.standby_count + shares.transition_count
-            return shares.transition_count
+            return self._owner_share(shares, level)
         if self.role is ConnectionRole.STANDBY:
-            return shares.standby_count if self._is_settled else PROBE_COUNT
+            is_settled = level is _Level.FULL
+            return shares.standby_count if is_settled else PROBE_COUNT
         if self.role is ConnectionRole.TEMPORARY:
             return shares.temporary_count
         return 0
 
+    def _owner_share(self, shares, level):
+        if level is _Level.FULL:
+            return shares.owner_count
+        if level is _Level.HALF:
+            return shares.half_count
+        if self._is_promoted and self._ceiling is _Level.FULL:
+            return shares.standby_count + shares.transition_count
+        return shares.transition_count
+
+
+def _find_ceiling(view_age_ms):
+    """Return what the age of a proxy's state permits."""
+    if view_age_ms > _LONG_VIEW_AGE_LIMIT_MS:
+        return _Level.TRANSITION
+    if view_age_ms > _VIEW_AGE_LIMIT_MS:
+        return _Level.HALF
+    return _Level.FULL
+
 
 def find_role(
     view: FleetView, endpoint: EndpointId, is_temporary: bool
--- a/waxwinglift/process/_owner_limits.py
+++ b/waxwinglift/process/_owner_limits.py
@@ -6,6 +6,7 @@
 from waxwinglift.process._connection_budget import ConnectionRole
 from waxwinglift.process._connection_budget import find_role
 from waxwinglift.process._connection_budget import find_shares
+from waxwinglift.process._owner_succession import OwnerSuccession
 from waxwinglift.request._in_flight_limit import InFlightLimit
 
 logger = logging.getLogger(__name__)
@@ -25,6 +26,7 @@
     def __init__(self, owner):
         self._owner = owner
         self._budget = ConnectionBudget()
+        self._succession = OwnerSuccession()
         self._in_flight_limit = InFlightLimit()
 
     @property
@@ -85,14 +87,13 @@
         owner = self._owner
         view, endpoint = owner.view, owner.endpoint
         now_ms = owner.now_ms()
-        assignment = view.assignment(endpoint)
+        self._succession.update(view, endpoint)
         self._budget.update(
             find_role(view, endpoint, owner.is_temporary_owner(endpoint)),
             now_ms,
             view_age_ms=view.age_ms(),
-            has_former_owner=assignment is not None
-            and assignment.previous is not None,
-            is_first=assignment is not None and assignment.epoch == 1,
+            former_owner=self._succession.former_owner,
+            has_missed_changes=self._succession.has_missed_changes,
         )
         shares = find_shares(view, endpoint)
         return self._budget.limit_count(shares, now_ms)
--- a/waxwinglift/version/_connection_shares.py
+++ b/waxwinglift/version/_connection_shares.py
@@ -35,8 +35,8 @@
     ----------
     owner_count : int
     transition_count : int
-        For an owner until all earlier ones have closed their connections, and
-        for one that may have been replaced.
+        For an owner while an earlier one may have more than half of their
+        common share, and for one that may have been replaced long ago.
     standby_count : int
     temporary_count : int
         For each temporary owner.
@@ -49,6 +49,15 @@
     temporary_count: int
     temporary_owners_count: int
 
+    @property
+    def half_count(self) -> int:
+        """Half of the common share of an owner and one in transition.
+
+        For an owner that may have been replaced, and for its successor until
+        that one has the transition share.
+        """
+        return (self.owner_count + self.transition_count) // 2
+
 
 @functools.lru_cache(maxsize=64)
 def divide_connections(limit_count: int) -> ConnectionShares:
