Close no more idle connections than a lowered limit needs

The owner applies its limit at each tick, and connections that were still closing counted as open, so a second tick closed as many idle ones again. They no longer count. The new test closed up to all idle connections on the code before (2 of 5 rows fail there).

--- a/waxwinglift/connection/_endpoint_pool.py
+++ b/waxwinglift/connection/_endpoint_pool.py
@@ -260,7 +260,7 @@
 
     def shrink(self, now_ms):
         """Close idle connections above a limit that was lowered."""
-        excess_count = len(self._connections) - self.limit_count
+        excess_count = self._connections.open_count - self.limit_count
         idle = self._connections.idle_connections()
         actions = []
         for connection in idle[: max(0, excess_count)]:
--- a/waxwinglift/connection/_pool_records.py
+++ b/waxwinglift/connection/_pool_records.py
@@ -130,6 +130,11 @@
             self._lost_until_ms.popleft()
         return len(self) + len(self._lost_until_ms)
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections that are not closing."""
+        return len(self) - self.count(ConnectionState.CLOSED)
+
     def count(self, state: ConnectionState) -> int:
         """Return the number of connections in a state."""
         return sum(record.state is state for record in self.values())
--- a/waxwinglift/connection/tests/test_endpoint_pool.py
+++ b/waxwinglift/connection/tests/test_endpoint_pool.py
@@ -322,3 +322,32 @@
     pool.discard(used, 2.0, is_unanswered)
     actions = pool.on_closed(used, 2.0)
     assert bool(connections_of(OpenConnection, actions)) != is_unanswered
+
+
+@pytest.mark.parametrize(
+    ("limit_count", "busy_count", "closed_count"),
+    [(5, 0, 3), (5, 4, 3), (2, 4, 4), (0, 4, 4), (8, 4, 0)],
+)
+def test_lowered_limit_closes_no_more_idle_connections_than_needed(
+    limit_count, busy_count, closed_count
+):
+    # Closings take time, and the owner applies its limit at each tick; a
+    # connection of a running transaction would end that transaction.
+    pool = EndpointPool(EndpointPoolSettings(spare_count=5), 17, 3)
+    opened = connections_of(OpenConnection, pool.enable(0.0))
+    assert len(opened) == pool.limit_count == 8
+    for connection in opened:
+        pool.on_opened(connection, 0.0)
+    used = [
+        connections_of(UseConnection, pool.acquire(holder, 1.0))[0]
+        for holder in range(busy_count)
+    ]
+    pool.limit_count = limit_count
+    closing = connections_of(CloseConnection, pool.shrink(2.0))
+    assert len(closing) == closed_count
+    assert not set(closing) & set(used)
+    assert not pool.shrink(3.0)
+    for connection in closing:
+        assert not connections_of(
+            OpenConnection, pool.on_closed(connection, 4.0)
+        )
