Let the limit of blocks of other ranks follow the owner's share

Cause: the limit for blocks of the ranks that are not the most urgent was computed at each change of the fleet only, from the number of blocks that was valid before. An owner with 38 connections allowed 2 of them until the first change; a change while the share was low kept them low afterwards, and without a change the places reserved for the urgent rank were lost when the share fell.

Change: the limit is set whenever the number of blocks changes.

--- a/waxwinglift/process/_owner_limits.py
+++ b/waxwinglift/process/_owner_limits.py
@@ -1,5 +1,7 @@
 """Limits of the connections, slots and blocks of one endpoint's owner."""
 
+from collections.abc import Iterable
+import dataclasses
 import logging
 
 from waxwinglift.process._connection_budget import ConnectionBudget
@@ -8,11 +10,14 @@
 from waxwinglift.process._connection_budget import find_shares
 from waxwinglift.process._owner_succession import OwnerSuccession
 from waxwinglift.request._in_flight_limit import InFlightLimit
+from waxwinglift.version import PoolTable
 
 logger = logging.getLogger(__name__)
 
 # Connections that a standby owner keeps open to probe the endpoint.
 STANDBY_WARM_COUNT = 1
+# Connections reserved for transaction blocks of the most urgent rank.
+_URGENT_BLOCKS_COUNT = 2
 
 
 class OwnerLimits:
@@ -28,6 +33,7 @@
         self._budget = ConnectionBudget()
         self._succession = OwnerSuccession()
         self._in_flight_limit = InFlightLimit()
+        self._block_tables: tuple[PoolTable, ...] = ()
 
     @property
     def role(self) -> ConnectionRole:
@@ -61,7 +67,14 @@
         # One connection for each slot is reserved for statements outside of
         # blocks; blocks may use the rest.
         blocks_count = max(1, pool.limit_count - slots_count)
-        owner.blocks.queue.slots_count = blocks_count
+        if blocks_count != owner.blocks.queue.slots_count:
+            owner.blocks.queue.slots_count = blocks_count
+            self._set_block_tables()
+
+    def set_block_tables(self, tables: Iterable[PoolTable]):
+        """Set the tables of the ranks of blocks, without their limits."""
+        self._block_tables = tuple(tables)
+        self._set_block_tables()
 
     def record_full(self):
         """Record that the endpoint refused a connection of this proxy."""
@@ -82,6 +95,13 @@
             )
         self.update()
 
+    def _set_block_tables(self):
+        queue = self._owner.blocks.queue
+        limit_count = max(1, queue.slots_count - _URGENT_BLOCKS_COUNT)
+        queue.set_tables(
+            [_limit_blocks(table, limit_count) for table in self._block_tables]
+        )
+
     def _find_connection_limit(self):
         """Return how many connections this proxy may have now."""
         owner = self._owner
@@ -97,3 +117,12 @@
         )
         shares = find_shares(view, endpoint)
         return self._budget.limit_count(shares, now_ms)
+
+
+def _limit_blocks(table, limit_count):
+    """Return the table with a limit for all ranks but the most urgent."""
+    limited = [
+        dataclasses.replace(row, limit_count=limit_count)
+        for row in table.rows[1:]
+    ]
+    return dataclasses.replace(table, rows=(table.rows[0], *limited))
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -1,7 +1,6 @@
 """Owner of one endpoint whose protocol has typed statements."""
 
 import contextlib
-import dataclasses
 import math
 
 from waxwinglift.connection import HealthState
@@ -33,8 +32,6 @@
 from waxwinglift.version import PoolTable
 from waxwinglift.version._fleet import accepts_requests
 
-# Connections reserved for transaction blocks of the most urgent rank.
-_URGENT_BLOCKS_COUNT = 2
 # Pool under which the statements of all pools of a group are queued, so that
 # their ranks are compared.
 _GROUP_QUEUE_POOL = PoolName("")
@@ -289,11 +286,9 @@
                 self.load_shedder.ranks_count, len(ordered)
             )
         table = PoolTable(_GROUP_QUEUE_POOL, self.group, ordered)
-        self.slots.queue.set_tables([table] if ordered else [])
-        blocks_count = self.blocks.queue.slots_count
-        self.blocks.queue.set_tables(
-            [_limit_blocks(table, blocks_count)] if ordered else []
-        )
+        tables = [table] if ordered else []
+        self.slots.queue.set_tables(tables)
+        self.limits.set_block_tables(tables)
 
     @property
     def _is_temporary(self):
@@ -327,13 +322,3 @@
     def _report_health(self):
         if self._on_health is not None:
             self._on_health(self.endpoint, self.health)
-
-
-def _limit_blocks(table, blocks_count):
-    """Return the table with a limit for all ranks but the most urgent."""
-    limit_count = max(1, blocks_count - _URGENT_BLOCKS_COUNT)
-    limited = [
-        dataclasses.replace(row, limit_count=limit_count)
-        for row in table.rows[1:]
-    ]
-    return dataclasses.replace(table, rows=(table.rows[0], *limited))
