Leave at least half of a small share to transaction blocks

One connection for each slot is reserved for statements outside of blocks. An owner in another region has up to 8 statements more in flight than the server has slots; with 12 of them, a transition share of 15 left 3 connections to blocks, and now leaves 8. Shares of at least twice the slots are divided as before.

--- a/waxwinglift/process/_owner_limits.py
+++ b/waxwinglift/process/_owner_limits.py
@@ -64,9 +64,10 @@
         usable_count = max(pool.limit_count, pool.connection_count, 1)
         slots_count = min(slots_count, usable_count)
         queue.slots_count = slots_count
-        # One connection for each slot is reserved for statements outside of
-        # blocks; blocks may use the rest.
-        blocks_count = max(1, pool.limit_count - slots_count)
+        # One connection for each slot, but at most half of them, is reserved
+        # for statements outside of blocks; blocks may use the rest.
+        reserved_count = min(slots_count, pool.limit_count // 2)
+        blocks_count = max(1, pool.limit_count - reserved_count)
         if blocks_count != owner.blocks.queue.slots_count:
             owner.blocks.queue.slots_count = blocks_count
             self._set_block_tables()
