--- a/waxwinglift/process/_connection_budget.py
+++ b/waxwinglift/process/_connection_budget.py
@@ -88,6 +88,12 @@
         self._full_count = 0
         self._full_until_ms = -math.inf
 
+    @property
+    def is_lowered(self) -> bool:
+        """Whether an owner's share is lowered because its state is too old."""
+        is_owner = self.role is ConnectionRole.OWNER
+        return is_owner and self._ceiling < self._level
+
     def update(
         self,
         role: ConnectionRole,
--- a/waxwinglift/process/_owner_limits.py
+++ b/waxwinglift/process/_owner_limits.py
@@ -32,6 +32,7 @@
         self._owner = owner
         self._budget = ConnectionBudget()
         self._succession = OwnerSuccession()
+        self._is_lowered = False
         self._in_flight_limit = InFlightLimit()
         self._block_tables: tuple[PoolTable, ...] = ()
 
@@ -53,7 +54,10 @@
         if record is None:
             return
         pool = owner.connections.pool
-        pool.limit_count = self._find_connection_limit()
+        self._update_budget()
+        shares = find_shares(owner.view, owner.endpoint)
+        pool.limit_count = self._budget.limit_count(shares, owner.now_ms())
+        self._report_lowering()
         is_owner = self.role is ConnectionRole.OWNER
         pool.warm_count = None if is_owner else STANDBY_WARM_COUNT
         queue = owner.slots.queue
@@ -103,21 +107,37 @@
             [_limit_blocks(table, limit_count) for table in self._block_tables]
         )
 
-    def _find_connection_limit(self):
-        """Return how many connections this proxy may have now."""
+    def _update_budget(self):
         owner = self._owner
         view, endpoint = owner.view, owner.endpoint
-        now_ms = owner.now_ms()
         self._succession.update(view, endpoint)
         self._budget.update(
             find_role(view, endpoint, owner.is_temporary_owner(endpoint)),
-            now_ms,
+            owner.now_ms(),
             view_age_ms=view.age_ms(),
             former_owner=self._succession.former_owner,
             has_missed_changes=self._succession.has_missed_changes,
         )
-        shares = find_shares(view, endpoint)
-        return self._budget.limit_count(shares, now_ms)
+
+    def _report_lowering(self):
+        """Report a share that is lowered; called after each update."""
+        was_lowered = self._is_lowered
+        self._is_lowered = self._budget.is_lowered
+        if was_lowered or not self._is_lowered:
+            return
+        owner = self._owner
+        pool = owner.connections.pool
+        owner.metrics.incr("owner.share_lowered")
+        logger.warning(
+            "the state of the fleet is too old for the full share of"
+            " connections",
+            extra={
+                "endpoint": owner.endpoint,
+                "connection_count": pool.connection_count,
+                "share_count": pool.limit_count,
+                "view_age_ms": owner.view.age_ms(),
+            },
+        )
 
 
 def _limit_blocks(table, limit_count):
--- a/waxwinglift/process/tests/test_owner_limits.py
+++ b/waxwinglift/process/tests/test_owner_limits.py
@@ -124,3 +124,20 @@
             assert len(await _enter_blocks(owner, 0)) == 1
 
     virtual_endpoint.run_in_virtual_time(play())
+
+
+def test_lowered_share_is_reported_once(caplog):
+    # Operators see why an owner uses fewer connections than it may.
+    async def play():
+        server = virtual_endpoint.VirtualServer(4, 78)
+        state = virtual_endpoint.make_state(server, _POLICIES)
+        async with virtual_endpoint.running_owner(
+            server, state, _SETTINGS
+        ) as owner:
+            for age_ms in (0, 6600, 21_000, 0, 0):
+                owner.view.age_ms = lambda age_ms=age_ms: age_ms
+                await asyncio.sleep(2.0)
+
+    virtual_endpoint.run_in_virtual_time(play())
+    reported = [r for r in caplog.records if "too old" in r.message]
+    assert [r.share_count for r in reported] == [26]
