Keep statements waiting at endpoints while the owner handles answers

An owner with a third of a core takes several milliseconds between an answer and the next statement; the slot is idle meanwhile, also while statements wait in the owner's queue. A number of statements in parts of the slots may now be in flight beyond those that occupy the slots and the network; 0 by default, two thirds on the platform where the pool contract is in force.

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -23,6 +23,9 @@
 _MISSED_ANNOUNCEMENTS_COUNT = 4
 # Part of a statement's time that it may wait for a slot.
 _WAIT_FRACTION = 0.5
+# Proxies have a third of a core: between an answer and the next statement an
+# owner takes several milliseconds.
+_SPARE_IN_FLIGHT_RATIO = 2 / 3
 # A connection that opens occupies a slot of the server, which has two or more.
 _OPENING_LIMIT_COUNT = 2
 # The platform checks readiness each second and needs two failed checks.
@@ -126,8 +129,13 @@
 
 
 def _admission_settings(platform):
-    order = "deadline" if _has_pool_contract(platform) else "turns"
-    return AdmissionSettings(order=order, wait_fraction=_WAIT_FRACTION)
+    if not _has_pool_contract(platform):
+        return AdmissionSettings(wait_fraction=_WAIT_FRACTION)
+    return AdmissionSettings(
+        order="deadline",
+        wait_fraction=_WAIT_FRACTION,
+        spare_in_flight_ratio=_SPARE_IN_FLIGHT_RATIO,
+    )
 
 
 def _routing_settings(platform):
--- a/waxwinglift/process/_policy_settings.py
+++ b/waxwinglift/process/_policy_settings.py
@@ -53,6 +53,11 @@
     refusal_start_ratio : float
         Ratio of the expected wait to the acceptable one from which the order
         "deadline" refuses a part of the requests; at 1 it refuses all.
+    spare_in_flight_ratio : float
+        Statements that an owner has in flight beyond those that occupy the
+        slots and the network, in parts of the slots.  They wait at the
+        endpoint, in order of arrival, and keep its slots busy while the owner
+        handles an answer.
     refusal_share : float
         Refusals per served request that the order "deadline" allows by the
         times after which refused requests may return.
@@ -70,6 +75,7 @@
     wait_fraction: float = pydantic.Field(1.0, gt=0, le=1)
     advance_limit_count: int = pydantic.Field(4, ge=0)
     refusal_start_ratio: float = pydantic.Field(0.5, gt=0, lt=1)
+    spare_in_flight_ratio: float = pydantic.Field(0.0, ge=0, le=2)
     refusal_share: float = pydantic.Field(1 / 3, gt=0, le=1)
     return_limit_ms: float = pydantic.Field(1000.0, ge=1)
 
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -193,7 +193,7 @@
         self._last_term_and_phase = None
         # Index of each rank by urgency, and its floor share.
         self._ranks = {}
-        self._in_flight_limit = InFlightLimit()
+        self._in_flight_limit = InFlightLimit(settings.admission)
         self._load = OwnerLoad(self)
         self.budget = ConnectionBudget()
         limit_count = self.view.fleet.connection_limit_count(record)
--- a/waxwinglift/request/_in_flight_limit.py
+++ b/waxwinglift/request/_in_flight_limit.py
@@ -1,5 +1,9 @@
 """Limit on the statements that an owner has in flight at an endpoint."""
 
+import math
+
+from waxwinglift.process._policy_settings import AdmissionSettings
+
 # Maximum number of statements beyond the slots.  They may have to queue at the
 # endpoint, which does not order them by rank.  Servers accept queues of at
 # least twice this length.
@@ -17,10 +21,16 @@
     For an owner, a statement occupies a slot during the network round trip
     as well.  Between regions the round trip takes longer than the execution,
     so an owner that sends one statement per slot would leave most slots
-    idle.
+    idle.  The time that the owner itself takes between an answer and the next
+    statement leaves slots idle too; ``spare_in_flight_ratio`` covers it.
+
+    Parameters
+    ----------
+    settings : AdmissionSettings, optional
     """
 
-    def __init__(self):
+    def __init__(self, settings: AdmissionSettings | None = None):
+        self._settings = settings or AdmissionSettings()
         self._window_start_ms = 0.0
         # Shortest round trips of the current window and of the one before.
         self._current_ms: float | None = None
@@ -52,6 +62,8 @@
         round_trip_ms = self._shortest_ms()
         execution_ms = max(_MIN_EXECUTION_MS, service_ms - round_trip_ms)
         extra_count = int(slots_count * round_trip_ms / execution_ms)
+        spare_ratio = self._settings.spare_in_flight_ratio
+        extra_count += math.ceil(spare_ratio * slots_count)
         return slots_count + min(extra_count, _EXTRA_LIMIT_COUNT)
 
     def _shortest_ms(self):
--- a/waxwinglift/request/tests/test_in_flight_limit.py
+++ b/waxwinglift/request/tests/test_in_flight_limit.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from waxwinglift.process._policy_settings import AdmissionSettings
 from waxwinglift.request._admission import AdmissionQueue
 from waxwinglift.request._admission import Ticket
 from waxwinglift.request._in_flight_limit import InFlightLimit
@@ -25,6 +26,18 @@
     assert found == limit_count
 
 
+@pytest.mark.parametrize(
+    ("spare_ratio", "slots_count", "limit_count"),
+    [(0.0, 6, 6), (2 / 3, 6, 10), (2 / 3, 4, 7), (2 / 3, 3, 5), (2.0, 6, 14)],
+)
+def test_spare_statements_cover_the_delay_of_the_owner(
+    spare_ratio, slots_count, limit_count
+):
+    """Slots must not be idle while the owner handles an answer."""
+    limit = InFlightLimit(AdmissionSettings(spare_in_flight_ratio=spare_ratio))
+    assert limit.limit_count(slots_count, 25.0) == limit_count
+
+
 def test_limit_without_a_sample_is_the_number_of_slots():
     """An owner must not overload an endpoint whose round trip is unknown."""
     assert InFlightLimit().limit_count(SLOTS_COUNT, 4.0) == SLOTS_COUNT
