--- a/waxwinglift/process/_owner_limits.py
+++ b/waxwinglift/process/_owner_limits.py
@@ -33,7 +33,7 @@
         self._budget = ConnectionBudget()
         self._succession = OwnerSuccession()
         self._is_lowered = False
-        self._in_flight_limit = InFlightLimit()
+        self._in_flight_limit = InFlightLimit(owner.settings.admission)
         self._block_tables: tuple[PoolTable, ...] = ()
 
     @property
