Find the load of a primary during its change without a lag

Cause: while a group is fencing or promoting, its primary's owner does not count the endpoint as the active primary, and looked for its lag from the position of the primary. That is the record of the same endpoint, whose lag was looked for again, until RecursionError. Each answer of the owner, each choice of an endpoint by its proxy and each report failed until the change of primary had ended, also when the statement had run.

Change: the endpoint that the group names as its primary has no lag, in each phase.

Measured: test_owner_load.py fails with RecursionError in the phases FORMING, FENCING and PROMOTING before the change, and passes after it; the tests of load reports pass (15).

--- a/waxwinglift/process/_owner_load.py
+++ b/waxwinglift/process/_owner_load.py
@@ -52,13 +52,15 @@
         )
 
     def _find_lag_ms(self, book, now_ms):
-        if self._owner.is_primary:
+        group = self._owner.view.group(self._owner.group)
+        primary = None if group is None else group.primary
+        # Also while a change of primary is in progress: its position is the
+        # one of this endpoint itself.
+        if primary == self._owner.endpoint:
             return 0.0
         floor = self._owner.positions.floors.last_sample
         if floor is not None:
             self._primary_progress.record(*floor)
-        group = self._owner.view.group(self._owner.group)
-        primary = None if group is None else group.primary
         load = None if primary is None else book.find(primary, now_ms)
         if load is not None and load.position is not None:
             self._primary_progress.record(load.observed_ms, load.position)
