Keep ranks with a floor share back by their own refusals only

Cause: after a refusal of urgent work, an entry proxy sent no request of a less urgent rank to the endpoint either. In a flood of the most urgent rank the owner then had too few requests of the other ranks to give them the floor share that their table states (design.md, section 2).

Change: a rank with a floor share is kept back only by its own refusals. Others are kept back by those of more urgent ranks, as before. The model of an overloaded endpoint follows the same rule.

--- a/waxwinglift/request/_rejection_backoff.py
+++ b/waxwinglift/request/_rejection_backoff.py
@@ -16,7 +16,9 @@
     """Keeps the requests of an entry proxy from queues that refuse them.
 
     Until the retry-after time of a refusal, requests of its rank, and those
-    of less urgent ones, are refused here or go to another endpoint.  The
+    of less urgent ones without a floor share, are refused here or go to
+    another endpoint.  A queue that is full of urgent work still serves the
+    ranks with a floor share, so only their own refusals keep them back.  The
     refusal of a transaction block keeps back only blocks, which have a queue
     of their own besides that of the statements.
 
@@ -66,13 +68,16 @@
         urgency_index: int,
         is_block: bool,
         now_ms: float,
+        has_floor_share: bool = False,
     ) -> float:
         """Return for how long no request of a rank is sent; 0 for none."""
+        first_index = urgency_index if has_floor_share else 0
         ends_ms = [
             end_ms
             for (index, of_block), (_, end_ms) in self._refusals.get(
                 endpoint, {}
             ).items()
-            if index <= urgency_index and (is_block or not of_block)
+            if first_index <= index <= urgency_index
+            and (is_block or not of_block)
         ]
         return max(0.0, max(ends_ms, default=now_ms) - now_ms)
--- a/waxwinglift/request/_statement_routes.py
+++ b/waxwinglift/request/_statement_routes.py
@@ -128,6 +128,7 @@
             self._session.policy.urgency_index,
             attempts.is_block,
             now_ms,
+            has_floor_share=self._session.table.rows[0].floor_percent > 0,
         )
 
     def _rejection(self, attempts, closed):
--- a/waxwinglift/request/tests/test_rejection_backoff.py
+++ b/waxwinglift/request/tests/test_rejection_backoff.py
@@ -39,6 +39,20 @@
     assert (left_ms > 0) is is_closed
 
 
+@pytest.mark.parametrize(
+    "refused_index, asked_index, is_closed",
+    [(0, 2, False), (1, 2, False), (2, 2, True), (2, 1, False)],
+)
+def test_rank_with_a_floor_share_is_kept_back_by_its_own_refusals_only(
+    refused_index, asked_index, is_closed
+):
+    """In a flood of urgent work the owner still serves its floor share."""
+    left_ms = _backoff(refused_index).left_ms(
+        _ENDPOINT, asked_index, False, 101.0, has_floor_share=True
+    )
+    assert (left_ms > 0) is is_closed
+
+
 @pytest.mark.parametrize(
     "retry_after_ms, least_ms, most_ms",
     [(100, 100, 120), (800, 800, 960), (1500, 833, 1000), (9000, 833, 1000)],
--- a/waxwinglift_bench/request/_overload_world.py
+++ b/waxwinglift_bench/request/_overload_world.py
@@ -93,7 +93,6 @@
         self.keeps_return_times = keeps_return_times
         self.queue = AdmissionQueue(SLOTS_COUNT, settings, random.Random(seed))
         self.queue.set_tables([PoolTable("", "g", ROWS)])
-        self.ranks = [row.rank for row in ROWS]
         # Per entry proxy and rank, when it may send again.
         self.return_ms = collections.defaultdict(float)
         self.now_ms = 0.0
@@ -151,8 +150,9 @@
     def _enter(self, request, is_second=False, entry=None):
         """Handle a request at an entry proxy."""
         entry = self.rng.randrange(ENTRIES_COUNT) if entry is None else entry
-        index = self.ranks.index(self.kinds[request.name].rank)
-        return_ms = max(self.return_ms[entry, i] for i in range(index + 1))
+        # Each rank but the first has a floor share, so that only its own
+        # refusals keep it back.
+        return_ms = self.return_ms[entry, self.kinds[request.name].rank]
         if self.now_ms < return_ms:
             self._refuse_caller(request, return_ms - self.now_ms)
             return
@@ -240,8 +240,7 @@
 
     def _return_refusal(self, request, entry, is_second, after_ms):
         if self.keeps_return_times:
-            index = self.ranks.index(self.kinds[request.name].rank)
-            key = (entry, index)
+            key = (entry, self.kinds[request.name].rank)
             return_ms = self.now_ms + after_ms
             self.return_ms[key] = max(self.return_ms[key], return_ms)
         elif not is_second:
--- a/waxwinglift_bench/request/tests/test_overload.py
+++ b/waxwinglift_bench/request/tests/test_overload.py
@@ -78,3 +78,21 @@
     world = run_burst(2.0, kinds={"check": KINDS["check"], **named})
     first, second = (world.share(name, *BURST_MS) for name in named)
     assert least_ratio <= first / second <= limit_ratio
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_flood_of_the_most_urgent_rank_leaves_the_floor_shares(seed):
+    """Refusals of urgent work must not keep the other ranks from the owner.
+
+    Each of these offers 26% of the slots' work and has a floor share of 10%.
+    While entry proxies kept them back with the urgent rank, they got 7%.
+    """
+    kinds = {
+        "flood": Kind("top", 100, 20, 400, 1000),
+        "second": Kind("middle", 28, 47, 500, 1000, is_scaled=False),
+        "third": Kind("low", 28, 47, 1200, 3000, is_scaled=False),
+    }
+    world = run_burst(4.0, kinds=kinds, seed=seed)
+    burst = (BURST_MS[0] + 1000, BURST_MS[1])
+    served = [world.share(name, *burst) for name in ("second", "third")]
+    assert min(served) >= 0.10 / 0.26
