Always try a single opening of a connection

Cause: a statement whose workspace has no connection is refused at once when the mean opening time exceeds half of its time. The mean changes only with an opening. After one slow opening, all workspaces without a connection were refused for as long as no other statement had more time.

Change: the expected wait is 0 for a single missing connection while none is being opened.

--- a/waxwinglift/connection/_opening_pace.py
+++ b/waxwinglift/connection/_opening_pace.py
@@ -63,9 +63,12 @@
     ) -> float:
         """Return the expected time until all missing connections are open.
 
-        Infinite if none may be opened.
+        Infinite if none may be opened, and 0 for a single one: it is always
+        tried, because a long opening time is only corrected by the next one.
         """
         limit_count = self.limit_count(connection_limit_count)
         if limit_count <= 0:
             return math.inf
+        if missing_count <= 1:
+            return 0.0
         return math.ceil(missing_count / limit_count) * self._opening_ms
--- a/waxwinglift/request/tests/test_statement_connections.py
+++ b/waxwinglift/request/tests/test_statement_connections.py
@@ -227,3 +227,32 @@
     server, failures = virtual_endpoint.run_in_virtual_time(play())
     assert failures == [None] * 400
     assert server.refusals_count <= 10
+
+
+def test_slow_opening_does_not_refuse_all_later_ones():
+    # The refusals of a statement every 500 ms went on for ever: its expected
+    # wait was that of the slow opening, and no opening corrected it.
+    policy = _policy(0, 800)
+
+    async def play():
+        server = virtual_endpoint.VirtualServer(1, 56, delay_ms=220.0)
+        state = virtual_endpoint.make_state(server, {"decision": policy})
+        failures = []
+        async with virtual_endpoint.running_owner(
+            server, state, _SETTINGS
+        ) as owner:
+            await asyncio.sleep(0.6)
+            server.delay_ms = 1.4
+            # No other opening is in progress after this time.
+            await asyncio.sleep(0.6)
+            for number in range(5):
+                key, workspace = b"%d" % number, f"w{number}"
+                server.work_ms[key] = workspace, 1.0
+                failure, _ = await virtual_endpoint.run_write(
+                    owner, key, workspace, policy
+                )
+                failures.append(failure)
+                await asyncio.sleep(0.5)
+        return failures
+
+    assert virtual_endpoint.run_in_virtual_time(play()) == [None] * 5
