Refuse for lack of a connection without a retry-after time

Cause: the owner refuses a statement whose workspace gets no connection in time, with the expected wait as retry-after time. Entry proxies took this for a full queue and sent nothing of its rank to the endpoint for up to 1 s, also no statement of the workspaces that have a connection there.

Change: this refusal has no retry-after time, so that it concerns the statement alone.

Measured: the new test fails before the change (700 ms in place of none); the tests of request/ and of workspaces pass.

--- a/waxwinglift/request/_statement_slot.py
+++ b/waxwinglift/request/_statement_slot.py
@@ -1,7 +1,6 @@
 """Waits for the slot and the connection of one statement at an owner."""
 
 import dataclasses
-import math
 
 from result import Err
 from result import Ok
@@ -45,8 +44,9 @@
             " endpoint exceeds the deadline"
         )
         owner.metrics.incr("owner.connection_refused")
-        retry_after_ms = math.ceil(wait_ms) if math.isfinite(wait_ms) else None
-        return not_run(FailureCode.REJECTED, message, retry_after_ms)
+        # No retry-after time: an entry proxy would keep back the whole rank,
+        # also the workspaces that have a connection.
+        return not_run(FailureCode.REJECTED, message)
     if await connection.acquire(left_ms):
         return None
     message = "no connection to the endpoint was free in time"
--- a/waxwinglift/request/tests/test_statement_connections.py
+++ b/waxwinglift/request/tests/test_statement_connections.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from waxwinglift.request import FailureCode
 from waxwinglift.request import Verdict
 from waxwinglift.request.tests import virtual_endpoint
 from waxwinglift.request.tests.virtual_endpoint import now_ms
@@ -256,3 +257,33 @@
         return failures
 
     assert virtual_endpoint.run_in_virtual_time(play()) == [None] * 5
+
+
+def test_refusal_for_lack_of_a_connection_concerns_one_workspace():
+    # With a retry-after time, entry proxies would send nothing of its rank,
+    # although statements of workspaces with a connection are served.
+    policy = _POLICIES["decision"]
+
+    async def play():
+        server = virtual_endpoint.VirtualServer(1, 56)
+        state = virtual_endpoint.make_state(server, _POLICIES)
+        async with virtual_endpoint.running_owner(
+            server, state, _SETTINGS
+        ) as owner:
+            await _open_for(owner, server, "idle")
+            owner.connections.pool.expected_wait_ms = lambda *_: 700.0
+            outcomes = []
+            for workspace in ("new", "idle"):
+                key = workspace.encode()
+                server.work_ms[key] = workspace, 1.0
+                outcomes.append(
+                    await virtual_endpoint.run_write(
+                        owner, key, workspace, policy
+                    )
+                )
+        return [failure for failure, _ in outcomes]
+
+    refused, served = virtual_endpoint.run_in_virtual_time(play())
+    assert refused.code is FailureCode.REJECTED
+    assert refused.retry_after_ms is None
+    assert served is None
