Report no lag for a read that only lacked a position of the primary

Cause: a replica's owner refuses a read as behind also when it gets no recent position of the primary, for instance while the primary's owner is partitioned. It reported the replica with the accepted age as its lag, for which entry proxies pass it over for 5 s, also once the primary could be reached.

Change: the lag of a refusal is reported only if the endpoint itself has refused, which the refusal shows by the endpoint's position.

The existing test builds the endpoint's refusals with a position now, as the stream does; its cases and expected values are unchanged.

Measured: the new test fails before the change (lag 1500 ms in place of 150); the 12 tests of records and reports pass.

--- a/waxwinglift/process/_group_load.py
+++ b/waxwinglift/process/_group_load.py
@@ -86,7 +86,9 @@
             required = {load.endpoint for load in loads if load.has_free_slot}
         if code in (FailureCode.REJECTED, FailureCode.BEHIND):
             required.add(header.endpoint)
-        if code is FailureCode.BEHIND:
+        # Without a position of the endpoint, only the one of the primary was
+        # missing, which tells nothing about the lag.
+        if code is FailureCode.BEHIND and end.failed_position is not None:
             loads = [_state_refusal(load, header) for load in loads]
         return reports.select(loads, now_ms, required)
 
--- a/waxwinglift/process/tests/test_load_codec.py
+++ b/waxwinglift/process/tests/test_load_codec.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from waxwinglift.connection import TransactionStatus
 from waxwinglift.process import Location
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._data_path_types import ExecuteHeader
@@ -91,11 +90,23 @@
     asked = EndpointLoad("b", 950.0, 6, 6, 0.0, Position(2, 90_000), 150.0)
     loads.book.record([asked, FREE])
     failure = None if code is None else not_run(code, "refused")
-    end = ExchangeEnd(TransactionStatus.IDLE, failure=failure)
+    position = asked.position if code is FailureCode.BEHIND else None
+    end = ExchangeEnd(failure=failure, failed_position=position)
     selected = loads.records_of_answer(_header(floor), end, LoadReports())
     assert {load.endpoint: load.lag_ms for load in selected} == expected
 
 
+def test_replica_without_a_recent_position_of_the_primary_is_not_behind():
+    """Entry proxies would pass it over for 5 s after the primary is back."""
+    view = FleetView("pa", Location("dc-a", "region-a"), bool, make_fleet())
+    loads = GroupLoads(view, lambda _: None, lambda: 1000.0, NoMetrics())
+    asked = EndpointLoad("b", 950.0, 6, 6, 0.0, Position(2, 90_000), 150.0)
+    loads.book.record([asked])
+    end = ExchangeEnd(failure=not_run(FailureCode.BEHIND, "no position"))
+    (told,) = loads.records_of_answer(_header(), end, LoadReports())
+    assert told.lag_ms == 150.0
+
+
 def test_report_does_not_disturb_a_proxy_that_shares_no_loads():
     """The setting of two proxies may differ while it is changed."""
 
