Limit the size of a compressed body

Cause: only the decompressed size was limited. A frame of up to 64 MiB of empty blocks was copied and decompressed to nothing.

Change: a compressed body of more than 8 KiB, twice the largest body, is an error, as a body that is too long after decompression is.

Measured: random bodies of 4096 bytes take 4122 bytes; the new case fails before the change; all tests of the file pass.

--- a/waxwinglift/process/_peer_compression.py
+++ b/waxwinglift/process/_peer_compression.py
@@ -15,6 +15,8 @@
 # streams of the process and push the shared texts out of the context.
 _MIN_BYTES = 32
 _MAX_BYTES = 4096
+# Longest compressed body; random bytes of the largest body take 4122.
+_MAX_COMPRESSED_BYTES = 2 * _MAX_BYTES
 # End of each flushed part, which is not sent.
 _TAIL = b"\x00\x00\xff\xff"
 
@@ -55,6 +57,8 @@
         ------
         CompressionError
         """
+        if len(data) > _MAX_COMPRESSED_BYTES:
+            raise CompressionError("a compressed body exceeds the limit")
         try:
             body = self._stream.decompress(data + _TAIL, _MAX_BYTES + 1)
         except zlib.error as error:
--- a/waxwinglift/process/tests/test_peer_compression.py
+++ b/waxwinglift/process/tests/test_peer_compression.py
@@ -77,8 +77,14 @@
     return stream.compress(b"end") + stream.flush()
 
 
+# Blocks without content, which take time and memory but give no body.
+_EMPTY_BLOCKS = b"\x00\x00\x00\xff\xff" * 2000
+
+
 @pytest.mark.parametrize(
-    "data", [b"\xff" * 50, _too_long(), _ended()], ids=["bad", "long", "end"]
+    "data",
+    [b"\xff" * 50, _too_long(), _ended(), _EMPTY_BLOCKS],
+    ids=["bad", "long", "end", "empty"],
 )
 def test_bad_data_is_an_error_that_fills_no_memory(data):
     with pytest.raises(CompressionError):
