Name the time of the primary in refusals of writes

Cause: the retry-after time of a statement that no endpoint takes was the shortest one of all endpoints that are closed. A write got the time of a replica whose owner was overloaded, and was refused again after it.

Change: only endpoints that may serve the statement count.

--- a/waxwinglift/request/_statement_routes.py
+++ b/waxwinglift/request/_statement_routes.py
@@ -55,8 +55,13 @@
         return has_route
 
     def _find(self, attempts):
-        overloaded = self._daemons.find_overloaded()
-        full = self._find_full(attempts)
+        endpoints = self._find_endpoints(attempts)
+        overloaded = {
+            endpoint: ms
+            for endpoint, ms in self._daemons.find_overloaded().items()
+            if endpoint in endpoints
+        }
+        full = self._find_full(endpoints, attempts)
         closed = {**full, **overloaded}
         routed = self._choose(attempts, closed)
         if not closed or not isinstance(routed, Err):
@@ -92,24 +97,24 @@
                 basis = "by_report" if is_reported else "by_latency"
                 metrics.incr(f"entry.routed.{basis}")
 
-    def _find_full(self, attempts):
+    def _find_endpoints(self, attempts):
+        """Return the endpoints that may serve statements of this kind."""
+        group_view = self._context.group_view(self._session.table.group)
+        if group_view is None:
+            return []
+        views = [group_view.primary]
+        if attempts.access is Access.READ:
+            views.extend(group_view.replicas)
+        return [view.endpoint for view in views if view is not None]
+
+    def _find_full(self, endpoints, attempts):
         """Return the endpoints whose queues refuse the statement.
 
         The values are the times, in ms, after which they may take it.
         """
         if not self._context.uses_load:
             return {}
-        group_view = self._context.group_view(self._session.table.group)
-        if group_view is None:
-            return {}
-        views = [group_view.primary]
-        if attempts.access is Access.READ:
-            views.extend(group_view.replicas)
-        left_ms = {
-            view.endpoint: self._left_ms(view.endpoint, attempts)
-            for view in views
-            if view is not None
-        }
+        left_ms = {e: self._left_ms(e, attempts) for e in endpoints}
         return {
             endpoint: ms
             for endpoint, ms in left_ms.items()
