Expect the wait of a floor share without the urgent work

Cause: the order "deadline" divided the waiting work of the most urgent rank by the slots that a less urgent rank can expect, in a flood those of its floor share alone. Its tickets seemed to wait for the whole urgent queue in a tenth of the slots and were refused, although the queue gives them their share.

Change: the expected wait of a rank with a floor share is at most that of its own work in the slots of this share, as with the order "turns". RankPace holds what the waits of a rank depend on and is computed once for each offer.

--- a/waxwinglift/request/_deadline_order.py
+++ b/waxwinglift/request/_deadline_order.py
@@ -1,13 +1,12 @@
 """Order of an admission queue: by the latest start of each ticket."""
 
-import math
-
 from waxwinglift.request._admission_order import admission_order
 from waxwinglift.request._admission_order import AdmissionOrder
 from waxwinglift.request._admission_types import make_refusal
 from waxwinglift.request._deadline_rank import DeadlineRank
 from waxwinglift.request._deadline_rank import WaitingTicket
 from waxwinglift.request._decayed_sum import DecayedSum
+from waxwinglift.request._rank_capacity import RankPace
 from waxwinglift.request._rank_capacity import slots_fraction
 from waxwinglift.request._return_schedule import ReturnSchedule
 from waxwinglift.request._types import FailureCode
@@ -60,17 +59,19 @@
             # One ticket of each rank may always wait: without tickets that
             # run, a wrong estimate would never be corrected.
             return None
+        pace = self._find_pace(rank, now_ms)
+        rank_wait_ms = pace.high_wait_ms(
+            rank.waiting_ms, rank.waiting_variance
+        )
         if len(rank) >= rank.row.queue_limit_count:
             message = f"queue of rank {ticket.rank} is full ({len(rank)} wait)"
-            wait_ms = self._rank_wait_ms(rank, now_ms)
-            return self._refuse(ticket, rank, now_ms, message, wait_ms)
-        wait_ms = self.expected_wait_ms(ticket, now_ms)
+            return self._refuse(ticket, rank, now_ms, message, rank_wait_ms)
+        wait_ms = self._ticket_wait_ms(ticket, rank, pace, now_ms)
         ratio = wait_ms / max(1.0, acceptable_ms)
         if not ticket.is_continued:
             # The mean of the rank bounds the queue for all kinds of work
             # alike: by their own ratios alone, a kind with much time would
             # keep the queue too long for the others.
-            rank_wait_ms = self._rank_wait_ms(rank, now_ms)
             rank_ratio = rank_wait_ms / max(1.0, rank.acceptable_ms)
             ratio = max(ratio, rank_ratio)
         if not self._is_refused(ticket, rank, ratio, now_ms):
@@ -103,7 +104,8 @@
     def refuse_late(self, ticket, rank, now_ms):
         """Return the refusal of a ticket that can no longer start in time."""
         message = "deadline passed in queue"
-        wait_ms = self._rank_wait_ms(rank, now_ms)
+        pace = self._find_pace(rank, now_ms)
+        wait_ms = pace.high_wait_ms(rank.waiting_ms, rank.waiting_variance)
         return self._refuse(ticket, rank, now_ms, message, wait_ms)
 
     def find_late(self, now_ms):
@@ -112,11 +114,11 @@
         for rank in self.state.ranks.values():
             if not len(rank):
                 continue
-            capacity = self._capacity(rank, now_ms)
-            ahead_ms = self._work_before(rank)[0]
+            pace = self._find_pace(rank, now_ms)
+            ahead_ms = 0.0
             for waiting in rank.in_order():
                 ticket = waiting.ticket
-                start_ms = now_ms + ahead_ms / capacity
+                start_ms = now_ms + pace.mean_wait_ms(ahead_ms)
                 latest_ms = self.latest_start_ms(ticket)
                 if start_ms > latest_ms and not ticket.is_continued:
                     late.append(ticket)
@@ -146,11 +148,8 @@
         rank = self.state.ranks[(ticket.pool, ticket.rank)]
         if not self.state.must_wait(rank):
             return 0.0
-        key = None
-        if not ticket.is_continued:
-            key = self._key(ticket, rank, now_ms)
-        ahead = rank.work_ahead(key)
-        return self._wait_ms(rank, ahead.mean_ms, ahead.variance, now_ms)
+        pace = self._find_pace(rank, now_ms)
+        return self._ticket_wait_ms(ticket, rank, pace, now_ms)
 
     def new_wait_ms(self):
         """Return the expected wait of a new read of the least urgent rank."""
@@ -168,21 +167,28 @@
         is_excess = rank.callers.exceeds_share(ticket.caller, now_ms)
         return is_excess, self.latest_start_ms(ticket), ticket.request
 
-    def _rank_wait_ms(self, rank, now_ms):
-        """Return the expected time until the waiting tickets have started."""
-        return self._wait_ms(
-            rank, rank.waiting_ms, rank.waiting_variance, now_ms
-        )
+    def _ticket_wait_ms(self, ticket, rank, pace, now_ms):
+        """Return the expected time until a new ticket would start."""
+        key = None
+        if not ticket.is_continued:
+            key = self._key(ticket, rank, now_ms)
+        ahead = rank.work_ahead(key)
+        return pace.high_wait_ms(ahead.mean_ms, ahead.variance)
 
-    def _wait_ms(self, rank, ahead_ms, variance, now_ms):
+    def _find_pace(self, rank, now_ms):
+        """Return the RankPace of a rank."""
+        state = self.state
+        slots_count = state.slots_count
         before_ms, before_variance = self._work_before(rank)
-        spread_ms = math.sqrt(max(0.0, variance + before_variance))
-        work_ms = ahead_ms + before_ms + spread_ms
-        return work_ms / self._capacity(rank, now_ms)
-
-    def _capacity(self, rank, now_ms):
-        return self.state.slots_count * slots_fraction(
-            self.state, rank, now_ms
+        floor_slots = 0.0
+        if state.settings.is_floor_expected:
+            floor_slots = slots_count * rank.floor_share
+        return RankPace(
+            slots=slots_count * slots_fraction(state, rank, now_ms),
+            floor_slots=floor_slots,
+            service_ms=state.service_ms,
+            before_ms=before_ms,
+            before_variance=before_variance,
         )
 
     def _work_before(self, rank):
--- a/waxwinglift/request/tests/test_deadline_order.py
+++ b/waxwinglift/request/tests/test_deadline_order.py
@@ -75,6 +75,15 @@
     assert 0 < refusal.failure.retry_after_ms <= 1000
 
 
+def test_ticket_waits_for_its_floor_share_behind_urgent_ones():
+    """It gets a slot in time, however long the urgent queue is."""
+    queue = make_queue()
+    assert not queue.offer(make_ticket(1, 2000.0), 0.0)
+    for number in range(2, 32):
+        queue.offer(make_ticket(number, 0.0, rank="top"), 0.0)
+    assert not queue.expire(50.0)
+
+
 @pytest.mark.parametrize(
     ("work_ms", "least_ms", "most_ms"), [(300.0, 250, 310), (None, 99, 101)]
 )
