Refuse a read whose owner changed while it waited for a position

Cause: a read at a replica waits for a position of the primary before it enters the queue. A former owner refuses once what waits for slots and connections. A read that came to the queue after that found no idle connection, none was opened, and it was refused when its time limit had passed.

Change: the owner's conditions are checked again after the wait for the position, so that the entry proxy can use the new owner.

Measured in virtual time with a hand-over 100 ms after the arrival: refused after 800 ms as UNAVAILABLE before, after 100 ms as NOT_OWNER now. The tests of statements, the statement path and reported loads pass.

--- a/waxwinglift/request/_read_floor.py
+++ b/waxwinglift/request/_read_floor.py
@@ -38,6 +38,11 @@
     except TimeoutError:
         message = "no recent position of the primary arrived in time"
         outcome = Err(not_run(FailureCode.BEHIND, message))
+    refusal = owner.find_refusal(header)
+    if refusal is not None:
+        # A former owner has refused what waited for slots and connections;
+        # what comes later would wait there until its time limit.
+        return Err(refusal.failure)
     if isinstance(outcome, Err):
         # No other replica has a recent position either.
         message = outcome.err_value.message
