--- a/waxwinglift/request/tests/test_statement_connections.py
+++ b/waxwinglift/request/tests/test_statement_connections.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from waxwinglift.request import FailureCode
 from waxwinglift.request import Verdict
 from waxwinglift.request.tests import virtual_endpoint
 from waxwinglift.request.tests.virtual_endpoint import now_ms
@@ -227,3 +228,62 @@
     server, failures = virtual_endpoint.run_in_virtual_time(play())
     assert failures == [None] * 400
     assert server.refusals_count <= 10
+
+
+def test_slow_opening_does_not_refuse_all_later_ones():
+    # The refusals of a statement every 500 ms went on for ever: its expected
+    # wait was that of the slow opening, and no opening corrected it.
+    policy = _policy(0, 800)
+
+    async def play():
+        server = virtual_endpoint.VirtualServer(1, 56, delay_ms=220.0)
+        state = virtual_endpoint.make_state(server, {"decision": policy})
+        failures = []
+        async with virtual_endpoint.running_owner(
+            server, state, _SETTINGS
+        ) as owner:
+            await asyncio.sleep(0.6)
+            server.delay_ms = 1.4
+            # No other opening is in progress after this time.
+            await asyncio.sleep(0.6)
+            for number in range(5):
+                key, workspace = b"%d" % number, f"w{number}"
+                server.work_ms[key] = workspace, 1.0
+                failure, _ = await virtual_endpoint.run_write(
+                    owner, key, workspace, policy
+                )
+                failures.append(failure)
+                await asyncio.sleep(0.5)
+        return failures
+
+    assert virtual_endpoint.run_in_virtual_time(play()) == [None] * 5
+
+
+def test_refusal_for_lack_of_a_connection_concerns_one_workspace():
+    # With a retry-after time, entry proxies would send nothing of its rank,
+    # although statements of workspaces with a connection are served.
+    policy = _POLICIES["decision"]
+
+    async def play():
+        server = virtual_endpoint.VirtualServer(1, 56)
+        state = virtual_endpoint.make_state(server, _POLICIES)
+        async with virtual_endpoint.running_owner(
+            server, state, _SETTINGS
+        ) as owner:
+            await _open_for(owner, server, "idle")
+            owner.connections.pool.expected_wait_ms = lambda *_: 700.0
+            outcomes = []
+            for workspace in ("new", "idle"):
+                key = workspace.encode()
+                server.work_ms[key] = workspace, 1.0
+                outcomes.append(
+                    await virtual_endpoint.run_write(
+                        owner, key, workspace, policy
+                    )
+                )
+        return [failure for failure, _ in outcomes]
+
+    refused, served = virtual_endpoint.run_in_virtual_time(play())
+    assert refused.code is FailureCode.REJECTED
+    assert refused.retry_after_ms is None
+    assert served is None
