Select the division of a server's connections by a setting

Shares that add up to a server's limit leave too few connections to an owner where the limit is low: 10 of 23, and 4 for 6 s after a change.

--- a/waxwinglift/platform/_roles.py
+++ b/waxwinglift/platform/_roles.py
@@ -113,7 +113,10 @@
             pool=EndpointPoolSettings(
                 keeps_surplus=True,
                 opening_limit_count=_OPENING_LIMIT_COUNT,
-                lost_connection_ms=LOST_CONNECTION_MS,
+                lost_connection_ms=_lost_connection_ms(platform),
+            ),
+            connection_division=(
+                "shares" if _has_pool_contract(platform) else "fixed"
             ),
             quota=_quota_settings(platform.bounds),
         ),
@@ -128,6 +131,10 @@
     return _POOL_CONTRACT in platform.contracts
 
 
+def _lost_connection_ms(platform):
+    return LOST_CONNECTION_MS if _has_pool_contract(platform) else 0.0
+
+
 def _admission_settings(platform):
     if not _has_pool_contract(platform):
         return AdmissionSettings(wait_fraction=_WAIT_FRACTION)
--- a/waxwinglift/process/_connection_budget.py
+++ b/waxwinglift/process/_connection_budget.py
@@ -6,8 +6,6 @@
 from waxwinglift.process._fleet_view import FleetView
 from waxwinglift.version import EndpointId
 from waxwinglift.version._connection_shares import ConnectionShares
-from waxwinglift.version._connection_shares import divide_connections
-from waxwinglift.version._connection_shares import find_temporary_owners
 from waxwinglift.version._connection_shares import PROBE_COUNT
 
 # Age of the fleet's state from which another proxy may have been assigned.
@@ -225,20 +223,6 @@
         return ConnectionRole.OWNER
     if assignment is not None and assignment.standby == view.daemon:
         return ConnectionRole.STANDBY
-    if is_temporary and may_serve_temporarily(view, endpoint):
+    if is_temporary:
         return ConnectionRole.TEMPORARY
     return ConnectionRole.NONE
-
-
-def may_serve_temporarily(view: FleetView, endpoint: EndpointId) -> bool:
-    """Return whether this proxy may serve without an assignment."""
-    record = view.endpoint(endpoint)
-    if record is None:
-        return False
-    return view.daemon in find_temporary_owners(view.fleet, record)
-
-
-def find_shares(view: FleetView, endpoint: EndpointId) -> ConnectionShares:
-    """Return the shares of the connections of a known endpoint."""
-    record = view.endpoint(endpoint)
-    return divide_connections(view.fleet.connection_limit_count(record))
--- a/waxwinglift/process/_data_path_settings.py
+++ b/waxwinglift/process/_data_path_settings.py
@@ -1,5 +1,7 @@
 """Settings of the data path, which are parts of ProxySettings."""
 
+from typing import Literal
+
 import pydantic
 
 from waxwinglift.process._caller_limit_settings import CallerLimitSettings
@@ -147,6 +149,10 @@
     prepared_limit_count : int
         Largest number of statements prepared on one connection; a connection
         with more is replaced.
+    connection_division : str
+        How the connections of a server that fences itself are divided among
+        the proxies: ``fixed`` numbers for each role, or ``shares`` that add up
+        to the server's limit.
     drain_timeout_ms : float
         Longest time that a drain or a handover waits for open transactions.
     drain_answer_timeout_ms : float
@@ -176,6 +182,7 @@
     answer_limit_bytes: int = pydantic.Field(2**30, ge=1024)
     replica_buffer_bytes: int = pydantic.Field(2**14, ge=0)
     prepared_limit_count: int = pydantic.Field(1000, ge=1)
+    connection_division: Literal["fixed", "shares"] = "fixed"
     drain_timeout_ms: float = pydantic.Field(30_000.0, gt=0)
     drain_answer_timeout_ms: float = pydantic.Field(10_000.0, ge=0)
     admission: AdmissionSettings = pydantic.Field(
--- a/waxwinglift/process/_data_path_types.py
+++ b/waxwinglift/process/_data_path_types.py
@@ -210,6 +210,9 @@
     def executor_for(self, daemon: DaemonId) -> Executor | None:
         """Return the executor of a proxy, or None if it is unknown."""
 
+    def temporary_owners(self, endpoint: EndpointId) -> tuple[DaemonId, ...]:
+        """Return the proxies that may serve without an assignment."""
+
     async def cancel(self, daemon: DaemonId, key: CancelKey):
         """Cancel the running statement of a session at another proxy."""
 
--- a/waxwinglift/process/_owner_limits.py
+++ b/waxwinglift/process/_owner_limits.py
@@ -7,7 +7,7 @@
 from waxwinglift.process._connection_budget import ConnectionBudget
 from waxwinglift.process._connection_budget import ConnectionRole
 from waxwinglift.process._connection_budget import find_role
-from waxwinglift.process._connection_budget import find_shares
+from waxwinglift.process._connection_division import CONNECTION_DIVISIONS
 from waxwinglift.process._owner_succession import OwnerSuccession
 from waxwinglift.request._in_flight_limit import InFlightLimit
 from waxwinglift.version import PoolTable
@@ -30,6 +30,8 @@
 
     def __init__(self, owner):
         self._owner = owner
+        division = CONNECTION_DIVISIONS[owner.settings.connection_division]
+        self._division = division()
         self._budget = ConnectionBudget()
         self._succession = OwnerSuccession()
         self._is_lowered = False
@@ -54,9 +56,13 @@
         if record is None:
             return
         pool = owner.connections.pool
-        self._update_budget()
-        shares = find_shares(owner.view, owner.endpoint)
-        pool.limit_count = self._budget.limit_count(shares, owner.now_ms())
+        self._update_budget(record)
+        pool.limit_count = self._division.limit_count(
+            self._budget,
+            owner.view.fleet.connection_limit_count(record),
+            pool.is_per_workspace,
+            owner.now_ms(),
+        )
         self._report_lowering()
         is_owner = self.role is ConnectionRole.OWNER
         pool.warm_count = None if is_owner else STANDBY_WARM_COUNT
@@ -107,12 +113,17 @@
             [_limit_blocks(table, limit_count) for table in self._block_tables]
         )
 
-    def _update_budget(self):
+    def _update_budget(self, record):
         owner = self._owner
         view, endpoint = owner.view, owner.endpoint
         self._succession.update(view, endpoint)
+        temporary_owners = self._division.temporary_owners(view, record)
+        is_temporary = (
+            owner.is_temporary_owner(endpoint)
+            and view.daemon in temporary_owners
+        )
         self._budget.update(
-            find_role(view, endpoint, owner.is_temporary_owner(endpoint)),
+            find_role(view, endpoint, is_temporary),
             owner.now_ms(),
             view_age_ms=view.age_ms(),
             former_owner=self._succession.former_owner,
--- a/waxwinglift/process/_owner_set.py
+++ b/waxwinglift/process/_owner_set.py
@@ -13,7 +13,7 @@
 from waxwinglift.connection import HealthState
 from waxwinglift.connection._protocol_registry import find_endpoint_protocol
 from waxwinglift.process._clock import monotonic_ms
-from waxwinglift.process._connection_budget import may_serve_temporarily
+from waxwinglift.process._connection_division import CONNECTION_DIVISIONS
 from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._data_path_types import Exchange
 from waxwinglift.process._data_path_types import ExchangeEnd
@@ -26,6 +26,7 @@
 from waxwinglift.process._group_load import GroupLoads
 from waxwinglift.process._loop_lag import LoopLag
 from waxwinglift.process._owner import EndpointOwner
+from waxwinglift.process._types import DaemonId
 from waxwinglift.request import Failure
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
@@ -212,6 +213,14 @@
         if self.loads is not None:
             self.loads.report(self._owners)
 
+    def temporary_owners(self, endpoint: EndpointId) -> tuple[DaemonId, ...]:
+        """Return the proxies that may serve without an assignment."""
+        record = self._view.endpoint(endpoint)
+        if record is None:
+            return ()
+        division = CONNECTION_DIVISIONS[self._settings.connection_division]
+        return division().temporary_owners(self._view, record)
+
     def _open_temporary_owner(self, endpoint):
         """Serve an endpoint that is not assigned to this proxy.
 
@@ -223,7 +232,7 @@
         group = None if record is None else self._view.group(record.group)
         if group is None or not group.is_server_fenced:
             return None
-        if not may_serve_temporarily(self._view, endpoint):
+        if self._view.daemon not in self.temporary_owners(endpoint):
             return None
         if endpoint not in self._temporary_endpoints:
             logger.info(
--- a/waxwinglift/process/_peer_client.py
+++ b/waxwinglift/process/_peer_client.py
@@ -33,6 +33,7 @@
 from waxwinglift.request import FailureCode
 from waxwinglift.request import not_run
 from waxwinglift.request._quota import QuotaAnswer
+from waxwinglift.version import EndpointId
 from waxwinglift.version import GroupName
 from waxwinglift.version import Position
 from waxwinglift.version import Term
@@ -269,6 +270,10 @@
         is_remote = record.location.region != self._view.location.region
         return self._compresses_between_regions and is_remote
 
+    def temporary_owners(self, endpoint: EndpointId) -> tuple[DaemonId, ...]:
+        """Return the proxies that may serve without an assignment."""
+        return self._local.temporary_owners(endpoint)
+
     async def cancel(self, daemon: DaemonId, key: CancelKey):
         """Cancel the running statement of a session at another proxy."""
         executor = self.executor_for(daemon)
--- a/waxwinglift/process/_statement_owner.py
+++ b/waxwinglift/process/_statement_owner.py
@@ -12,7 +12,6 @@
 from waxwinglift.connection._tracked_connection import TrackedConnection
 from waxwinglift.connection._statement_monitor import StatementMonitor
 from waxwinglift.process._admission_report import AdmissionReport
-from waxwinglift.process._connection_budget import ConnectionRole
 from waxwinglift.process._data_path_types import ExchangeEnd
 from waxwinglift.process._owner import EndpointOwner
 from waxwinglift.process._owner import refuse
@@ -78,7 +77,7 @@
         if not self._is_assigned() and not header.to_standby:
             message = "this proxy does not own the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
-        if self.limits.role is ConnectionRole.NONE:
+        if not self.connections.pool.limit_count:
             message = "this proxy may have no connections to the endpoint"
             return refuse(message, FailureCode.NOT_OWNER, stale=True)
         group = self.view.group(self.group)
--- a/waxwinglift/process/tests/test_connection_budget.py
+++ b/waxwinglift/process/tests/test_connection_budget.py
@@ -315,7 +315,9 @@
         state.owners[ENDPOINT] = OwnerAssignment(
             ENDPOINT, DaemonId("lost-1"), DaemonId("lost-2"), Epoch(3)
         )
-        settings = OwnerSettings(protocol="virtual")
+        settings = OwnerSettings(
+            protocol="virtual", connection_division="shares"
+        )
         owner_sets = {}
         for name in state.daemons:
             view = FleetView(
--- a/waxwinglift/request/_statement_daemons.py
+++ b/waxwinglift/request/_statement_daemons.py
@@ -5,7 +5,6 @@
 from waxwinglift.request import Verdict
 from waxwinglift.request._statement_attempts import can_use_other_daemon
 from waxwinglift.version import EndpointId
-from waxwinglift.version._connection_shares import find_temporary_owners
 
 # Time for which an owner that did not answer in time gets no request of the
 # rank.  An owner whose sockets are full cannot even refuse in time.
@@ -56,13 +55,10 @@
     def _daemons(self, route):
         """Yield the daemons that may serve, the preferred ones first."""
         yield from dict.fromkeys((route.owner, route.standby))
-        view = self._context.view
-        record = view.endpoint(route.endpoint)
-        if record is None:
-            return
-        others = find_temporary_owners(view.fleet, record)
+        others = self._context.executors.temporary_owners(route.endpoint)
+        this_daemon = self._context.view.daemon
         # This proxy comes first if it is one of them.
-        for daemon in sorted(others, key=lambda d: d != view.daemon):
+        for daemon in sorted(others, key=lambda d: d != this_daemon):
             if daemon not in (route.owner, route.standby):
                 yield daemon
 
--- a/waxwinglift/request/tests/test_statement_daemons.py
+++ b/waxwinglift/request/tests/test_statement_daemons.py
@@ -9,7 +9,9 @@
 from waxwinglift.process import DataCentre
 from waxwinglift.process import Location
 from waxwinglift.process import Region
+from waxwinglift.process._data_path_settings import OwnerSettings
 from waxwinglift.process._fleet_view import FleetView
+from waxwinglift.process._owner_set import OwnerSet
 from waxwinglift.request._statement_daemons import StatementDaemons
 from waxwinglift.request.tests import virtual_endpoint
 from waxwinglift.request.tests.virtual_endpoint import ENDPOINT
@@ -35,15 +37,17 @@
     return state
 
 
-def _asked_daemons(state, daemon, unreachable):
+def _asked_daemons(state, daemon, unreachable, division="shares"):
     """Return the daemons that ``daemon`` asks; each does not serve."""
     view = FleetView(daemon, virtual_endpoint.LOCATION, lambda: True, state)
+    settings = OwnerSettings(connection_division=division)
     executor = types.SimpleNamespace(is_unresponsive=False)
     context = types.SimpleNamespace(
         view=view,
         now_ms=lambda: 0.0,
         executors=types.SimpleNamespace(
-            executor_for=lambda one: None if one in unreachable else executor
+            executor_for=lambda one: None if one in unreachable else executor,
+            temporary_owners=OwnerSet(settings, view).temporary_owners,
         ),
         overload_backoff=types.SimpleNamespace(
             endpoint_left_ms=lambda *args: 0.0
@@ -83,3 +87,11 @@
     # They have most of the connections and the queue of the endpoint.
     asked = _asked_daemons(_make_state(), DaemonId("proxy-105"), set())
     assert asked[:2] == [_OWNER, _STANDBY]
+
+
+def test_each_proxy_serves_by_itself_without_shares():
+    # A fleet of few proxies would otherwise lose service in a partition.
+    daemon = DaemonId("proxy-105")
+    unreachable = {_OWNER, _STANDBY}
+    asked = _asked_daemons(_make_state(), daemon, unreachable, "fixed")
+    assert asked == [daemon]
--- a/waxwinglift/request/tests/virtual_endpoint.py
+++ b/waxwinglift/request/tests/virtual_endpoint.py
@@ -185,7 +185,7 @@
 async def running_owner(server, state, settings, daemon=OWNER):
     """Yield an owner of the endpoint with running timers."""
     view = FleetView(daemon, LOCATION, lambda: True, state)
-    settings = OwnerSettings(**settings)
+    settings = OwnerSettings(connection_division="shares", **settings)
     owner = StatementOwner(ENDPOINT, settings, view, now_ms=now_ms)
     owner.attach(server.open, lambda one: None)
     owner.start()
