--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -1,7 +1,7 @@
 """Small stand-ins for the platform: servers, operator, callers, promotions.
 
 They follow PROTOCOL.md and DEPLOY.md and use the standard library only.  The
-daemons are started as separate processes by the commands of deploy/system.toml.
+daemons are started as separate processes by the commands of the deploy file.
 """
 
 import asyncio
@@ -125,7 +125,7 @@
         return machine.ip, self.caller_port
 
     def start(self, machine, bootstrap=False):
-        """Start the daemon of a machine with the command of the deploy file."""
+        """Start the daemon of a machine by the command of the deploy file."""
         path = self.folder / f"{machine.name}.toml"
         path.write_text(self._settings(machine, bootstrap), encoding="utf-8")
         deploy = tomllib.loads(
@@ -294,9 +294,7 @@
 
     async def start(self):
         """Listen and return the address."""
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0
-        )
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         return self._server.sockets[0].getsockname()[:2]
 
     async def _serve(self, reader, writer):
@@ -311,7 +309,7 @@
             )
             status = self._promote(json.loads(body), headers)
             writer.write(
-                f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+                b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\n{}" % status
             )
             await writer.drain()
         writer.close()
@@ -518,7 +516,8 @@
         if self._beat_task is not None:
             self._beat_task.cancel()
         await self._call_any(
-            addresses, f"/Instances.Deregister/{self.name}",
+            addresses,
+            f"/Instances.Deregister/{self.name}",
             {"born": self.born},
         )
         self.crash()
@@ -852,13 +851,9 @@
     for address in itertools.cycle(addresses):
         if time.monotonic() > end_s:
             return None
-        status, _ = await call(
-            address, "POST", "/Config.Replace", document
-        )
+        status, _ = await call(address, "POST", "/Config.Replace", document)
         if status == 200:
-            record(
-                f"version {document['version']} is acked by {address[0]}"
-            )
+            record(f"version {document['version']} is acked by {address[0]}")
             return address
         await asyncio.sleep(0.02)
 
