--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -974,6 +974,8 @@
 
     The case returns whether the rule held.
     """
+    # A script that is stopped ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = pathlib.Path(folder)
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
